Serve a request from one end to the other

A workspace of eight small libraries with imports one way, and a thin version of the whole path as distinct processes: stand-in platform, stand-in VMs of both sites, three entries.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# Every target makes the virtual environment first when it is missing.
+VENV ?= .venv
+LIBS := model store peers routing fleet operators standins burdockthread
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(foreach lib,$(LIBS),$(CURDIR)/libs/$(lib)))
+PACKAGES := $(foreach lib,$(filter-out burdockthread,$(LIBS)),libs/$(lib)/burdockthread_$(lib)) libs/burdockthread/burdockthread
+STAMP := $(VENV)/.installed
+
+.PHONY: test demo bench binary format check unit clean
+
+test: check unit
+
+$(STAMP): requirements/dev.txt
+	python3 -m venv $(VENV)
+	$(VENV)/bin/python -m pip install --quiet --quiet --disable-pip-version-check --require-hashes -r requirements/dev.txt
+	touch $(STAMP)
+
+check: $(STAMP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy $(PACKAGES) scripts
+	$(VENV)/bin/lint-imports --no-cache
+
+unit: $(STAMP)
+	$(VENV)/bin/python scripts/run_tests.py
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+demo: $(STAMP)
+	$(VENV)/bin/python scripts/demo.py
+
+bench: $(STAMP)
+	$(VENV)/bin/python -m burdockthread bench
+
+binary: dist/burdockthread
+
+dist/burdockthread: $(STAMP) $(shell find libs -name '*.py' -not -path '*/tests/*')
+	rm -rf build/site
+	$(VENV)/bin/python -m pip install --quiet --quiet --disable-pip-version-check --require-hashes --target build/site -r requirements/runtime.txt
+	$(VENV)/bin/python -m pip install --quiet --quiet --disable-pip-version-check --no-deps --no-build-isolation --target build/site $(foreach lib,$(LIBS),./libs/$(lib))
+	mkdir -p dist
+	$(VENV)/bin/shiv --site-packages build/site --compressed --console-script burdockthread --python '/usr/bin/env python3' --output-file dist/burdockthread
+
+clean:
+	rm -rf build dist .pytest_cache .mypy_cache .ruff_cache
--- /dev/null
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -0,0 +1,312 @@
+"""One entry: every part wired together in one process."""
+
+import asyncio
+import os
+import resource
+import signal
+from collections.abc import AsyncIterator, Coroutine
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import NamedTuple
+
+import aiomisc
+from aiohttp import web
+from burdockthread_fleet.leadership import Leadership
+from burdockthread_fleet.planner import Planner
+from burdockthread_fleet.vm_control import HttpVmControl, VmControl
+from burdockthread_model.clock import Clock
+from burdockthread_model.events import EventLog
+from burdockthread_model.metrics import MemoryMetrics, StatsdMetrics
+from burdockthread_model.settings import AddressSettings, EntrySettings, Limits
+from burdockthread_operators.authentication import Authenticator
+from burdockthread_operators.changes import TemplateChanges
+from burdockthread_operators.operators_api import OperatorsApi
+from burdockthread_peers.owned_keys import OwnedKeys
+from burdockthread_peers.relay import ConfigurationRelay
+from burdockthread_peers.static_permits import StaticPermits
+from burdockthread_peers.stream_mesh import StreamMesh
+from burdockthread_routing.callers_api import MAX_HEADER_BYTES, CallersApi
+from burdockthread_routing.endpoint_choice import EndpointChooser
+from burdockthread_routing.endpoint_client import EndpointClient, HttpEndpointClient
+from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
+from burdockthread_routing.job_ledger import JobLedger
+from burdockthread_routing.router import Router
+from burdockthread_routing.vm_directory import HttpVmDirectory, VmDirectory
+from burdockthread_store.applied import HEAD_PREFIX, AppliedConfiguration
+from burdockthread_store.etcd_store import EtcdStore
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.store import ConfigurationStore
+
+from burdockthread.status import FleetStatus
+
+DEFAULT_SLOTS = 8
+ENDPOINT_CONNECTIONS = 64
+READINESS_NOTICE_S = 1.0
+DRAIN_POLL_S = 0.05
+BACKLOG = 256
+
+
+class Edges(NamedTuple):
+    """Everything outside that an entry talks to."""
+
+    store: ConfigurationStore
+    directory: VmDirectory
+    control: VmControl
+    endpoints: EndpointClient
+    clock: Clock
+
+    @classmethod
+    def from_settings(cls, settings: EntrySettings, clock: Clock) -> "Edges":
+        """Returns the real edges; call within a running event loop."""
+        platform = settings["platform"]
+        entries = len(settings["entries"])
+        return cls(
+            store=EtcdStore(platform["store_url"], clock),
+            directory=HttpVmDirectory(platform["vm_directory_url"]),
+            control=HttpVmControl(platform["vm_directory_url"]),
+            endpoints=HttpEndpointClient(max(ENDPOINT_CONNECTIONS // entries, 1)),
+            clock=clock,
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.endpoints.close()
+        await self.control.close()
+        await self.directory.close()
+        await self.store.close()
+
+
+class Entry:
+    """One entry of the system."""
+
+    def __init__(self, settings: EntrySettings, edges: Edges) -> None:
+        self.settings = settings
+        self.edges = edges
+        self.clock = edges.clock
+        self.limits = Limits.from_settings(settings)
+        self.name = settings["name"]
+        self.log = EventLog(self.name)
+        self.metrics = metrics_from_settings(settings)
+        self.build_configuration()
+        self.build_routing()
+        self.build_fleet()
+        self.build_operators()
+        self.ports: dict[str, int] = {}
+
+    def build_configuration(self) -> None:
+        """Builds the copies of the store and the peers that keep them current."""
+        store = self.edges.store
+        self.config_cache = PrefixCache(store, HEAD_PREFIX, self.clock)
+        self.vm_cache = PrefixCache(store, VM_PREFIX, self.clock)
+        self.pool_cache = PrefixCache(store, "pool/", self.clock)
+        self.applied = AppliedConfiguration(self.log)
+        self.config_cache.listeners.append(self.applied.on_item)
+        self.mesh = StreamMesh(self.settings, self.clock, self.log)
+        self.relay = ConfigurationRelay(self.mesh, self.applied, self.clock, self.log)
+
+    def build_routing(self) -> None:
+        """Builds the caller's path."""
+        self.view = FleetView(
+            self.applied, self.vm_cache, self.edges.directory, self.clock, self.log
+        )
+        entries = [entry["name"] for entry in self.settings["entries"]]
+        self.permits = StaticPermits(self.name, entries, self.slots_of)
+        chooser = EndpointChooser(self.settings["availability_zone"], self.permits)
+        self.keys = OwnedKeys(self.mesh, self.clock, self.limits.idempotency_keys)
+        self.router = Router(
+            self.name,
+            self.view,
+            chooser,
+            self.edges.endpoints,
+            self.keys,
+            self.clock,
+            self.metrics,
+            self.log,
+        )
+        self.ledger = JobLedger(self.edges.store, self.clock)
+        self.callers_api = CallersApi(
+            self.name, self.router, self.ledger, self.clock, self.metrics, self.log
+        )
+
+    def slots_of(self, service: str) -> int:
+        """Returns the slots of one endpoint of a service."""
+        spec = self.view.services.get(service)
+        return DEFAULT_SLOTS if spec is None else spec.slots
+
+    def build_fleet(self) -> None:
+        """Builds the planner."""
+        self.leadership = Leadership(self.name, self.edges.store, self.clock)
+        self.planner = Planner(
+            self.leadership,
+            self.edges.store,
+            self.view,
+            self.vm_cache,
+            self.pool_cache,
+            self.edges.control,
+            self.clock,
+            self.metrics,
+            self.log,
+        )
+
+    def build_operators(self) -> None:
+        """Builds the operators' API."""
+        self.status = FleetStatus(
+            self.name, self.applied, self.mesh, self.relay, self.view, self.leadership
+        )
+        self.operators_api = OperatorsApi(
+            Authenticator(self.settings["operator_tokens"]),
+            TemplateChanges(self.edges.store, self.clock),
+            self.status.report,
+            {
+                "status": self.status.report,
+                "process": self.process_report,
+                "metrics": self.metrics_report,
+                "routing": self.routing_report,
+                "store": self.store_report,
+            },
+            self.metrics,
+            self.log,
+        )
+
+    def process_report(self) -> object:
+        """Returns facts about this process."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return {
+            "pid": os.getpid(),
+            "max_resident_kb": usage.ru_maxrss,
+            "cpu_s": usage.ru_utime + usage.ru_stime,
+            "ports": self.ports,
+        }
+
+    def metrics_report(self) -> object:
+        """Returns counters and gauges."""
+        return {"counters": self.metrics.counters, "gauges": self.metrics.gauges}
+
+    def routing_report(self) -> object:
+        """Returns the state of the caller's path."""
+        waiting = self.router.admission.waiting
+        return {
+            "ready": self.callers_api.ready,
+            "in_flight": self.router.in_flight,
+            "waiting": {name: len(queue) for name, queue in waiting.items()},
+            "outstanding": dict(self.router.chooser.outstanding),
+            "keys": len(self.keys.records),
+        }
+
+    def store_report(self) -> object:
+        """Returns how current the copies of the store are."""
+        now = self.clock.now()
+        caches = (self.config_cache, self.vm_cache, self.pool_cache)
+        return {
+            cache.prefix: {
+                "revision": cache.revision,
+                "synced": cache.synced,
+                "silent_s": now - cache.contact_s if cache.synced else None,
+            }
+            for cache in caches
+        }
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator["Entry"]:
+        """Serves within the block and stops gracefully at its end."""
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self.edges.close)
+            await stack.enter_async_context(self.mesh.running())
+            stack.push_async_callback(self.leadership.resign)
+            for work in self.background():
+                stack.push_async_callback(cancel, asyncio.create_task(work))
+            await self.listen(stack, "operators", self.operators_api.application())
+            callers = self.callers_api.application(self.limits.body_bytes)
+            await self.listen(stack, "callers", callers)
+            self.callers_api.ready = True
+            self.log.info("entry_started", **self.ports)
+            try:
+                yield self
+            finally:
+                await self.drain()
+
+    def background(self) -> tuple[Coroutine[None, None, None], ...]:
+        """Returns the work that runs for as long as the entry does."""
+        return (
+            self.config_cache.run(),
+            self.vm_cache.run(),
+            self.pool_cache.run(),
+            self.relay.run(),
+            self.view.run(self.limits.directory_interval_s),
+            self.router.run(),
+            self.ledger.run(),
+            self.planner.run(),
+        )
+
+    async def listen(
+        self, stack: AsyncExitStack, name: str, app: web.Application
+    ) -> None:
+        """Serves an application on the port of the settings."""
+        address = self.address(name)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            shutdown_timeout=self.limits.stop_timeout_s,
+            max_field_size=MAX_HEADER_BYTES,
+            max_line_size=MAX_HEADER_BYTES,
+        )
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        site = web.TCPSite(runner, address["host"], address["port"], backlog=BACKLOG)
+        await site.start()
+        self.ports[name] = runner.addresses[0][1]
+
+    def address(self, name: str) -> AddressSettings:
+        """Returns the address of a port by its name."""
+        return self.settings["callers" if name == "callers" else "operators"]
+
+    async def drain(self) -> None:
+        """Refuses new callers, then waits for the requests in flight."""
+        self.log.info("entry_stopping", in_flight=self.router.in_flight)
+        self.callers_api.ready = False
+        self.mesh.announce_leaving()
+        await self.clock.sleep(READINESS_NOTICE_S)
+        give_up_s = self.clock.now() + self.limits.stop_timeout_s
+        while self.router.in_flight and self.clock.now() < give_up_s:
+            await self.clock.sleep(DRAIN_POLL_S)
+        self.log.info("entry_stopped", in_flight=self.router.in_flight)
+
+
+def metrics_from_settings(settings: EntrySettings) -> MemoryMetrics:
+    """Returns metrics sent by statsd if the settings name an address."""
+    statsd = settings.get("statsd")
+    if statsd is None:
+        return MemoryMetrics()
+    prefix = statsd.get("prefix", "burdockthread")
+    return StatsdMetrics(statsd["host"], statsd["port"], f"{prefix}.{settings['name']}")
+
+
+async def cancel(task: asyncio.Task[None]) -> None:
+    """Cancels a task and waits for its end."""
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+class EntryService(aiomisc.Service):
+    """Runs an entry under aiomisc, which handles SIGTERM and SIGINT."""
+
+    settings: EntrySettings
+    clock: Clock
+    stack: AsyncExitStack
+
+    async def start(self) -> None:
+        """Starts the entry."""
+        self.stack = AsyncExitStack()
+        entry = Entry(self.settings, Edges.from_settings(self.settings, self.clock))
+        await self.stack.enter_async_context(entry.running())
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGUSR1, log_dump, entry)
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stops the entry gracefully."""
+        await self.stack.aclose()
+
+
+def log_dump(entry: Entry) -> None:
+    """Logs the state of this process."""
+    for name, report in entry.operators_api.reports.items():
+        entry.log.info("state_dump", part=name, state=report())
--- /dev/null
+++ b/libs/fleet/burdockthread_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Intended state, VM assignment, maintenance waves, job placement."""
--- /dev/null
+++ b/libs/model/burdockthread_model/__init__.py
@@ -0,0 +1,1 @@
+"""Typed data, errors, clock, checked settings, logs and metrics."""
--- /dev/null
+++ b/libs/operators/burdockthread_operators/__init__.py
@@ -0,0 +1,1 @@
+"""Templates and the operators' API."""
--- /dev/null
+++ b/libs/operators/burdockthread_operators/client.py
@@ -0,0 +1,94 @@
+"""Client of the operators' port."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+from burdockthread_model.errors import (
+    BurdockthreadError,
+    ConflictError,
+    ForbiddenError,
+    NotFoundError,
+    TemplateError,
+)
+
+CALL_TIMEOUT_S = 10.0
+
+STATUS_ERROR: dict[int, type[BurdockthreadError]] = {
+    401: ForbiddenError,
+    403: ForbiddenError,
+    404: NotFoundError,
+    409: ConflictError,
+    422: TemplateError,
+}
+
+
+class OperatorsClient:
+    """Asks one entry, one method for each action of an operator."""
+
+    def __init__(self, session: aiohttp.ClientSession, base_url: str) -> None:
+        self.session = session
+        self.base_url = base_url.rstrip("/")
+
+    async def call(self, method: str, path: str, **options: object) -> object:
+        """Sends a request and returns the decoded answer.
+
+        Raises:
+            BurdockthreadError: The entry refused or did not answer.
+        """
+        url = self.base_url + path
+        try:
+            async with self.session.request(method, url, **options) as answer:  # type: ignore[arg-type]
+                body = await answer.json(content_type=None)
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            reason = str(error) or type(error).__name__
+            raise BurdockthreadError(f"{self.base_url}: {reason}") from error
+        if answer.status < 400:
+            return body
+        reason = body.get("error", "") if isinstance(body, dict) else str(body)
+        raise STATUS_ERROR.get(answer.status, BurdockthreadError)(reason)
+
+    async def status(self) -> object:
+        """Reads the intended against the actual state."""
+        return await self.call("GET", "/v1/status")
+
+    async def dump(self) -> object:
+        """Reads the state of the process."""
+        return await self.call("GET", "/v1/dump")
+
+    async def propose(self, template: bytes, base_version: int) -> object:
+        """Proposes a template."""
+        params = {"base_version": str(base_version)}
+        return await self.call("POST", "/v1/changes", params=params, data=template)
+
+    async def review(self, change: str, content_hash: str, *, approve: bool) -> object:
+        """Reviews a change."""
+        body = {"content_hash": content_hash, "approve": approve}
+        return await self.call("POST", f"/v1/changes/{change}/review", json=body)
+
+    async def accept(self, change: str, content_hash: str) -> object:
+        """Accepts a change."""
+        body = {"content_hash": content_hash}
+        return await self.call("POST", f"/v1/changes/{change}/accept", json=body)
+
+    async def show(self, template: str) -> object:
+        """Reads the accepted version of a template."""
+        return await self.call("GET", f"/v1/templates/{template}")
+
+    async def history(self, template: str) -> object:
+        """Reads the changes of a template."""
+        return await self.call("GET", f"/v1/templates/{template}/history")
+
+
+@asynccontextmanager
+async def operators_client(base_url: str, token: str) -> AsyncIterator[OperatorsClient]:
+    """Connects within the block.
+
+    Args:
+        base_url: Address of the operators' port of an entry.
+        token: Bearer token of the operator.
+    """
+    headers = {"Authorization": f"Bearer {token}"}
+    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+    async with aiohttp.ClientSession(headers=headers, timeout=timeout) as session:
+        yield OperatorsClient(session, base_url)
--- /dev/null
+++ b/libs/peers/burdockthread_peers/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated msgpack streams between entries."""
--- /dev/null
+++ b/libs/peers/burdockthread_peers/memory_mesh.py
@@ -0,0 +1,111 @@
+"""A mesh within one process, for tests."""
+
+import asyncio
+
+from burdockthread_model.errors import PeerTimeoutError, PeerUnavailableError
+
+from burdockthread_peers.handlers import HandlerTable, decode_fields, encode_fields
+from burdockthread_peers.mesh import (
+    Handler,
+    Member,
+    MemberState,
+    Message,
+    PeerMesh,
+    Reply,
+)
+
+
+class MemoryNetwork:
+    """Joins meshes; links can be cut in one direction or both.
+
+    Attributes:
+        meshes: Mesh of each entry by name.
+        cut: Pairs of sender and receiver whose messages do not arrive.
+        lost_replies: Pairs whose messages arrive but whose answers do not.
+    """
+
+    def __init__(self) -> None:
+        self.meshes: dict[str, MemoryMesh] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.lost_replies: set[tuple[str, str]] = set()
+
+    def join(
+        self, name: str, zone: str = "zone", region: str = "region"
+    ) -> "MemoryMesh":
+        """Adds an entry."""
+        mesh = MemoryMesh(self, Member(name, zone, region, "1", MemberState.UP))
+        self.meshes[name] = mesh
+        return mesh
+
+    def partition(self, left: set[str], right: set[str]) -> None:
+        """Cuts all links between two groups."""
+        for a in left:
+            for b in right:
+                self.cut |= {(a, b), (b, a)}
+
+    def heal(self) -> None:
+        """Mends all links."""
+        self.cut.clear()
+        self.lost_replies.clear()
+
+
+class MemoryMesh(PeerMesh):
+    """One entry's side of a `MemoryNetwork`."""
+
+    def __init__(self, network: MemoryNetwork, member: Member) -> None:
+        self.name = member.name
+        self.member = member
+        self.network = network
+        self.table = HandlerTable()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def members(self) -> tuple[Member, ...]:
+        """Returns all entries; those behind a cut link are down."""
+        return tuple(
+            self.seen(mesh.member) for _, mesh in sorted(self.network.meshes.items())
+        )
+
+    def seen(self, member: Member) -> Member:
+        """Returns a member with the state that this entry sees."""
+        if (member.name, self.name) in self.network.cut:
+            return member._replace(state=MemberState.DOWN)
+        return member
+
+    def register(
+        self,
+        message: type[Message],
+        reply: type[Reply],
+        handler: Handler[Message, Reply],
+    ) -> None:
+        """Sets the handler of a kind of message."""
+        self.table.register(message, reply, handler)
+
+    async def call(
+        self,
+        peer: str,
+        message: tuple[object, ...],
+        reply: type[Reply],
+        timeout_s: float,
+    ) -> Reply:
+        """Calls the handler of the other entry."""
+        mesh = self.network.meshes.get(peer)
+        if mesh is None or (self.name, peer) in self.network.cut:
+            raise PeerUnavailableError(f"no stream to {peer}")
+        kind = type(message).__name__
+        answer = await mesh.table.handle(self.name, kind, encode_fields(message))
+        if (self.name, peer) in self.network.lost_replies:
+            raise PeerTimeoutError(f"no answer from {peer}")
+        return decode_fields(encode_fields(answer), reply)
+
+    def broadcast(self, message: tuple[object, ...]) -> None:
+        """Sends to every other entry."""
+        for name in list(self.network.meshes):
+            if name != self.name and (self.name, name) not in self.network.cut:
+                task = asyncio.ensure_future(self.deliver(name, message))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+
+    async def deliver(self, peer: str, message: tuple[object, ...]) -> None:
+        """Calls the handler of the other entry and drops the answer."""
+        table = self.network.meshes[peer].table
+        await table.handle(self.name, type(message).__name__, encode_fields(message))
--- /dev/null
+++ b/libs/peers/burdockthread_peers/static_permits.py
@@ -0,0 +1,46 @@
+"""Slot permits as fixed shares of the entries in the settings."""
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+from burdockthread_peers.permits import SlotPermits
+from burdockthread_peers.rendezvous import rank
+
+SlotCount = Callable[[str], int]
+
+
+class StaticPermits(SlotPermits):
+    """Divides the slots of an endpoint evenly over a fixed list of entries.
+
+    What an even division leaves over goes to the entries ranked first for the
+    endpoint, so that no entry is favoured at all endpoints.
+
+    Attributes:
+        name: Name of this entry.
+        entries: Names of all entries.
+        slots: Returns the slots of one endpoint of a service.
+        in_use: Slots in use by service and endpoint.
+    """
+
+    def __init__(self, name: str, entries: Sequence[str], slots: SlotCount) -> None:
+        self.name = name
+        self.entries = tuple(entries)
+        self.slots = slots
+        self.in_use: Counter[tuple[str, str]] = Counter()
+
+    def limit(self, service: str, endpoint: str) -> int:
+        """Returns this entry's share of one endpoint."""
+        share, left_over = divmod(self.slots(service), len(self.entries))
+        favoured = rank(endpoint, self.entries)[:left_over]
+        return share + (1 if self.name in favoured else 0)
+
+    def try_acquire(self, service: str, endpoint: str) -> bool:
+        """Takes one slot if the share allows."""
+        if self.in_use[service, endpoint] >= self.limit(service, endpoint):
+            return False
+        self.in_use[service, endpoint] += 1
+        return True
+
+    def release(self, service: str, endpoint: str) -> None:
+        """Gives a slot back."""
+        self.in_use[service, endpoint] -= 1
--- /dev/null
+++ b/libs/routing/burdockthread_routing/__init__.py
@@ -0,0 +1,1 @@
+"""The caller's path: admission, endpoint choice, retries, verdicts."""
--- /dev/null
+++ b/libs/routing/burdockthread_routing/fleet_view.py
@@ -0,0 +1,145 @@
+"""This entry's view of the fleet: services, VM records and leaving signals."""
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.errors import PlatformError, TemplateError
+from burdockthread_model.events import EventLog
+from burdockthread_model.intended import (
+    AcceptedTemplate,
+    OrganisationSpec,
+    PoolSpec,
+    ServiceSpec,
+)
+from burdockthread_model.records import RecordError, decode_record
+from burdockthread_model.rendering import render
+from burdockthread_model.vm import VmListing, VmRecord, VmState, VmStatus
+from burdockthread_store.applied import AppliedConfiguration
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.store import KeyValue
+
+from burdockthread_routing.endpoint_client import Endpoint
+from burdockthread_routing.vm_directory import VmDirectory
+
+VM_PREFIX = "vm/"
+
+
+class FleetView:
+    """Merges what the store, the platform and endpoints say.
+
+    Attributes:
+        organisations: Rendered templates in force, by template and organisation.
+        services: Services in force, by name.
+        pools: Pools in force, by name.
+        records: VM records, by VM.
+        listings: VMs as the platform last listed them, by VM.
+        leaving: Boot of each VM that said it is leaving, by VM.
+    """
+
+    def __init__(
+        self,
+        applied: AppliedConfiguration,
+        vm_cache: PrefixCache,
+        directory: VmDirectory,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self.directory = directory
+        self.clock = clock
+        self.log = log
+        self.organisations: dict[tuple[str, str], OrganisationSpec] = {}
+        self.services: dict[str, ServiceSpec] = {}
+        self.pools: dict[str, PoolSpec] = {}
+        self.records: dict[str, VmRecord] = {}
+        self.listings: dict[str, VmListing] = {}
+        self.leaving: dict[str, str] = {}
+        applied.listeners.append(self.on_template)
+        vm_cache.listeners.append(self.on_record)
+
+    def on_template(self, accepted: AcceptedTemplate) -> None:
+        """Takes a new version of a template into force."""
+        try:
+            specs = render(accepted.document, accepted.version)
+        except TemplateError as error:
+            self.log.error("template_refused", template=accepted.name, reason=error)
+            return
+        old = [key for key in self.organisations if key[0] == accepted.name]
+        for key in old:
+            del self.organisations[key]
+        for spec in specs:
+            self.organisations[accepted.name, spec.organisation] = spec
+        self.index()
+
+    def index(self) -> None:
+        """Builds the tables of services and pools again."""
+        specs = self.organisations.values()
+        self.services = {s.name: s for spec in specs for s in spec.services}
+        self.pools = {p.name: p for spec in specs for p in spec.pools}
+
+    def on_record(self, key: str, item: KeyValue | None) -> None:
+        """Takes a change of a VM record in."""
+        name = key.removeprefix(VM_PREFIX)
+        if item is None:
+            self.records.pop(name, None)
+            return
+        try:
+            self.records[name] = decode_record(item.value, VmRecord)
+        except RecordError as error:
+            self.log.error("vm_record_refused", vm=name, reason=error)
+
+    async def run(self, interval_s: float) -> None:
+        """Reads the platform's list until cancelled."""
+        while True:
+            try:
+                listings = await self.directory.list()
+                self.listings = {listing.name: listing for listing in listings}
+                self.forget_old_signals()
+            except PlatformError as error:
+                self.log.warning("vm_directory_unavailable", reason=error)
+            await self.clock.sleep(interval_s)
+
+    def forget_old_signals(self) -> None:
+        """Drops the leaving signal of VMs that have rebooted since."""
+        for name, boot_id in list(self.leaving.items()):
+            listing = self.listings.get(name)
+            if listing is not None and listing.boot_id != boot_id:
+                del self.leaving[name]
+
+    def mark_leaving(self, vm: str) -> bool:
+        """Notes that a VM said it is leaving.
+
+        Returns:
+            Whether this is news.
+        """
+        listing = self.listings.get(vm)
+        if listing is None or self.leaving.get(vm) == listing.boot_id:
+            return False
+        self.leaving[vm] = listing.boot_id
+        return True
+
+    def is_leaving(self, listing: VmListing) -> bool:
+        """Returns whether any source says that a VM is leaving."""
+        if listing.status is VmStatus.LEAVING:
+            return True
+        return self.leaving.get(listing.name) == listing.boot_id
+
+    def endpoints(self, service: ServiceSpec) -> list[Endpoint]:
+        """Returns the endpoints that may get new requests of a service."""
+        found = []
+        for record in self.records.values():
+            if record.pool != service.pool or record.state is not VmState.SERVING:
+                continue
+            listing = self.listings.get(record.name)
+            if listing is not None and not self.is_leaving(listing):
+                found.append(endpoint_of(listing, record))
+        return found
+
+
+def endpoint_of(listing: VmListing, record: VmRecord) -> Endpoint:
+    """Joins a listing and a record."""
+    return Endpoint(
+        vm=record.name,
+        host=listing.host,
+        port=listing.port,
+        availability_zone=listing.availability_zone,
+        pool=record.pool,
+        generation=record.generation,
+    )
--- /dev/null
+++ b/libs/standins/burdockthread_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the platform and of endpoints."""
--- /dev/null
+++ b/libs/store/burdockthread_store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service."""
--- /dev/null
+++ b/libs/store/burdockthread_store/etcd_wire.py
@@ -0,0 +1,124 @@
+"""Messages of etcd's v3 JSON gateway, the platform's published protocol.
+
+Keys and values travel as base64, 64-bit numbers as decimal text.
+"""
+
+import base64
+from collections.abc import Sequence
+from typing import Any
+
+from burdockthread_store.store import Change, Guard, KeyValue, WatchEvent
+
+RANGE_PATH = "/v3/kv/range"
+TXN_PATH = "/v3/kv/txn"
+WATCH_PATH = "/v3/watch"
+LEASE_GRANT_PATH = "/v3/lease/grant"
+LEASE_KEEPALIVE_PATH = "/v3/lease/keepalive"
+LEASE_REVOKE_PATH = "/v3/lease/revoke"
+
+JsonObject = dict[str, Any]
+
+
+def encode_bytes(data: bytes) -> str:
+    """Returns bytes as base64 text."""
+    return base64.b64encode(data).decode("ascii")
+
+
+def decode_bytes(text: str) -> bytes:
+    """Returns the bytes of base64 text."""
+    return base64.b64decode(text, validate=True)
+
+
+def encode_key(key: str) -> str:
+    """Returns a key as base64 text."""
+    return encode_bytes(key.encode())
+
+
+def decode_key(text: str) -> str:
+    """Returns the key of base64 text."""
+    return decode_bytes(text).decode()
+
+
+def prefix_end(prefix: str) -> str:
+    """Returns the first key after all keys with a prefix."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def range_request(key: str, *, prefix: bool) -> JsonObject:
+    """Returns a read of one key or of all keys below a prefix."""
+    request: JsonObject = {"key": encode_key(key)}
+    if prefix:
+        request["range_end"] = encode_key(prefix_end(key))
+    return request
+
+
+def parse_key_values(response: JsonObject) -> tuple[KeyValue, ...]:
+    """Returns the keys of an answer to a read."""
+    return tuple(parse_key_value(item) for item in response.get("kvs", []))
+
+
+def parse_key_value(item: JsonObject) -> KeyValue:
+    """Returns one key of an answer."""
+    return KeyValue(
+        key=decode_key(item["key"]),
+        value=decode_bytes(item.get("value", "")),
+        revision=int(item.get("mod_revision", 0)),
+    )
+
+
+def parse_revision(response: JsonObject) -> int:
+    """Returns the store-wide revision of an answer."""
+    return int(response.get("header", {}).get("revision", 0))
+
+
+def txn_request(changes: Sequence[Change], guards: Sequence[Guard]) -> JsonObject:
+    """Returns a transaction that applies all changes if each condition holds."""
+    conditions: list[Guard | Change] = [*guards, *changes]
+    return {
+        "compare": [compare(condition) for condition in conditions],
+        "success": [operation(change) for change in changes],
+    }
+
+
+def compare(condition: Guard | Change) -> JsonObject:
+    """Returns the condition of a change or guard."""
+    return {
+        "key": encode_key(condition.key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(condition.expected_revision),
+    }
+
+
+def operation(change: Change) -> JsonObject:
+    """Returns the write of a change."""
+    key = encode_key(change.key)
+    if change.value is None:
+        return {"requestDeleteRange": {"key": key}}
+    put = {"key": key, "value": encode_bytes(change.value)}
+    if change.lease_id:
+        put["lease"] = str(change.lease_id)
+    return {"requestPut": put}
+
+
+def watch_request(prefix: str, after_revision: int) -> JsonObject:
+    """Returns the request that opens a watch."""
+    return {
+        "create_request": {
+            "key": encode_key(prefix),
+            "range_end": encode_key(prefix_end(prefix)),
+            "start_revision": str(after_revision + 1),
+        }
+    }
+
+
+def parse_watch_events(result: JsonObject) -> tuple[WatchEvent, ...]:
+    """Returns the events of one message of a watch."""
+    return tuple(parse_watch_event(item) for item in result.get("events", []))
+
+
+def parse_watch_event(item: JsonObject) -> WatchEvent:
+    """Returns one event of a watch."""
+    found = parse_key_value(item["kv"])
+    deleted = item.get("type") == "DELETE"
+    return WatchEvent(found.key, None if deleted else found.value, found.revision)
