Name the steps of the four paths and settle the edges

Tests need points where a fault can strike and a clock that also bounds waits: Steps, Clock.timeout, PeerMesh.running, an entry that takes its mesh.

--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -17,9 +17,11 @@
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import MemoryMetrics, StatsdMetrics
 from burdockthread_model.settings import AddressSettings, EntrySettings, Limits
+from burdockthread_model.steps import Steps
 from burdockthread_operators.authentication import Authenticator
 from burdockthread_operators.changes import TemplateChanges
 from burdockthread_operators.operators_api import OperatorsApi
+from burdockthread_peers.mesh import PeerMesh
 from burdockthread_peers.owned_keys import OwnedKeys
 from burdockthread_peers.relay import ConfigurationRelay
 from burdockthread_peers.static_permits import StaticPermits
@@ -78,14 +80,22 @@
 class Entry:
     """One entry of the system."""
 
-    def __init__(self, settings: EntrySettings, edges: Edges) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        edges: Edges,
+        mesh: PeerMesh | None = None,
+        steps: Steps | None = None,
+    ) -> None:
         self.settings = settings
+        self.steps = steps or Steps()
         self.edges = edges
         self.clock = edges.clock
         self.limits = Limits.from_settings(settings)
         self.name = settings["name"]
         self.log = EventLog(self.name)
         self.metrics = metrics_from_settings(settings)
+        self.mesh = mesh or StreamMesh(settings, self.clock, self.log)
         self.build_configuration()
         self.build_routing()
         self.build_fleet()
@@ -100,7 +110,6 @@
         self.pool_cache = PrefixCache(store, "pool/", self.clock)
         self.applied = AppliedConfiguration(self.log)
         self.config_cache.listeners.append(self.applied.on_item)
-        self.mesh = StreamMesh(self.settings, self.clock, self.log)
         self.relay = ConfigurationRelay(self.mesh, self.applied, self.clock, self.log)
 
     def build_routing(self) -> None:
@@ -121,8 +130,9 @@
             self.clock,
             self.metrics,
             self.log,
+            self.steps,
         )
-        self.ledger = JobLedger(self.edges.store, self.clock)
+        self.ledger = JobLedger(self.edges.store, self.clock, self.steps)
         self.callers_api = CallersApi(
             self.name, self.router, self.ledger, self.clock, self.metrics, self.log
         )
@@ -145,6 +155,7 @@
             self.clock,
             self.metrics,
             self.log,
+            self.steps,
         )
 
     def build_operators(self) -> None:
@@ -154,7 +165,7 @@
         )
         self.operators_api = OperatorsApi(
             Authenticator(self.settings["operator_tokens"]),
-            TemplateChanges(self.edges.store, self.clock),
+            TemplateChanges(self.edges.store, self.clock, self.steps),
             self.status.report,
             {
                 "status": self.status.report,
--- a/libs/fleet/burdockthread_fleet/planner.py
+++ b/libs/fleet/burdockthread_fleet/planner.py
@@ -13,6 +13,7 @@
 from burdockthread_model.intended import MaintenanceSpec, PoolSpec
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.records import decode_record, encode_record
+from burdockthread_model.steps import Step, Steps
 from burdockthread_model.vm import VmRecord, VmState
 from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
 from burdockthread_store.prefix_cache import PrefixCache
@@ -53,6 +54,7 @@
         clock: Clock,
         metrics: Metrics,
         log: EventLog,
+        steps: Steps,
     ) -> None:
         self.leadership = leadership
         self.store = store
@@ -63,6 +65,7 @@
         self.clock = clock
         self.metrics = metrics
         self.log = log
+        self.steps = steps
 
     async def run(self) -> None:
         """Plans until cancelled."""
@@ -130,6 +133,7 @@
         elapsed_s = self.clock.wall() - record.changed_s
         if in_flight or elapsed_s < STALE_VIEW_S:
             return
+        await self.steps.reach(Step.VM_DRAINED)
         listing = self.view.listings[record.name]
         rebooting = record._replace(
             state=VmState.REBOOTING,
@@ -138,6 +142,7 @@
         )
         await self.put_record(rebooting)
         await self.control.reboot(record.name, listing.boot_id)
+        await self.steps.reach(Step.VM_REBOOTING)
         self.log.info("vm_rebooting", vm=record.name, pool=record.pool)
 
     async def advance_reboot(self, record: VmRecord) -> None:
@@ -154,6 +159,7 @@
             state=VmState.SERVING, boot_id="", maintained_s=now, changed_s=now
         )
         await self.put_record(serving, self.disruption(record.pool, remove=record.name))
+        await self.steps.reach(Step.VM_RETURNED)
         self.log.info("vm_returned", vm=record.name, pool=record.pool)
         self.metrics.count("planner.maintained")
 
@@ -162,12 +168,14 @@
         for pool in self.view.pools.values():
             due = self.due_vm(pool)
             if due is not None and self.budget_allows(pool):
+                await self.steps.reach(Step.VM_CHOSEN)
                 draining = due._replace(
                     state=VmState.DRAINING, changed_s=self.clock.wall()
                 )
                 await self.put_record(
                     draining, self.disruption(pool.name, add=due.name)
                 )
+                await self.steps.reach(Step.VM_DRAINING)
                 self.log.info("vm_draining", vm=due.name, pool=pool.name)
 
     def due_vm(self, pool: PoolSpec) -> VmRecord | None:
--- a/libs/model/burdockthread_model/clock.py
+++ b/libs/model/burdockthread_model/clock.py
@@ -5,6 +5,8 @@
 import itertools
 import time
 from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
 
 class Clock(ABC):
@@ -26,6 +28,17 @@
             seconds: How long to wait; zero or less only yields.
         """
 
+    @abstractmethod
+    def timeout(self, seconds: float) -> AbstractAsyncContextManager[None]:
+        """Bounds the time of a block.
+
+        Args:
+            seconds: Longest time.
+
+        Raises:
+            TimeoutError: The block took longer; it was cancelled.
+        """
+
 
 class SystemClock(Clock):
     """The clock of the machine."""
@@ -42,6 +55,12 @@
         """Waits for real."""
         await asyncio.sleep(max(seconds, 0.0))
 
+    @asynccontextmanager
+    async def timeout(self, seconds: float) -> AsyncIterator[None]:
+        """Bounds the time of a block."""
+        async with asyncio.timeout(max(seconds, 0.0)):
+            yield
+
 
 class MemoryClock(Clock):
     """A clock that stands still until a test advances it."""
@@ -69,6 +88,21 @@
         heapq.heappush(self.sleepers, (wake_at, next(self.order), woken))
         await woken
 
+    @asynccontextmanager
+    async def timeout(self, seconds: float) -> AsyncIterator[None]:
+        """Bounds the time of a block by this clock."""
+        async with asyncio.timeout(None) as limit:
+            expiry = asyncio.ensure_future(self.expire(limit, seconds))
+            try:
+                yield
+            finally:
+                expiry.cancel()
+
+    async def expire(self, limit: asyncio.Timeout, seconds: float) -> None:
+        """Ends a block once the clock has been advanced far enough."""
+        await self.sleep(seconds)
+        limit.reschedule(asyncio.get_running_loop().time())
+
     async def advance(self, seconds: float) -> None:
         """Moves time forward, waking sleepers in order.
 
--- a/libs/model/burdockthread_model/job.py
+++ b/libs/model/burdockthread_model/job.py
@@ -44,6 +44,8 @@
         attempt: Grows with every claim.
         reason: Why it is parked, failed or unknown.
         submitted_s: Unix time of acceptance.
+        claimed_s: Unix time of the last claim, or 0.
+        ended_s: Unix time of the end, or 0.
         payload: Body for the worker.
     """
 
@@ -62,4 +64,6 @@
     attempt: int = 0
     reason: str = ""
     submitted_s: float = 0.0
+    claimed_s: float = 0.0
+    ended_s: float = 0.0
     payload: str = ""
--- a/libs/operators/burdockthread_operators/changes.py
+++ b/libs/operators/burdockthread_operators/changes.py
@@ -18,6 +18,7 @@
     encode_accepted,
     parse_template,
 )
+from burdockthread_model.steps import Step, Steps
 from burdockthread_store.applied import HEAD_PREFIX
 from burdockthread_store.store import Change, ConfigurationStore, KeyValue
 
@@ -80,9 +81,10 @@
 class TemplateChanges:
     """Proposes, reviews and accepts changes; the store keeps them."""
 
-    def __init__(self, store: ConfigurationStore, clock: Clock) -> None:
+    def __init__(self, store: ConfigurationStore, clock: Clock, steps: Steps) -> None:
         self.store = store
         self.clock = clock
+        self.steps = steps
 
     async def propose(
         self, operator: str, data: bytes, base_version: int
@@ -103,6 +105,7 @@
             StoreError: The store did not answer.
         """
         document = parse_template(data)
+        await self.steps.reach(Step.TEMPLATE_READ)
         await self.check_base(document["name"], base_version)
         change = TemplateChange(
             change_id=secrets.token_hex(6),
@@ -116,6 +119,7 @@
         )
         key = change_key(change.template, change.change_id)
         await self.store.write([Change(key, encode_record(change), 0)])
+        await self.steps.reach(Step.TEMPLATE_PROPOSED)
         return change
 
     async def check_base(self, template: str, base_version: int) -> KeyValue | None:
@@ -156,6 +160,7 @@
         await self.store.write(
             [Change(stored.key, encode_record(reviewed), stored.revision)]
         )
+        await self.steps.reach(Step.TEMPLATE_REVIEWED)
         return reviewed
 
     async def accept(
@@ -177,6 +182,7 @@
         if change.proposer == operator:
             raise ForbiddenError(f"{operator} proposed the change")
         head = await self.check_base(change.template, change.base_version)
+        await self.steps.reach(Step.TEMPLATE_CHECKED)
         accepted = change._replace(
             state=ChangeState.ACCEPTED,
             accepter=operator,
@@ -191,6 +197,7 @@
                 Change(stored.key, encode_record(accepted), stored.revision),
             ]
         )
+        await self.steps.reach(Step.TEMPLATE_ACCEPTED)
         return accepted
 
     async def find(self, change_id: str) -> StoredChange:
--- a/libs/peers/burdockthread_peers/memory_mesh.py
+++ b/libs/peers/burdockthread_peers/memory_mesh.py
@@ -1,6 +1,8 @@
 """A mesh within one process, for tests."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from burdockthread_model.errors import PeerTimeoutError, PeerUnavailableError
 
@@ -97,6 +99,18 @@
             raise PeerTimeoutError(f"no answer from {peer}")
         return decode_fields(encode_fields(answer), reply)
 
+    def announce_leaving(self) -> None:
+        """Shows this entry as leaving to all others."""
+        self.member = self.member._replace(state=MemberState.LEAVING)
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Leaves the network at the end of the block."""
+        try:
+            yield
+        finally:
+            self.network.meshes.pop(self.name, None)
+
     def broadcast(self, message: tuple[object, ...]) -> None:
         """Sends to every other entry."""
         for name in list(self.network.meshes):
--- a/libs/peers/burdockthread_peers/mesh.py
+++ b/libs/peers/burdockthread_peers/mesh.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
 from enum import StrEnum
 from typing import NamedTuple, TypeVar
 
@@ -100,3 +101,11 @@
 
         Nothing tells whether it arrives.
         """
+
+    @abstractmethod
+    def announce_leaving(self) -> None:
+        """Tells all other entries that this one is leaving."""
+
+    @abstractmethod
+    def running(self) -> AbstractAsyncContextManager[None]:
+        """Keeps the streams within the block."""
--- a/libs/routing/burdockthread_routing/job_ledger.py
+++ b/libs/routing/burdockthread_routing/job_ledger.py
@@ -9,6 +9,7 @@
 from burdockthread_model.errors import StoreError
 from burdockthread_model.job import Job
 from burdockthread_model.rendering import canonical_json, to_plain
+from burdockthread_model.steps import Step, Steps
 from burdockthread_store.store import Change, ConfigurationStore
 
 JOB_PREFIX = "job/"
@@ -49,9 +50,10 @@
 class JobLedger:
     """Confirms jobs by group commit: many jobs in one value."""
 
-    def __init__(self, store: ConfigurationStore, clock: Clock) -> None:
+    def __init__(self, store: ConfigurationStore, clock: Clock, steps: Steps) -> None:
         self.store = store
         self.clock = clock
+        self.steps = steps
         self.waiting: dict[str, list[Submission]] = {}
         self.arrived = asyncio.Event()
 
@@ -65,6 +67,7 @@
             StoreUnavailableError: It was not recorded.
             StoreUnknownError: It may have been recorded.
         """
+        await self.steps.reach(Step.JOB_READ)
         submission = Submission(job)
         self.waiting.setdefault(job.service, []).append(submission)
         self.arrived.set()
@@ -93,6 +96,7 @@
                 if not submission.confirmed.done():
                     submission.confirmed.set_exception(error)
             return
+        await self.steps.reach(Step.JOB_RECORDED)
         for submission in group:
             if not submission.confirmed.done():
                 submission.confirmed.set_result(None)
--- a/libs/routing/burdockthread_routing/router.py
+++ b/libs/routing/burdockthread_routing/router.py
@@ -16,6 +16,7 @@
 from burdockthread_model.intended import ServiceSpec
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.request import CallerRequest, CallerResponse
+from burdockthread_model.steps import Step, Steps
 from burdockthread_model.verdict import Verdict
 from burdockthread_peers.idempotency import KeyDecision, KeyOwnership, KeyState
 
@@ -52,6 +53,7 @@
         clock: Clock,
         metrics: Metrics,
         log: EventLog,
+        steps: Steps,
     ) -> None:
         self.name = name
         self.view = view
@@ -61,6 +63,7 @@
         self.clock = clock
         self.metrics = metrics
         self.log = log
+        self.steps = steps
         self.admission = Admission(clock, self.acquire)
         self.attempt_ids = itertools.count(1)
         self.in_flight = 0
@@ -87,6 +90,7 @@
         service = self.view.services.get(request.service)
         if service is None:
             raise BadRequestError(f"no service {request.service}")
+        await self.steps.reach(Step.REQUEST_READ)
         with self.counted():
             if request.idempotency_key:
                 return await self.handle_keyed(service, request)
@@ -113,6 +117,7 @@
         )
         if decision.state is not KeyState.RUN:
             return repeat_answer(decision)
+        await self.steps.reach(Step.REQUEST_KEY_RECORDED)
         verdict = Verdict.UNKNOWN
         response = None
         try:
@@ -126,6 +131,7 @@
             await self.keys.finish(
                 request.organisation, request.idempotency_key, verdict, response
             )
+            await self.steps.reach(Step.REQUEST_KEY_FINISHED)
 
     async def dispatch(
         self, service: ServiceSpec, request: CallerRequest
@@ -140,6 +146,7 @@
                 error.verdict = verdict
                 raise
             tried |= {endpoint.vm}
+            await self.steps.reach(Step.REQUEST_ADMITTED)
             try:
                 return await self.attempt(service, request, endpoint)
             except EndpointError as error:
@@ -174,6 +181,7 @@
         finally:
             self.chooser.release(service.name, endpoint)
             self.admission.pump(service)
+        await self.steps.reach(Step.REQUEST_ANSWERED)
         if answer.draining and self.view.mark_leaving(endpoint.vm):
             self.log.info("endpoint_leaving", vm=endpoint.vm, source="answer")
         if answer.not_run:
