Interface: let a mesh learn of entries beyond the settings

An entry may be replaced by one with a new name or address, so the list of streams cannot come from the settings alone. The method does nothing unless a mesh overrides it, so other meshes need no change.

--- a/libs/peers/burdockthread_peers/mesh.py
+++ b/libs/peers/burdockthread_peers/mesh.py
@@ -6,6 +6,8 @@
 from enum import StrEnum
 from typing import NamedTuple, TypeVar
 
+from burdockthread_model.settings import PeerSettings
+
 
 class MemberState(StrEnum):
     """State of an entry as another entry sees it."""
@@ -106,6 +108,16 @@
     def announce_leaving(self) -> None:
         """Tells all other entries that this one is leaving."""
 
+    def learn(self, peer: PeerSettings) -> None:
+        """Keeps a stream to an entry, also one that the settings do not name.
+
+        A mesh that reaches every entry anyway does nothing.
+
+        Args:
+            peer: Name and address of the entry.
+        """
+        return
+
     @abstractmethod
     def running(self) -> AbstractAsyncContextManager[None]:
         """Keeps the streams within the block."""
