--- a/libs/peers/burdockthread_peers/memory_mesh.py
+++ b/libs/peers/burdockthread_peers/memory_mesh.py
@@ -32,10 +32,15 @@
         self.lost_replies: set[tuple[str, str]] = set()
 
     def join(
-        self, name: str, zone: str = "zone", region: str = "region"
+        self,
+        name: str,
+        zone: str = "zone",
+        region: str = "region",
+        incarnation: str = "1",
     ) -> "MemoryMesh":
-        """Adds an entry."""
-        mesh = MemoryMesh(self, Member(name, zone, region, "1", MemberState.UP))
+        """Adds an entry, in place of one of the same name."""
+        member = Member(name, zone, region, incarnation, MemberState.UP)
+        mesh = MemoryMesh(self, member)
         self.meshes[name] = mesh
         return mesh
 
@@ -91,14 +96,19 @@
     ) -> Reply:
         """Calls the handler of the other entry."""
         mesh = self.network.meshes.get(peer)
-        if mesh is None or (self.name, peer) in self.network.cut:
+        if mesh is None or not self.reaches(peer):
             raise PeerUnavailableError(f"no stream to {peer}")
         kind = type(message).__name__
         answer = await mesh.table.handle(self.name, kind, encode_fields(message))
-        if (self.name, peer) in self.network.lost_replies:
+        if (self.name, peer) in self.network.lost_replies or not self.reaches(peer):
             raise PeerTimeoutError(f"no answer from {peer}")
         return decode_fields(encode_fields(answer), reply)
 
+    def reaches(self, peer: str) -> bool:
+        """Returns whether this process still runs and its link is not cut."""
+        present = self.network.meshes.get(self.name) is self
+        return present and (self.name, peer) not in self.network.cut
+
     def announce_leaving(self) -> None:
         """Shows this entry as leaving to all others."""
         self.member = self.member._replace(state=MemberState.LEAVING)
@@ -109,17 +119,20 @@
         try:
             yield
         finally:
-            self.network.meshes.pop(self.name, None)
+            if self.network.meshes.get(self.name) is self:
+                del self.network.meshes[self.name]
 
     def broadcast(self, message: tuple[object, ...]) -> None:
         """Sends to every other entry."""
         for name in list(self.network.meshes):
-            if name != self.name and (self.name, name) not in self.network.cut:
+            if name != self.name and self.reaches(name):
                 task = asyncio.ensure_future(self.deliver(name, message))
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
 
     async def deliver(self, peer: str, message: tuple[object, ...]) -> None:
         """Calls the handler of the other entry and drops the answer."""
-        table = self.network.meshes[peer].table
-        await table.handle(self.name, type(message).__name__, encode_fields(message))
+        mesh = self.network.meshes.get(peer)
+        if mesh is not None:
+            kind = type(message).__name__
+            await mesh.table.handle(self.name, kind, encode_fields(message))
--- a/libs/peers/burdockthread_peers/stream_mesh.py
+++ b/libs/peers/burdockthread_peers/stream_mesh.py
@@ -100,6 +100,7 @@
         self.log = log
         self.incarnation = secrets.token_hex(8)
         self.leaving = False
+        self.is_running = False
         self.port = settings["peers"]["port"]
         self.table = HandlerTable()
         self.links = {
@@ -113,10 +114,26 @@
         self.register(Heartbeat, HeartbeatReply, self.on_heartbeat)
 
     def members(self) -> tuple[Member, ...]:
-        """Returns all entries of the settings, sorted by name."""
-        entries = sorted(self.settings["entries"], key=lambda peer: peer["name"])
+        """Returns all entries that are dialled and this one, sorted by name."""
+        entries = [link.peer for link in self.links.values()]
+        own = [peer for peer in self.settings["entries"] if peer["name"] == self.name]
+        entries = sorted(entries + own, key=lambda peer: peer["name"])
         return tuple(self.member(peer) for peer in entries)
 
+    def learn(self, peer: PeerSettings) -> None:
+        """Dials an entry, at its new address if it has changed."""
+        if peer["name"] == self.name:
+            return
+        link = self.links.get(peer["name"])
+        if link is None:
+            link = self.links[peer["name"]] = Link(peer)
+            if self.is_running:
+                self.start_link(link)
+        elif link.peer != peer:
+            link.peer = peer
+            if link.writer is not None:
+                link.writer.close()
+
     def member(self, peer: PeerSettings) -> Member:
         """Returns one entry with the state that this entry sees."""
         name = peer["name"]
@@ -178,7 +195,7 @@
         link.pending[call_id] = future
         link.writer.write(encode_frame(Frame(call_id, kind, encode_fields(message))))
         try:
-            async with asyncio.timeout(timeout_s):
+            async with self.clock.timeout(timeout_s):
                 return decode_fields(await future, reply)
         except TimeoutError as error:
             raise PeerTimeoutError(f"no answer from {peer} to {kind}") from error
@@ -189,7 +206,7 @@
         """Sends a message to every other entry without waiting."""
         kind = type(message).__name__
         frame = encode_frame(Frame(0, kind, encode_fields(message)))
-        for link in self.links.values():
+        for link in list(self.links.values()):
             if link.writer is not None:
                 link.writer.write(frame)
 
@@ -201,12 +218,13 @@
             self.serve, address["host"], address["port"]
         )
         self.port = server.sockets[0].getsockname()[1]
-        for link in self.links.values():
-            self.start(self.keep_link(link))
-            self.start(self.send_heartbeats(link))
+        self.is_running = True
+        for link in list(self.links.values()):
+            self.start_link(link)
         try:
             yield
         finally:
+            self.is_running = False
             server.close()
             for task in list(self.tasks):
                 task.cancel()
@@ -214,6 +232,11 @@
             for writer in list(self.incoming):
                 writer.close()
 
+    def start_link(self, link: Link) -> None:
+        """Keeps a stream to one entry from now on."""
+        self.start(self.keep_link(link))
+        self.start(self.send_heartbeats(link))
+
     def start(self, work: Coroutine[None, None, None]) -> None:
         """Runs a coroutine as a task of this mesh."""
         task = asyncio.create_task(work)
