Wiring: record idempotency keys at an owner and a replica

After the owner was killed and restarted, a retry through another entry was permitted again.

Now the owner permits a dispatch only after its replica has recorded the key by the same version of the member list, and records are handed on whenever the list is replaced. Where both holders of a key were lost, or records are still awaited, only keys whose UUIDv7 time lies after the loss are run; others are answered unknown. A holder decides only while its list is confirmed.

Ruled out: owner only with a tenure rule (each kill turns answers into unknown); asking former holders on demand (loses everything in a rolling replacement).

--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -21,6 +21,7 @@
 from burdockthread_operators.authentication import Authenticator
 from burdockthread_operators.changes import TemplateChanges
 from burdockthread_operators.operators_api import OperatorsApi
+from burdockthread_peers.membership import Membership
 from burdockthread_peers.mesh import PeerMesh
 from burdockthread_peers.owned_keys import OwnedKeys
 from burdockthread_peers.relay import ConfigurationRelay
@@ -120,7 +121,12 @@
         entries = [entry["name"] for entry in self.settings["entries"]]
         self.permits = StaticPermits(self.name, entries, self.slots_of)
         chooser = EndpointChooser(self.settings["availability_zone"], self.permits)
-        self.keys = OwnedKeys(self.mesh, self.clock, self.limits.idempotency_keys)
+        self.membership = Membership.from_settings(
+            self.settings, self.mesh, self.edges.store, self.clock, self.log
+        )
+        self.keys = OwnedKeys(
+            self.mesh, self.membership, self.clock, self.limits.idempotency_keys
+        )
         self.router = Router(
             self.name,
             self.view,
@@ -242,6 +248,8 @@
             self.vm_cache.run(),
             self.pool_cache.run(),
             self.relay.run(),
+            self.membership.run(),
+            self.keys.run(),
             self.view.run(self.limits.directory_interval_s),
             self.router.run(),
             self.ledger.run(),
@@ -279,6 +287,7 @@
         give_up_s = self.clock.now() + self.limits.stop_timeout_s
         while self.router.in_flight and self.clock.now() < give_up_s:
             await self.clock.sleep(DRAIN_POLL_S)
+        await self.membership.leave()
         self.log.info("entry_stopped", in_flight=self.router.in_flight)
 
 
--- a/libs/peers/burdockthread_peers/owned_keys.py
+++ b/libs/peers/burdockthread_peers/owned_keys.py
@@ -1,84 +1,134 @@
-"""Idempotency keys recorded at the entry that owns them."""
+"""Idempotency keys recorded at their owner and one replica before dispatch."""
 
 import asyncio
-from collections import OrderedDict
+import itertools
+from collections.abc import Coroutine
 from typing import NamedTuple
 
 from burdockthread_model.clock import Clock
-from burdockthread_model.errors import PeerError
+from burdockthread_model.errors import PeerError, PeerUnavailableError
 from burdockthread_model.request import CallerResponse
 from burdockthread_model.verdict import Verdict
 
 from burdockthread_peers.idempotency import KeyDecision, KeyOwnership, KeyState
+from burdockthread_peers.key_handover import KeyHandover, holder_key
+from burdockthread_peers.key_messages import (
+    BeginKey,
+    BeginReply,
+    Finished,
+    FinishKey,
+    RecordKey,
+    RecordReply,
+)
+from burdockthread_peers.key_records import (
+    KeyIndex,
+    KeyRecord,
+    KeyRecords,
+    born_s,
+)
+from burdockthread_peers.membership import TENURE_S, Membership
 from burdockthread_peers.mesh import PeerMesh
-from burdockthread_peers.rendezvous import rank
+from burdockthread_peers.view import CLOCK_SKEW_S, REMEMBERED_S, Identity
 
 CALL_TIMEOUT_S = 1.0
+RECORD_TIMEOUT_S = 0.5
+RETRY_S = 0.1
+FINISH_RETRY_S = 1.0
+FINISH_ATTEMPTS = 10
+MAX_UNFINISHED = 10_000
 
 
-class KeyRecord(NamedTuple):
-    """What the owner remembers of a key."""
+class Grant(NamedTuple):
+    """A dispatch that this entry was permitted."""
 
     fingerprint: str
-    verdict: Verdict | None
-    response: CallerResponse | None
-
-
-class BeginKey(NamedTuple):
-    """Asks the owner whether a request may be dispatched."""
-
-    organisation: str
-    key: str
-    fingerprint: str
-
-
-class FinishKey(NamedTuple):
-    """Tells the owner how the dispatch ended."""
-
-    organisation: str
-    key: str
-    verdict: Verdict
-    response: CallerResponse | None
-
-
-class Finished(NamedTuple):
-    """Answer to `FinishKey`."""
-
-    known: bool
+    token: str
+    holders: tuple[Identity, ...]
 
 
 class OwnedKeys(KeyOwnership):
-    """Asks the owner of each key, by rendezvous over the entries.
+    """Asks the owner of each key, by rendezvous over the agreed member list.
+
+    The owner permits a dispatch only after its replica has recorded the key
+    by the same member list, and only if no earlier use can have been lost.
 
     Attributes:
-        records: Keys that this entry owns, oldest first.
-        capacity: Keys remembered at the most.
+        records: Keys that this entry holds as owner or replica.
+        grants: Dispatches of this entry that are under way.
     """
 
-    def __init__(self, mesh: PeerMesh, clock: Clock, capacity: int) -> None:
+    def __init__(
+        self, mesh: PeerMesh, membership: Membership, clock: Clock, capacity: int
+    ) -> None:
         self.mesh = mesh
+        self.membership = membership
         self.clock = clock
-        self.capacity = capacity
-        self.records: OrderedDict[tuple[str, str], KeyRecord] = OrderedDict()
-        mesh.register(BeginKey, KeyDecision, self.on_begin)
+        self.records = KeyRecords(capacity)
+        self.handover = KeyHandover(mesh, membership, self.records, clock)
+        self.grants: dict[KeyIndex, Grant] = {}
+        self.numbers = itertools.count(1)
+        self.recording: set[KeyIndex] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        mesh.register(BeginKey, BeginReply, self.on_begin)
+        mesh.register(RecordKey, RecordReply, self.on_record)
         mesh.register(FinishKey, Finished, self.on_finish)
 
-    def owner(self, organisation: str, key: str) -> str:
-        """Returns the name of the entry that owns a key."""
-        names = [member.name for member in self.mesh.members()]
-        return rank(f"{organisation}/{key}", names)[0]
+    async def run(self) -> None:
+        """Hands records on when the member list changes, until cancelled."""
+        await self.handover.run()
+
+    def new_id(self) -> str:
+        """Returns an id that names this process; no other is equal."""
+        me = self.membership.me
+        return f"{me.name}/{me.incarnation}/{next(self.numbers)}"
 
     async def begin(
         self, organisation: str, key: str, fingerprint: str, deadline_s: float
     ) -> KeyDecision:
-        """Asks the owner whether a request may be dispatched."""
-        timeout_s = min(CALL_TIMEOUT_S, deadline_s - self.clock.now())
-        message = BeginKey(organisation, key, fingerprint)
-        owner = self.owner(organisation, key)
+        """Asks the owner until it decides or the deadline comes."""
+        token = self.new_id()
+        may_be_recorded = True
         try:
-            return await self.mesh.call(owner, message, KeyDecision, timeout_s)
-        except PeerError:
+            for attempt in itertools.count():
+                timeout_s = min(CALL_TIMEOUT_S, deadline_s - self.clock.now())
+                reply = await self.ask(organisation, key, fingerprint, token, timeout_s)
+                if not reply.again:
+                    may_be_recorded = attempt > 0 and reply.state is not KeyState.RUN
+                    return KeyDecision(reply.state, reply.response)
+                if self.clock.now() + RETRY_S >= deadline_s:
+                    break
+                await self.clock.sleep(RETRY_S)
             return KeyDecision(KeyState.UNAVAILABLE)
+        finally:
+            if may_be_recorded:
+                message = FinishKey(
+                    organisation, key, fingerprint, token, Verdict.NOT_RUN, None
+                )
+                self.start(self.deliver_finish(message, ()))
+
+    async def ask(
+        self,
+        organisation: str,
+        key: str,
+        fingerprint: str,
+        token: str,
+        timeout_s: float,
+    ) -> BeginReply:
+        """Asks the owner once; an answer that is missing wants another try."""
+        view = self.membership.view
+        holders = view.holders(holder_key(organisation, key))
+        if not holders or len(self.grants) >= MAX_UNFINISHED:
+            return BeginReply(True)
+        message = BeginKey(view.version, organisation, key, fingerprint, token)
+        try:
+            reply = await self.mesh.call(
+                holders[0].name, message, BeginReply, timeout_s
+            )
+        except PeerError:
+            return BeginReply(True)
+        if not reply.again and reply.state is KeyState.RUN:
+            self.grants[organisation, key] = Grant(fingerprint, token, holders)
+        return reply
 
     async def finish(
         self,
@@ -87,47 +137,226 @@
         verdict: Verdict,
         response: CallerResponse | None,
     ) -> None:
-        """Tells the owner how the dispatch ended."""
-        message = FinishKey(organisation, key, verdict, response)
-        owner = self.owner(organisation, key)
+        """Tells the holders how the dispatch ended."""
+        grant = self.grants.pop((organisation, key), None)
+        if grant is None:
+            return
+        message = FinishKey(
+            organisation, key, grant.fingerprint, grant.token, verdict, response
+        )
+        missed = await asyncio.shield(self.tell(message, self.targets(message, grant)))
+        if missed:
+            self.start(self.deliver_finish(message, missed))
+
+    def targets(self, message: FinishKey, grant: Grant) -> tuple[str, ...]:
+        """Returns the holders at the time of the grant and those of now."""
+        index = holder_key(message.organisation, message.key)
+        holders = {*grant.holders, *self.membership.view.holders(index)}
+        return tuple(sorted({holder.name for holder in holders}))
+
+    async def tell(
+        self, message: FinishKey, targets: tuple[str, ...]
+    ) -> tuple[str, ...]:
+        """Sends a message to holders; returns those that did not answer."""
+        calls = (
+            self.mesh.call(target, message, Finished, CALL_TIMEOUT_S)
+            for target in targets
+        )
+        results = await asyncio.gather(*calls, return_exceptions=True)
+        return tuple(
+            target
+            for target, result in zip(targets, results, strict=True)
+            if isinstance(result, BaseException)
+        )
+
+    async def deliver_finish(
+        self, message: FinishKey, targets: tuple[str, ...]
+    ) -> None:
+        """Tells holders how a dispatch ended, a bounded number of times."""
+        for attempt in range(FINISH_ATTEMPTS):
+            index = holder_key(message.organisation, message.key)
+            holders = self.membership.view.holders(index)
+            names = targets or tuple(holder.name for holder in holders)
+            targets = await self.tell(message, names)
+            if names and not targets:
+                return
+            await self.clock.sleep(FINISH_RETRY_S * (attempt + 1))
+
+    def start(self, work: Coroutine[None, None, None]) -> None:
+        """Runs a coroutine beside the caller's request."""
+        if len(self.tasks) >= MAX_UNFINISHED:
+            work.close()
+            return
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def may_decide(self, version: int) -> bool:
+        """Returns whether this entry may decide now, by the asker's list."""
+        return version == self.membership.view.version and self.membership.acting()
+
+    async def on_begin(self, sender: str, message: BeginKey) -> BeginReply:
+        """Decides as the owner of a key."""
+        index = (message.organisation, message.key)
+        holders = self.membership.view.holders(holder_key(*index))
+        me = self.membership.me.identity
+        if not self.may_decide(message.version) or holders[0] != me:
+            return BeginReply(True)
+        found = self.records.get(index)
+        if found is not None and found.granted:
+            return self.judge(found, message)
+        if index in self.recording:
+            return BeginReply(True)
+        self.recording.add(index)
+        try:
+            return await self.record(message, found, holders[1:])
+        finally:
+            self.recording.discard(index)
+
+    async def record(
+        self,
+        message: BeginKey,
+        found: KeyRecord | None,
+        replicas: tuple[Identity, ...],
+    ) -> BeginReply:
+        """Records a key here and at the replica, then decides."""
+        wall_s = self.clock.wall()
+        refusal = self.refuse_by_time(message.key, wall_s)
+        if refusal is not None:
+            return refusal
+        if found is None and not self.records.make_room(wall_s):
+            return BeginReply(False, KeyState.UNAVAILABLE)
+        record = KeyRecord(
+            organisation=message.organisation,
+            key=message.key,
+            fingerprint=message.fingerprint,
+            grant=self.new_id() if found is None else found.grant,
+            token=message.token,
+            begun_s=wall_s if found is None else found.begun_s,
+            granted=False,
+        )
+        self.records.put(record)
+        complete_since_s = self.handover.complete_since_s()
+        for replica in replicas:
+            reply = await self.ask_replica(replica.name, message.version, record)
+            if not reply.accepted or self.records.get(record.record_id) != record:
+                return BeginReply(True)
+            if reply.found is not None and reply.found.token != message.token:
+                self.records.put(reply.found)
+                return self.judge(reply.found, message)
+            complete_since_s = min(complete_since_s, reply.complete_since_s)
+        if not self.may_decide(message.version):
+            return BeginReply(True)
+        return self.decide(record, complete_since_s)
+
+    async def ask_replica(
+        self, name: str, version: int, record: KeyRecord
+    ) -> RecordReply:
+        """Asks a replica to record a key; no answer counts as a refusal."""
         try:
-            await asyncio.shield(
-                self.mesh.call(owner, message, Finished, CALL_TIMEOUT_S)
+            return await self.mesh.call(
+                name, RecordKey(version, record), RecordReply, RECORD_TIMEOUT_S
             )
         except PeerError:
-            return
+            return RecordReply(False)
 
-    async def on_begin(self, sender: str, message: BeginKey) -> KeyDecision:
-        """Records a key as its owner."""
-        found = self.records.get((message.organisation, message.key))
-        if found is None:
-            self.remember(message)
-            return KeyDecision(KeyState.RUN)
+    def refuse_by_time(self, key: str, wall_s: float) -> BeginReply | None:
+        """Answers a key that is not remembered and whose time rules it out."""
+        time_s = born_s(key)
+        if time_s is not None and time_s > wall_s + CLOCK_SKEW_S:
+            return BeginReply(False, KeyState.UNAVAILABLE)
+        if self.records.too_old(key, wall_s):
+            return BeginReply(False, KeyState.UNKNOWN)
+        return None
+
+    def decide(self, record: KeyRecord, complete_since_s: float) -> BeginReply:
+        """Permits the dispatch of a recorded key unless a record may be lost."""
+        wall_s = self.clock.wall()
+        time_s = born_s(record.key)
+        earliest_s = wall_s - REMEMBERED_S if time_s is None else time_s - CLOCK_SKEW_S
+        lost_until_s = self.membership.view.records_lost_until_s(
+            holder_key(*record.record_id), self.membership.last_stopped_s()
+        )
+        if earliest_s > max(lost_until_s, complete_since_s):
+            self.records.put(record._replace(granted=True))
+            return BeginReply(False, KeyState.RUN)
+        settling_s = self.membership.adopted_wall_s + TENURE_S + CLOCK_SKEW_S
+        if self.handover.awaited and wall_s < settling_s:
+            return BeginReply(True)
+        self.records.put(record._replace(granted=True, verdict=Verdict.UNKNOWN))
+        return BeginReply(False, KeyState.UNKNOWN)
+
+    def judge(self, found: KeyRecord, message: BeginKey) -> BeginReply:
+        """Decides by what is remembered of a key."""
         if found.fingerprint != message.fingerprint:
-            return KeyDecision(KeyState.CONFLICT)
-        if found.verdict is None:
-            return KeyDecision(KeyState.IN_PROGRESS)
+            return BeginReply(False, KeyState.CONFLICT)
         if found.verdict is Verdict.RAN:
-            return KeyDecision(KeyState.ANSWERED, found.response)
-        return KeyDecision(KeyState.UNKNOWN)
+            return BeginReply(False, KeyState.ANSWERED, found.response)
+        if found.verdict is not None:
+            return BeginReply(False, KeyState.UNKNOWN)
+        if found.token == message.token:
+            return BeginReply(False, KeyState.RUN)
+        name, incarnation, _ = found.token.split("/")
+        if Identity(name, incarnation) in self.membership.view.identities():
+            return BeginReply(False, KeyState.IN_PROGRESS)
+        return BeginReply(False, KeyState.UNKNOWN)
 
-    def remember(self, message: BeginKey) -> None:
-        """Adds a key, forgetting the oldest at capacity."""
-        record = KeyRecord(message.fingerprint, None, None)
-        self.records[message.organisation, message.key] = record
-        if len(self.records) > self.capacity:
-            self.records.popitem(last=False)
+    async def on_record(self, sender: str, message: RecordKey) -> RecordReply:
+        """Records a key as its replica."""
+        record = message.record
+        holders = self.membership.view.holders(holder_key(*record.record_id))
+        me = self.membership.me.identity
+        if not self.may_decide(message.version) or holders[0].name != sender:
+            return RecordReply(False)
+        if me not in holders:
+            return RecordReply(False)
+        complete_since_s = self.handover.complete_since_s()
+        found = self.records.get(record.record_id)
+        if found is not None and found.grant != record.grant:
+            return RecordReply(True, found, complete_since_s)
+        wall_s = self.clock.wall()
+        if self.records.too_old(record.key, wall_s):
+            return RecordReply(False)
+        if found is None and not self.records.make_room(wall_s):
+            return RecordReply(False)
+        self.records.put(record._replace(granted=True))
+        return RecordReply(True, None, complete_since_s)
 
     async def on_finish(self, sender: str, message: FinishKey) -> Finished:
-        """Records how a dispatch ended."""
+        """Notes how a dispatch ended.
+
+        Raises:
+            PeerUnavailableError: The record may still be on its way here.
+        """
         index = (message.organisation, message.key)
         found = self.records.get(index)
+        if found is not None and found.token != message.token:
+            return Finished()
+        if message.verdict is not Verdict.NOT_RUN:
+            self.note_end(found, message)
+        elif found is not None:
+            self.records.remove(index)
+        elif self.handover.awaited:
+            raise PeerUnavailableError("records are still awaited")
+        return Finished()
+
+    def note_end(self, found: KeyRecord | None, message: FinishKey) -> None:
+        """Remembers that a key has run or may have."""
+        wall_s = self.clock.wall()
         if found is None:
-            return Finished(False)
-        if message.verdict is Verdict.NOT_RUN:
-            del self.records[index]
-            return Finished(True)
-        self.records[index] = found._replace(
-            verdict=message.verdict, response=message.response
+            if not self.records.make_room(wall_s):
+                return
+            found = KeyRecord(
+                organisation=message.organisation,
+                key=message.key,
+                fingerprint=message.fingerprint,
+                grant=message.token,
+                token=message.token,
+                begun_s=wall_s,
+                granted=True,
+            )
+        self.records.put(
+            found._replace(
+                granted=True, verdict=message.verdict, response=message.response
+            )
         )
-        return Finished(True)
--- /dev/null
+++ b/libs/peers/tests/conftest.py
@@ -0,0 +1,127 @@
+import asyncio
+from typing import NamedTuple
+
+import pytest
+from burdockthread_model.clock import MemoryClock
+from burdockthread_model.errors import StoreUnavailableError
+from burdockthread_model.events import EventLog
+from burdockthread_peers.membership import Membership
+from burdockthread_peers.memory_mesh import MemoryMesh, MemoryNetwork
+from burdockthread_peers.owned_keys import OwnedKeys
+from burdockthread_peers.view import ViewMember
+from burdockthread_store.memory_store import MemoryStore
+from burdockthread_store.store import ConfigurationStore
+
+KEYS_PER_ENTRY = 1_000
+
+
+class Node(NamedTuple):
+    """The peers' part of one entry, its tasks running."""
+
+    mesh: MemoryMesh
+    store: "CutStore"
+    membership: Membership
+    keys: OwnedKeys
+    tasks: tuple[asyncio.Task, ...]
+
+
+class CutStore(ConfigurationStore):
+    """One entry's link to a shared store, which can be cut.
+
+    Attributes:
+        cut: Whether calls fail.
+        calls: How many calls were made.
+    """
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.store = store
+        self.cut = False
+        self.calls = 0
+
+    def reach(self) -> MemoryStore:
+        self.calls += 1
+        if self.cut:
+            raise StoreUnavailableError("cut off")
+        return self.store
+
+    async def get(self, key):
+        return await self.reach().get(key)
+
+    async def list(self, prefix):
+        return await self.reach().list(prefix)
+
+    async def write(self, changes, guards=()):
+        return await self.reach().write(changes, guards)
+
+    async def grant_lease(self, ttl_s):
+        return await self.reach().grant_lease(ttl_s)
+
+    async def renew_lease(self, lease):
+        return await self.reach().renew_lease(lease)
+
+    async def revoke_lease(self, lease):
+        await self.reach().revoke_lease(lease)
+
+    async def watch(self, prefix, after_revision):
+        async for events in self.reach().watch(prefix, after_revision):
+            if not self.cut:
+                yield events
+
+    async def close(self):
+        pass
+
+
+class Cluster:
+    """Entries on one memory network, store and clock."""
+
+    def __init__(self, clock: MemoryClock, store: MemoryStore) -> None:
+        self.clock = clock
+        self.store = store
+        self.network = MemoryNetwork()
+        self.nodes: dict[str, Node] = {}
+        self.starts = 0
+
+    def start(self, name: str, keys: int = KEYS_PER_ENTRY) -> Node:
+        """Starts an entry, in place of an older process of its name."""
+        self.starts += 1
+        mesh = self.network.join(name, incarnation=f"i{self.starts}")
+        me = ViewMember(name, f"i{self.starts}", name, 1, "zone", "region")
+        log = EventLog(name)
+        store = CutStore(self.store)
+        membership = Membership(me, mesh, store, self.clock, log)
+        owned = OwnedKeys(mesh, membership, self.clock, keys)
+        tasks = (
+            asyncio.create_task(membership.run()),
+            asyncio.create_task(owned.run()),
+        )
+        self.nodes[name] = Node(mesh, store, membership, owned, tasks)
+        return self.nodes[name]
+
+    def kill(self, name: str) -> None:
+        """Ends a process at once."""
+        node = self.nodes.pop(name)
+        self.network.meshes.pop(name, None)
+        for task in node.tasks:
+            task.cancel()
+
+    async def started(self, *names: str) -> None:
+        """Starts entries and waits until all are members."""
+        for name in names:
+            self.start(name)
+        await self.clock.advance(8.0)
+
+    def views(self) -> set[tuple[int, tuple[str, ...]]]:
+        """Returns the different member lists that the entries go by."""
+        return {
+            (node.membership.view.version, node.membership.view.names())
+            for node in self.nodes.values()
+        }
+
+
+@pytest.fixture
+async def cluster(clock, store):
+    cluster = Cluster(clock, store)
+    yield cluster
+    for name in list(cluster.nodes):
+        cluster.kill(name)
+    await asyncio.sleep(0)
--- /dev/null
+++ b/libs/peers/tests/test_membership.py
@@ -0,0 +1,157 @@
+from burdockthread_peers.membership import ENTRY_PREFIX, VIEW_KEY
+from burdockthread_peers.view import MembersView
+
+NAMES = ("a", "b", "c")
+
+
+async def test_entries_agree_on_one_list(cluster):
+    await cluster.started(*NAMES)
+    assert len(cluster.views()) == 1
+    assert cluster.nodes["a"].membership.view.names() == NAMES
+
+
+async def test_an_unchanged_list_is_not_written_again(cluster, clock, store):
+    await cluster.started(*NAMES)
+    revision = (await store.get(VIEW_KEY)).revision
+    calls = {name: node.store.calls for name, node in cluster.nodes.items()}
+    await clock.advance(60.0)
+    assert (await store.get(VIEW_KEY)).revision == revision
+    for name, node in cluster.nodes.items():
+        assert (node.store.calls - calls[name]) / 60.0 <= 1.1
+
+
+async def test_a_killed_entry_is_taken_out_within_seconds(cluster, clock):
+    await cluster.started(*NAMES)
+    cluster.kill("b")
+    await clock.advance(5.0)
+    assert cluster.nodes["a"].membership.view.names() == ("a", "c")
+    assert len(cluster.views()) == 1
+
+
+async def test_a_restarted_entry_is_another_member(cluster, clock):
+    await cluster.started(*NAMES)
+    before = cluster.nodes["a"].membership.view
+    cluster.kill("b")
+    cluster.start("b")
+    await clock.advance(3.0)
+    after = cluster.nodes["a"].membership.view
+    assert after.names() == NAMES
+    assert set(after.identities()) - set(before.identities()) == {
+        cluster.nodes["b"].membership.me.identity
+    }
+    assert cluster.nodes["b"].membership.acting()
+
+
+async def test_an_entry_with_a_new_name_takes_the_place_of_another(cluster, clock):
+    await cluster.started(*NAMES)
+    cluster.kill("b")
+    cluster.start("z")
+    await clock.advance(8.0)
+    assert cluster.views() == {
+        (cluster.nodes["a"].membership.view.version, ("a", "c", "z"))
+    }
+
+
+async def test_an_entry_that_leaves_is_out_at_once(cluster, clock):
+    await cluster.started(*NAMES)
+    await cluster.nodes["b"].membership.leave()
+    await clock.advance(0.5)
+    assert cluster.nodes["a"].membership.view.names() == ("a", "c")
+    assert not cluster.nodes["b"].membership.acting()
+
+
+async def test_an_outage_freezes_the_list_and_entries_go_on(cluster, clock, store):
+    await cluster.started(*NAMES)
+    views = cluster.views()
+    with store.outage():
+        await clock.advance(120.0)
+        assert cluster.views() == views
+        assert all(node.membership.acting() for node in cluster.nodes.values())
+    await clock.advance(20.0)
+    assert cluster.nodes["a"].membership.view.names() == NAMES
+    assert len(cluster.views()) == 1
+
+
+async def test_a_death_in_an_outage_stops_decisions(cluster, clock, store):
+    await cluster.started(*NAMES)
+    with store.outage():
+        await clock.advance(20.0)
+        cluster.kill("b")
+        await clock.advance(4.0)
+        assert not cluster.nodes["a"].membership.acting()
+    await clock.advance(10.0)
+    assert cluster.nodes["a"].membership.acting()
+
+
+async def test_an_entry_cut_off_from_all_stops_before_others_act(cluster, clock):
+    await cluster.started(*NAMES)
+    lone = cluster.nodes["a"]
+    lone.store.cut = True
+    cluster.network.partition({"a"}, {"b", "c"})
+    await clock.advance(6.0)
+    assert not lone.membership.acting()
+    assert cluster.nodes["b"].membership.view.names() == ("b", "c")
+    lone.store.cut = False
+    cluster.network.heal()
+    await clock.advance(10.0)
+    assert lone.membership.acting()
+    assert len(cluster.views()) == 1
+
+
+async def test_a_paused_process_holds_back_when_it_resumes(cluster, clock):
+    await cluster.started(*NAMES)
+    paused = cluster.nodes["a"].membership
+    assert paused.acting()
+    clock.time_s += 30.0
+    assert not paused.acting()
+
+
+async def test_a_jump_of_the_wall_clock_alone_holds_back(cluster, clock, monkeypatch):
+    await cluster.started(*NAMES)
+    paused = cluster.nodes["a"].membership
+    monkeypatch.setattr(clock, "wall", lambda: clock.time_s + 30.0)
+    assert not paused.acting()
+
+
+async def test_a_report_from_a_buffer_does_not_confirm(cluster, clock, store):
+    await cluster.started(*NAMES)
+    paused = cluster.nodes["a"].membership
+    queued = {name: found.report for name, found in paused.reports.items()}
+    clock.time_s += 30.0
+    for name, report in queued.items():
+        await paused.on_report(name, report)
+    assert not paused.acting()
+
+
+async def test_a_second_process_of_a_name_ends_the_first(cluster, clock):
+    await cluster.started(*NAMES)
+    first = cluster.nodes.pop("b")
+    cluster.start("b")
+    await clock.advance(10.0)
+    assert not first.membership.acting()
+    assert cluster.nodes["b"].membership.acting()
+    for task in first.tasks:
+        task.cancel()
+
+
+async def test_all_entries_killed_together_come_back(cluster, clock):
+    await cluster.started(*NAMES)
+    for name in NAMES:
+        cluster.kill(name)
+    await cluster.started(*NAMES)
+    await clock.advance(5.0)
+    assert len(cluster.views()) == 1
+    assert all(node.membership.acting() for node in cluster.nodes.values())
+
+
+async def test_a_malformed_registration_is_left_aside(cluster, clock, store):
+    from burdockthread_store.store import Change
+
+    await store.write([Change(f"{ENTRY_PREFIX}x", b"[1]", 0)])
+    await cluster.started(*NAMES)
+    assert cluster.nodes["c"].membership.view.names() == NAMES
+
+
+def test_a_list_survives_its_record():
+    view = MembersView(3).successor((), 10.0, 16.0)
+    assert MembersView.from_bytes(view.to_bytes()) == view
