--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Every target makes the virtual environment first when it is missing.
 VENV ?= .venv
-LIBS := model store peers routing fleet operators standins burdockthread
+SHIPPED := model store peers routing fleet operators standins burdockthread
+LIBS := $(SHIPPED) scenarios
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach lib,$(LIBS),$(CURDIR)/libs/$(lib)))
@@ -40,7 +41,7 @@
 dist/burdockthread: $(STAMP) $(shell find libs -name '*.py' -not -path '*/tests/*')
 	rm -rf build/site
 	$(VENV)/bin/python -m pip install --quiet --quiet --disable-pip-version-check --require-hashes --target build/site -r requirements/runtime.txt
-	$(VENV)/bin/python -m pip install --quiet --quiet --disable-pip-version-check --no-deps --no-build-isolation --target build/site $(foreach lib,$(LIBS),./libs/$(lib))
+	$(VENV)/bin/python -m pip install --quiet --quiet --disable-pip-version-check --no-deps --no-build-isolation --target build/site $(foreach lib,$(SHIPPED),./libs/$(lib))
 	mkdir -p dist
 	$(VENV)/bin/shiv --site-packages build/site --compressed --console-script burdockthread --python '/usr/bin/env python3' --output-file dist/burdockthread
 
--- /dev/null
+++ b/libs/scenarios/burdockthread_scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios against distinct processes or one process with a test clock."""
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -11,7 +11,7 @@
 from typing import Any, NamedTuple
 
 import aiohttp
-from demo_cluster import Cluster, Site, running_cluster
+from burdockthread_scenarios.cluster import Cluster, Site, running_cluster
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 SITES = (
