--- /dev/null
+++ b/libs/scenarios/burdockthread_scenarios/ledger.py
@@ -0,0 +1,61 @@
+"""What callers were told, against what endpoints really ran."""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import NamedTuple
+
+
+class Outcome(NamedTuple):
+    """How one request ended for its caller.
+
+    Attributes:
+        body: Body of the request, unique.
+        keyed: Whether it carried an idempotency key.
+        status: HTTP status; 0 if the caller got no answer.
+        verdict: Verdict told, or ``unknown`` without an answer.
+        echo: Body of the answer.
+    """
+
+    body: str
+    keyed: bool
+    status: int
+    verdict: str
+    echo: str
+
+
+class RequestLedger:
+    """Every request of a scenario and how it ended.
+
+    Attributes:
+        sent: Requests sent.
+        outcomes: Ends of requests, repeats included.
+    """
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.outcomes: list[Outcome] = []
+
+    def counts(self, runs: Iterable[str]) -> dict[str, int]:
+        """Compares what was told with what was run.
+
+        Args:
+            runs: Body of every request that an endpoint ran.
+
+        Returns:
+            Counts by name.
+        """
+        ran = Counter(runs)
+        answered = [o for o in self.outcomes if o.status == 200]
+        not_run = [o for o in self.outcomes if o.verdict == "not_run"]
+        keyed = {o.body for o in self.outcomes if o.keyed}
+        return {
+            "sent": self.sent,
+            "ended": len(self.outcomes),
+            "answered": len(answered),
+            "not_run": len(not_run),
+            "unknown": len(self.outcomes) - len(answered) - len(not_run),
+            "crossed": sum(o.echo != o.body for o in answered),
+            "lost": sum(ran[o.body] == 0 for o in answered),
+            "doubled": sum(ran[body] > 1 for body in keyed),
+            "not_run_that_ran": sum(ran[o.body] > 0 for o in not_run),
+        }
