--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # Every target makes the virtual environment first when it is missing.
 VENV ?= .venv
+PIP_OPTIONS := --quiet --quiet --disable-pip-version-check
 SHIPPED := model store peers routing fleet operators standins burdockthread
 LIBS := $(SHIPPED) scenarios
 empty :=
@@ -10,11 +11,11 @@
 
 .PHONY: test demo bench binary format check unit clean
 
-test: check unit
+test: check binary unit
 
 $(STAMP): requirements/dev.txt
 	python3 -m venv $(VENV)
-	$(VENV)/bin/python -m pip install --quiet --quiet --disable-pip-version-check --require-hashes -r requirements/dev.txt
+	$(VENV)/bin/python -m pip install $(PIP_OPTIONS) --require-hashes -r requirements/dev.txt
 	touch $(STAMP)
 
 check: $(STAMP)
@@ -38,12 +39,16 @@
 
 binary: dist/burdockthread
 
-dist/burdockthread: $(STAMP) $(shell find libs -name '*.py' -not -path '*/tests/*')
-	rm -rf build/site
-	$(VENV)/bin/python -m pip install --quiet --quiet --disable-pip-version-check --require-hashes --target build/site -r requirements/runtime.txt
-	$(VENV)/bin/python -m pip install --quiet --quiet --disable-pip-version-check --no-deps --no-build-isolation --target build/site $(foreach lib,$(SHIPPED),./libs/$(lib))
+build/packages/.installed: $(STAMP) requirements/runtime.txt
+	rm -rf build/packages
+	$(VENV)/bin/python -m pip install $(PIP_OPTIONS) --require-hashes --target build/packages -r requirements/runtime.txt
+	touch build/packages/.installed
+
+dist/burdockthread: build/packages/.installed $(shell find $(foreach lib,$(SHIPPED),libs/$(lib)) -name '*.py' -not -path '*/tests/*')
+	rm -rf build/workspace
+	$(VENV)/bin/python -m pip install $(PIP_OPTIONS) --no-deps --no-build-isolation --target build/workspace $(foreach lib,$(SHIPPED),./libs/$(lib))
 	mkdir -p dist
-	$(VENV)/bin/shiv --site-packages build/site --compressed --console-script burdockthread --python '/usr/bin/env python3' --output-file dist/burdockthread
+	$(VENV)/bin/shiv --site-packages build/packages --site-packages build/workspace --compressed --console-script burdockthread --python '/usr/bin/env python3' --output-file dist/burdockthread
 
 clean:
 	rm -rf build dist .pytest_cache .mypy_cache .ruff_cache
