Switch the stand-in platform store's faults over HTTP

POST and DELETE /faults drive the switches of FaultyStore, GET /counters answers with the calls by kind and the peak of any second. A lost answer aborts the connection, an outage answers 503, a lapsed lease 404, as a client on the network sees them.

--- a/libs/standins/burdockthread_standins/platform_store.py
+++ b/libs/standins/burdockthread_standins/platform_store.py
@@ -1,6 +1,8 @@
 """Stand-in of the key-value service: etcd's v3 JSON gateway over a memory store."""
 
 import json
+from collections.abc import Iterator, Sequence
+from contextlib import aclosing, contextmanager
 from typing import Any
 
 from aiohttp import web
@@ -8,45 +10,76 @@
 from burdockthread_model.errors import (
     ConflictError,
     LeaseLostError,
+    SettingsError,
     StoreUnavailableError,
+    StoreUnknownError,
     WatchCompactedError,
 )
+from burdockthread_model.settings import convert_typed
 from burdockthread_store import etcd_wire as wire
+from burdockthread_store.faults import FaultSettings
+from burdockthread_store.faulty_store import FaultyStore
 from burdockthread_store.memory_store import MemoryStore
 from burdockthread_store.store import Change, Guard, KeyValue, Lease, WatchEvent
 
 MAX_REQUEST_BYTES = 4 * 1_048_576
+FAULTS_PATH = "/faults"
+COUNTERS_PATH = "/counters"
 
 
 class PlatformStore:
-    """Serves a `MemoryStore` in the published protocol.
+    """Serves a `FaultyStore` in the published protocol.
 
     Attributes:
         store: The keys.
-        calls: Calls answered, a waiting watch counted as one.
+        faulty: The keys behind the fault switches, which count the calls.
     """
 
     def __init__(self, clock: Clock) -> None:
-        self.clock = clock
         self.store = MemoryStore(clock)
-        self.calls = 0
+        self.faulty = FaultyStore(self.store, clock)
 
     def add_routes(self, app: web.Application) -> None:
-        """Adds the gateway's paths to an application."""
+        """Adds the paths of the gateway and of the switches to an application."""
         app.router.add_post(wire.RANGE_PATH, self.range)
         app.router.add_post(wire.TXN_PATH, self.txn)
         app.router.add_post(wire.WATCH_PATH, self.watch)
         app.router.add_post(wire.LEASE_GRANT_PATH, self.grant)
         app.router.add_post(wire.LEASE_KEEPALIVE_PATH, self.keep_alive)
         app.router.add_post(wire.LEASE_REVOKE_PATH, self.revoke)
+        app.router.add_post(FAULTS_PATH, self.set_faults)
+        app.router.add_delete(FAULTS_PATH, self.clear_faults)
+        app.router.add_get(COUNTERS_PATH, self.get_counters)
 
-    async def read(self, request: web.Request) -> wire.JsonObject:
-        """Counts a call and reads its body."""
-        self.calls += 1
-        if self.store.down:
-            raise web.HTTPServiceUnavailable(text="the store is out")
-        body: wire.JsonObject = await request.json()
-        return body
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Sets the switches that the body names."""
+        try:
+            settings = convert_typed(await request.json(), FaultSettings)
+        except (SettingsError, ValueError) as error:
+            raise web.HTTPBadRequest(text=f"{error}") from error
+        self.faulty.set_faults(settings)
+        return web.json_response({})
+
+    async def clear_faults(self, request: web.Request) -> web.Response:
+        """Takes every switch back."""
+        self.faulty.faults.clear()
+        return web.json_response({})
+
+    async def get_counters(self, request: web.Request) -> web.Response:
+        """Answers with the calls so far and their peaks."""
+        return web.json_response(self.faulty.faults.counters.report())
+
+    @contextmanager
+    def failing(self, request: web.Request) -> Iterator[None]:
+        """Shows the faults of the store as a client on the network sees them."""
+        try:
+            yield
+        except StoreUnavailableError as error:
+            raise web.HTTPServiceUnavailable(text=str(error)) from error
+        except StoreUnknownError:
+            if request.transport is not None:
+                request.transport.abort()
+            raise web.HTTPServiceUnavailable from None
 
     def answer(self, fields: wire.JsonObject) -> web.Response:
         """Returns an answer with the store-wide revision."""
@@ -55,19 +88,23 @@
 
     async def range(self, request: web.Request) -> web.Response:
         """Answers a read."""
-        body = await self.read(request)
+        body = await request.json()
         key = wire.decode_key(body["key"])
-        if "range_end" in body:
-            items = list((await self.store.list(key)).items)
-        else:
-            found = await self.store.get(key)
-            items = [] if found is None else [found]
+        with self.failing(request):
+            items = await self.find(key, prefix="range_end" in body)
         kvs = [encode_item(item) for item in items]
         return self.answer({"kvs": kvs, "count": str(len(kvs))})
 
+    async def find(self, key: str, *, prefix: bool) -> tuple[KeyValue, ...]:
+        """Returns one key or all below a prefix."""
+        if prefix:
+            return (await self.faulty.list(key)).items
+        found = await self.faulty.get(key)
+        return () if found is None else (found,)
+
     async def txn(self, request: web.Request) -> web.Response:
         """Answers a transaction."""
-        body = await self.read(request)
+        body = await request.json()
         expected = {
             wire.decode_key(item["key"]): int(item["mod_revision"])
             for item in body.get("compare", [])
@@ -75,25 +112,35 @@
         changes = [decode_change(item, expected) for item in body.get("success", [])]
         written = {change.key for change in changes}
         guards = [Guard(k, r) for k, r in expected.items() if k not in written]
+        self.check_leases(changes)
         try:
-            await self.store.write(changes, guards)
+            with self.failing(request):
+                await self.faulty.write(changes, guards)
         except ConflictError:
             return self.answer({})
         return self.answer({"succeeded": True})
 
+    def check_leases(self, changes: Sequence[Change]) -> None:
+        """Refuses a write that names a lease that has lapsed."""
+        for change in changes:
+            if change.lease_id and change.lease_id not in self.store.leases:
+                raise web.HTTPNotFound(text="requested lease not found")
+
     async def grant(self, request: web.Request) -> web.Response:
         """Grants a lease."""
-        body = await self.read(request)
-        lease = await self.store.grant_lease(float(body["TTL"]))
+        body = await request.json()
+        with self.failing(request):
+            lease = await self.faulty.grant_lease(float(body["TTL"]))
         return self.answer({"ID": str(lease.lease_id), "TTL": body["TTL"]})
 
     async def keep_alive(self, request: web.Request) -> web.Response:
         """Prolongs a lease."""
-        body = await self.read(request)
+        body = await request.json()
         lease_id = int(body["ID"])
         known = self.store.leases.get(lease_id, Lease(lease_id, 0.0, 0.0))
         try:
-            renewed = await self.store.renew_lease(known)
+            with self.failing(request):
+                renewed = await self.faulty.renew_lease(known)
         except LeaseLostError:
             return self.answer({"result": {"ID": str(lease_id)}})
         ttl = str(int(renewed.ttl_s))
@@ -101,22 +148,26 @@
 
     async def revoke(self, request: web.Request) -> web.Response:
         """Ends a lease."""
-        body = await self.read(request)
-        await self.store.revoke_lease(Lease(int(body["ID"]), 0.0, 0.0))
+        body = await request.json()
+        with self.failing(request):
+            await self.faulty.revoke_lease(Lease(int(body["ID"]), 0.0, 0.0))
         return self.answer({})
 
     async def watch(self, request: web.Request) -> web.StreamResponse:
         """Streams the events of a watch, one JSON object a line."""
-        body = (await self.read(request))["create_request"]
+        body = (await request.json())["create_request"]
+        with self.failing(request):
+            self.faulty.faults.check_reachable()
         prefix = wire.decode_key(body["key"])
         after = int(body.get("start_revision", self.store.revision + 1)) - 1
         response = web.StreamResponse()
         await response.prepare(request)
         await self.send_line(response, {"created": True})
         try:
-            async for events in self.store.watch(prefix, after):
-                encoded = [encode_event(event) for event in events]
-                await self.send_line(response, {"events": encoded})
+            async with aclosing(self.faulty.watch(prefix, after)) as batches:
+                async for events in batches:
+                    encoded = [encode_event(event) for event in events]
+                    await self.send_line(response, {"events": encoded})
         except WatchCompactedError:
             revision = str(self.store.compacted_revision)
             line = {"canceled": True, "compact_revision": revision}
--- a/libs/store/burdockthread_store/faulty_store.py
+++ b/libs/store/burdockthread_store/faulty_store.py
@@ -1,7 +1,7 @@
 """A memory store behind fault switches, for tests and the stand-in."""
 
 import asyncio
-from collections.abc import AsyncGenerator, AsyncIterator, Iterator, Sequence
+from collections.abc import AsyncGenerator, Iterator, Sequence
 from contextlib import aclosing, contextmanager, suppress
 
 from burdockthread_model.clock import Clock
@@ -116,7 +116,9 @@
         await self.arrive("revoke")
         await self.store.revoke_lease(lease)
 
-    async def watch(self, prefix: str, after_revision: int) -> AsyncIterator[Events]:
+    async def watch(
+        self, prefix: str, after_revision: int
+    ) -> AsyncGenerator[Events, None]:
         """Follows the changes below a prefix."""
         await self.arrive("watch")
         self.faults.opened += 1
