Add fault switches to the stand-in endpoint

The fault matrix, the demo and the routing tests need an endpoint that refuses, drops, cuts, delays, crosses, repeats or oversizes its answers on demand. The switches are attributes and, over HTTP, POST /vms/<vm>/faults with a JSON list of faults (an empty list clears them) and POST /vms/<vm>/release for held requests.

--- a/libs/standins/burdockthread_standins/vm_host.py
+++ b/libs/standins/burdockthread_standins/vm_host.py
@@ -4,10 +4,12 @@
 import itertools
 
 from aiohttp import web
+from burdockthread_model.records import RecordError, record_from_plain
 from burdockthread_model.rendering import to_plain
 from burdockthread_model.vm import VmListing, VmStatus
 
 from burdockthread_standins.endpoint import StandinEndpoint
+from burdockthread_standins.endpoint_faults import Fault
 
 REBOOT_TIME_S = 0.5
 
@@ -47,6 +49,8 @@
         app.router.add_post("/vms/{vm}/assign", self.assign)
         app.router.add_post("/vms/{vm}/drain", self.drain)
         app.router.add_post("/vms/{vm}/reboot", self.reboot)
+        app.router.add_post("/vms/{vm}/faults", self.set_faults)
+        app.router.add_post("/vms/{vm}/release", self.release)
         app.router.add_get("/vms/{vm}/runs", self.get_runs)
         return app
 
@@ -72,7 +76,7 @@
     async def drain(self, request: web.Request) -> web.Response:
         """Makes a VM take no new requests."""
         endpoint = self.endpoint(request)
-        endpoint.draining = True
+        endpoint.drain()
         listing = self.listings[endpoint.name]
         self.listings[endpoint.name] = listing._replace(status=VmStatus.LEAVING)
         return web.json_response({"in_flight": endpoint.in_flight})
@@ -92,20 +96,44 @@
         """Stops an endpoint and starts it with a fresh boot id."""
         await endpoint.stop()
         await asyncio.sleep(REBOOT_TIME_S)
-        endpoint.draining = False
+        endpoint.return_to_service()
         listing = self.listings[endpoint.name]
         await endpoint.start(listing.host, listing.port)
         self.listings[endpoint.name] = listing._replace(
             status=VmStatus.LIVE, boot_id=self.new_boot()
         )
 
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Replaces the faults that a VM's endpoint plays.
+
+        The body is a JSON list of `Fault` objects; an empty list clears them.
+        """
+        endpoint = self.endpoint(request)
+        try:
+            faults = [record_from_plain(raw, Fault) for raw in await request.json()]
+        except (RecordError, ValueError, TypeError) as error:
+            raise web.HTTPBadRequest(text=f"faults: {error}") from error
+        await endpoint.set_faults(*faults)
+        return web.json_response({})
+
+    async def release(self, request: web.Request) -> web.Response:
+        """Lets the held requests of a VM go on."""
+        self.endpoint(request).release()
+        return web.json_response({})
+
     async def get_runs(self, request: web.Request) -> web.Response:
         """Answers with what a VM ran; for checks from outside."""
         endpoint = self.endpoint(request)
         return web.json_response(
             {
                 "runs": [to_plain(run) for run in endpoint.runs],
+                "in_flight": endpoint.in_flight,
                 "highest_in_flight": endpoint.highest_in_flight,
+                "highest_connections": endpoint.highest_connections,
+                "draining_since_s": endpoint.draining_since_s,
+                "last_arrival_s": endpoint.last_arrival_s,
+                "refused": dict(endpoint.refused),
+                "hits": endpoint.switch.hits,
                 "boot_id": self.listings[endpoint.name].boot_id,
             }
         )
