--- a/libs/burdockthread/tests/test_binary.py
+++ b/libs/burdockthread/tests/test_binary.py
@@ -23,7 +23,12 @@
 def run(environment, *arguments):
     command = [str(BINARY), *arguments]
     return subprocess.run(
-        command, env=environment, capture_output=True, text=True, timeout=60, check=False
+        command,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
     )
 
 
--- a/libs/burdockthread/tests/test_commands.py
+++ b/libs/burdockthread/tests/test_commands.py
@@ -1,7 +1,6 @@
 import json
 
 import pytest
-
 from burdockthread.__main__ import main
 
 
--- a/libs/model/tests/test_events.py
+++ b/libs/model/tests/test_events.py
@@ -1,5 +1,4 @@
 import pytest
-
 from burdockthread_model.events import format_event
 
 
--- a/libs/scenarios/burdockthread_scenarios/cluster.py
+++ b/libs/scenarios/burdockthread_scenarios/cluster.py
@@ -206,7 +206,10 @@
 async def running_cluster(
     sites: Sequence[Site], placement: Sequence[tuple[str, str]]
 ) -> AsyncIterator[Cluster]:
-    """Runs a platform, sites and entries within the block."""
+    """Runs a platform and sites within the block and prepares entries.
+
+    The entries are started by the caller and stopped at the end.
+    """
     started: list[Process] = []
     cluster = None
     with tempfile.TemporaryDirectory() as folder:
@@ -220,7 +223,6 @@
                 started.append(process)
             cluster = Cluster(Path(folder), platform_url)
             cluster.add_entries(placement)
-            await asyncio.gather(*(e.start() for e in cluster.entries.values()))
             yield cluster
         finally:
             if cluster is not None:
--- /dev/null
+++ b/libs/scenarios/burdockthread_scenarios/forwarder.py
@@ -0,0 +1,91 @@
+"""Forwards TCP connections on loopback; a link that a scenario can cut."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+
+CHUNK_BYTES = 65_536
+
+
+class Forwarder:
+    """One directed link.
+
+    Attributes:
+        host: IP address of both ends.
+        target_port: Port that connections are forwarded to.
+        port: Port that it listens on.
+        is_cut: Whether new connections are refused.
+    """
+
+    def __init__(self, host: str, target_port: int) -> None:
+        self.host = host
+        self.target_port = target_port
+        self.port = 0
+        self.is_cut = False
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator["Forwarder"]:
+        """Listens within the block."""
+        server = await asyncio.start_server(self.serve, self.host, 0)
+        self.port = server.sockets[0].getsockname()[1]
+        try:
+            yield self
+        finally:
+            server.close()
+            self.cut()
+
+    def cut(self) -> None:
+        """Closes all connections and refuses new ones."""
+        self.is_cut = True
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def heal(self) -> None:
+        """Forwards new connections again."""
+        self.is_cut = False
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forwards one connection until either side ends."""
+        if self.is_cut:
+            writer.transport.abort()
+            return
+        try:
+            onward = await asyncio.open_connection(self.host, self.target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        await self.forward(reader, writer, *onward)
+
+    async def forward(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        target_reader: asyncio.StreamReader,
+        target_writer: asyncio.StreamWriter,
+    ) -> None:
+        """Copies both directions."""
+        pair = {writer, target_writer}
+        self.writers |= pair
+        copies = (
+            asyncio.create_task(copy(reader, target_writer)),
+            asyncio.create_task(copy(target_reader, writer)),
+        )
+        try:
+            await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in copies:
+                task.cancel()
+            self.writers -= pair
+            for item in pair:
+                item.close()
+
+
+async def copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Copies bytes until the reader ends."""
+    with suppress(OSError):
+        while data := await reader.read(CHUNK_BYTES):
+            writer.write(data)
+            await writer.drain()
--- a/libs/scenarios/burdockthread_scenarios/ledger.py
+++ b/libs/scenarios/burdockthread_scenarios/ledger.py
@@ -35,6 +35,12 @@
         self.sent = 0
         self.outcomes: list[Outcome] = []
 
+    def unanswered_keyed(self) -> list[str]:
+        """Returns the bodies of keyed requests that were never answered."""
+        answered = {o.body for o in self.outcomes if o.status == 200}
+        bodies = dict.fromkeys(o.body for o in self.outcomes if o.keyed)
+        return [body for body in bodies if body not in answered]
+
     def counts(self, runs: Iterable[str]) -> dict[str, int]:
         """Compares what was told with what was run.
 
@@ -53,6 +59,7 @@
             "ended": len(self.outcomes),
             "answered": len(answered),
             "not_run": len(not_run),
+            "aborted": sum(o.status == 0 for o in self.outcomes),
             "unknown": len(self.outcomes) - len(answered) - len(not_run),
             "crossed": sum(o.echo != o.body for o in answered),
             "lost": sum(ran[o.body] == 0 for o in answered),
--- a/libs/scenarios/burdockthread_scenarios/memory_driver.py
+++ b/libs/scenarios/burdockthread_scenarios/memory_driver.py
@@ -5,7 +5,9 @@
 from typing import NamedTuple
 
 from burdockthread_operators.changes import TemplateChanges
+
 from burdockthread_scenarios.driver import Driver, ScenarioError
+from burdockthread_scenarios.faults import store_fault
 from burdockthread_scenarios.memory_vms import ENDPOINT_FAULTS
 from burdockthread_scenarios.world import (
     TEMPLATE,
@@ -67,7 +69,7 @@
     async def set_fault(self, target: str, name: str, amount: float) -> None:
         """Sets a fault."""
         if target == "store":
-            self.world.set_store_fault(name, amount)
+            self.world.set_store_faults(store_fault(name, amount))
         elif target in self.world.vms.vms and name in ENDPOINT_FAULTS:
             self.world.vms.vms[target].faults[name] = amount
         else:
--- a/libs/scenarios/burdockthread_scenarios/runner.py
+++ b/libs/scenarios/burdockthread_scenarios/runner.py
@@ -11,6 +11,7 @@
     ForbiddenError,
     TemplateError,
 )
+
 from burdockthread_scenarios import language as lang
 from burdockthread_scenarios.driver import Driver, ScenarioError
 from burdockthread_scenarios.memory_driver import memory_driver
--- a/libs/scenarios/burdockthread_scenarios/world.py
+++ b/libs/scenarios/burdockthread_scenarios/world.py
@@ -19,6 +19,8 @@
 from burdockthread_model.vm import VmListing, VmRecord, VmState, VmStatus
 from burdockthread_peers.memory_mesh import MemoryNetwork
 from burdockthread_routing.job_ledger import decode_jobs
+from burdockthread_store.faults import FaultSettings, StoreFaults
+from burdockthread_store.faulty_store import FaultyStore
 from burdockthread_store.memory_store import MemoryStore
 from burdockthread_store.store import ConfigurationStore
 
@@ -65,6 +67,11 @@
     }
 
 
+def encode_template(parameters: dict[str, float]) -> bytes:
+    """Returns the template of the world as JSON text."""
+    return json.dumps(template_document(parameters)).encode()
+
+
 def entry_settings(name: str, entries: list[str]) -> EntrySettings:
     """Returns the settings of one entry of the world."""
     address = {"host": "127.0.0.1", "port": 0}
@@ -95,7 +102,7 @@
     """Returns the VMs of the world, spread over the availability zones."""
     return tuple(
         VmListing(
-            name=f"vm-{number}",
+            name=f"vm-{number:03d}",
             host="127.0.0.1",
             port=0,
             availability_zone=ZONES[number % len(ZONES)],
@@ -105,7 +112,7 @@
             memory_gb=64,
             accelerators=0,
             status=VmStatus.LIVE,
-            boot_id=f"vm-{number}-boot-1",
+            boot_id=f"vm-{number:03d}-boot-1",
         )
         for number in range(count)
     )
@@ -147,6 +154,8 @@
     def __init__(self, entries: int, vms: int) -> None:
         self.clock = MemoryClock()
         self.store = MemoryStore(self.clock)
+        self.store_faults: FaultSettings = {}
+        self.faulty_stores: dict[str, FaultyStore] = {}
         self.network = MemoryNetwork()
         self.vms = MemoryVms(self.clock, vm_listings(vms))
         self.names = [f"entry-{number + 1}" for number in range(entries)]
@@ -177,7 +186,26 @@
 
     def store_of(self, name: str, gate: Gate) -> ConfigurationStore:
         """Returns the store as one entry reaches it."""
-        return GatedStore(self.store, gate)
+        faulty = FaultyStore(self.store, self.clock)
+        faulty.set_faults(self.store_faults)
+        self.faulty_stores[name] = faulty
+        return GatedStore(faulty, gate)
+
+    def faults_of(self, name: str) -> StoreFaults:
+        """Returns the switches of one entry's way to the store."""
+        return self.faulty_stores[name].faults
+
+    def set_store_faults(self, settings: FaultSettings) -> None:
+        """Sets switches of the store for all entries."""
+        self.store_faults.update(settings)
+        for faulty in self.faulty_stores.values():
+            faulty.set_faults(settings)
+
+    def clear_store_faults(self) -> None:
+        """Takes all switches of the store back."""
+        self.store_faults = {}
+        for faulty in self.faulty_stores.values():
+            faulty.faults.clear()
 
     def edges(self, store: ConfigurationStore, clock: GatedClock) -> Edges:
         """Returns the edges of one entry."""
@@ -288,11 +316,8 @@
 
     def repeat(self, name: str) -> None:
         """Sends every keyed request that was not answered once more."""
-        answered = {o.body for o in self.ledger.outcomes if o.status == 200}
-        bodies = dict.fromkeys(o.body for o in self.ledger.outcomes if o.keyed)
-        for body in bodies:
-            if body not in answered:
-                self.send_one(body, True, RequestClass.URGENT, name)
+        for body in self.ledger.unanswered_keyed():
+            self.send_one(body, True, RequestClass.URGENT, name)
 
     def submit(self, amount: int, name: str) -> None:
         """Submits deferred jobs to an entry."""
@@ -390,7 +415,7 @@
 ) -> None:
     """Proposes, reviews and accepts a template through the first entry."""
     changes = next(iter(world.entries.values())).entry.operators_api.changes
-    data = json.dumps(template_document(parameters)).encode()
+    data = encode_template(parameters)
     change = await changes.propose("proposer", data, base_version)
     await changes.review(
         "reviewer", change.change_id, change.content_hash, approve=True
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -264,6 +264,7 @@
 async def main() -> int:
     """Runs the demo; returns the exit code."""
     async with running_cluster(SITES, PLACEMENT) as cluster:
+        await asyncio.gather(*(e.start() for e in cluster.entries.values()))
         counts: dict[str, Any] = await drive(cluster)
     for name, value in counts.items():
         print(f"{name}={value}")
