--- a/libs/peers/burdockthread_peers/key_handover.py
+++ b/libs/peers/burdockthread_peers/key_handover.py
@@ -16,7 +16,6 @@
 BATCH_RECORDS = 50
 CALL_TIMEOUT_S = 2.0
 RETRY_S = 0.5
-POLL_S = 0.1
 
 
 class KeyHandover:
@@ -45,12 +44,12 @@
         self.awaited: set[Identity] = set()
         self.sending: asyncio.Task[None] | None = None
         membership.settled = self.settled
+        membership.listeners.append(self.follow_view)
         mesh.register(HandOver, HandOverReply, self.on_hand_over)
         mesh.register(HandOverDone, HandOverReply, self.on_done)
 
     def settled(self) -> bool:
-        """Returns whether the records of the list before have all come."""
-        self.follow_view()
+        """Returns whether the records of the list before have come and gone."""
         sent = self.sending is None or self.sending.done()
         return sent and not self.awaited
 
@@ -60,26 +59,19 @@
         While records are awaited, their holders may still decide by the list
         before, until their tenure ends.
         """
-        self.follow_view()
         if not self.awaited:
             return self.since_s
         return max(self.since_s, self.membership.last_stopped_s())
 
-    async def run(self) -> None:
-        """Hands records on after each change of the list, until cancelled."""
-        try:
-            while True:
-                self.follow_view()
-                await self.clock.sleep(POLL_S)
-        finally:
-            if self.sending is not None:
-                self.sending.cancel()
+    def stop(self) -> None:
+        """Ends the sending of records."""
+        if self.sending is not None:
+            self.sending.cancel()
+            self.sending = None
 
     def follow_view(self) -> None:
         """Starts anew when the member list has been replaced."""
         view = self.membership.view
-        if view.version == self.view.version:
-            return
         before, self.view = self.view, view
         since_s = self.since_s
         missed = before.version != view.version - 1
@@ -92,9 +84,7 @@
         staying = set(previous) & set(view.identities())
         self.awaited = staying - {me}
         self.since_s = since_s if me in staying else 0.0
-        if self.sending is not None:
-            self.sending.cancel()
-            self.sending = None
+        self.stop()
         if me in staying:
             work = self.send_all(before, view, since_s)
             self.sending = asyncio.ensure_future(work)
@@ -142,7 +132,6 @@
 
     async def on_hand_over(self, sender: str, message: HandOver) -> HandOverReply:
         """Takes records in."""
-        self.follow_view()
         if message.version != self.view.version:
             return HandOverReply(False)
         for record in message.records:
@@ -154,7 +143,6 @@
 
     async def on_done(self, sender: str, message: HandOverDone) -> HandOverReply:
         """Notes that a member has handed everything on."""
-        self.follow_view()
         if message.version != self.view.version:
             return HandOverReply(False)
         self.awaited.discard(Identity(sender, message.incarnation))
--- a/libs/peers/burdockthread_peers/membership.py
+++ b/libs/peers/burdockthread_peers/membership.py
@@ -97,6 +97,7 @@
         adopted_wall_s: Wall-clock time at which `view` became known.
         confirmed_until_s: Clock time up to which the store's last word holds.
         superseded: Whether another process has taken this entry's name.
+        listeners: Called after a newer member list has been taken over.
         settled: Whether the records of the list before have been handed on;
             only then is the list replaced again, within `SETTLE_S`.
         reports: Last report of each other entry.
@@ -127,6 +128,7 @@
         self.lease: Lease | None = None
         self.superseded = False
         self.leaving = False
+        self.listeners: list[Callable[[], None]] = []
         self.settled: Callable[[], bool] = lambda: True
         self.reports: dict[str, Report] = {}
         mesh.register(ViewReport, ReportNoted, self.on_report)
@@ -333,6 +335,8 @@
         self.log.info(
             "members_adopted", version=view.version, members=",".join(view.names())
         )
+        for listener in self.listeners:
+            listener()
         self.broadcast_report()
 
     async def propose(self) -> None:
--- a/libs/peers/burdockthread_peers/owned_keys.py
+++ b/libs/peers/burdockthread_peers/owned_keys.py
@@ -34,6 +34,7 @@
 RECORD_TIMEOUT_S = 0.5
 RETRY_S = 0.1
 FINISH_RETRY_S = 1.0
+FORGET_S = 10.0
 FINISH_ATTEMPTS = 10
 MAX_UNFINISHED = 10_000
 
@@ -74,8 +75,15 @@
         mesh.register(FinishKey, Finished, self.on_finish)
 
     async def run(self) -> None:
-        """Hands records on when the member list changes, until cancelled."""
-        await self.handover.run()
+        """Forgets old keys until cancelled."""
+        try:
+            while True:
+                self.records.make_room(self.clock.wall())
+                await self.clock.sleep(FORGET_S)
+        finally:
+            self.handover.stop()
+            for task in list(self.tasks):
+                task.cancel()
 
     def new_id(self) -> str:
         """Returns an id that names this process; no other is equal."""
@@ -158,16 +166,16 @@
         self, message: FinishKey, targets: tuple[str, ...]
     ) -> tuple[str, ...]:
         """Sends a message to holders; returns those that did not answer."""
-        calls = (
-            self.mesh.call(target, message, Finished, CALL_TIMEOUT_S)
-            for target in targets
-        )
-        results = await asyncio.gather(*calls, return_exceptions=True)
-        return tuple(
-            target
-            for target, result in zip(targets, results, strict=True)
-            if isinstance(result, BaseException)
-        )
+        told = await asyncio.gather(*(self.tell_one(t, message) for t in targets))
+        return tuple(t for t, done in zip(targets, told, strict=True) if not done)
+
+    async def tell_one(self, target: str, message: FinishKey) -> bool:
+        """Sends a message to one holder; returns whether it answered."""
+        try:
+            await self.mesh.call(target, message, Finished, CALL_TIMEOUT_S)
+        except PeerError:
+            return False
+        return True
 
     async def deliver_finish(
         self, message: FinishKey, targets: tuple[str, ...]
--- a/libs/peers/tests/conftest.py
+++ b/libs/peers/tests/conftest.py
@@ -64,8 +64,8 @@
 
     async def watch(self, prefix, after_revision):
         async for events in self.reach().watch(prefix, after_revision):
-            if not self.cut:
-                yield events
+            self.reach()
+            yield events
 
     async def close(self):
         pass
@@ -125,3 +125,9 @@
     for name in list(cluster.nodes):
         cluster.kill(name)
     await asyncio.sleep(0)
+
+
+@pytest.fixture(scope="session")
+def new_cluster():
+    """Returns the class, for tests that run their own event loop."""
+    return Cluster
--- a/libs/peers/tests/test_owned_keys.py
+++ b/libs/peers/tests/test_owned_keys.py
@@ -7,6 +7,7 @@
 from burdockthread_peers import owned_keys
 from burdockthread_peers.idempotency import KeyState
 from burdockthread_peers.key_handover import holder_key
+from burdockthread_peers.key_records import KeyRecord
 
 NAMES = ("a", "b", "c", "d")
 ANSWER = CallerResponse(200, b"pole 7", "text/plain", Verdict.RAN)
@@ -250,3 +251,45 @@
     assert states == [KeyState.RUN, KeyState.RUN, KeyState.UNAVAILABLE]
     await cluster.clock.advance(1_000.0)
     assert (await begin(cluster, "a", "k3")).state is KeyState.RUN
+
+
+async def test_another_version_of_the_list_is_not_decided_by(four):
+    owner, replica = holders(four, "k")
+    node = four.nodes[owner]
+    old = node.membership.view.version - 1
+    message = owned_keys.BeginKey(old, "org", "k", "body", "x/i/1")
+    assert (await node.keys.on_begin("x", message)).again
+    record = KeyRecord("org", "k", "body", "g", "x/i/1", four.clock.wall(), False)
+    request = owned_keys.RecordKey(old, record)
+    assert not (await four.nodes[replica].keys.on_record(owner, request)).accepted
+
+
+async def test_an_owner_that_is_not_confirmed_does_not_decide(cluster):
+    cluster.start("a")
+    await cluster.clock.advance(2.0)
+    keys = cluster.nodes["a"].keys
+    version = cluster.nodes["a"].membership.view.version
+    cluster.clock.time_s += 4_000.0
+    message = owned_keys.BeginKey(version, "org", "k", "body", "a/i1/1")
+    assert (await keys.on_begin("a", message)).again
+
+
+async def test_new_holders_wait_until_records_have_come(cluster, monkeypatch):
+    await cluster.started("a", "b")
+    for number in range(20):
+        await begin(cluster, "a", f"k{number}")
+        await finish(cluster, "a", f"k{number}")
+
+    async def never(peer, message):
+        await cluster.clock.sleep(1_000.0)
+
+    for node in cluster.nodes.values():
+        monkeypatch.setattr(node.keys.handover, "deliver", never)
+    cluster.start("c")
+    cluster.start("d")
+    await cluster.clock.advance(4.0)
+    assert cluster.nodes["c"].membership.view.names() == ("a", "b", "c", "d")
+    moved = [f"k{n}" for n in range(20) if set(holders(cluster, f"k{n}")) == {"c", "d"}]
+    decisions = [await begin(cluster, "c", key, timeout_s=1.0) for key in moved]
+    assert decisions[0].state is KeyState.UNAVAILABLE
+    assert {d.state for d in decisions} <= {KeyState.UNAVAILABLE, KeyState.UNKNOWN}
