Lend idle slots of a fixed share to entries in demand

LentPermits keeps the fixed shares and lends idle slots for 2 s at a time. The lender counts what it lent as in use until the borrower gives it back, or the loan and the longest exchange are over; the borrower counts the loan from when it asked, by both clocks. A restarted lender uses only the part that is never lent until every entry has said what it had borrowed, or all has lapsed.

Ruled out: one broker per service that owns the slots (its loss or a new list holds all of them back until every permit and exchange has ended, and a part cut off from it has none).

--- /dev/null
+++ b/libs/peers/burdockthread_peers/lent_permits.py
@@ -0,0 +1,224 @@
+"""Slot permits as fixed shares of which idle ones are lent to other entries."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.errors import PeerError
+
+from burdockthread_peers.loans import (
+    AskSlots,
+    BorrowerBook,
+    LenderBook,
+    LentSlots,
+    ListLoans,
+    Loans,
+    Slot,
+    SlotGrant,
+    SlotRow,
+)
+from burdockthread_peers.mesh import PeerMesh
+from burdockthread_peers.permits import SlotPermits
+from burdockthread_peers.rendezvous import score
+from burdockthread_peers.static_permits import StaticPermits
+
+LONGEST_EXCHANGE_S = 600.0
+ASK_S = 0.2
+CALL_TIMEOUT_S = 1.0
+DEMAND_S = 1.0
+GROWTH = 1
+MAX_ROWS = 200
+
+EndpointNames = Callable[[str], Sequence[str]]
+
+
+class LentPermits(SlotPermits):
+    """Lends idle slots of this entry's share, and borrows from other shares.
+
+    About half of a share is never lent, so that it can be used at any moment.
+    The rest is lent for `LOAN_S` at a time to entries that have been refused a
+    slot lately. A lender counts what it lent as in use until the borrower gives
+    it back, or the loan and the longest exchange are over.
+
+    Attributes:
+        static: The fixed shares.
+        own_in_use: Slots of this entry's own share in use.
+        borrowed: What was borrowed, by lender.
+        book: What was lent.
+        unanswered: Entries that have not said yet what they borrowed before
+            this process started; nothing that may be lent is used meanwhile.
+        refused_s: Clock time of the last slot that was refused, by service.
+    """
+
+    def __init__(
+        self,
+        mesh: PeerMesh,
+        static: StaticPermits,
+        endpoints: EndpointNames,
+        incarnation: str,
+        clock: Clock,
+        longest_exchange_s: float = LONGEST_EXCHANGE_S,
+    ) -> None:
+        self.mesh = mesh
+        self.static = static
+        self.endpoints = endpoints
+        self.incarnation = incarnation
+        self.clock = clock
+        self.own_in_use: Counter[Slot] = Counter()
+        self.book = LenderBook(clock, longest_exchange_s)
+        others = [name for name in static.entries if name != static.name]
+        self.borrowed = {name: BorrowerBook(clock) for name in others}
+        self.unanswered = set(others)
+        self.settled_s = clock.now() + self.book.reserve_s
+        self.refused_s: dict[str, float] = {}
+        mesh.register(AskSlots, LentSlots, self.on_ask)
+        mesh.register(ListLoans, Loans, self.on_list)
+
+    def is_recovering(self) -> bool:
+        """Returns whether slots lent before this process started may be in use."""
+        return bool(self.unanswered) and self.clock.now() < self.settled_s
+
+    def own_limit(self, slot: Slot) -> int:
+        """Returns how many slots of the own share may be in use here."""
+        share = self.static.limit(*slot)
+        if self.is_recovering():
+            return share - self.lendable(slot)
+        return share - self.book.lent_out(slot)
+
+    def lendable(self, slot: Slot) -> int:
+        """Returns how many slots of the own share may ever be lent.
+
+        The odd slot may be lent at every second endpoint, the same after a
+        restart.
+        """
+        half, odd = divmod(self.static.limit(*slot), 2)
+        return half + odd * (score("/".join(slot), self.static.name) % 2)
+
+    def limit(self, service: str, endpoint: str) -> int:
+        """Returns how many slots this entry may use now."""
+        slot = (service, endpoint)
+        borrowed = sum(book.usable(slot) for book in self.borrowed.values())
+        return max(self.own_limit(slot), 0) + borrowed
+
+    def try_acquire(self, service: str, endpoint: str) -> bool:
+        """Takes a slot of the own share, or one that was borrowed."""
+        slot = (service, endpoint)
+        if self.own_in_use[slot] < self.own_limit(slot):
+            self.own_in_use[slot] += 1
+            return True
+        if any(book.try_acquire(slot) for book in self.borrowed.values()):
+            return True
+        self.refused_s[service] = self.clock.now()
+        return False
+
+    def release(self, service: str, endpoint: str) -> None:
+        """Gives a slot back, a borrowed one first."""
+        slot = (service, endpoint)
+        within_share = self.own_in_use[slot] <= self.own_limit(slot)
+        if within_share and any(b.release(slot) for b in self.borrowed.values()):
+            return
+        if self.own_in_use[slot] > 0:
+            self.own_in_use[slot] -= 1
+            return
+        any(book.release(slot) for book in self.borrowed.values())
+
+    def in_demand(self, service: str) -> bool:
+        """Returns whether a slot of a service was refused here lately."""
+        refused_s = self.refused_s.get(service, float("-inf"))
+        return self.clock.now() - refused_s < DEMAND_S
+
+    async def run(self) -> None:
+        """Borrows from every other entry until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for lender in self.borrowed:
+                group.create_task(self.borrow(lender))
+
+    async def borrow(self, lender: str) -> None:
+        """Recovers what was lent to one entry, then borrows from it."""
+        while True:
+            try:
+                if lender in self.unanswered:
+                    await self.recover(lender)
+                await self.ask(lender)
+            except PeerError:
+                pass
+            await self.clock.sleep(ASK_S)
+
+    async def recover(self, borrower: str) -> None:
+        """Learns what an entry borrowed before this process started.
+
+        Raises:
+            PeerError: No answer.
+        """
+        reply = await self.mesh.call(borrower, ListLoans(), Loans, CALL_TIMEOUT_S)
+        for grant in reply.grants:
+            slot = (grant.service, grant.endpoint)
+            self.book.record(borrower, slot, grant.slots)
+        self.unanswered.discard(borrower)
+
+    async def on_list(self, sender: str, message: ListLoans) -> Loans:
+        """Gives up the loans of a lender that has restarted."""
+        book = self.borrowed.get(sender)
+        if book is None:
+            return Loans(())
+        book.loans.clear()
+        book.number += 1
+        return Loans(tuple(SlotGrant(*slot, n) for slot, n in book.in_use.items()))
+
+    async def ask(self, lender: str) -> None:
+        """Asks one entry for slots, if any are wanted, kept or given back.
+
+        Raises:
+            PeerError: No answer; what is not kept is given up all the same.
+        """
+        book = self.borrowed[lender]
+        rows = tuple(self.rows(book))[:MAX_ROWS]
+        if not rows:
+            return
+        for row in rows:
+            book.reduce((row.service, row.endpoint), row.keep)
+        book.number += 1
+        message = AskSlots(self.incarnation, book.number, rows)
+        sent_s, sent_wall_s = self.clock.now(), self.clock.wall()
+        reply = await self.mesh.call(lender, message, LentSlots, CALL_TIMEOUT_S)
+        if book.number != message.number:
+            return
+        for grant in reply.grants:
+            book.take(grant, sent_s, sent_wall_s)
+
+    def rows(self, book: BorrowerBook) -> Iterable[SlotRow]:
+        """Yields a row for each endpoint at which anything changes."""
+        wanted = {
+            (service, endpoint)
+            for service in self.refused_s
+            if self.in_demand(service)
+            for endpoint in self.endpoints(service)
+        }
+        for slot in sorted(wanted | book.loans.keys() | book.in_use.keys()):
+            used = book.in_use.get(slot, 0)
+            want = used + GROWTH if slot in wanted else used
+            keep = max(used, min(book.usable(slot), want))
+            yield SlotRow(*slot, keep, want)
+
+    async def on_ask(self, sender: str, message: AskSlots) -> LentSlots:
+        """Lends what is idle and takes back what is not kept."""
+        known = sender in self.borrowed and sender not in self.unanswered
+        if not known or not self.book.accept_message(sender, message):
+            return LentSlots(())
+        grants = tuple(self.lend(sender, row) for row in message.rows)
+        return LentSlots(grants)
+
+    def lend(self, borrower: str, row: SlotRow) -> SlotGrant:
+        """Decides on one endpoint."""
+        slot = (row.service, row.endpoint)
+        held = self.book.lent_to(borrower, slot)
+        kept = min(max(row.keep, 0), held)
+        elsewhere = self.book.lent_out(slot) - held
+        idle = self.static.limit(*slot) - self.own_in_use[slot] - elsewhere
+        offered = min(row.want, idle, self.lendable(slot) - elsewhere)
+        if self.is_recovering() or self.in_demand(row.service):
+            offered = 0
+        slots = max(kept, offered)
+        self.book.record(borrower, slot, slots)
+        return SlotGrant(row.service, row.endpoint, slots)
--- /dev/null
+++ b/libs/peers/burdockthread_peers/loans.py
@@ -0,0 +1,191 @@
+"""Messages and records of slots lent by one entry to another."""
+
+from collections import deque
+from typing import NamedTuple
+
+from burdockthread_model.clock import Clock
+
+LOAN_S = 2.0
+MAX_ENDED = 1_000
+
+Slot = tuple[str, str]
+
+
+class SlotRow(NamedTuple):
+    """What a borrower holds and wants of one endpoint.
+
+    Attributes:
+        service: Name of the service.
+        endpoint: Name of the VM.
+        keep: Slots lent that the borrower goes on using.
+        want: Slots that it would like to be lent in all; at least `keep`.
+    """
+
+    service: str
+    endpoint: str
+    keep: int
+    want: int
+
+
+class AskSlots(NamedTuple):
+    """Asks a lender for slots and gives back those not kept.
+
+    Attributes:
+        incarnation: The borrower's incarnation.
+        number: Rises with each message of the borrower to this lender.
+        rows: One row for each endpoint.
+    """
+
+    incarnation: str
+    number: int
+    rows: tuple[SlotRow, ...]
+
+
+class SlotGrant(NamedTuple):
+    """How many slots of one endpoint are lent now."""
+
+    service: str
+    endpoint: str
+    slots: int
+
+
+class LentSlots(NamedTuple):
+    """Answer to `AskSlots`; the slots may be taken for `LOAN_S`."""
+
+    grants: tuple[SlotGrant, ...]
+
+
+class ListLoans(NamedTuple):
+    """Asked by a lender that has just started: what was it that it lent?"""
+
+
+class Loans(NamedTuple):
+    """What the sender still uses of the asker's slots; it takes no more."""
+
+    grants: tuple[SlotGrant, ...]
+
+
+class LentRecord(NamedTuple):
+    """Slots lent to one borrower, reserved until a clock time."""
+
+    slots: int
+    reserved_until_s: float
+
+
+class LenderBook:
+    """What this entry has lent, by borrower and endpoint.
+
+    A slot lent may be taken for `LOAN_S`, and its exchange may run on for the
+    longest time of an exchange; only then does a silent borrower's slot return.
+
+    Attributes:
+        lent: Records by borrower.
+        last_asked: Incarnation and number of each borrower's last message.
+        ended: Incarnations that were replaced, newest last.
+    """
+
+    def __init__(self, clock: Clock, longest_exchange_s: float) -> None:
+        self.clock = clock
+        self.reserve_s = LOAN_S + longest_exchange_s
+        self.lent: dict[str, dict[Slot, LentRecord]] = {}
+        self.last_asked: dict[str, tuple[str, int]] = {}
+        self.ended: deque[str] = deque(maxlen=MAX_ENDED)
+
+    def lent_out(self, slot: Slot) -> int:
+        """Returns how many slots of an endpoint may be in use elsewhere."""
+        return sum(self.lent_to(borrower, slot) for borrower in self.lent)
+
+    def lent_to(self, borrower: str, slot: Slot) -> int:
+        """Returns how many slots of an endpoint one borrower may be using."""
+        record = self.lent.get(borrower, {}).get(slot)
+        if record is None or record.reserved_until_s <= self.clock.now():
+            return 0
+        return record.slots
+
+    def record(self, borrower: str, slot: Slot, slots: int) -> None:
+        """Notes what a borrower has now."""
+        records = self.lent.setdefault(borrower, {})
+        if slots:
+            records[slot] = LentRecord(slots, self.clock.now() + self.reserve_s)
+        else:
+            records.pop(slot, None)
+
+    def accept_message(self, borrower: str, message: AskSlots) -> bool:
+        """Returns whether a message is newer than all before.
+
+        A borrower with another incarnation has lost its connections to the
+        endpoints together with its old process.
+        """
+        incarnation, number = self.last_asked.get(borrower, ("", 0))
+        if message.incarnation in self.ended:
+            return False
+        if incarnation != message.incarnation:
+            if incarnation:
+                self.ended.append(incarnation)
+                self.lent.pop(borrower, None)
+        elif message.number <= number:
+            return False
+        self.last_asked[borrower] = (message.incarnation, message.number)
+        return True
+
+
+class Loan(NamedTuple):
+    """Slots borrowed, which may be taken until a time by both clocks."""
+
+    slots: int
+    until_s: float
+    until_wall_s: float
+
+
+class BorrowerBook:
+    """What this entry has borrowed from one lender.
+
+    Attributes:
+        loans: Loans by endpoint.
+        in_use: Borrowed slots in use, also beyond the end of their loan.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.loans: dict[Slot, Loan] = {}
+        self.in_use: dict[Slot, int] = {}
+        self.number = 0
+
+    def usable(self, slot: Slot) -> int:
+        """Returns how many slots of an endpoint may be taken by now."""
+        loan = self.loans.get(slot)
+        if loan is None or self.clock.now() >= loan.until_s:
+            return 0
+        return loan.slots if self.clock.wall() < loan.until_wall_s else 0
+
+    def try_acquire(self, slot: Slot) -> bool:
+        """Takes one slot if the loan allows."""
+        used = self.in_use.get(slot, 0)
+        if used >= self.usable(slot):
+            return False
+        self.in_use[slot] = used + 1
+        return True
+
+    def release(self, slot: Slot) -> bool:
+        """Gives one slot back; returns whether one was in use."""
+        used = self.in_use.get(slot, 0)
+        if used > 1:
+            self.in_use[slot] = used - 1
+        else:
+            self.in_use.pop(slot, None)
+        return used > 0
+
+    def reduce(self, slot: Slot, slots: int) -> None:
+        """Gives up the part of a loan beyond a number of slots."""
+        loan = self.loans.get(slot)
+        if loan is not None and loan.slots > slots:
+            self.loans[slot] = loan._replace(slots=slots)
+
+    def take(self, grant: SlotGrant, sent_s: float, sent_wall_s: float) -> None:
+        """Takes a loan over, counted from when it was asked for."""
+        slot = (grant.service, grant.endpoint)
+        if grant.slots:
+            until_s, until_wall_s = sent_s + LOAN_S, sent_wall_s + LOAN_S
+            self.loans[slot] = Loan(grant.slots, until_s, until_wall_s)
+        else:
+            self.loans.pop(slot, None)
--- a/libs/peers/burdockthread_peers/static_permits.py
+++ b/libs/peers/burdockthread_peers/static_permits.py
@@ -29,7 +29,9 @@
         self.in_use: Counter[tuple[str, str]] = Counter()
 
     def limit(self, service: str, endpoint: str) -> int:
-        """Returns this entry's share of one endpoint."""
+        """Returns this entry's share of one endpoint; none if it is not listed."""
+        if self.name not in self.entries:
+            return 0
         share, left_over = divmod(self.slots(service), len(self.entries))
         favoured = rank(endpoint, self.entries)[:left_over]
         return share + (1 if self.name in favoured else 0)
