--- a/libs/scenarios/burdockthread_scenarios/gate.py
+++ b/libs/scenarios/burdockthread_scenarios/gate.py
@@ -18,9 +18,14 @@
 
 
 class Gate:
-    """Open while the entry runs; tasks that reach it while closed wait."""
+    """Open while the entry runs; tasks that reach it while closed wait.
+
+    Attributes:
+        dead: Whether the entry was killed; its tasks end at the gate.
+    """
 
     def __init__(self) -> None:
+        self.dead = False
         self.opened = asyncio.Event()
         self.opened.set()
 
@@ -32,9 +37,20 @@
         """Lets the entry's tasks go on."""
         self.opened.set()
 
+    def kill(self) -> None:
+        """Ends every task that reaches the gate, clean-up included."""
+        self.dead = True
+        self.opened.set()
+
     async def wait(self) -> None:
-        """Waits until the gate is open."""
+        """Waits until the gate is open.
+
+        Raises:
+            asyncio.CancelledError: The entry was killed.
+        """
         await self.opened.wait()
+        if self.dead:
+            raise asyncio.CancelledError
 
 
 class GatedClock(Clock):
--- a/libs/scenarios/burdockthread_scenarios/memory_driver.py
+++ b/libs/scenarios/burdockthread_scenarios/memory_driver.py
@@ -101,9 +101,11 @@
         await self.world.advance(seconds)
 
     def changes(self) -> TemplateChanges:
-        """Returns the changes as the first entry offers them."""
-        first = next(iter(self.world.entries.values()))
-        return first.entry.operators_api.changes
+        """Returns the changes as the first entry that runs offers them."""
+        for running in self.world.entries.values():
+            if running.gate.opened.is_set():
+                return running.entry.operators_api.changes
+        raise ScenarioError("no entry runs")
 
     async def propose(
         self, change: str, base_version: int | None, parameters: dict[str, float]
--- a/libs/scenarios/burdockthread_scenarios/world.py
+++ b/libs/scenarios/burdockthread_scenarios/world.py
@@ -49,11 +49,12 @@
             ORGANISATION: {
                 "vms": int(values.get("vms", POOL_VMS)),
                 "floor": int(values.get("floor", MIN_AVAILABLE)),
+                "spare": int(values.get("spare", SPARE_VMS)),
             }
         },
         "pools": {
             "bookings": {"vms": "$vms", "min_available": "$floor"},
-            "yard-misc": {"vms": SPARE_VMS, "min_available": 0, "spare": True},
+            "yard-misc": {"vms": "$spare", "min_available": 0, "spare": True},
         },
         "services": {
             "bookings": {"pool": "bookings", "deadline_s": DEADLINE_S},
@@ -166,6 +167,7 @@
         self.versions_seen: dict[str, int] = {}
         self.reverted = 0
         self.lowest_available = POOL_VMS
+        self.fresh_answered = 0
         self.numbers = itertools.count(1)
 
     def start(self, name: str) -> RunningEntry:
@@ -178,6 +180,7 @@
         edges = self.edges(self.store_of(name, gate), clock)
         steps = MemorySteps()
         entry = Entry(entry_settings(name, self.names), edges, mesh, steps)
+        entry.callers_api.ready = True
         running = RunningEntry(entry, gate, steps)
         for work in entry.background():
             running.start_task(work)
@@ -214,20 +217,21 @@
     async def kill(self, name: str) -> None:
         """Ends an entry at once; nothing that it still does has an effect."""
         running = self.entries.pop(name)
-        running.gate.close()
-        others = set(self.network.meshes) - {name}
-        self.network.partition({name}, others)
+        running.gate.kill()
         self.network.meshes.pop(name)
         await running.cancel_tasks()
-        self.network.cut = {pair for pair in self.network.cut if name not in pair}
 
     async def stop(self, name: str) -> None:
-        """Stops an entry gracefully."""
-        running = self.entries[name]
-        draining = asyncio.create_task(running.entry.drain())
-        while not draining.done():
+        """Stops an entry gracefully, letting time pass."""
+        stopping = asyncio.create_task(self.stop_alone(name))
+        while not stopping.done():
             await self.advance(TICK_S)
-        await draining
+        await stopping
+
+    async def stop_alone(self, name: str) -> None:
+        """Stops an entry gracefully while the caller lets time pass."""
+        running = self.entries[name]
+        await running.entry.drain()
         await running.entry.leadership.resign()
         del self.entries[name]
         self.network.meshes.pop(name)
@@ -393,14 +397,16 @@
 
 
 @asynccontextmanager
-async def running_world(entries: int, vms: int) -> AsyncIterator[World]:
+async def running_world(
+    entries: int, vms: int, parameters: dict[str, float] | None = None
+) -> AsyncIterator[World]:
     """Runs a world within the block; its first template is in force."""
     world = World(entries, vms)
     try:
         for name in world.names:
             world.start(name)
         await settle()
-        await accept_template(world, {}, 0)
+        await accept_template(world, parameters or {}, 0)
         await world.advance(START_S)
         yield world
     finally:
