--- /dev/null
+++ b/libs/store/tests/test_settled_store.py
@@ -0,0 +1,207 @@
+import asyncio
+
+import pytest
+from burdockthread_model.errors import (
+    ConflictError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+from burdockthread_store.settled_store import (
+    LANE_WAIT_S,
+    LANES,
+    MARKER_PREFIX,
+    SETTLE_TIMEOUT_S,
+    SettledStore,
+)
+from burdockthread_store.store import Change, Guard
+
+
+@pytest.fixture
+def settled(faulty, clock, metrics) -> SettledStore:
+    return SettledStore(faulty, "entry-1", clock, metrics)
+
+
+@pytest.fixture
+def faults(faulty):
+    return faulty.faults
+
+
+async def finish(clock, work, seconds=SETTLE_TIMEOUT_S + 1.0):
+    """Runs a coroutine to its end while the clock moves."""
+    task = asyncio.ensure_future(work)
+    while not task.done() and seconds > 0:
+        await clock.advance(0.1)
+        seconds -= 0.1
+    return await task
+
+
+async def test_values_and_listings_show_no_trace_of_the_writer(settled, store):
+    await settled.write([Change("p/a", b"1", 0)])
+    assert (await settled.get("p/a")).value == b"1"
+    assert [item.key for item in (await settled.list("p/")).items] == ["p/a"]
+
+
+async def test_lost_answer_of_a_write_that_took_effect(settled, faults, store):
+    faults.lose_next_answer()
+    revision = await settled.write([Change("a", b"1", 0), Change("b", b"2", 0)])
+    assert (await store.get("b")).revision == revision
+    assert await settled.write([Change("a", b"3", revision)]) > revision
+
+
+async def test_lost_request_is_told_as_not_written(settled, faults, store):
+    faults.drop_next_request()
+    with pytest.raises(StoreUnavailableError):
+        await settled.write([Change("a", b"1", 0)])
+    assert await store.get("a") is None
+
+
+async def test_lost_answer_of_a_deletion(settled, faults, store):
+    revision = await settled.write([Change("a", b"1", 0)])
+    faults.lose_next_answer()
+    await settled.write([Change("a", None, revision)])
+    assert await store.get("a") is None
+
+
+async def test_another_writer_overwrote_the_value_before_the_read_back(
+    settled, faults, faulty, store, clock
+):
+    other = SettledStore(store, "entry-2", clock, settled.metrics)
+    get = faulty.get
+
+    async def overwrite_then_get(key):
+        faulty.get = get
+        found = await store.get("a")
+        await other.write([Change("a", b"theirs", found.revision)])
+        return await get(key)
+
+    faulty.get = overwrite_then_get
+    faults.lose_next_answer()
+    revision = await settled.write([Change("a", b"ours", 0)])
+    assert (await store.get("a")).value == b"theirs"
+    assert revision < (await store.get("a")).revision
+
+
+async def test_late_write_cannot_take_effect_once_it_was_told_as_not_written(
+    settled, faults, store, clock
+):
+    faults.late_write_s = 1.0
+    with pytest.raises(StoreUnavailableError):
+        await settled.write([Change("a", b"1", 0)])
+    await clock.advance(2.0)
+    assert await store.get("a") is None
+
+
+async def test_fence_whose_own_answer_is_lost(settled, faults, store, clock):
+    faults.drop_next_request()
+    faults.lose_next_answer()
+    with pytest.raises(StoreUnavailableError):
+        await finish(clock, settled.write([Change("a", b"1", 0)]))
+    assert await store.get("a") is None
+
+
+async def test_outage_after_the_write_ends_in_an_honest_unknown(
+    settled, faults, store, clock
+):
+    faults.lose_next_answer()
+    settled.store.get = refuse
+    with pytest.raises(StoreUnknownError):
+        await finish(clock, settled.write([Change("a", b"1", 0)]))
+    assert await store.get("a") is not None
+
+
+async def refuse(key):
+    raise StoreUnavailableError("out")
+
+
+async def test_writes_in_an_outage_are_refused_before_they_are_sent(
+    settled, faults, clock
+):
+    faults.drop_requests = 1_000
+    settled.store.get = refuse
+    with pytest.raises(StoreUnknownError):
+        await finish(clock, settled.write([Change("a", b"1", 0)]))
+    sent = faults.counters.calls["write"]
+    for _ in range(5):
+        with pytest.raises(StoreUnavailableError):
+            await finish(clock, settled.write([Change("b", b"1", 0)]))
+    assert faults.counters.calls["write"] == sent
+    del settled.store.get
+    faults.clear()
+    assert await settled.write([Change("b", b"1", 0)])
+
+
+async def test_conflict_is_told_only_if_nothing_was_written(settled, store):
+    await settled.write([Change("a", b"1", 0)])
+    with pytest.raises(ConflictError):
+        await settled.write([Change("a", b"2", 0), Change("b", b"2", 0)])
+    with pytest.raises(ConflictError):
+        await settled.write([Change("b", b"2", 0)], [Guard("a", 99)])
+    assert await store.get("b") is None
+
+
+async def test_process_of_the_same_name_takes_the_markers_over(
+    settled, faulty, clock, metrics, store
+):
+    for number in range(3):
+        await settled.write([Change(f"a{number}", b"1", 0)])
+    successor = SettledStore(faulty, "entry-1", clock, metrics)
+    await successor.write([Change("b", b"1", 0)])
+    await settled.write([Change("c", b"1", 0)])
+    markers = await store.list(MARKER_PREFIX)
+    assert len(markers.items) == 1
+
+
+async def test_marker_taken_over_still_tells_of_the_lost_write(
+    settled, faulty, faults, clock, metrics, store
+):
+    await settled.write([Change("z", b"1", 0)])
+    successor = SettledStore(store, "entry-1", clock, metrics)
+    get = faulty.get
+
+    async def take_over_then_get(key):
+        faulty.get = get
+        for number in range(3):
+            await successor.write([Change(f"s{number}", b"1", 0)])
+        return await get(key)
+
+    faulty.get = take_over_then_get
+    faults.lose_next_answer()
+    revision = await settled.write([Change("a", b"1", 0)])
+    assert (await store.get("a")).revision == revision
+
+
+async def test_marker_overwritten_too_often_is_an_honest_unknown(
+    settled, faulty, faults, clock, metrics, store
+):
+    successor = SettledStore(store, "entry-1", clock, metrics)
+    get = faulty.get
+
+    async def take_over_then_get(key):
+        faulty.get = get
+        for number in range(9):
+            await successor.write([Change(f"s{number}", b"1", 0)])
+        return await get(key)
+
+    faulty.get = take_over_then_get
+    faults.lose_next_answer()
+    with pytest.raises(StoreUnknownError):
+        await settled.write([Change("a", b"1", 0)])
+
+
+async def test_writes_at_once_use_markers_of_their_own(settled, store):
+    writes = [settled.write([Change(f"a{n}", b"1", 0)]) for n in range(30)]
+    revisions = await asyncio.gather(*writes)
+    assert len(set(revisions)) == 30
+    assert len((await store.list(MARKER_PREFIX)).items) <= LANES
+
+
+async def test_write_that_finds_no_free_marker_is_not_sent(settled, faults, clock):
+    faults.slow_s = 60.0
+    tasks = [
+        asyncio.create_task(settled.write([Change(f"a{n}", b"1", 0)]))
+        for n in range(LANES)
+    ]
+    with pytest.raises(StoreUnavailableError):
+        await finish(clock, settled.write([Change("b", b"1", 0)]), LANE_WAIT_S + 1)
+    for task in tasks:
+        task.cancel()
