Resume broken watches and notice dead ones in the prefix cache

Every break of a watch cost a listing, a stream that had died silently stayed unnoticed, a deletion overtaken by an older value brought the key back, an event overtaken before a break was lost, and a store restored from an old copy was never followed again. The cache now resumes where it stood, less some revisions; opens a silent watch again after 4, 8 or 12 s by turns, so that a watch lagging by less still delivers; keeps the revisions of late deletions; lists the prefix at most every 300 s while the store moves and the watch brings nothing, every 10 s once that helped; and adopts a store that stays behind it for 10 s.

--- /dev/null
+++ b/libs/store/tests/test_prefix_cache.py
@@ -0,0 +1,171 @@
+import asyncio
+
+import pytest
+from burdockthread_store.memory_store import MemoryStore
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.store import Change, WatchEvent
+
+
+@pytest.fixture
+async def cache(faulty, clock):
+    cache = PrefixCache(faulty, "p/", clock)
+    task = asyncio.create_task(cache.run())
+    await clock.advance(0.0)
+    yield cache
+    task.cancel()
+
+
+@pytest.fixture
+def counters(faulty):
+    return faulty.faults.counters
+
+
+async def put(store, key, value):
+    found = await store.get(key)
+    await store.write([Change(key, value, 0 if found is None else found.revision)])
+
+
+async def delete(store, key):
+    await store.write([Change(key, None, (await store.get(key)).revision)])
+
+
+def contents(cache):
+    return {key: item.value for key, item in cache.values.items()}
+
+
+async def test_values_stay_through_an_outage_and_catch_up_without_a_listing(
+    cache, faulty, store, clock, counters
+):
+    await put(store, "p/a", b"1")
+    await clock.advance(1.0)
+    faulty.faults.down = True
+    await clock.advance(120.0)
+    assert contents(cache) == {"p/a": b"1"}
+    await put(store, "p/a", b"2")
+    await put(store, "p/b", b"1")
+    await delete(store, "p/b")
+    faulty.faults.down = False
+    await clock.advance(4.0)
+    assert contents(cache) == {"p/a": b"2"}
+    assert cache.lists == 1
+    assert counters.peaks["reads"] <= 12
+
+
+async def test_broken_watch_loses_nothing(cache, faulty, store, clock):
+    seen = []
+    cache.listeners.append(lambda key, item: seen.append((key, item is None)))
+    for number in range(20):
+        await put(store, f"p/{number}", b"1")
+        faulty.faults.close_watches()
+        await delete(store, f"p/{number}")
+        await clock.advance(0.2)
+    await clock.advance(5.0)
+    assert cache.values == {}
+    assert cache.lists == 1
+    assert seen.count(("p/7", True)) == seen.count(("p/7", False))
+
+
+async def test_compaction_costs_one_listing(cache, faulty, store, clock):
+    await put(store, "p/a", b"1")
+    await clock.advance(1.0)
+    faulty.faults.down = True
+    await delete(store, "p/a")
+    await put(store, "p/b", b"1")
+    faulty.set_faults({"compact": True, "down": False})
+    await clock.advance(5.0)
+    assert contents(cache) == {"p/b": b"1"}
+    assert cache.lists == 2
+
+
+async def test_silently_dead_watch_is_replaced(cache, faulty, store, clock):
+    await put(store, "p/a", b"1")
+    await clock.advance(1.0)
+    faulty.faults.silence_watches()
+    await put(store, "p/a", b"2")
+    await clock.advance(12.5)
+    assert contents(cache) == {"p/a": b"2"}
+    assert cache.lists == 1
+
+
+@pytest.mark.parametrize("lag_s", [1.0, 6.0, 11.0])
+async def test_lagging_watch_delivers_in_the_end(cache, faulty, store, clock, lag_s):
+    faulty.faults.lag_s = lag_s
+    await put(store, "p/a", b"1")
+    await clock.advance(40.0)
+    assert contents(cache) == {"p/a": b"1"}
+    assert cache.lists == 1
+
+
+async def test_watch_that_never_delivers_is_made_up_for_by_listings(
+    cache, faulty, store, clock
+):
+    faulty.faults.lag_s = 1_000.0
+    await put(store, "p/a", b"1")
+    await clock.advance(320.0)
+    assert contents(cache) == {"p/a": b"1"}
+    await put(store, "p/a", b"2")
+    await clock.advance(25.0)
+    assert contents(cache) == {"p/a": b"2"}
+
+
+async def test_quiet_prefix_of_a_busy_store_is_listed_rarely(cache, store, clock):
+    for number in range(360):
+        await put(store, "q/a", b"%d" % number)
+        await clock.advance(10.0)
+    assert cache.lists <= 1 + 3_600 / 300
+
+
+async def test_reordered_and_repeated_events_bring_nothing_old_back(
+    cache, faulty, store, clock
+):
+    faulty.faults.reorder = True
+    faulty.faults.duplicate = True
+    await store.write([Change("p/a", b"1", 0), Change("p/b", b"1", 0)])
+    await put(store, "p/a", b"2")
+    await delete(store, "p/a")
+    await put(store, "p/b", b"2")
+    await clock.advance(1.0)
+    assert contents(cache) == {"p/b": b"2"}
+
+
+async def test_event_that_was_overtaken_before_a_break_is_not_lost(store, clock):
+    cache = PrefixCache(store, "p/", clock)
+    await cache.refresh()
+    await put(store, "p/a", b"1")
+    await put(store, "p/b", b"1")
+    cache.apply(WatchEvent("p/b", b"1", 2))
+    task = asyncio.create_task(cache.follow())
+    await clock.advance(0.1)
+    task.cancel()
+    assert contents(cache) == {"p/a": b"1", "p/b": b"1"}
+
+
+async def test_store_that_is_behind_for_a_moment_changes_nothing(
+    cache, faulty, store, clock
+):
+    await put(store, "p/a", b"1")
+    await clock.advance(1.0)
+    faulty.store = MemoryStore(clock)
+    faulty.faults.close_watches()
+    await clock.advance(5.0)
+    faulty.store = store
+    faulty.faults.close_watches()
+    await put(store, "p/a", b"2")
+    await clock.advance(13.0)
+    assert contents(cache) == {"p/a": b"2"}
+    assert cache.rollbacks == 0
+
+
+async def test_store_restored_from_an_old_copy_is_followed(cache, faulty, store, clock):
+    for number in range(10):
+        await put(store, "p/a", b"%d" % number)
+    await clock.advance(1.0)
+    faulty.store = MemoryStore(clock)
+    await put(faulty.store, "p/a", b"old")
+    faulty.faults.close_watches()
+    await clock.advance(30.0)
+    assert contents(cache) == {"p/a": b"old"}
+    assert cache.rollbacks == 1
+    await put(faulty.store, "p/b", b"new")
+    await clock.advance(1.0)
+    assert contents(cache) == {"p/a": b"old", "p/b": b"new"}
