Refuse malformed answers of the key-value service by name

The parser raised AttributeError, KeyError, TypeError and UnicodeDecodeError on '[]', an event without kv, a null revision and a key that is no UTF-8; the watch of a prefix then ended for good. They are WireError now, a ValueError that the client turns into an unavailable store. Answers 400 and 404 are refusals, 429 is a busy store; leases take the time to live that was granted, rounded up when asked for and counted from before the call.

--- a/libs/store/burdockthread_store/etcd_store.py
+++ b/libs/store/burdockthread_store/etcd_store.py
@@ -1,7 +1,8 @@
 """The key-value service over etcd's v3 JSON gateway."""
 
-import json
+import math
 from collections.abc import AsyncIterator, Sequence
+from typing import NoReturn
 
 import aiohttp
 from burdockthread_model.clock import Clock
@@ -25,6 +26,9 @@
 )
 
 CALL_TIMEOUT_S = 2.0
+MAX_REASON_CHARS = 200
+REFUSED_STATUSES = (400, 404)
+BUSY_STATUS = 429
 WATCH_LINE_BYTES = 4 * 1_048_576
 
 
@@ -48,15 +52,16 @@
         """Posts one request.
 
         Raises:
-            StoreUnavailableError: The connection was refused; nothing was sent.
+            ConflictError: The store refused the request as it stands.
+            StoreUnavailableError: The connection was refused, nothing was sent,
+                or the store was too busy to take the request.
             StoreUnknownError: The answer was lost or was an error.
         """
         try:
             async with self.session.post(self.base_url + path, json=request) as answer:
                 if answer.status != 200:
-                    raise StoreUnknownError(f"{path} answered {answer.status}")
-                body: wire.JsonObject = await answer.json(content_type=None)
-                return body
+                    await raise_refusal(path, answer)
+                return wire.parse_object(await answer.read())
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailableError(f"{path}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
@@ -66,7 +71,7 @@
         """Posts a request without effect, for which a lost answer is no doubt."""
         try:
             return await self.call(path, request)
-        except StoreUnknownError as error:
+        except (StoreUnknownError, ConflictError) as error:
             raise StoreUnavailableError(str(error)) from error
 
     async def get(self, key: str) -> KeyValue | None:
@@ -94,17 +99,23 @@
     async def grant_lease(self, ttl_s: float) -> Lease:
         """Takes a new lease."""
         sent_s = self.clock.now()
-        answer = await self.read(wire.LEASE_GRANT_PATH, {"TTL": str(int(ttl_s))})
-        return Lease(int(answer["ID"]), ttl_s, sent_s + ttl_s)
+        request = {"TTL": str(math.ceil(ttl_s))}
+        answer = await self.read(wire.LEASE_GRANT_PATH, request)
+        lease_id, granted_s = wire.parse_lease(answer)
+        if granted_s <= 0:
+            raise StoreUnavailableError("no lease was granted")
+        ttl_s = min(ttl_s, granted_s)
+        return Lease(lease_id, ttl_s, sent_s + ttl_s)
 
     async def renew_lease(self, lease: Lease) -> Lease:
         """Prolongs a lease."""
         sent_s = self.clock.now()
         request = {"ID": str(lease.lease_id)}
         answer = await self.read(wire.LEASE_KEEPALIVE_PATH, request)
-        if int(answer.get("result", {}).get("TTL", 0)) <= 0:
+        _, granted_s = wire.parse_lease(wire.result_of(answer))
+        if granted_s <= 0:
             raise LeaseLostError(f"lease {lease.lease_id} has lapsed")
-        return lease._replace(expires_s=sent_s + lease.ttl_s)
+        return lease._replace(expires_s=sent_s + min(lease.ttl_s, granted_s))
 
     async def revoke_lease(self, lease: Lease) -> None:
         """Ends a lease and deletes its keys."""
@@ -119,6 +130,8 @@
         url = self.base_url + wire.WATCH_PATH
         try:
             async with self.session.post(url, json=request, timeout=timeout) as answer:
+                if answer.status != 200:
+                    raise StoreUnavailableError(f"watch answered {answer.status}")
                 async for line in answer.content:
                     events = parse_watch_line(line)
                     if events:
@@ -137,10 +150,26 @@
 
     Raises:
         WatchCompactedError: The revision asked for is gone.
+        StoreUnavailableError: The store ended the watch.
+        WireError: The line is malformed.
     """
     if not line.strip():
         return ()
-    result = json.loads(line).get("result", {})
-    if int(result.get("compact_revision", 0)) > 0:
-        raise WatchCompactedError(f"compacted at {result['compact_revision']}")
+    result = wire.result_of(wire.parse_object(line))
+    compacted = wire.parse_number(result, "compact_revision")
+    if compacted > 0:
+        raise WatchCompactedError(f"compacted at {compacted}")
+    if result.get("canceled", False):
+        raise StoreUnavailableError("the store cancelled the watch")
     return wire.parse_watch_events(result)
+
+
+async def raise_refusal(path: str, answer: aiohttp.ClientResponse) -> NoReturn:
+    """Raises the error for an answer that is not 200."""
+    text = (await answer.text(errors="replace"))[:MAX_REASON_CHARS]
+    reason = f"{path} answered {answer.status}: {text}"
+    if answer.status in REFUSED_STATUSES:
+        raise ConflictError(reason)
+    if answer.status == BUSY_STATUS:
+        raise StoreUnavailableError(reason)
+    raise StoreUnknownError(reason)
