--- a/libs/store/burdockthread_store/etcd_store.py
+++ b/libs/store/burdockthread_store/etcd_store.py
@@ -1,8 +1,8 @@
 """The key-value service over etcd's v3 JSON gateway."""
 
 import math
-from collections.abc import AsyncIterator, Sequence
-from typing import NoReturn
+from collections.abc import AsyncIterator, Callable, Sequence
+from typing import NoReturn, TypeVar
 
 import aiohttp
 from burdockthread_model.clock import Clock
@@ -29,6 +29,8 @@
 MAX_REASON_CHARS = 200
 REFUSED_STATUSES = (400, 404)
 BUSY_STATUS = 429
+
+T = TypeVar("T")
 WATCH_LINE_BYTES = 4 * 1_048_576
 
 
@@ -67,41 +69,59 @@
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise StoreUnknownError(f"{path}: {type(error).__name__}") from error
 
-    async def read(self, path: str, request: wire.JsonObject) -> wire.JsonObject:
-        """Posts a request without effect, for which a lost answer is no doubt."""
+    async def read(
+        self, path: str, request: wire.JsonObject, parse: Callable[[wire.JsonObject], T]
+    ) -> T:
+        """Posts a request for which a lost or malformed answer is no doubt.
+
+        Args:
+            path: Path of the call.
+            request: The request.
+            parse: Reads the answer.
+
+        Returns:
+            What the answer holds.
+
+        Raises:
+            StoreUnavailableError: No answer that can be read.
+        """
         try:
-            return await self.call(path, request)
+            return parse(await self.call(path, request))
         except (StoreUnknownError, ConflictError) as error:
             raise StoreUnavailableError(str(error)) from error
+        except wire.WireError as error:
+            raise StoreUnavailableError(f"{path}: {error}") from error
 
     async def get(self, key: str) -> KeyValue | None:
         """Reads one key."""
         request = wire.range_request(key, prefix=False)
-        found = wire.parse_key_values(await self.read(wire.RANGE_PATH, request))
+        found = await self.read(wire.RANGE_PATH, request, wire.parse_key_values)
         return found[0] if found else None
 
     async def list(self, prefix: str) -> Listing:
         """Reads all keys below a prefix."""
         request = wire.range_request(prefix, prefix=True)
-        answer = await self.read(wire.RANGE_PATH, request)
-        return Listing(wire.parse_key_values(answer), wire.parse_revision(answer))
+        return await self.read(wire.RANGE_PATH, request, wire.parse_listing)
 
     async def write(
         self, changes: Sequence[Change], guards: Sequence[Guard] = ()
     ) -> int:
-        """Applies conditional writes, all or none."""
+        """Applies conditional writes, all or none; a lost answer is unknown."""
         answer = await self.call(wire.TXN_PATH, wire.txn_request(changes, guards))
         if not answer.get("succeeded", False):
             keys = ", ".join(change.key for change in changes)
             raise ConflictError(f"another writer changed one of {keys}")
-        return wire.parse_revision(answer)
+        try:
+            return wire.parse_revision(answer)
+        except wire.WireError as error:
+            raise StoreUnknownError(f"{wire.TXN_PATH}: {error}") from error
 
     async def grant_lease(self, ttl_s: float) -> Lease:
         """Takes a new lease."""
         sent_s = self.clock.now()
         request = {"TTL": str(math.ceil(ttl_s))}
-        answer = await self.read(wire.LEASE_GRANT_PATH, request)
-        lease_id, granted_s = wire.parse_lease(answer)
+        path = wire.LEASE_GRANT_PATH
+        lease_id, granted_s = await self.read(path, request, wire.parse_lease)
         if granted_s <= 0:
             raise StoreUnavailableError("no lease was granted")
         ttl_s = min(ttl_s, granted_s)
@@ -111,8 +131,8 @@
         """Prolongs a lease."""
         sent_s = self.clock.now()
         request = {"ID": str(lease.lease_id)}
-        answer = await self.read(wire.LEASE_KEEPALIVE_PATH, request)
-        _, granted_s = wire.parse_lease(wire.result_of(answer))
+        path = wire.LEASE_KEEPALIVE_PATH
+        _, granted_s = await self.read(path, request, wire.parse_kept_lease)
         if granted_s <= 0:
             raise LeaseLostError(f"lease {lease.lease_id} has lapsed")
         return lease._replace(expires_s=sent_s + min(lease.ttl_s, granted_s))
--- a/libs/store/burdockthread_store/etcd_wire.py
+++ b/libs/store/burdockthread_store/etcd_wire.py
@@ -9,7 +9,13 @@
 from collections.abc import Sequence
 from typing import Any
 
-from burdockthread_store.store import Change, Guard, KeyValue, WatchEvent
+from burdockthread_store.store import (
+    Change,
+    Guard,
+    KeyValue,
+    Listing,
+    WatchEvent,
+)
 
 RANGE_PATH = "/v3/kv/range"
 TXN_PATH = "/v3/kv/txn"
@@ -81,6 +87,11 @@
     return parse_number(item, "ID"), float(parse_number(item, "TTL"))
 
 
+def parse_kept_lease(item: JsonObject) -> tuple[int, float]:
+    """Returns the lease of an answer to a renewal; see `parse_lease`."""
+    return parse_lease(result_of(item))
+
+
 def encode_bytes(data: bytes) -> str:
     """Returns bytes as base64 text."""
     return base64.b64encode(data).decode("ascii")
@@ -125,6 +136,11 @@
     return tuple(parse_key_value(item) for item in expect_objects(response, "kvs"))
 
 
+def parse_listing(response: JsonObject) -> Listing:
+    """Returns the keys of an answer with the revision they were read at."""
+    return Listing(parse_key_values(response), parse_revision(response))
+
+
 def parse_key_value(item: JsonObject) -> KeyValue:
     """Returns one key of an answer."""
     return KeyValue(
