Interface: an order to drain a VM names the boot that it ends

Cause: a planner paused between recording a drain and ordering it gives the order late, when its successor has already rebooted the VM and returned it; the VM then stands drained while its record says serving. Ruled out: a check of the lease just before the order, since the pause may fall after the check; a generation in the order, since all planned stops end with a reboot and the boot id is what the platform knows already. Conclusion: drain carries the boot id as reboot does. A platform that ignores the field behaves as before. MemoryVmControl carries orders out on a list in memory, so that tests see their effect.

--- a/libs/fleet/burdockthread_fleet/planner.py
+++ b/libs/fleet/burdockthread_fleet/planner.py
@@ -129,12 +129,14 @@
 
     async def advance_drain(self, record: VmRecord) -> None:
         """Reboots a drained VM once no entry can send it work any more."""
-        in_flight = await self.control.drain(record.name)
+        listing = self.view.listings.get(record.name)
+        if listing is None:
+            return
+        in_flight = await self.control.drain(record.name, listing.boot_id)
         elapsed_s = self.clock.wall() - record.changed_s
         if in_flight or elapsed_s < STALE_VIEW_S:
             return
         await self.steps.reach(Step.VM_DRAINED)
-        listing = self.view.listings[record.name]
         rebooting = record._replace(
             state=VmState.REBOOTING,
             boot_id=listing.boot_id,
--- a/libs/fleet/burdockthread_fleet/vm_control.py
+++ b/libs/fleet/burdockthread_fleet/vm_control.py
@@ -1,11 +1,15 @@
 """The edge by which the platform drains, reboots and assigns VMs."""
 
+import itertools
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 import aiohttp
+from burdockthread_model.clock import Clock, MemoryClock
 from burdockthread_model.errors import PlatformError
+from burdockthread_model.vm import VmListing, VmStatus
+from burdockthread_routing.vm_directory import MemoryVmDirectory
 
 CALL_TIMEOUT_S = 2.0
 
@@ -17,13 +21,19 @@
     async def assign(self, vm: str, pool: str, generation: int) -> None:
         """Makes a VM serve a pool; requests of older generations are refused.
 
+        An order older than the VM's own generation is refused without effect.
+
         Raises:
             PlatformError: No answer; the order may have taken effect.
         """
 
     @abstractmethod
-    async def drain(self, vm: str) -> int:
-        """Makes a VM take no new work.
+    async def drain(self, vm: str, boot_id: str) -> int:
+        """Makes a VM take no new work unless it has left the given boot already.
+
+        Args:
+            vm: Name of the VM.
+            boot_id: Boot that is drained; makes an order given late harmless.
 
         Returns:
             Requests and tasks still in flight on it.
@@ -50,29 +60,80 @@
 
 
 class MemoryVmControl(VmControl):
-    """Orders recorded for a test.
+    """Orders carried out on a list of VMs in memory.
 
     Attributes:
         orders: All orders as text, in the order given.
         in_flight: Work in flight by VM.
+        pools: Pool that each VM serves.
+        generations: Generation of each VM.
+        reboots: Boots that were ended, as VM and boot id.
+        stuck: VMs that never come back from a reboot.
+        silent: VMs that answer no order.
+        reboot_s: Seconds that a reboot takes.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        directory: MemoryVmDirectory | None = None,
+        clock: Clock | None = None,
+        reboot_s: float = 1.0,
+    ) -> None:
+        self.directory = directory or MemoryVmDirectory()
+        self.clock = clock or MemoryClock()
+        self.reboot_s = reboot_s
         self.orders: list[str] = []
         self.in_flight: dict[str, int] = {}
+        self.pools: dict[str, str] = {}
+        self.generations: dict[str, int] = {}
+        self.reboots: list[tuple[str, str]] = []
+        self.stuck: set[str] = set()
+        self.silent: set[str] = set()
+        self.booting: dict[str, float] = {}
+        self.boots = itertools.count(1)
+
+    def answer(self, order: str, vm: str) -> VmListing:
+        """Records an order and returns the VM that it names."""
+        self.orders.append(order)
+        listing = self.directory.listings.get(vm)
+        if listing is None or vm in self.silent:
+            raise PlatformError(f"no answer: {order}")
+        return listing
 
     async def assign(self, vm: str, pool: str, generation: int) -> None:
-        """Records the order."""
-        self.orders.append(f"assign {vm} {pool} {generation}")
-
-    async def drain(self, vm: str) -> int:
-        """Records the order."""
-        self.orders.append(f"drain {vm}")
+        """Assigns a VM."""
+        order = f"assign {vm} {pool} {generation}"
+        self.answer(order, vm)
+        if generation < self.generations.get(vm, 0):
+            raise PlatformError(f"refused, older than the VM: {order}")
+        self.pools[vm] = pool
+        self.generations[vm] = generation
+
+    async def drain(self, vm: str, boot_id: str) -> int:
+        """Drains a VM."""
+        listing = self.answer(f"drain {vm} {boot_id}", vm)
+        if listing.boot_id == boot_id:
+            leaving = listing._replace(status=VmStatus.LEAVING)
+            self.directory.listings[vm] = leaving
         return self.in_flight.get(vm, 0)
 
     async def reboot(self, vm: str, boot_id: str) -> None:
-        """Records the order."""
-        self.orders.append(f"reboot {vm} {boot_id}")
+        """Starts a reboot; `finish_reboots` ends it."""
+        listing = self.answer(f"reboot {vm} {boot_id}", vm)
+        if listing.boot_id == boot_id and vm not in self.booting:
+            self.reboots.append((vm, boot_id))
+            self.booting[vm] = self.clock.now() + self.reboot_s
+
+    def finish_reboots(self) -> None:
+        """Lists the VMs whose reboot has taken its time as live."""
+        now = self.clock.now()
+        for vm in [vm for vm, ends_s in self.booting.items() if ends_s <= now]:
+            if vm in self.stuck or vm not in self.directory.listings:
+                continue
+            del self.booting[vm]
+            self.directory.listings[vm] = self.directory.listings[vm]._replace(
+                status=VmStatus.LIVE, boot_id=f"{vm}-boot-{next(self.boots)}"
+            )
 
     async def close(self) -> None:
         """Does nothing."""
@@ -98,9 +159,9 @@
         """Makes a VM serve a pool."""
         await self.order(vm, "assign", {"pool": pool, "generation": generation})
 
-    async def drain(self, vm: str) -> int:
+    async def drain(self, vm: str, boot_id: str) -> int:
         """Makes a VM take no new work."""
-        answer = await self.order(vm, "drain", {})
+        answer = await self.order(vm, "drain", {"boot_id": boot_id})
         if not isinstance(answer, dict) or not isinstance(answer.get("in_flight"), int):
             raise PlatformError(f"drain of {vm}: answer without in_flight")
         in_flight: int = answer["in_flight"]
