Plan assignments, moves and waves by fenced, batched writes

Cause: the planner wrote one VM at a time, ordered assignments before it had recorded them, kept a disruption budget that ignored failures of racks and availability zones, and rebooted the VM it found in a lagging list without a wave, a canary or a stop. What changes: each order follows a fenced write that records it and names the boot or generation that it is for; VM records and disruption records change in one transaction of at most 40 VMs; own writes show in the copies at once; a wave has a canary, one availability zone at a time, and stops by itself. Ruled out: putting a VM back to serving when its drain times out, since endpoints' leaving signals hold for a boot and the platform has no order to undrain; the planner keeps waiting and the wave stops. Moves without a reboot, for the same reason.

--- a/libs/fleet/burdockthread_fleet/assignment.py
+++ b/libs/fleet/burdockthread_fleet/assignment.py
@@ -1,11 +1,15 @@
-"""Decides which VM belongs to which pool."""
+"""Decides which VM without a pool enters which pool."""
 
-from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections import Counter, defaultdict
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from burdockthread_model.intended import PoolSpec
-from burdockthread_model.vm import VmListing, VmRecord, VmStatus
+from burdockthread_model.vm import VmListing
+
+from burdockthread_fleet.fleet_state import FleetState, PoolState
+
+Rack = tuple[str, str]
 
 
 class Assignment(NamedTuple):
@@ -15,45 +19,28 @@
     pool: str
 
 
-def assign_new_vms(
-    pools: Iterable[PoolSpec],
-    listings: Mapping[str, VmListing],
-    records: Mapping[str, VmRecord],
-) -> list[Assignment]:
-    """Gives VMs without a record to the pools that lack some.
+class Spread:
+    """Counts the VMs of one pool by availability zone and rack."""
 
-    VMs of one pool are spread over availability zones and racks.
+    def __init__(self, listings: Iterable[VmListing]) -> None:
+        self.zones: Counter[str] = Counter()
+        self.racks: Counter[Rack] = Counter()
+        for listing in listings:
+            self.add(rack_of(listing))
 
-    Args:
-        pools: Pools as intended.
-        listings: VMs that the platform lists.
-        records: VM records.
+    def add(self, rack: Rack) -> None:
+        """Counts one more VM in a rack."""
+        self.zones[rack[0]] += 1
+        self.racks[rack] += 1
+
+    def cost(self, rack: Rack) -> tuple[int, int, Rack]:
+        """Returns a key that is smallest for the rack that spreads best."""
+        return self.zones[rack[0]], self.racks[rack], rack
 
-    Returns:
-        Assignments, at most one for each VM.
-    """
-    free = {
-        name: listing
-        for name, listing in listings.items()
-        if name not in records and listing.status is VmStatus.LIVE
-    }
-    sizes = Counter(record.pool for record in records.values())
-    placed = {
-        name: (listing.availability_zone, listing.rack, records[name].pool)
-        for name, listing in listings.items()
-        if name in records
-    }
-    assignments: list[Assignment] = []
-    for pool in sorted(pools, key=lambda p: (p.spare, p.name)):
-        for _ in range(pool.vms - sizes[pool.name]):
-            allowed = {n: v for n, v in free.items() if may_hold(pool, v)}
-            if not allowed:
-                break
-            name = most_spread(pool.name, allowed, placed)
-            listing = free.pop(name)
-            placed[name] = (listing.availability_zone, listing.rack, pool.name)
-            assignments.append(Assignment(name, pool.name))
-    return assignments
+
+def rack_of(listing: VmListing) -> Rack:
+    """Returns the availability zone and rack of a VM."""
+    return listing.availability_zone, listing.rack
 
 
 def may_hold(pool: PoolSpec, listing: VmListing) -> bool:
@@ -61,18 +48,71 @@
     return not pool.zones or listing.availability_zone in pool.zones
 
 
-def most_spread(
-    pool: str,
-    free: Mapping[str, VmListing],
-    placed: Mapping[str, tuple[str, str, str]],
-) -> str:
-    """Returns the free VM that shares its zone and rack with fewest of a pool."""
-    zones = Counter(zone for zone, _, owner in placed.values() if owner == pool)
-    racks = Counter((zone, rack) for zone, rack, p in placed.values() if p == pool)
+def spread_of(pool: PoolState) -> Spread:
+    """Returns how the listed VMs of a pool are spread."""
+    return Spread(m.listing for m in pool.members if m.listing and m.counts)
+
 
-    def cost(name: str) -> tuple[int, int, str]:
-        listing = free[name]
-        zone = listing.availability_zone
-        return zones[zone], racks[zone, listing.rack], name
+def assign_free_vms(state: FleetState) -> list[Assignment]:
+    """Gives VMs without a record to the pools that lack some.
+
+    All pools reach their minimum before any is filled; the spare pool comes
+    last, and pools with fewer availability zones to choose from come first.
+
+    Args:
+        state: The fleet.
+
+    Returns:
+        Assignments, at most one for each VM.
+    """
+    free: dict[Rack, list[str]] = defaultdict(list)
+    for name in sorted(state.free, reverse=True):
+        free[rack_of(state.free[name])].append(name)
+    filling = Filling(state, free)
+    order = sorted(state.pools.values(), key=fill_order)
+    for pool in order:
+        filling.fill(pool, pool.spec.vms - pool.spec.min_available)
+    for pool in order:
+        filling.fill(pool, 0)
+    return filling.assignments
+
+
+def fill_order(pool: PoolState) -> tuple[bool, bool, int, str]:
+    """Returns a key that is smallest for the pool to be filled first."""
+    spec = pool.spec
+    return spec.spare, not spec.zones, len(spec.zones), spec.name
+
+
+class Filling:
+    """Takes free VMs for one pool after the other.
+
+    Attributes:
+        free: Names of the free VMs by rack; those taken are removed.
+        assignments: VMs taken so far.
+    """
 
-    return min(free, key=cost)
+    def __init__(self, state: FleetState, free: dict[Rack, list[str]]) -> None:
+        self.free = free
+        self.assignments: list[Assignment] = []
+        self.given: Counter[str] = Counter()
+        self.spreads = {name: spread_of(pool) for name, pool in state.pools.items()}
+
+    def fill(self, pool: PoolState, leave: int) -> None:
+        """Gives a pool VMs until it lacks no more than `leave`."""
+        name = pool.spec.name
+        for _ in range(pool.deficit - self.given[name] - leave):
+            rack = self.best_rack(pool.spec)
+            if rack is None:
+                return
+            self.assignments.append(Assignment(self.free[rack].pop(), name))
+            self.spreads[name].add(rack)
+            self.given[name] += 1
+
+    def best_rack(self, spec: PoolSpec) -> Rack | None:
+        """Returns the rack with a free VM that spreads a pool best, or None."""
+        racks = [
+            rack
+            for rack, names in self.free.items()
+            if names and (not spec.zones or rack[0] in spec.zones)
+        ]
+        return min(racks, key=self.spreads[spec.name].cost, default=None)
--- /dev/null
+++ b/libs/fleet/burdockthread_fleet/budget.py
@@ -0,0 +1,108 @@
+"""Availability budgets: how many VMs of a pool may be out on purpose."""
+
+from collections import Counter
+from collections.abc import Collection, Iterable
+from typing import NamedTuple
+
+from burdockthread_model.errors import ConflictError
+from burdockthread_model.intended import FailureDomain, PoolSpec
+from burdockthread_model.records import RecordError, decode_record, encode_record
+from burdockthread_model.vm import VmListing
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.store import Change
+
+POOL_PREFIX = "pool/"
+
+
+class Disruptions(NamedTuple):
+    """VMs of a pool that are out on purpose, kept at ``pool/<name>/disruptions``."""
+
+    vms: tuple[str, ...]
+
+
+def disruptions_key(pool: str) -> str:
+    """Returns the key of a pool's disruption record."""
+    return f"{POOL_PREFIX}{pool}/disruptions"
+
+
+def domain_of(listing: VmListing, survives: FailureDomain) -> tuple[str, ...]:
+    """Returns the failure domain of a VM at the level that a pool survives."""
+    if survives is FailureDomain.ZONE:
+        return (listing.availability_zone,)
+    if survives is FailureDomain.RACK:
+        return (listing.availability_zone, listing.rack)
+    return (listing.name,)
+
+
+def worst_loss(available: Iterable[VmListing], survives: FailureDomain) -> int:
+    """Returns the VMs that the worst single failure takes."""
+    domains = Counter(domain_of(listing, survives) for listing in available)
+    return max(domains.values(), default=0)
+
+
+def margin(spec: PoolSpec, available: Collection[VmListing]) -> int:
+    """Returns the VMs above the minimum that the worst failure leaves.
+
+    Args:
+        spec: Pool as intended.
+        available: VMs of the pool that serve.
+
+    Returns:
+        Negative if the worst failure would break the budget.
+    """
+    loss = worst_loss(available, spec.survives)
+    return len(available) - loss - spec.min_available
+
+
+def may_take(spec: PoolSpec, available: Collection[VmListing], vm: str) -> bool:
+    """Returns whether a VM may be taken out on purpose.
+
+    The budget has to hold if, while the VM is out, the worst failure domain of
+    the others fails too. VMs that are out already are not in `available`.
+    """
+    rest = [listing for listing in available if listing.name != vm]
+    return margin(spec, rest) >= 0
+
+
+class DisruptionChanges:
+    """Collects the changes of disruption records for one transaction.
+
+    Each record is changed by compare-and-swap in the transaction that changes
+    the VM's record, so that two planners cannot both spend the same budget.
+    """
+
+    def __init__(self, cache: PrefixCache) -> None:
+        self.cache = cache
+        self.vms: dict[str, set[str]] = {}
+
+    def of(self, pool: str) -> set[str]:
+        """Returns the VMs of a pool that will be out; change it in place."""
+        if pool not in self.vms:
+            self.vms[pool] = set(read_disruptions(self.cache, pool).vms)
+        return self.vms[pool]
+
+    def changes(self) -> list[Change]:
+        """Returns the conditional writes."""
+        return [self.change(pool, vms) for pool, vms in sorted(self.vms.items())]
+
+    def change(self, pool: str, vms: set[str]) -> Change:
+        """Returns the conditional write of one record."""
+        key = disruptions_key(pool)
+        known = self.cache.values.get(key)
+        revision = 0 if known is None else known.revision
+        return Change(key, encode_record(Disruptions(tuple(sorted(vms)))), revision)
+
+
+def read_disruptions(cache: PrefixCache, pool: str) -> Disruptions:
+    """Returns a pool's disruption record as last seen.
+
+    Raises:
+        ConflictError: The record is malformed.
+    """
+    known = cache.values.get(disruptions_key(pool))
+    if known is None:
+        return Disruptions(())
+    try:
+        return decode_record(known.value, Disruptions)
+    except RecordError as error:
+        raise ConflictError(f"{known.key}: {error}") from error
--- /dev/null
+++ b/libs/fleet/burdockthread_fleet/fleet_state.py
@@ -0,0 +1,124 @@
+"""The fleet at one moment, grouped by pool for the planner's decisions."""
+
+from collections.abc import Iterable, Mapping, Set
+from typing import NamedTuple
+
+from burdockthread_model.intended import PoolSpec
+from burdockthread_model.vm import VmListing, VmRecord, VmState, VmStatus
+from burdockthread_routing.fleet_view import FleetView
+
+
+class Member(NamedTuple):
+    """A VM that has a record.
+
+    Attributes:
+        record: The fleet's record.
+        listing: What the platform lists, or None if the VM is missing.
+        available: Whether it serves its pool now.
+        lost: Whether it is gone for so long that it has to be replaced.
+    """
+
+    record: VmRecord
+    listing: VmListing | None
+    available: bool
+    lost: bool
+
+    @property
+    def counts(self) -> bool:
+        """Whether it fills a place of its pool, now or soon."""
+        return not (
+            self.lost or self.record.state is VmState.QUARANTINED or self.leaves_pool
+        )
+
+    @property
+    def leaves_pool(self) -> bool:
+        """Whether it is on its way to another pool."""
+        return self.record.target_pool not in ("", self.record.pool)
+
+
+class PoolState(NamedTuple):
+    """A pool as intended with its VMs.
+
+    Attributes:
+        spec: Pool as intended.
+        members: VMs recorded in the pool.
+        incoming: VMs that are on their way from other pools.
+    """
+
+    spec: PoolSpec
+    members: tuple[Member, ...]
+    incoming: int
+
+    @property
+    def deficit(self) -> int:
+        """VMs that the pool lacks; negative for a surplus."""
+        held = sum(member.counts for member in self.members)
+        return self.spec.vms - held - self.incoming
+
+    def available(self) -> list[VmListing]:
+        """Returns the VMs that serve now."""
+        return [m.listing for m in self.members if m.available and m.listing]
+
+
+class FleetState(NamedTuple):
+    """All pools at one moment.
+
+    Attributes:
+        pools: Pools in force, by name.
+        orphans: VMs whose pool no template names.
+        free: Live VMs without a record, by name.
+    """
+
+    pools: Mapping[str, PoolState]
+    orphans: tuple[Member, ...]
+    free: Mapping[str, VmListing]
+
+    @classmethod
+    def from_view(cls, view: FleetView, lost: Set[str]) -> "FleetState":
+        """Groups what an entry knows.
+
+        Args:
+            view: The entry's view.
+            lost: VMs that have to be replaced.
+        """
+        by_pool: dict[str, list[Member]] = {name: [] for name in view.pools}
+        incoming = dict.fromkeys(view.pools, 0)
+        orphans: list[Member] = []
+        for name, record in view.records.items():
+            member = member_of(view, record, name in lost)
+            by_pool.get(record.pool, orphans).append(member)
+            if member.leaves_pool and record.target_pool in incoming:
+                incoming[record.target_pool] += not member.lost
+        pools = {
+            name: PoolState(spec, tuple(by_pool[name]), incoming[name])
+            for name, spec in view.pools.items()
+        }
+        return cls(pools, tuple(orphans), free_vms(view))
+
+    def members(self, pools: Iterable[str]) -> list[Member]:
+        """Returns the VMs of some pools."""
+        return [m for name in pools for m in self.pools[name].members]
+
+
+def member_of(view: FleetView, record: VmRecord, lost: bool) -> Member:
+    """Joins the record and the listing of a VM."""
+    listing = view.listings.get(record.name)
+    return Member(record, listing, is_available(view, record, listing), lost)
+
+
+def is_available(view: FleetView, record: VmRecord, listing: VmListing | None) -> bool:
+    """Returns whether a VM serves its pool, as far as anyone knows."""
+    if listing is None or record.state is not VmState.SERVING:
+        return False
+    if record.boot_id not in ("", listing.boot_id):
+        return False
+    return not view.is_leaving(listing)
+
+
+def free_vms(view: FleetView) -> dict[str, VmListing]:
+    """Returns the live VMs that have no record."""
+    return {
+        name: listing
+        for name, listing in view.listings.items()
+        if name not in view.records and listing.status is VmStatus.LIVE
+    }
--- a/libs/fleet/burdockthread_fleet/planner.py
+++ b/libs/fleet/burdockthread_fleet/planner.py
@@ -1,5 +1,8 @@
 """The planner: turns intended state into orders, one small step at a time."""
 
+import zlib
+from collections import deque
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from burdockthread_model.clock import Clock
@@ -10,38 +13,90 @@
     StoreError,
 )
 from burdockthread_model.events import EventLog
-from burdockthread_model.intended import MaintenanceSpec, PoolSpec
+from burdockthread_model.intended import MaintenanceSpec, OrganisationSpec
 from burdockthread_model.metrics import Metrics
-from burdockthread_model.records import decode_record, encode_record
 from burdockthread_model.steps import Step, Steps
-from burdockthread_model.vm import VmRecord, VmState
-from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
+from burdockthread_model.vm import VmListing, VmRecord, VmState
+from burdockthread_routing.fleet_view import FleetView
 from burdockthread_store.prefix_cache import PrefixCache
 from burdockthread_store.store import Change, ConfigurationStore
 
-from burdockthread_fleet.assignment import assign_new_vms
+from burdockthread_fleet.absence import (
+    LOST_AFTER_S,
+    NEEDED_LOST_AFTER_S,
+    Absence,
+)
+from burdockthread_fleet.assignment import assign_free_vms
+from burdockthread_fleet.fleet_state import FleetState, Member
 from burdockthread_fleet.leadership import Leadership
+from burdockthread_fleet.lifecycle import VmLifecycle
+from burdockthread_fleet.moves import (
+    SURPLUS_DELAY_S,
+    Move,
+    organisation_of,
+    plan_moves,
+    surplus_pools,
+)
+from burdockthread_fleet.pacing import Pacing
 from burdockthread_fleet.vm_control import VmControl
+from burdockthread_fleet.vm_writer import MAX_UPDATES_PER_STEP, VmUpdate, VmWriter
+from burdockthread_fleet.waves import (
+    JOIN_SHARE,
+    SECONDS_PER_DAY,
+    Wave,
+    WavePhase,
+    WaveScope,
+    choose_vms,
+    late,
+    next_phase,
+    read_wave,
+    wave_change,
+)
 
 STEP_INTERVAL_S = 0.5
-STALE_VIEW_S = 3.0
-SECONDS_PER_DAY = 86_400.0
-POOL_PREFIX = "pool/"
+MAX_VIEW_AGE_S = 5.0
+RECENT_MOVES = 100
+
 
+class RecentMove(NamedTuple):
+    """A move that this planner started.
 
-class Disruptions(NamedTuple):
-    """VMs of a pool that are out on purpose, kept at ``pool/<name>/disruptions``."""
+    Attributes:
+        move: The move with its reason.
+        started_s: Unix time of its start.
+    """
 
-    vms: tuple[str, ...]
+    move: Move
+    started_s: float
 
 
-def disruptions_key(pool: str) -> str:
-    """Returns the key of a pool's disruption record."""
-    return f"{POOL_PREFIX}{pool}/disruptions"
+class DisruptionPlan(NamedTuple):
+    """VMs to take out on purpose in this step.
+
+    Attributes:
+        updates: VM records to write.
+        changes: Records of waves to write with them.
+        moves: Moves among the updates.
+        waves: Waves before and after, where they change.
+    """
+
+    updates: list[VmUpdate]
+    changes: list[Change]
+    moves: list[Move]
+    waves: list[tuple[WaveScope, Wave]]
+
+    def empty(self) -> bool:
+        """Returns whether there is nothing to write."""
+        return not (self.updates or self.changes)
 
 
 class Planner:
-    """Assigns VMs and maintains them while it holds the lease."""
+    """Assigns VMs and maintains them while it holds the lease.
+
+    Attributes:
+        absence: How long VMs have been missing.
+        recent_moves: Last moves that this process started.
+    """
 
     def __init__(
         self,
@@ -61,11 +116,17 @@
         self.view = view
         self.vm_cache = vm_cache
         self.pool_cache = pool_cache
-        self.control = control
         self.clock = clock
         self.metrics = metrics
         self.log = log
         self.steps = steps
+        self.writer = VmWriter(leadership, vm_cache, pool_cache)
+        self.lifecycle = VmLifecycle(
+            leadership, self.writer, view, control, clock, metrics, log, steps
+        )
+        self.absence = Absence(clock)
+        self.surplus = Pacing(clock)
+        self.recent_moves: deque[RecentMove] = deque(maxlen=RECENT_MOVES)
 
     async def run(self) -> None:
         """Plans until cancelled."""
@@ -76,142 +137,260 @@
 
     async def step(self) -> None:
         """Does what is due now; a lost race is tried again at the next step."""
+        self.absence.update(self.view.listings, self.view.records)
         if not (self.vm_cache.synced and self.pool_cache.synced):
             return
+        started_s = self.clock.now()
         try:
+            await self.lifecycle.advance()
+            await self.forget_lost()
             await self.assign()
-            await self.advance()
-            await self.start_maintenance()
+            await self.disrupt()
         except ConflictError as error:
             self.metrics.count("planner.conflicts")
             self.log.info("planner_conflict", reason=error)
+            await self.recover()
         except (LeaseLostError, StoreError, PlatformError) as error:
+            self.metrics.count("planner.step_failures")
             self.log.warning("planner_step_failed", reason=error)
+        self.metrics.timing("planner.step", self.clock.now() - started_s)
 
-    async def assign(self) -> None:
-        """Gives new VMs to pools."""
-        pools = self.view.pools.values()
-        for vm, pool in assign_new_vms(pools, self.view.listings, self.view.records):
-            period_s = self.maintenance_of(pool).period_days * SECONDS_PER_DAY
-            now = self.clock.wall()
-            age_s = period_s * spread_share(vm)
-            record = VmRecord(
-                vm, pool, VmState.SERVING, 1, maintained_s=now - age_s, changed_s=now
-            )
-            await self.control.assign(vm, pool, 1)
-            await self.put_record(record)
-            self.log.info("vm_assigned", vm=vm, pool=pool)
-            self.metrics.count("planner.assignments")
+    async def recover(self) -> None:
+        """Reads again what a conflict has shown to be out of date."""
+        try:
+            await self.leadership.verify()
+            await self.refresh()
+        except StoreError as error:
+            self.log.warning("planner_refresh_failed", reason=error)
+
+    async def refresh(self) -> None:
+        """Lists the records again.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        self.metrics.count("planner.refreshes")
+        await self.vm_cache.refresh()
+        await self.pool_cache.refresh()
+
+    def state(self) -> FleetState:
+        """Returns the fleet as known now."""
+        lost = self.absence.missing_for(LOST_AFTER_S) | self.overdue()
+        state = FleetState.from_view(self.view, lost)
+        needed = self.absence.missing_for(NEEDED_LOST_AFTER_S) - lost
+        if not needed:
+            return state
+        short = {
+            name
+            for name, pool in state.pools.items()
+            if len(pool.available()) < pool.spec.min_available
+        }
+        records = self.view.records
+        urgent = {vm for vm in needed if vm in records and records[vm].pool in short}
+        return FleetState.from_view(self.view, lost | urgent) if urgent else state
+
+    def overdue(self) -> frozenset[str]:
+        """Returns the VMs that did not come back from a reboot in time."""
+        now = self.clock.wall()
+        return frozenset(
+            record.name
+            for record in self.view.records.values()
+            if record.state in (VmState.REBOOTING, VmState.RETURNING)
+            and late(record, self.maintenance_of(record.pool), now)
+        )
 
     def maintenance_of(self, pool: str) -> MaintenanceSpec:
         """Returns the rhythm of maintenance of a pool."""
-        organisation = pool.split("/", maxsplit=1)[0]
+        organisation = organisation_of(pool)
         for spec in self.view.organisations.values():
             if spec.organisation == organisation:
                 return spec.maintenance
         return MaintenanceSpec()
 
-    async def put_record(self, record: VmRecord, *others: Change) -> None:
-        """Writes a VM record, fenced by the lease."""
-        key = VM_PREFIX + record.name
-        known = self.vm_cache.values.get(key)
-        revision = 0 if known is None else known.revision
-        change = Change(key, encode_record(record), revision)
-        await self.store.write([change, *others], [self.leadership.guard()])
-
-    async def advance(self) -> None:
-        """Moves each VM that is out one step on."""
-        for record in list(self.view.records.values()):
-            if record.state is VmState.DRAINING:
-                await self.advance_drain(record)
-            elif record.state is VmState.REBOOTING:
-                await self.advance_reboot(record)
-
-    async def advance_drain(self, record: VmRecord) -> None:
-        """Reboots a drained VM once no entry can send it work any more."""
-        listing = self.view.listings.get(record.name)
-        if listing is None:
+    async def forget_lost(self) -> None:
+        """Deletes the records of VMs that are gone from the list for long.
+
+        A VM that a running wave has out is kept until the wave has stopped
+        because of it, so that its loss is not overlooked.
+        """
+        gone = [
+            record
+            for name in sorted(self.absence.missing_for(LOST_AFTER_S))
+            if (record := self.view.records.get(name)) is not None
+            and name not in self.view.listings
+            and not (record.wave and record.wave in self.running_waves())
+        ]
+        updates = [
+            VmUpdate(record.name, None, restores=record.pool)
+            for record in gone[:MAX_UPDATES_PER_STEP]
+        ]
+        if not updates:
             return
-        in_flight = await self.control.drain(record.name, listing.boot_id)
-        elapsed_s = self.clock.wall() - record.changed_s
-        if in_flight or elapsed_s < STALE_VIEW_S:
+        await self.writer.commit(updates)
+        for record in gone[:MAX_UPDATES_PER_STEP]:
+            self.metrics.count("planner.lost")
+            self.log.warning("vm_lost", vm=record.name, pool=record.pool)
+
+    def running_waves(self) -> frozenset[str]:
+        """Returns the ids of the waves that are not stopped or done."""
+        state = FleetState({}, (), {})
+        scopes = [self.scope(spec, state) for spec in self.view.organisations.values()]
+        return frozenset(scope.wave_id for scope in scopes if scope.wave.active)
+
+    async def assign(self) -> None:
+        """Gives VMs without a pool to the pools that lack some."""
+        if not self.absence.fresh():
             return
-        await self.steps.reach(Step.VM_DRAINED)
-        rebooting = record._replace(
-            state=VmState.REBOOTING,
+        state = self.state()
+        if not state.free:
+            return
+        assignments = assign_free_vms(state)[:MAX_UPDATES_PER_STEP]
+        if not assignments:
+            return
+        records = [self.new_record(vm, pool) for vm, pool in assignments]
+        await self.writer.commit([VmUpdate(r.name, r) for r in records])
+        for vm, pool in assignments:
+            self.metrics.count("planner.assignments")
+            self.log.info("vm_assigned", vm=vm, pool=pool)
+        await self.lifecycle.finish_returns(records)
+
+    def new_record(self, vm: str, pool: str) -> VmRecord:
+        """Returns the record of a VM that enters its first pool.
+
+        The VMs of a rack are due together, and the racks one after the other.
+        """
+        listing = self.view.listings[vm]
+        now = self.clock.wall()
+        period_s = self.maintenance_of(pool).period_days * SECONDS_PER_DAY
+        return VmRecord(
+            vm,
+            pool,
+            VmState.RETURNING,
+            self.writer.next_generation(),
             boot_id=listing.boot_id,
-            changed_s=self.clock.wall(),
+            maintained_s=now - period_s * due_share(listing),
+            changed_s=now,
         )
-        await self.put_record(rebooting)
-        await self.control.reboot(record.name, listing.boot_id)
-        await self.steps.reach(Step.VM_REBOOTING)
-        self.log.info("vm_rebooting", vm=record.name, pool=record.pool)
-
-    async def advance_reboot(self, record: VmRecord) -> None:
-        """Takes a VM back into service once it has booted again."""
-        listing = self.view.listings.get(record.name)
-        if listing is None:
+
+    async def disrupt(self) -> None:
+        """Starts the moves and maintenance that are due and that budgets allow.
+
+        Nothing is started by a list of VMs or records that may be out of date.
+        """
+        if not self.absence.fresh() or self.plan().empty():
             return
-        if listing.boot_id == record.boot_id:
-            await self.control.reboot(record.name, record.boot_id)
+        if not self.view_recent():
+            await self.refresh()
+        plan = self.plan()
+        if plan.empty():
             return
-        await self.control.assign(record.name, record.pool, record.generation)
-        now = self.clock.wall()
-        serving = record._replace(
-            state=VmState.SERVING, boot_id="", maintained_s=now, changed_s=now
+        for _ in plan.updates:
+            await self.steps.reach(Step.VM_CHOSEN)
+        await self.writer.commit(plan.updates, plan.changes)
+        self.note(plan)
+        for _ in plan.updates:
+            await self.steps.reach(Step.VM_DRAINING)
+        drained = [u.record for u in plan.updates if u.record]
+        await self.lifecycle.finish_drains(drained)
+
+    def view_recent(self) -> bool:
+        """Returns whether the store was heard of a short time ago."""
+        limit_s = self.clock.now() - MAX_VIEW_AGE_S
+        return min(self.vm_cache.contact_s, self.pool_cache.contact_s) >= limit_s
+
+    def plan(self) -> DisruptionPlan:
+        """Returns what may be taken out now; moves go before maintenance."""
+        state = self.state()
+        moves = plan_moves(state, self.settled_surplus(state))
+        if moves:
+            updates = [self.move_update(move) for move in moves]
+            return DisruptionPlan(updates, [], moves, [])
+        updates = []
+        changes = []
+        waves = []
+        for spec in self.view.organisations.values():
+            scope = self.scope(spec, state)
+            wave, chosen = plan_wave(scope)
+            updates += [self.wave_update(scope, wave, member) for member in chosen]
+            if wave != scope.wave:
+                changes.append(wave_change(self.pool_cache, spec, wave))
+                waves.append((scope, wave))
+        return DisruptionPlan(updates, changes, [], waves)
+
+    def settled_surplus(self, state: FleetState) -> frozenset[str]:
+        """Returns the pools that have had too many VMs for a while."""
+        surplus = surplus_pools(state.pools)
+        self.surplus.prune([(name, "") for name in surplus])
+        return frozenset(
+            name
+            for name in surplus
+            if self.surplus.waited_s((name, "")) >= SURPLUS_DELAY_S
         )
-        await self.put_record(serving, self.disruption(record.pool, remove=record.name))
-        await self.steps.reach(Step.VM_RETURNED)
-        self.log.info("vm_returned", vm=record.name, pool=record.pool)
-        self.metrics.count("planner.maintained")
-
-    async def start_maintenance(self) -> None:
-        """Drains one due VM of each pool whose budget allows."""
-        for pool in self.view.pools.values():
-            due = self.due_vm(pool)
-            if due is not None and self.budget_allows(pool):
-                await self.steps.reach(Step.VM_CHOSEN)
-                draining = due._replace(
-                    state=VmState.DRAINING, changed_s=self.clock.wall()
-                )
-                await self.put_record(
-                    draining, self.disruption(pool.name, add=due.name)
-                )
-                await self.steps.reach(Step.VM_DRAINING)
-                self.log.info("vm_draining", vm=due.name, pool=pool.name)
-
-    def due_vm(self, pool: PoolSpec) -> VmRecord | None:
-        """Returns the serving VM of a pool whose maintenance is most overdue."""
-        period_s = self.maintenance_of(pool.name).period_days * SECONDS_PER_DAY
-        due_s = self.clock.wall() - period_s
-        due = [
-            record
-            for record in self.view.records.values()
-            if record.pool == pool.name
-            and record.state is VmState.SERVING
-            and record.maintained_s <= due_s
-        ]
-        return min(due, key=lambda record: record.maintained_s, default=None)
-
-    def budget_allows(self, pool: PoolSpec) -> bool:
-        """Returns whether one more VM of a pool may be out."""
-        members = [r for r in self.view.records.values() if r.pool == pool.name]
-        if any(record.state is not VmState.SERVING for record in members):
-            return False
-        return len(members) - 1 >= pool.min_available
-
-    def disruption(self, pool: str, add: str = "", remove: str = "") -> Change:
-        """Returns the change of a pool's disruption record."""
-        key = disruptions_key(pool)
-        known = self.pool_cache.values.get(key)
-        current: set[str] = set()
-        if known is not None:
-            current = set(decode_record(known.value, Disruptions).vms)
-        vms = (current | ({add} - {""})) - {remove}
-        revision = 0 if known is None else known.revision
-        return Change(key, encode_record(Disruptions(tuple(sorted(vms)))), revision)
-
-
-def spread_share(vm: str) -> float:
-    """Returns a share, 0 to 1, by which first maintenances are spread."""
-    return (sum(vm.encode()) % 100) / 100.0
+
+    def scope(self, spec: OrganisationSpec, state: FleetState) -> WaveScope:
+        """Returns what the wave of an organisation covers."""
+        names = [pool.name for pool in spec.pools]
+        pools = {name: state.pools[name] for name in names if name in state.pools}
+        wave = read_wave(self.pool_cache, spec)
+        missing = self.absence.missing_for(NEEDED_LOST_AFTER_S)
+        return WaveScope(spec, pools, wave, missing, self.clock.wall())
+
+    def move_update(self, move: Move) -> VmUpdate:
+        """Returns the update that starts a move."""
+        record = self.draining(move.vm)._replace(target_pool=move.target)
+        return VmUpdate(move.vm, record, disrupts=record.pool)
+
+    def wave_update(self, scope: WaveScope, wave: Wave, member: Member) -> VmUpdate:
+        """Returns the update that takes a VM out for maintenance."""
+        record = self.draining(member.record.name)
+        record = record._replace(wave=scope._replace(wave=wave).wave_id)
+        return VmUpdate(record.name, record, disrupts=record.pool)
+
+    def draining(self, vm: str) -> VmRecord:
+        """Returns the record of a VM that starts to drain."""
+        return self.view.records[vm]._replace(
+            state=VmState.DRAINING,
+            boot_id=self.view.listings[vm].boot_id,
+            changed_s=self.clock.wall(),
+        )
+
+    def note(self, plan: DisruptionPlan) -> None:
+        """Logs and counts what a plan started."""
+        for update in plan.updates:
+            self.log.info("vm_draining", vm=update.name, pool=update.disrupts)
+            self.metrics.count("planner.drains")
+        for move in plan.moves:
+            self.recent_moves.append(RecentMove(move, self.clock.wall()))
+            self.metrics.count("planner.moves")
+            self.log.info("vm_move_started", **move._asdict())
+        for scope, wave in plan.waves:
+            self.note_wave(scope, wave)
+
+    def note_wave(self, scope: WaveScope, wave: Wave) -> None:
+        """Logs and counts a change of a wave."""
+        number = scope._replace(wave=wave).wave_id
+        if wave.phase is scope.wave.phase and wave.number == scope.wave.number:
+            return
+        self.metrics.count(f"planner.waves_{wave.phase}")
+        if wave.phase is WavePhase.STOPPED:
+            self.log.error("wave_stopped", wave=number, reason=wave.reason)
+        else:
+            self.log.info("wave_changed", wave=number, phase=wave.phase)
+
+
+def plan_wave(scope: WaveScope) -> tuple[Wave, Sequence[Member]]:
+    """Returns a wave as it stands now and the VMs that it takes out next."""
+    wave = next_phase(scope)
+    chosen = choose_vms(scope._replace(wave=wave))
+    if wave.phase is WavePhase.CANARY and chosen:
+        wave = wave._replace(canary=chosen[0].record.name)
+    return wave, chosen
+
+
+def due_share(listing: VmListing) -> float:
+    """Returns the share of the period that a rack's VMs start with.
+
+    It is below the share at which a wave takes a VM.
+    """
+    rack = f"{listing.availability_zone}/{listing.rack}".encode()
+    return JOIN_SHARE * zlib.crc32(rack) / 2**32
--- /dev/null
+++ b/libs/fleet/burdockthread_fleet/vm_writer.py
@@ -0,0 +1,115 @@
+"""Writes VM records as the planner, fenced and in bounded transactions."""
+
+from collections.abc import Iterator, Sequence
+from typing import NamedTuple
+
+from burdockthread_model.records import encode_record
+from burdockthread_model.vm import VmRecord
+from burdockthread_routing.fleet_view import VM_PREFIX
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.store import Change, KeyValue
+
+from burdockthread_fleet.budget import DisruptionChanges
+from burdockthread_fleet.leadership import Leadership
+
+VMS_PER_TRANSACTION = 40
+MAX_UPDATES_PER_STEP = 160
+
+
+class VmUpdate(NamedTuple):
+    """A VM record to write, with its effect on disruption records.
+
+    Attributes:
+        name: Name of the VM.
+        record: New record, or None to delete it.
+        disrupts: Pool whose budget the VM uses from now on, or empty.
+        restores: Pool whose budget it no longer uses, or empty.
+    """
+
+    name: str
+    record: VmRecord | None
+    disrupts: str = ""
+    restores: str = ""
+
+
+class VmWriter:
+    """Writes records and shows them to this process's own view at once.
+
+    Attributes:
+        vm_cache: Copy of the VM records.
+        pool_cache: Copy of the pools' records.
+    """
+
+    def __init__(
+        self, leadership: Leadership, vm_cache: PrefixCache, pool_cache: PrefixCache
+    ) -> None:
+        self.leadership = leadership
+        self.vm_cache = vm_cache
+        self.pool_cache = pool_cache
+
+    async def commit(
+        self, updates: Sequence[VmUpdate], others: Sequence[Change] = ()
+    ) -> None:
+        """Writes updates, each with its disruption records in one transaction.
+
+        Args:
+            updates: VM records; more than a transaction holds are split.
+            others: Changes of other pool keys, written with the first ones.
+
+        Raises:
+            LeaseLostError: The lease is not held.
+            ConflictError: Another writer came first; earlier transactions stand.
+            StoreError: The store did not answer.
+        """
+        for batch in batches(updates):
+            disruptions = self.disruptions(batch)
+            changes = [self.vm_change(update) for update in batch]
+            await self.write([*changes, *disruptions.changes(), *others])
+            others = ()
+
+    def disruptions(self, updates: Sequence[VmUpdate]) -> DisruptionChanges:
+        """Returns the changes of disruption records that belong to updates."""
+        disruptions = DisruptionChanges(self.pool_cache)
+        for update in updates:
+            if update.disrupts:
+                disruptions.of(update.disrupts).add(update.name)
+            if update.restores:
+                disruptions.of(update.restores).discard(update.name)
+        return disruptions
+
+    def vm_change(self, update: VmUpdate) -> Change:
+        """Returns the conditional write of one VM record."""
+        key = VM_PREFIX + update.name
+        known = self.vm_cache.values.get(key)
+        revision = 0 if known is None else known.revision
+        value = None if update.record is None else encode_record(update.record)
+        return Change(key, value, revision)
+
+    async def write(self, changes: Sequence[Change]) -> None:
+        """Writes one transaction and takes it into the copies."""
+        revision = await self.leadership.write(changes)
+        for change in changes:
+            self.take_in(change, revision)
+
+    def take_in(self, change: Change, revision: int) -> None:
+        """Shows a change that took effect, ahead of the watch."""
+        vm = change.key.startswith(VM_PREFIX)
+        cache = self.vm_cache if vm else self.pool_cache
+        if change.value is None:
+            cache.remove(change.key, revision)
+        else:
+            cache.put(KeyValue(change.key, change.value, revision))
+
+    def next_generation(self) -> int:
+        """Returns a generation for a new record, above all earlier ones.
+
+        A generation never exceeds the revision of the write that set it, and
+        a record seen deleted was deleted at a later revision than that.
+        """
+        return max(self.vm_cache.revision, self.leadership.revision, 1)
+
+
+def batches(updates: Sequence[VmUpdate]) -> Iterator[Sequence[VmUpdate]]:
+    """Splits updates into transactions; yields one empty batch for none."""
+    for start in range(0, max(len(updates), 1), VMS_PER_TRANSACTION):
+        yield updates[start : start + VMS_PER_TRANSACTION]
--- /dev/null
+++ b/libs/fleet/burdockthread_fleet/waves.py
@@ -0,0 +1,327 @@
+"""Maintenance waves: when one starts, whom it takes next, when it stops."""
+
+from collections.abc import Mapping, Set
+from enum import StrEnum
+from typing import NamedTuple
+
+from burdockthread_model.errors import ConflictError
+from burdockthread_model.intended import MaintenanceSpec, OrganisationSpec
+from burdockthread_model.records import RecordError, decode_record, encode_record
+from burdockthread_model.vm import VmListing, VmRecord, VmState, VmStatus
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.store import Change
+
+from burdockthread_fleet.budget import POOL_PREFIX, may_take
+from burdockthread_fleet.fleet_state import Member, PoolState
+
+SECONDS_PER_DAY = 86_400.0
+START_SHARE = 0.9
+JOIN_SHARE = 0.85
+CANARY_SOAK_S = 10.0
+MIN_OUT = 2
+OUT_SHARE = 0.1
+FAILED_AFTER_LIMIT = 2
+
+
+class WavePhase(StrEnum):
+    """Phase of a wave."""
+
+    CANARY = "canary"
+    OPEN = "open"
+    STOPPED = "stopped"
+    DONE = "done"
+
+
+class Wave(NamedTuple):
+    """A wave, kept at ``pool/<organisation>/<template>/wave``.
+
+    Attributes:
+        number: Grows by one with each wave.
+        phase: Where it stands.
+        version: Version of the template that it runs under.
+        started_s: Unix time of the start.
+        canary: First VM, or empty before it is chosen.
+        stopped_by: VM that stopped it, or empty.
+        reason: Why it is stopped, or empty.
+    """
+
+    number: int = 0
+    phase: WavePhase = WavePhase.DONE
+    version: int = 0
+    started_s: float = 0.0
+    canary: str = ""
+    stopped_by: str = ""
+    reason: str = ""
+
+    @property
+    def active(self) -> bool:
+        """Whether it may take VMs out."""
+        return self.phase in (WavePhase.CANARY, WavePhase.OPEN)
+
+
+class WaveScope(NamedTuple):
+    """What a wave covers: the pools of one organisation's template.
+
+    Attributes:
+        spec: The organisation as intended.
+        pools: Its pools by name.
+        wave: Its wave as last recorded.
+        missing: VMs that have been missing from the list for a while.
+        now_s: Unix time.
+    """
+
+    spec: OrganisationSpec
+    pools: Mapping[str, PoolState]
+    wave: Wave
+    missing: Set[str]
+    now_s: float
+
+    @property
+    def wave_id(self) -> str:
+        """Id that the VMs of the wave carry."""
+        return f"{self.spec.organisation}/{self.spec.template}#{self.wave.number}"
+
+    def members(self) -> list[Member]:
+        """Returns all VMs of the pools."""
+        return [m for pool in self.pools.values() for m in pool.members]
+
+    def out(self) -> list[Member]:
+        """Returns the VMs that the wave has out."""
+        return [m for m in self.members() if m.record.wave == self.wave_id]
+
+    def find(self, vm: str) -> Member | None:
+        """Returns a VM by name, or None."""
+        return next((m for m in self.members() if m.record.name == vm), None)
+
+    def due(self, share: float) -> list[Member]:
+        """Returns the VMs whose age exceeds a share of the period."""
+        period_s = self.spec.maintenance.period_days * SECONDS_PER_DAY
+        limit_s = self.now_s - share * period_s
+        return [m for m in self.members() if is_due(m, limit_s)]
+
+    def candidates(self) -> list[Member]:
+        """Returns the VMs that the wave still has to take."""
+        started_s = self.wave.started_s
+        return [m for m in self.due(JOIN_SHARE) if m.record.maintained_s < started_s]
+
+
+def is_due(member: Member, limit_s: float) -> bool:
+    """Returns whether a VM can be taken out and was last maintained by a time."""
+    if member.listing is None or member.record.maintained_s > limit_s:
+        return False
+    if member.record.state is VmState.QUARANTINED:
+        return member.listing.status is VmStatus.LIVE
+    return member.available
+
+
+def next_phase(scope: WaveScope) -> Wave:
+    """Returns the wave as it stands now.
+
+    A stopped wave stays stopped until the VM that stopped it serves again or
+    operators accept a newer version of the template.
+    """
+    wave = scope.wave
+    if wave.phase is WavePhase.DONE:
+        return started(scope) if scope.due(START_SHARE) else wave
+    if wave.phase is WavePhase.STOPPED:
+        return resumed(scope)
+    stopped = failure(scope)
+    if stopped is not None:
+        return stopped
+    if wave.phase is WavePhase.CANARY:
+        return after_canary(scope)
+    if scope.out() or scope.candidates():
+        return wave
+    return wave._replace(phase=WavePhase.DONE)
+
+
+def started(scope: WaveScope) -> Wave:
+    """Returns a new wave that has no canary yet."""
+    return Wave(
+        number=scope.wave.number + 1,
+        phase=WavePhase.CANARY,
+        version=scope.spec.version,
+        started_s=scope.now_s,
+    )
+
+
+def resumed(scope: WaveScope) -> Wave:
+    """Returns a stopped wave, going on if what stopped it is over."""
+    wave = scope.wave
+    if scope.spec.version > wave.version:
+        return started(scope)
+    culprit = scope.find(wave.stopped_by)
+    if culprit is None or not culprit.available:
+        return wave
+    phase = WavePhase.CANARY if wave.canary == wave.stopped_by else WavePhase.OPEN
+    return wave._replace(phase=phase, stopped_by="", reason="")
+
+
+def after_canary(scope: WaveScope) -> Wave:
+    """Returns the wave, opened once its canary has served for a while."""
+    wave = scope.wave
+    if not wave.canary:
+        return wave if scope.candidates() else wave._replace(phase=WavePhase.DONE)
+    canary = scope.find(wave.canary)
+    if canary is None:
+        return stop(wave, wave.canary, f"canary {wave.canary} is gone")
+    served_s = scope.now_s - canary.record.changed_s
+    if canary.available and served_s >= CANARY_SOAK_S:
+        return wave._replace(phase=WavePhase.OPEN)
+    return wave
+
+
+def stop(wave: Wave, vm: str, reason: str) -> Wave:
+    """Returns a wave that is stopped because of one VM."""
+    return wave._replace(phase=WavePhase.STOPPED, stopped_by=vm, reason=reason)
+
+
+def failure(scope: WaveScope) -> Wave | None:
+    """Returns the wave stopped if one of its VMs failed, or None."""
+    for member in scope.out():
+        reason = late(member.record, scope.spec.maintenance, scope.now_s)
+        if reason:
+            return stop(scope.wave, member.record.name, reason)
+    failed = [m.record.name for m in scope.members() if failed_after(scope, m)]
+    if len(failed) >= FAILED_AFTER_LIMIT:
+        names = ", ".join(sorted(failed))
+        return stop(scope.wave, failed[0], f"failed after maintenance: {names}")
+    return None
+
+
+def failed_after(scope: WaveScope, member: Member) -> bool:
+    """Returns whether a VM is missing that this wave has maintained."""
+    record = member.record
+    maintained = record.maintained_s >= scope.wave.started_s
+    return maintained and not record.wave and record.name in scope.missing
+
+
+def late(record: VmRecord, maintenance: MaintenanceSpec, now_s: float) -> str:
+    """Returns why a VM that is out is late, or an empty text."""
+    elapsed_s = now_s - record.changed_s
+    if record.state is VmState.DRAINING:
+        if elapsed_s > maintenance.drain_timeout_s:
+            return f"{record.name} has not drained in {elapsed_s:.0f} s"
+    elif elapsed_s > maintenance.return_timeout_s:
+        return f"{record.name} has not returned in {elapsed_s:.0f} s"
+    return ""
+
+
+def out_limit(vms: int) -> int:
+    """Returns how many of an organisation's VMs may be out for one wave."""
+    return max(MIN_OUT, int(vms * OUT_SHARE))
+
+
+def choose_vms(scope: WaveScope) -> list[Member]:
+    """Chooses the VMs that an active wave takes out next.
+
+    A wave has VMs out in one availability zone at a time, rack by rack, so
+    that the failure of a domain costs no more than it would without the wave.
+
+    Returns:
+        VMs that all budgets allow to be taken together; one for a canary.
+    """
+    if not scope.wave.active:
+        return []
+    if scope.wave.phase is WavePhase.CANARY:
+        return choose_canary(scope)
+    out = scope.out()
+    limit = out_limit(len(scope.members())) - len(out)
+    zones = {m.listing.availability_zone for m in out if m.listing}
+    racks = {rack_key(m.listing) for m in out if m.listing}
+
+    def order(member: Member) -> tuple[object, ...]:
+        rack = rack_key(member.listing)
+        return rack not in racks, rack, member.record.maintained_s, member.record.name
+
+    chooser = Chooser(scope.pools, zones)
+    for member in sorted(scope.candidates(), key=order):
+        if len(chooser.chosen) >= limit:
+            break
+        chooser.offer(member)
+    return chooser.chosen
+
+
+def choose_canary(scope: WaveScope) -> list[Member]:
+    """Chooses the first VM of a wave, from the spare pool if that has one."""
+    if scope.wave.canary:
+        return []
+
+    def order(member: Member) -> tuple[bool, float, str]:
+        record = member.record
+        spare = scope.pools[record.pool].spec.spare
+        return not spare, record.maintained_s, record.name
+
+    chooser = Chooser(scope.pools, set())
+    for member in sorted(scope.candidates(), key=order):
+        chooser.offer(member)
+        if chooser.chosen:
+            break
+    return chooser.chosen
+
+
+class Chooser:
+    """Takes VMs that lie in one availability zone and whose budgets allow it.
+
+    Attributes:
+        chosen: VMs taken.
+        zones: Availability zones that the wave is in; empty before the first VM.
+    """
+
+    def __init__(self, pools: Mapping[str, PoolState], zones: set[str]) -> None:
+        self.pools = pools
+        self.zones = zones
+        self.chosen: list[Member] = []
+        self.left = {name: pool.available() for name, pool in pools.items()}
+
+    def offer(self, member: Member) -> None:
+        """Takes a VM if it may be taken."""
+        listing = member.listing
+        if listing is None:
+            return
+        if self.zones and listing.availability_zone not in self.zones:
+            return
+        if member.available and not self.take(member.record):
+            return
+        self.zones.add(listing.availability_zone)
+        self.chosen.append(member)
+
+    def take(self, record: VmRecord) -> bool:
+        """Takes a serving VM out of its pool's budget if that allows it."""
+        left = self.left[record.pool]
+        if not may_take(self.pools[record.pool].spec, left, record.name):
+            return False
+        self.left[record.pool] = [v for v in left if v.name != record.name]
+        return True
+
+
+def rack_key(listing: VmListing | None) -> tuple[str, str]:
+    """Returns the availability zone and rack of a VM, empty if unlisted."""
+    return ("", "") if listing is None else (listing.availability_zone, listing.rack)
+
+
+def wave_key(spec: OrganisationSpec) -> str:
+    """Returns the key of an organisation's wave."""
+    return f"{POOL_PREFIX}{spec.organisation}/{spec.template}/wave"
+
+
+def read_wave(cache: PrefixCache, spec: OrganisationSpec) -> Wave:
+    """Returns the wave of an organisation as last seen.
+
+    Raises:
+        ConflictError: The record is malformed.
+    """
+    known = cache.values.get(wave_key(spec))
+    if known is None:
+        return Wave()
+    try:
+        return decode_record(known.value, Wave)
+    except RecordError as error:
+        raise ConflictError(f"{known.key}: {error}") from error
+
+
+def wave_change(cache: PrefixCache, spec: OrganisationSpec, wave: Wave) -> Change:
+    """Returns the conditional write of a wave."""
+    key = wave_key(spec)
+    known = cache.values.get(key)
+    return Change(key, encode_record(wave), 0 if known is None else known.revision)
