Interface: name the boot that a claim is for

A second process that takes over a claim has to send its start again, and may do so only while the worker still remembers the task id. A worker forgets task ids with a reboot, so a start delayed past a reboot would run the job a second time. The generation does not help: it changes with the pool, not with the boot. A time limit in the task was ruled out because it trusts the clocks of two machines.

Job and Task carry boot_id, and a worker of another boot refuses the start. A refusal, or a connection that was refused, is a TaskRefusedError with the verdict not_run; every other failure stays unknown.

--- a/libs/fleet/burdockthread_fleet/worker_client.py
+++ b/libs/fleet/burdockthread_fleet/worker_client.py
@@ -8,9 +8,12 @@
 from burdockthread_model.errors import PlatformError
 from burdockthread_model.records import RecordError, record_from_plain
 from burdockthread_model.rendering import to_plain
+from burdockthread_model.verdict import Verdict
 
 from burdockthread_fleet.vm_control import CALL_TIMEOUT_S, platform_errors
 
+REFUSED_STATUS = 409
+
 
 class TaskState(StrEnum):
     """State of a task as its worker reports it."""
@@ -35,6 +38,7 @@
         run_time_s: Declared run time in seconds.
         lease_s: Seconds without renewal after which the worker stops the task.
         payload: Body of the job.
+        boot_id: Boot of the worker that may start it; any other boot refuses.
     """
 
     task_id: str
@@ -46,6 +50,7 @@
     run_time_s: float
     lease_s: float
     payload: str
+    boot_id: str = ""
 
 
 class TaskReport(NamedTuple):
@@ -70,8 +75,18 @@
     observed_s: float
 
 
+class TaskRefusedError(PlatformError):
+    """A start that the worker refused or never got; the task did not start."""
+
+    verdict = Verdict.NOT_RUN
+
+
 class WorkerClient(ABC):
-    """Orders to workers; each is idempotent for a task id."""
+    """Orders to workers; each is idempotent for a task id.
+
+    A worker refuses to start a task of another pool, of an older generation or
+    of another boot, and remembers within one boot every task id that it saw.
+    """
 
     @abstractmethod
     async def start(self, vm: str, task: Task) -> None:
@@ -143,7 +158,16 @@
 
     async def start(self, vm: str, task: Task) -> None:
         """Starts a task."""
-        await self.order(vm, "start", to_plain(task))
+        url = f"{self.base_url}/workers/{vm}/start"
+        try:
+            async with self.session.post(url, json=to_plain(task)) as answer:
+                if answer.status == REFUSED_STATUS:
+                    raise TaskRefusedError(f"{vm}: {await answer.text()}")
+                answer.raise_for_status()
+        except aiohttp.ClientConnectorError as error:
+            raise TaskRefusedError(f"start at {vm}: {error}") from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise PlatformError(f"start at {vm}: {type(error).__name__}") from error
 
     async def renew(self, vm: str, task_ids: tuple[str, ...], lease_s: float) -> None:
         """Prolongs leases."""
--- a/libs/model/burdockthread_model/job.py
+++ b/libs/model/burdockthread_model/job.py
@@ -47,6 +47,7 @@
         claimed_s: Unix time of the last claim, or 0.
         ended_s: Unix time of the end, or 0.
         payload: Body for the worker.
+        boot_id: Boot of the VM that the claim is for, or empty.
     """
 
     job_id: str
@@ -67,3 +68,4 @@
     claimed_s: float = 0.0
     ended_s: float = 0.0
     payload: str = ""
+    boot_id: str = ""
