Let operators list, cancel and release jobs

A cancellation that raced the end of its job is decided again from what the store holds. One write for each order was ruled out; it takes 5,000 writes of whole segments.

The test of a lost answer failed first with "StoreUnavailableError: the key-value service is out" although the write had taken effect: the read-back that failed hid the doubt. It is now StoreUnknownError, and a read-back that succeeds settles it.

--- /dev/null
+++ b/libs/fleet/burdockthread_fleet/job_directory.py
@@ -0,0 +1,274 @@
+"""What operators see of the jobs, and how they cancel or release them."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.errors import (
+    ConflictError,
+    NotFoundError,
+    StoreError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+from burdockthread_model.events import EventLog
+from burdockthread_model.job import Job, JobState
+from burdockthread_model.metrics import Metrics
+from burdockthread_store.store import KeyValue
+
+from burdockthread_fleet.job_segments import Batch, JobSegments, JobUpdate
+from burdockthread_fleet.settlement import WAITING_STATES, cancelled, waiting
+
+GROUP_S = 0.05
+MAX_TRIES = 10
+RETRY_S = 0.1
+MAX_REPORTED_JOBS = 100
+RELEASED_REASON = "released by an operator"
+
+Decision = Callable[[Job], Job]
+
+
+class JobCount(NamedTuple):
+    """How many jobs are alike."""
+
+    service: str
+    team: str
+    request_class: str
+    state: str
+    jobs: int
+
+
+class ReportedJob(NamedTuple):
+    """A job that operators have to look at."""
+
+    job_id: str
+    service: str
+    team: str
+    vm: str
+    attempt: int
+    reason: str
+
+
+class JobsReport(NamedTuple):
+    """What operators see of the jobs.
+
+    Attributes:
+        counts: Jobs by service, team, class and state.
+        parked: The first of the jobs that cannot run, with the reason.
+        unknown: The first of the jobs that may or may not have run.
+        quarantined_workers: Reason by worker that gets no work from this entry.
+        oldest_queued_s: Age in seconds of the oldest waiting job by class.
+        places: Organisations whose jobs this entry places.
+    """
+
+    counts: tuple[JobCount, ...]
+    parked: tuple[ReportedJob, ...]
+    unknown: tuple[ReportedJob, ...]
+    quarantined_workers: dict[str, str]
+    oldest_queued_s: dict[str, float]
+    places: tuple[str, ...]
+
+
+def jobs_report(
+    jobs: Iterable[Job],
+    wall_s: float,
+    quarantined_workers: Mapping[str, str],
+    places: Iterable[str],
+) -> JobsReport:
+    """Builds the report from the jobs that an entry knows.
+
+    Args:
+        jobs: All jobs.
+        wall_s: Unix time.
+        quarantined_workers: Reason by worker.
+        places: Organisations whose jobs this entry places.
+    """
+    counts: Counter[tuple[str, str, str, str]] = Counter()
+    oldest: dict[str, float] = {}
+    shown: dict[JobState, list[ReportedJob]] = {
+        JobState.PARKED: [],
+        JobState.UNKNOWN: [],
+    }
+    for job in jobs:
+        request_class = job.request_class.value
+        counts[job.service, job.team, request_class, job.state.value] += 1
+        if job.state in WAITING_STATES:
+            age_s = wall_s - job.submitted_s
+            oldest[request_class] = max(oldest.get(request_class, 0.0), age_s)
+        listed = shown.get(job.state)
+        if listed is not None and len(listed) < MAX_REPORTED_JOBS:
+            listed.append(reported(job))
+    return JobsReport(
+        counts=tuple(JobCount(*key, n) for key, n in sorted(counts.items())),
+        parked=tuple(shown[JobState.PARKED]),
+        unknown=tuple(shown[JobState.UNKNOWN]),
+        quarantined_workers=dict(quarantined_workers),
+        oldest_queued_s=oldest,
+        places=tuple(sorted(places)),
+    )
+
+
+def reported(job: Job) -> ReportedJob:
+    """Returns what operators see of one job."""
+    return ReportedJob(
+        job.job_id, job.service, job.team, job.vm, job.attempt, job.reason
+    )
+
+
+class Order:
+    """An operator's order about one job, waiting for its write."""
+
+    def __init__(self, job_id: str, decide: Decision) -> None:
+        self.job_id = job_id
+        self.decide = decide
+        self.result: asyncio.Future[Job] = asyncio.get_running_loop().create_future()
+
+
+class JobDirectory:
+    """Lists, cancels and releases jobs; orders given together share writes."""
+
+    def __init__(
+        self, segments: JobSegments, clock: Clock, metrics: Metrics, log: EventLog
+    ) -> None:
+        self.segments = segments
+        self.clock = clock
+        self.metrics = metrics
+        self.log = log
+        self.waiting: list[Order] = []
+        self.flush: asyncio.Task[None] | None = None
+
+    async def list(self, state: str, limit: int) -> Sequence[Job]:
+        """Returns jobs, those submitted first at the head.
+
+        Args:
+            state: Only jobs in this state; all if empty.
+            limit: Most jobs to return.
+
+        Raises:
+            NotFoundError: There is no such state.
+        """
+        if state and state not in set(JobState):
+            raise NotFoundError(f"no job state {state}")
+        found = [job for job in self.segments.jobs.values() if state in ("", job.state)]
+        found.sort(key=lambda job: (job.submitted_s, job.job_id))
+        return found[:limit]
+
+    async def cancel(self, job_id: str) -> Job:
+        """Cancels a job; one that has ended stays as it is.
+
+        Returns:
+            The job as recorded.
+
+        Raises:
+            NotFoundError: There is no such job.
+            StoreUnavailableError: It was not cancelled.
+            StoreUnknownError: It may have been cancelled.
+        """
+        return await self.order(job_id, lambda job: cancelled(job, self.clock.wall()))
+
+    async def cancel_all(self, job_ids: Sequence[str]) -> Sequence[Job]:
+        """Cancels many jobs in few writes; see `cancel`."""
+        return await asyncio.gather(*(self.cancel(job_id) for job_id in job_ids))
+
+    async def release(self, job_id: str) -> Job:
+        """Lets a parked job wait for a VM again; see `cancel`."""
+        return await self.order(job_id, released)
+
+    async def order(self, job_id: str, decide: Decision) -> Job:
+        """Queues an order for the next write."""
+        order = Order(job_id, decide)
+        self.waiting.append(order)
+        if self.flush is None:
+            self.flush = asyncio.create_task(self.write_soon())
+        return await order.result
+
+    async def write_soon(self) -> None:
+        """Writes the orders of a short while together."""
+        while self.waiting:
+            await self.clock.sleep(GROUP_S)
+            orders, self.waiting = self.waiting, []
+            await self.settle(orders)
+        self.flush = None
+
+    async def settle(self, orders: Sequence[Order]) -> None:
+        """Writes orders until each is settled or the tries are spent."""
+        error: Exception = StoreUnavailableError("other writers were always first")
+        for _ in range(MAX_TRIES):
+            try:
+                await self.write(orders)
+            except ConflictError:
+                await self.clock.sleep(RETRY_S)
+            except (StoreUnavailableError, StoreUnknownError) as failure:
+                error = failure
+                if isinstance(failure, StoreUnknownError) and self.answer(orders):
+                    return
+                break
+            if self.answer(orders):
+                return
+        for order in orders:
+            if not order.result.done():
+                order.result.set_exception(error)
+
+    async def write(self, orders: Sequence[Order]) -> None:
+        """Writes what the orders change.
+
+        Raises:
+            ConflictError: The segments have been read again; decide again.
+        """
+        updates = []
+        for order in orders:
+            job = self.segments.jobs.get(order.job_id)
+            if job is not None and order.decide(job) != job:
+                updates.append(JobUpdate(job, order.decide(job)))
+        unique = {update.before.job_id: update for update in updates}
+        for batch in self.segments.batches(list(unique.values())):
+            try:
+                await self.segments.commit(batch.changes)
+            except (ConflictError, StoreUnknownError):
+                await self.read_again(batch)
+                raise
+            self.metrics.count("jobs.order_writes")
+            self.note(batch)
+
+    async def read_again(self, batch: Batch) -> None:
+        """Reads the segments whose write did not succeed for certain."""
+        for change in batch.changes:
+            try:
+                found = await self.segments.store.get(change.key)
+            except StoreError:
+                return
+            if found is None:
+                self.segments.cache.remove(change.key, change.expected_revision)
+            else:
+                self.segments.cache.put(KeyValue(*found))
+
+    def note(self, batch: Batch) -> None:
+        """Counts and logs what was recorded."""
+        for update in batch.updates:
+            self.metrics.count(f"jobs.{update.after.state.value}")
+        first = batch.updates[0].after
+        self.log.info(
+            "jobs_ordered", state=first.state, jobs=len(batch.updates), first=first[0]
+        )
+
+    def answer(self, orders: Sequence[Order]) -> bool:
+        """Settles the orders that need no further write; returns whether all do."""
+        for order in orders:
+            if order.result.done():
+                continue
+            job = self.segments.jobs.get(order.job_id)
+            if job is None:
+                missing = NotFoundError(f"no job {order.job_id}")
+                order.result.set_exception(missing)
+            elif order.decide(job) == job:
+                order.result.set_result(job)
+        return all(order.result.done() for order in orders)
+
+
+def released(job: Job) -> Job:
+    """Returns a parked job that waits again; any other stays as it is."""
+    if job.state is not JobState.PARKED:
+        return job
+    return waiting(job, JobState.QUEUED, RELEASED_REASON)
