--- a/libs/standins/burdockthread_standins/processes.py
+++ b/libs/standins/burdockthread_standins/processes.py
@@ -12,6 +12,7 @@
 from burdockthread_standins.platform_store import MAX_REQUEST_BYTES, PlatformStore
 from burdockthread_standins.platform_vms import PlatformVms
 from burdockthread_standins.vm_host import VmHost
+from burdockthread_standins.workers import PlatformWorkers, StandinWorkers
 
 VMS_PER_RACK = 4
 
@@ -40,6 +41,7 @@
         vms = PlatformVms(session)
         PlatformStore(SystemClock()).add_routes(app)
         vms.add_routes(app)
+        PlatformWorkers(vms).add_routes(app)
         poll = asyncio.create_task(vms.run())
         try:
             async with listening(app, host, port) as chosen:
@@ -67,8 +69,10 @@
     vm_host = VmHost()
     for number in range(vms):
         await vm_host.add(new_listing(name, zones, number, host))
+    app = vm_host.application()
+    StandinWorkers(vm_host, SystemClock()).add_routes(app)
     try:
-        async with listening(vm_host.application(), host, 0) as port:
+        async with listening(app, host, 0) as port:
             await register(platform_url, f"http://{host}:{port}")
             yield vm_host
     finally:
