Wiring: run accepted jobs in the entry

Edges gets a WorkerClient, the entry a JobRunner, a JobDirectory and the report "jobs" in its dump; the stand-in platform passes orders and reports of workers on.

--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -10,9 +10,17 @@
 
 import aiomisc
 from aiohttp import web
+from burdockthread_fleet.job_directory import (
+    JobDirectory,
+    JobsReport,
+    jobs_report,
+)
+from burdockthread_fleet.job_runner import JobRunner
+from burdockthread_fleet.job_segments import JobSegments
 from burdockthread_fleet.leadership import Leadership
 from burdockthread_fleet.planner import Planner
 from burdockthread_fleet.vm_control import HttpVmControl, VmControl
+from burdockthread_fleet.worker_client import HttpWorkerClient, WorkerClient
 from burdockthread_model.clock import Clock
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import MemoryMetrics, StatsdMetrics
@@ -30,7 +38,7 @@
 from burdockthread_routing.endpoint_choice import EndpointChooser
 from burdockthread_routing.endpoint_client import EndpointClient, HttpEndpointClient
 from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
-from burdockthread_routing.job_ledger import JobLedger
+from burdockthread_routing.job_ledger import JOB_PREFIX, JobLedger
 from burdockthread_routing.router import Router
 from burdockthread_routing.vm_directory import HttpVmDirectory, VmDirectory
 from burdockthread_store.applied import HEAD_PREFIX, AppliedConfiguration
@@ -53,6 +61,7 @@
     store: ConfigurationStore
     directory: VmDirectory
     control: VmControl
+    workers: WorkerClient
     endpoints: EndpointClient
     clock: Clock
 
@@ -65,6 +74,7 @@
             store=EtcdStore(platform["store_url"], clock),
             directory=HttpVmDirectory(platform["vm_directory_url"]),
             control=HttpVmControl(platform["vm_directory_url"]),
+            workers=HttpWorkerClient(platform["vm_directory_url"]),
             endpoints=HttpEndpointClient(max(ENDPOINT_CONNECTIONS // entries, 1)),
             clock=clock,
         )
@@ -72,6 +82,7 @@
     async def close(self) -> None:
         """Closes all connections."""
         await self.endpoints.close()
+        await self.workers.close()
         await self.control.close()
         await self.directory.close()
         await self.store.close()
@@ -99,6 +110,7 @@
         self.build_configuration()
         self.build_routing()
         self.build_fleet()
+        self.build_jobs()
         self.build_operators()
         self.ports: dict[str, int] = {}
 
@@ -158,6 +170,35 @@
             self.steps,
         )
 
+    def build_jobs(self) -> None:
+        """Builds the side that places and runs jobs."""
+        store = self.edges.store
+        self.job_cache = PrefixCache(store, JOB_PREFIX, self.clock)
+        self.job_segments = JobSegments(store, self.job_cache, self.log)
+        self.job_runner = JobRunner(
+            self.mesh,
+            self.job_segments,
+            store,
+            self.view,
+            self.edges.workers,
+            self.clock,
+            self.metrics,
+            self.log,
+            self.steps,
+        )
+        self.job_directory = JobDirectory(
+            self.job_segments, self.clock, self.metrics, self.log
+        )
+
+    def jobs_report(self) -> JobsReport:
+        """Reports the jobs."""
+        return jobs_report(
+            self.job_segments.jobs.values(),
+            self.clock.wall(),
+            self.job_runner.quarantined_workers(),
+            self.job_runner.rounds,
+        )
+
     def build_operators(self) -> None:
         """Builds the operators' API."""
         self.status = FleetStatus(
@@ -172,6 +213,7 @@
                 "process": self.process_report,
                 "metrics": self.metrics_report,
                 "routing": self.routing_report,
+                "jobs": self.jobs_report,
                 "store": self.store_report,
             },
             self.metrics,
@@ -206,7 +248,12 @@
     def store_report(self) -> object:
         """Returns how current the copies of the store are."""
         now = self.clock.now()
-        caches = (self.config_cache, self.vm_cache, self.pool_cache)
+        caches = (
+            self.config_cache,
+            self.vm_cache,
+            self.pool_cache,
+            self.job_cache,
+        )
         return {
             cache.prefix: {
                 "revision": cache.revision,
@@ -246,6 +293,8 @@
             self.router.run(),
             self.ledger.run(),
             self.planner.run(),
+            self.job_cache.run(),
+            self.job_runner.run(),
         )
 
     async def listen(
--- a/libs/fleet/burdockthread_fleet/job_runner.py
+++ b/libs/fleet/burdockthread_fleet/job_runner.py
@@ -118,3 +118,7 @@
         if rounds is not None:
             self.log.info("placer_stopped", organisation=organisation)
             await rounds.orders.close()
+
+    def quarantined_workers(self) -> dict[str, str]:
+        """Returns the reason for each worker that gets no work from here."""
+        return {}
--- a/libs/scenarios/burdockthread_scenarios/world.py
+++ b/libs/scenarios/burdockthread_scenarios/world.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from burdockthread.entry import Edges, Entry
+from burdockthread_fleet.memory_workers import MemoryWorkerClient
 from burdockthread_model.clock import MemoryClock, settle
 from burdockthread_model.errors import BurdockthreadError, RequestError
 from burdockthread_model.intended import TemplateDocument
@@ -209,7 +210,8 @@
 
     def edges(self, store: ConfigurationStore, clock: GatedClock) -> Edges:
         """Returns the edges of one entry."""
-        return Edges(store, self.vms, self.vms, self.vms, clock)
+        workers = MemoryWorkerClient(clock)
+        return Edges(store, self.vms, self.vms, workers, self.vms, clock)
 
     async def kill(self, name: str) -> None:
         """Ends an entry at once; nothing that it still does has an effect."""
