Wiring: settle writes and keep the call budget in the entry

The world lets time pass while an operator's step waits for the clock; with the call budget in place a step that only awaited hung for ever.

--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -45,6 +45,7 @@
 from burdockthread_store.applied import HEAD_PREFIX, AppliedConfiguration
 from burdockthread_store.etcd_store import EtcdStore
 from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.settled_store import SettledStore
 from burdockthread_store.store import ConfigurationStore
 
 from burdockthread.status import FleetStatus
@@ -107,6 +108,9 @@
         self.name = settings["name"]
         self.log = EventLog(self.name)
         self.metrics = metrics_from_settings(settings)
+        self.store = SettledStore.with_budget(
+            edges.store, self.name, self.limits, self.clock, self.metrics
+        )
         self.mesh = mesh or StreamMesh(settings, self.clock, self.log)
         self.build_configuration()
         self.build_routing()
@@ -117,7 +121,7 @@
 
     def build_configuration(self) -> None:
         """Builds the copies of the store and the peers that keep them current."""
-        store = self.edges.store
+        store = self.store
         self.config_cache = PrefixCache(store, HEAD_PREFIX, self.clock)
         self.vm_cache = PrefixCache(store, VM_PREFIX, self.clock)
         self.pool_cache = PrefixCache(store, "pool/", self.clock)
@@ -134,7 +138,7 @@
         self.permits = StaticPermits(self.name, entries, self.slots_of)
         chooser = EndpointChooser(self.settings["availability_zone"], self.permits)
         self.membership = Membership.from_settings(
-            self.settings, self.mesh, self.edges.store, self.clock, self.log
+            self.settings, self.mesh, self.store, self.clock, self.log
         )
         self.keys = OwnedKeys(
             self.mesh, self.membership, self.clock, self.limits.idempotency_keys
@@ -150,7 +154,7 @@
             self.log,
             self.steps,
         )
-        self.ledger = JobLedger(self.edges.store, self.clock, self.steps)
+        self.ledger = JobLedger(self.store, self.clock, self.steps)
         self.callers_api = CallersApi(
             self.name, self.router, self.ledger, self.clock, self.metrics, self.log
         )
@@ -162,10 +166,10 @@
 
     def build_fleet(self) -> None:
         """Builds the planner."""
-        self.leadership = Leadership(self.name, self.edges.store, self.clock)
+        self.leadership = Leadership(self.name, self.store, self.clock)
         self.planner = Planner(
             self.leadership,
-            self.edges.store,
+            self.store,
             self.view,
             self.vm_cache,
             self.pool_cache,
@@ -178,7 +182,7 @@
 
     def build_jobs(self) -> None:
         """Builds the side that places and runs jobs."""
-        store = self.edges.store
+        store = self.store
         self.job_cache = PrefixCache(store, JOB_PREFIX, self.clock)
         self.job_segments = JobSegments(store, self.job_cache, self.log)
         self.job_runner = JobRunner(
@@ -212,7 +216,7 @@
         )
         self.operators_api = OperatorsApi(
             Authenticator(self.settings["operator_tokens"]),
-            TemplateChanges(self.edges.store, self.clock, self.steps),
+            TemplateChanges(self.store, self.clock, self.steps),
             self.status.report,
             {
                 "status": self.status.report,
--- a/libs/scenarios/burdockthread_scenarios/driver.py
+++ b/libs/scenarios/burdockthread_scenarios/driver.py
@@ -1,6 +1,8 @@
 """What a scenario is run against."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Coroutine
+from typing import Any
 
 from burdockthread_model.errors import BurdockthreadError
 
@@ -70,6 +72,14 @@
     async def advance(self, seconds: float) -> None:
         """Lets time pass."""
 
+    async def passing(self, work: Coroutine[Any, Any, None]) -> None:
+        """Lets time pass until a coroutine has ended.
+
+        Args:
+            work: Coroutine that may wait for the driver's clock.
+        """
+        await work
+
     @abstractmethod
     async def propose(
         self, change: str, base_version: int | None, parameters: dict[str, float]
--- a/libs/scenarios/burdockthread_scenarios/gate.py
+++ b/libs/scenarios/burdockthread_scenarios/gate.py
@@ -5,6 +5,7 @@
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
 from burdockthread_model.clock import Clock
+from burdockthread_model.settings import PeerSettings
 from burdockthread_peers.mesh import Handler, Member, Message, PeerMesh, Reply
 from burdockthread_store.store import (
     Change,
@@ -179,6 +180,10 @@
         finally:
             await self.gate.wait()
 
+    def learn(self, peer: PeerSettings) -> None:
+        """Keeps a stream to an entry."""
+        self.mesh.learn(peer)
+
     def broadcast(self, message: tuple[object, ...]) -> None:
         """Sends a message to every other entry."""
         self.mesh.broadcast(message)
--- a/libs/scenarios/burdockthread_scenarios/memory_driver.py
+++ b/libs/scenarios/burdockthread_scenarios/memory_driver.py
@@ -1,8 +1,8 @@
 """Runs scenarios against a world in one process."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from burdockthread_operators.changes import TemplateChanges
 
@@ -82,6 +82,10 @@
         else:
             self.world.vms.vms[target].faults.clear()
 
+    async def passing(self, work: Coroutine[Any, Any, None]) -> None:
+        """Lets time pass until a coroutine has ended."""
+        await self.world.passing(work)
+
     async def send(
         self, amount: int, keyed: bool, request_class: str, entry: str
     ) -> None:
--- a/libs/standins/burdockthread_standins/vm_host.py
+++ b/libs/standins/burdockthread_standins/vm_host.py
@@ -74,11 +74,13 @@
         return web.json_response({})
 
     async def drain(self, request: web.Request) -> web.Response:
-        """Makes a VM take no new requests."""
+        """Makes a VM take no new requests unless it left the given boot already."""
         endpoint = self.endpoint(request)
-        endpoint.drain()
+        order = await request.json()
         listing = self.listings[endpoint.name]
-        self.listings[endpoint.name] = listing._replace(status=VmStatus.LEAVING)
+        if listing.boot_id == order["boot_id"]:
+            endpoint.drain()
+            self.listings[endpoint.name] = listing._replace(status=VmStatus.LEAVING)
         return web.json_response({"in_flight": endpoint.in_flight})
 
     async def reboot(self, request: web.Request) -> web.Response:
