--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -36,6 +36,7 @@
 from burdockthread_store.applied import HEAD_PREFIX, AppliedConfiguration
 from burdockthread_store.etcd_store import EtcdStore
 from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.settled_store import SettledStore
 from burdockthread_store.store import ConfigurationStore
 
 from burdockthread.status import FleetStatus
@@ -89,12 +90,15 @@
     ) -> None:
         self.settings = settings
         self.steps = steps or Steps()
-        self.edges = edges
         self.clock = edges.clock
         self.limits = Limits.from_settings(settings)
         self.name = settings["name"]
         self.log = EventLog(self.name)
         self.metrics = metrics_from_settings(settings)
+        store = SettledStore.with_budget(
+            edges.store, self.name, self.limits, self.clock, self.metrics
+        )
+        self.edges = edges._replace(store=store)
         self.mesh = mesh or StreamMesh(settings, self.clock, self.log)
         self.build_configuration()
         self.build_routing()
