Admit by class and team in bounded, fair queues

The queue was one list sorted by class: a flood of urgent work starved the rest, one team's flood filled it for all, and each arrival sorted it again.

Each service now has a queue for each class and team. Shares are counted in slot-seconds: a class that is not ahead of its guaranteed minimum goes first, what is left goes to the most urgent; teams within a class are served by weighted virtual time. Teams that no template names share one queue, so that invented names gain nothing. Room in the queue is kept for classes below their minimum, and a full class pushes out the newest request of its most loaded team. A request whose expected wait passes its deadline is refused at once with Retry-After. Per arrival the work is bounded by the number of classes and teams, and nothing is sorted.

Rejected: strict priority with reserved slots, since with one or two slots for an entry there is nothing to reserve; fairness by number of requests, since a team of long requests then takes most of the slot time.

The router runs each request and each exchange in tasks of their own, holds the slot of a cut exchange back, and keeps a budget of retries; the endpoint choice gains regions, ejection and probation.

Wiring: the chooser takes the clock and the region.

--- a/libs/routing/burdockthread_routing/endpoint_choice.py
+++ b/libs/routing/burdockthread_routing/endpoint_choice.py
@@ -2,61 +2,120 @@
 
 import random
 from collections import Counter
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterator, Sequence
 
+from burdockthread_model.clock import Clock
 from burdockthread_peers.permits import SlotPermits
 
 from burdockthread_routing.endpoint_client import Endpoint
+from burdockthread_routing.outliers import OutlierDetector
+
+LOADED_FRACTION = 0.75
 
 
 class EndpointChooser:
-    """Own availability zone first, then the less loaded of two choices.
+    """Own availability zone, then own region, then the less loaded of two.
 
     Attributes:
         availability_zone: Availability zone of this entry.
+        region: Region of this entry, or empty if all count as one.
         permits: Slots that this entry may use.
-        outstanding: Requests in flight from this entry, by VM.
+        outliers: Endpoints that are left out because they fail.
+        outstanding: Slots that this entry holds, by VM.
     """
 
     def __init__(
-        self, availability_zone: str, permits: SlotPermits, seed: int | None = None
+        self,
+        availability_zone: str,
+        permits: SlotPermits,
+        clock: Clock,
+        region: str = "",
+        seed: int | None = None,
     ) -> None:
         self.availability_zone = availability_zone
+        self.region = region
         self.permits = permits
+        self.outliers = OutlierDetector(clock)
         self.random = random.Random(seed)
         self.outstanding: Counter[str] = Counter()
 
     def acquire(
-        self, service: str, endpoints: Sequence[Endpoint], excluded: Collection[str]
+        self, service: str, endpoints: Sequence[Endpoint], avoided: Collection[str]
     ) -> Endpoint | None:
         """Takes a slot at the best endpoint.
 
         Args:
             service: Name of the service.
             endpoints: Candidates.
-            excluded: VMs that this request has already tried.
+            avoided: VMs that are taken only when no other has a free slot.
 
         Returns:
             The endpoint whose slot was taken, or None if there is none.
         """
-        candidates = [e for e in endpoints if e.vm not in excluded]
-        while candidates:
-            endpoint = self.prefer(candidates)
+        allowed = self.outliers.allowed(endpoints)
+        first = [e for e in allowed if e.vm not in avoided]
+        second = [e for e in allowed if e.vm in avoided]
+        for candidates in (first, second):
+            endpoint = self.take_one(service, candidates)
+            if endpoint is not None:
+                return endpoint
+        return None
+
+    def take_one(self, service: str, candidates: Sequence[Endpoint]) -> Endpoint | None:
+        """Takes a slot at one of the candidates, the nearest first."""
+        passed_over: list[Endpoint] = []
+        for group in self.by_distance(candidates):
+            if self.is_loaded(service, group):
+                passed_over.extend(group)
+                continue
+            endpoint = self.take_less_loaded(service, group)
+            if endpoint is not None:
+                return endpoint
+        return self.take_less_loaded(service, passed_over)
+
+    def by_distance(self, candidates: Sequence[Endpoint]) -> Iterator[list[Endpoint]]:
+        """Yields the candidates of own zone, of own region, and the rest."""
+        near, middle, far = [], [], []
+        for endpoint in candidates:
+            if endpoint.availability_zone == self.availability_zone:
+                near.append(endpoint)
+            elif endpoint.region == self.region:
+                middle.append(endpoint)
+            else:
+                far.append(endpoint)
+        yield from (group for group in (near, middle, far) if group)
+
+    def is_loaded(self, service: str, group: Sequence[Endpoint]) -> bool:
+        """Returns whether most of a group's slots are taken."""
+        taken = sum(self.outstanding[e.vm] for e in group)
+        if not taken:
+            return False
+        limit = sum(self.permits.limit(service, e.vm) for e in group)
+        return taken >= limit * LOADED_FRACTION
+
+    def take_less_loaded(
+        self, service: str, group: Sequence[Endpoint]
+    ) -> Endpoint | None:
+        """Takes a slot at the less loaded of two, until one has a free slot."""
+        left = [e for e in group if self.may_take(e)]
+        while left:
+            pair = self.random.sample(left, min(2, len(left)))
+            endpoint = min(pair, key=lambda e: self.outstanding[e.vm])
             if self.permits.try_acquire(service, endpoint.vm):
                 self.outstanding[endpoint.vm] += 1
                 return endpoint
-            candidates.remove(endpoint)
+            left.remove(endpoint)
         return None
 
-    def prefer(self, candidates: Sequence[Endpoint]) -> Endpoint:
-        """Returns the less loaded of two random candidates, own zone first."""
-        zone = self.availability_zone
-        near = [e for e in candidates if e.availability_zone == zone]
-        pool = near or candidates
-        pair = self.random.sample(pool, min(2, len(pool)))
-        return min(pair, key=lambda e: self.outstanding[e.vm])
+    def may_take(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint may get one attempt more."""
+        if not self.outliers.on_probation(endpoint.vm):
+            return True
+        return not self.outstanding[endpoint.vm]
 
     def release(self, service: str, endpoint: Endpoint) -> None:
         """Gives a slot back."""
         self.outstanding[endpoint.vm] -= 1
+        if not self.outstanding[endpoint.vm]:
+            del self.outstanding[endpoint.vm]
         self.permits.release(service, endpoint.vm)
--- a/libs/routing/burdockthread_routing/endpoint_client.py
+++ b/libs/routing/burdockthread_routing/endpoint_client.py
@@ -1,13 +1,16 @@
 """The edge towards endpoints: one exchange for each attempt."""
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import aiohttp
+from aiohttp.connector import Connection
 from burdockthread_model.errors import EndpointError
 from burdockthread_model.verdict import Verdict
 from multidict import CIMultiDictProxy
+from yarl import URL
 
 ATTEMPT_HEADER = "Burdockthread-Attempt"
 POOL_HEADER = "Burdockthread-Pool"
@@ -16,6 +19,10 @@
 DRAINING_HEADER = "Burdockthread-Draining"
 NOT_RUN_HEADER = "Burdockthread-Not-Run"
 CONNECT_TIMEOUT_S = 1.0
+KEEPALIVE_S = 4.0
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
+SWITCHING_PROTOCOLS = 101
+BODILESS_STATUSES = frozenset({204, 304})
 
 
 class Endpoint(NamedTuple):
@@ -28,6 +35,7 @@
         availability_zone: Its availability zone.
         pool: Pool it belongs to.
         generation: Generation of its pool record.
+        region: Its region, or empty if it is not known.
     """
 
     vm: str
@@ -36,6 +44,7 @@
     availability_zone: str
     pool: str
     generation: int
+    region: str = ""
 
 
 class Attempt(NamedTuple):
@@ -82,6 +91,13 @@
     not_run: bool = False
 
 
+class ExchangeCutError(EndpointError):
+    """An exchange that ended before any answer.
+
+    The endpoint may still be running the attempt, so its slot is not free.
+    """
+
+
 class EndpointClient(ABC):
     """Sends attempts to endpoints."""
 
@@ -98,6 +114,7 @@
         Raises:
             EndpointError: No whole answer; its verdict says whether the
                 attempt may have run.
+            ExchangeCutError: The same, and the endpoint may still run it.
         """
 
     @abstractmethod
@@ -128,43 +145,125 @@
         """Does nothing."""
 
 
+class Exchange:
+    """How far the exchange of one attempt has got.
+
+    Attributes:
+        connected: Whether the first byte may have been written.
+        answered: Whether the head of an answer was read.
+    """
+
+    def __init__(self) -> None:
+        self.connected = False
+        self.answered = False
+
+
+class AttemptResponse(aiohttp.ClientResponse):
+    """An answer whose connection can be closed even after it was given back.
+
+    Attributes:
+        transport: Transport of the connection that the answer came on.
+    """
+
+    transport: asyncio.Transport | None = None
+
+    async def start(self, connection: Connection) -> aiohttp.ClientResponse:
+        """Reads the head of the answer."""
+        self.transport = connection.transport
+        return await super().start(connection)
+
+    def abort(self) -> None:
+        """Closes the connection, so that it is not used again."""
+        self.close()
+        if self.transport is not None:
+            self.transport.abort()
+
+
 class HttpEndpointClient(EndpointClient):
     """Endpoints over HTTP; a connection whose exchange was cut is closed."""
 
     def __init__(self, connections_per_endpoint: int) -> None:
         connector = aiohttp.TCPConnector(
-            limit=0, limit_per_host=connections_per_endpoint
+            limit=0,
+            limit_per_host=connections_per_endpoint,
+            keepalive_timeout=KEEPALIVE_S,
+        )
+        self.session = aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            response_class=AttemptResponse,
+            trace_configs=[trace_connections()],
         )
-        self.session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        # Without this, the library sends GET, PUT and the like a second time
+        # by itself when a reused connection turns out to be closed.
+        self.session._retry_connection = False
 
     async def send(self, attempt: Attempt) -> EndpointAnswer:
         """Sends one attempt."""
+        exchange = Exchange()
+        try:
+            return await self.exchange(attempt, exchange)
+        except EndpointError:
+            raise
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise exchange_error(attempt, exchange, error) from error
+
+    async def exchange(self, attempt: Attempt, exchange: Exchange) -> EndpointAnswer:
+        """Writes the request and reads the answer."""
         endpoint = attempt.endpoint
-        url = f"http://{endpoint.host}:{endpoint.port}{attempt.path}"
+        address = f"http://{endpoint.host}:{endpoint.port}{attempt.path}"
         timeout = aiohttp.ClientTimeout(
             total=attempt.timeout_s, sock_connect=CONNECT_TIMEOUT_S
         )
-        try:
-            async with self.session.request(
-                attempt.method,
-                url,
-                data=attempt.body or None,
-                headers=request_headers(attempt),
-                timeout=timeout,
-                allow_redirects=False,
-            ) as answer:
+        async with self.session.request(
+            attempt.method,
+            URL(address, encoded=True),
+            data=attempt.body or None,
+            headers=request_headers(attempt),
+            timeout=timeout,
+            allow_redirects=False,
+            trace_request_ctx=exchange,
+        ) as answer:
+            exchange.answered = True
+            assert isinstance(answer, AttemptResponse)
+            try:
                 return await read_answer(attempt, answer)
-        except aiohttp.ClientConnectorError as error:
-            raise EndpointError(f"{endpoint.vm} refused the connection") from error
-        except (aiohttp.ClientError, TimeoutError) as error:
-            reason = f"{endpoint.vm} gave no whole answer: {type(error).__name__}"
-            raise EndpointError(reason, verdict=Verdict.UNKNOWN) from error
+            except BaseException:
+                answer.abort()
+                raise
 
     async def close(self) -> None:
         """Closes all connections."""
         await self.session.close()
 
 
+def trace_connections() -> aiohttp.TraceConfig:
+    """Returns hooks that note on each exchange that it has a connection."""
+
+    async def on_connected(session: object, context: Any, params: object) -> None:
+        context.trace_request_ctx.connected = True
+
+    config = aiohttp.TraceConfig()
+    config.on_connection_create_end.append(on_connected)
+    config.on_connection_reuseconn.append(on_connected)
+    return config
+
+
+def exchange_error(
+    attempt: Attempt, exchange: Exchange, error: Exception
+) -> EndpointError:
+    """Returns the error for an exchange that failed."""
+    vm = attempt.endpoint.vm
+    kind = type(error).__name__
+    if not exchange.connected:
+        return EndpointError(f"{vm} gave no connection: {kind}")
+    reason = f"{vm} gave no whole answer: {kind}"
+    if exchange.answered:
+        return EndpointError(reason, verdict=Verdict.UNKNOWN)
+    return ExchangeCutError(reason, verdict=Verdict.UNKNOWN)
+
+
 def request_headers(attempt: Attempt) -> dict[str, str]:
     """Returns the headers that an attempt carries."""
     return {
@@ -172,6 +271,7 @@
         POOL_HEADER: attempt.endpoint.pool,
         GENERATION_HEADER: str(attempt.endpoint.generation),
         ORGANISATION_HEADER: attempt.organisation,
+        "Accept-Encoding": "identity",
         "Content-Type": attempt.content_type,
     }
 
@@ -182,32 +282,52 @@
     """Reads a whole answer and checks that it belongs to the attempt.
 
     Raises:
-        EndpointError: The answer is another attempt's, or too large.
+        EndpointError: The answer is another attempt's, too large, or of a
+            form that does not show whether it is whole.
     """
-    vm = attempt.endpoint.vm
-    if answer.headers.get(ATTEMPT_HEADER) != attempt.attempt_id:
-        answer.close()
-        reason = f"{vm} answered another attempt"
-        raise EndpointError(reason, verdict=Verdict.UNKNOWN)
-    body = await answer.content.read(attempt.max_answer_bytes + 1)
-    while len(body) <= attempt.max_answer_bytes:
-        more = await answer.content.read(attempt.max_answer_bytes + 1 - len(body))
-        if not more:
-            break
-        body += more
-    if len(body) > attempt.max_answer_bytes:
-        answer.close()
-        reason = f"{vm} answered more than {attempt.max_answer_bytes} bytes"
-        raise EndpointError(reason, verdict=Verdict.UNKNOWN)
+    fault = head_fault(attempt, answer)
+    if fault:
+        raise EndpointError(f"{attempt.endpoint.vm} {fault}", verdict=Verdict.UNKNOWN)
     return EndpointAnswer(
         status=answer.status,
-        body=body,
-        content_type=answer.content_type,
+        body=await read_body(attempt, answer),
+        content_type=answer.headers.get("Content-Type", DEFAULT_CONTENT_TYPE),
         draining=flag(answer.headers, DRAINING_HEADER),
         not_run=flag(answer.headers, NOT_RUN_HEADER),
     )
 
 
+def head_fault(attempt: Attempt, answer: aiohttp.ClientResponse) -> str:
+    """Returns what is wrong with the head of an answer, or an empty string."""
+    if answer.headers.get(ATTEMPT_HEADER) != attempt.attempt_id:
+        return "answered another attempt"
+    if answer.status == SWITCHING_PROTOCOLS:
+        return "wants another protocol"
+    if answer.headers.get("Content-Encoding", "identity") != "identity":
+        return "answered in an encoding that was not asked for"
+    bodiless = attempt.method == "HEAD" or answer.status in BODILESS_STATUSES
+    chunked = answer.headers.get("Transfer-Encoding", "").lower() == "chunked"
+    if not bodiless and not chunked and "Content-Length" not in answer.headers:
+        return "answered without a length"
+    return ""
+
+
+async def read_body(attempt: Attempt, answer: aiohttp.ClientResponse) -> bytes:
+    """Reads a whole body.
+
+    Raises:
+        EndpointError: The body is too large.
+    """
+    limit = attempt.max_answer_bytes
+    body = bytearray()
+    async for chunk in answer.content.iter_any():
+        body += chunk
+        if len(body) > limit:
+            reason = f"{attempt.endpoint.vm} answered more than {limit} bytes"
+            raise EndpointError(reason, verdict=Verdict.UNKNOWN)
+    return bytes(body)
+
+
 def flag(headers: CIMultiDictProxy[str], name: str) -> bool:
     """Returns whether a header says true."""
     return headers.get(name, "").lower() == "true"
--- a/libs/routing/burdockthread_routing/fleet_view.py
+++ b/libs/routing/burdockthread_routing/fleet_view.py
@@ -1,5 +1,7 @@
 """This entry's view of the fleet: services, VM records and leaving signals."""
 
+from collections.abc import Callable
+
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import PlatformError, TemplateError
 from burdockthread_model.events import EventLog
@@ -21,6 +23,8 @@
 
 VM_PREFIX = "vm/"
 
+LeavingListener = Callable[[str, str], None]
+
 
 class FleetView:
     """Merges what the store, the platform and endpoints say.
@@ -32,6 +36,9 @@
         records: VM records, by VM.
         listings: VMs as the platform last listed them, by VM.
         leaving: Boot of each VM that said it is leaving, by VM.
+        weights: Weight of each team, by organisation and team.
+        leaving_listeners: Called with VM and boot when a VM is first known
+            to be leaving, from whatever source.
     """
 
     def __init__(
@@ -51,6 +58,9 @@
         self.records: dict[str, VmRecord] = {}
         self.listings: dict[str, VmListing] = {}
         self.leaving: dict[str, str] = {}
+        self.weights: dict[tuple[str, str], float] = {}
+        self.leaving_listeners: list[LeavingListener] = []
+        self.serving: dict[str, list[Endpoint]] = {}
         applied.listeners.append(self.on_template)
         vm_cache.listeners.append(self.on_record)
 
@@ -73,10 +83,20 @@
         specs = self.organisations.values()
         self.services = {s.name: s for spec in specs for s in spec.services}
         self.pools = {p.name: p for spec in specs for p in spec.pools}
+        self.weights = {
+            (team.organisation, team.name): team.weight
+            for spec in specs
+            for team in spec.teams
+        }
+
+    def team_weight(self, organisation: str, team: str) -> float | None:
+        """Returns the weight of a team, or None if no template names it."""
+        return self.weights.get((organisation, team))
 
     def on_record(self, key: str, item: KeyValue | None) -> None:
         """Takes a change of a VM record in."""
         name = key.removeprefix(VM_PREFIX)
+        self.serving.clear()
         if item is None:
             self.records.pop(name, None)
             return
@@ -89,22 +109,40 @@
         """Reads the platform's list until cancelled."""
         while True:
             try:
-                listings = await self.directory.list()
-                self.listings = {listing.name: listing for listing in listings}
-                self.forget_old_signals()
+                self.on_listings(await self.directory.list())
             except PlatformError as error:
                 self.log.warning("vm_directory_unavailable", reason=error)
             await self.clock.sleep(interval_s)
 
-    def forget_old_signals(self) -> None:
-        """Drops the leaving signal of VMs that have rebooted since."""
+    def on_listings(self, listings: tuple[VmListing, ...]) -> None:
+        """Takes the platform's list in."""
+        before, self.listings = self.listings, {item.name: item for item in listings}
+        self.serving.clear()
+        self.forget_old_signals(before)
+        for listing in listings:
+            if listing.status is VmStatus.LEAVING:
+                self.mark_leaving(listing.name)
+
+    def forget_old_signals(self, before: dict[str, VmListing]) -> None:
+        """Drops the signal of VMs that have rebooted or that stay after all.
+
+        Args:
+            before: The list before this one.
+        """
         for name, boot_id in list(self.leaving.items()):
             listing = self.listings.get(name)
-            if listing is not None and listing.boot_id != boot_id:
+            if listing is None:
+                continue
+            was_leaving = name in before and before[name].status is VmStatus.LEAVING
+            stays = was_leaving and listing.status is VmStatus.LIVE
+            if stays or listing.boot_id != boot_id:
                 del self.leaving[name]
 
     def mark_leaving(self, vm: str) -> bool:
-        """Notes that a VM said it is leaving.
+        """Notes that a VM is leaving, by its own word, a peer's or the list.
+
+        Args:
+            vm: Name of the VM.
 
         Returns:
             Whether this is news.
@@ -113,6 +151,9 @@
         if listing is None or self.leaving.get(vm) == listing.boot_id:
             return False
         self.leaving[vm] = listing.boot_id
+        self.serving.clear()
+        for listener in self.leaving_listeners:
+            listener(vm, listing.boot_id)
         return True
 
     def is_leaving(self, listing: VmListing) -> bool:
@@ -123,9 +164,16 @@
 
     def endpoints(self, service: ServiceSpec) -> list[Endpoint]:
         """Returns the endpoints that may get new requests of a service."""
+        found = self.serving.get(service.pool)
+        if found is None:
+            found = self.serving[service.pool] = self.find_endpoints(service.pool)
+        return found
+
+    def find_endpoints(self, pool: str) -> list[Endpoint]:
+        """Returns the endpoints of a pool that serve and are not leaving."""
         found = []
         for record in self.records.values():
-            if record.pool != service.pool or record.state is not VmState.SERVING:
+            if record.pool != pool or record.state is not VmState.SERVING:
                 continue
             listing = self.listings.get(record.name)
             if listing is not None and not self.is_leaving(listing):
@@ -142,4 +190,5 @@
         availability_zone=listing.availability_zone,
         pool=record.pool,
         generation=record.generation,
+        region=listing.region,
     )
--- a/libs/routing/burdockthread_routing/router.py
+++ b/libs/routing/burdockthread_routing/router.py
@@ -1,24 +1,21 @@
 """Carries a caller's request to an endpoint and its answer back."""
 
-import hashlib
+import asyncio
+import heapq
 import itertools
-from collections.abc import Collection, Iterator
+from collections.abc import Awaitable, Callable, Collection, Iterator
 from contextlib import contextmanager
+from typing import Any, NamedTuple
 
 from burdockthread_model.clock import Clock
-from burdockthread_model.errors import (
-    BadRequestError,
-    EndpointError,
-    OverloadedError,
-    RequestError,
-)
+from burdockthread_model.errors import EndpointError, OverloadedError, RequestError
 from burdockthread_model.events import EventLog
 from burdockthread_model.intended import ServiceSpec
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.request import CallerRequest, CallerResponse
 from burdockthread_model.steps import Step, Steps
 from burdockthread_model.verdict import Verdict
-from burdockthread_peers.idempotency import KeyDecision, KeyOwnership, KeyState
+from burdockthread_peers.idempotency import KeyOwnership, KeyState
 
 from burdockthread_routing.admission import Admission
 from burdockthread_routing.endpoint_choice import EndpointChooser
@@ -27,20 +24,67 @@
     Endpoint,
     EndpointAnswer,
     EndpointClient,
+    ExchangeCutError,
 )
+from burdockthread_routing.fair_queue import Grant
 from burdockthread_routing.fleet_view import FleetView
+from burdockthread_routing.retry_budget import RetryBudget
+from burdockthread_routing.verdicts import (
+    LateAnswerError,
+    ServiceNotFoundError,
+    caller_response,
+    fingerprint,
+    repeat_answer,
+    worse,
+)
 
 MAX_ATTEMPTS = 3
 MAX_ANSWER_BYTES = 4 * 1_048_576
-RETRY_AFTER_S = 1.0
 PUMP_INTERVAL_S = 0.25
+OVERRUN_S = 5.0
+SERVER_ERROR = 500
+
+Perform = Callable[["Progress"], Awaitable[CallerResponse]]
+
+
+class Progress:
+    """How far a request has got.
+
+    Attributes:
+        abandoned: Whether the caller has hung up.
+        queued: Whether it waits for a slot, and nothing is lost by cancelling.
+    """
+
+    def __init__(self) -> None:
+        self.abandoned = False
+        self.queued = False
+
+    @contextmanager
+    def waiting(self) -> Iterator[None]:
+        """Marks the block in which the request waits for a slot."""
+        self.queued = True
+        try:
+            yield
+        finally:
+            self.queued = False
+
+
+class HeldSlot(NamedTuple):
+    """A slot whose exchange was cut and that may still be occupied."""
+
+    free_s: float
+    order: int
+    service: ServiceSpec
+    endpoint: Endpoint
 
 
 class Router:
     """The caller's path of one entry.
 
     Attributes:
-        in_flight: Requests under way.
+        in_flight: Requests under way, late answers to keyed ones included.
+        held: Slots that are held back after a cut exchange, as a heap.
+        budgets: Budget of retries by service.
     """
 
     def __init__(
@@ -64,20 +108,33 @@
         self.metrics = metrics
         self.log = log
         self.steps = steps
-        self.admission = Admission(clock, self.acquire)
+        self.admission = Admission(clock, self.acquire, self.release, view.team_weight)
         self.attempt_ids = itertools.count(1)
         self.in_flight = 0
+        self.held: list[HeldSlot] = []
+        self.budgets: dict[str, RetryBudget] = {}
+        self.tasks: set[asyncio.Task[Any]] = set()
 
     async def run(self) -> None:
-        """Grants slots that became free without a release, until cancelled."""
+        """Frees held slots and grants slots that became free, until cancelled."""
         while True:
+            self.free_held_slots()
             for service in list(self.view.services.values()):
                 self.admission.pump(service)
             await self.clock.sleep(PUMP_INTERVAL_S)
 
+    def free_held_slots(self) -> None:
+        """Gives back the slots whose attempt must have ended by now."""
+        while self.held and self.held[0].free_s <= self.clock.now():
+            slot = heapq.heappop(self.held)
+            self.release(slot.service, slot.endpoint)
+
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Answers a request.
 
+        A caller that hangs up cancels this call. A request that still waits
+        is then dropped; one that may have been sent runs to its verdict.
+
         Args:
             request: The caller's request.
 
@@ -89,12 +146,62 @@
         """
         service = self.view.services.get(request.service)
         if service is None:
-            raise BadRequestError(f"no service {request.service}")
+            raise ServiceNotFoundError(f"no service {request.service}")
         await self.steps.reach(Step.REQUEST_READ)
+
+        async def perform(progress: Progress) -> CallerResponse:
+            return await self.dispatch(service, request, progress)
+
+        return await self.perform(request, perform)
+
+    async def perform(self, request: CallerRequest, perform: Perform) -> CallerResponse:
+        """Does something for a caller, at most once if it carries a key.
+
+        Args:
+            request: The caller's request.
+            perform: What to do; it outlives a caller that hangs up.
+
+        Returns:
+            The answer, or the one remembered for the key.
+
+        Raises:
+            RequestError: No answer.
+        """
+        progress = Progress()
+        work = self.track(self.answer(request, perform, progress))
+        try:
+            return await asyncio.shield(work)
+        except asyncio.CancelledError:
+            progress.abandoned = True
+            if progress.queued:
+                work.cancel()
+            raise
+
+    def track(self, work: Any) -> "asyncio.Task[Any]":
+        """Runs work that outlives the caller's task."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.on_done)
+        return task
+
+    def on_done(self, task: "asyncio.Task[Any]") -> None:
+        """Logs an unexpected error of work whose caller may be gone."""
+        self.tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None and not isinstance(error, RequestError):
+            self.metrics.count("routing.unexpected_errors")
+            self.log.error("unexpected_error", kind=type(error).__name__, reason=error)
+
+    async def answer(
+        self, request: CallerRequest, perform: Perform, progress: Progress
+    ) -> CallerResponse:
+        """Performs a request, through the owner of its key if it has one."""
         with self.counted():
             if request.idempotency_key:
-                return await self.handle_keyed(service, request)
-            return await self.dispatch(service, request)
+                return await self.answer_keyed(request, perform, progress)
+            return await perform(progress)
 
     @contextmanager
     def counted(self) -> Iterator[None]:
@@ -105,8 +212,8 @@
         finally:
             self.in_flight -= 1
 
-    async def handle_keyed(
-        self, service: ServiceSpec, request: CallerRequest
+    async def answer_keyed(
+        self, request: CallerRequest, perform: Perform, progress: Progress
     ) -> CallerResponse:
         """Answers a request that carries an idempotency key."""
         decision = await self.keys.begin(
@@ -117,78 +224,227 @@
         )
         if decision.state is not KeyState.RUN:
             return repeat_answer(decision)
-        await self.steps.reach(Step.REQUEST_KEY_RECORDED)
         verdict = Verdict.UNKNOWN
         response = None
+        late = None
         try:
-            response = await self.dispatch(service, request)
+            await self.steps.reach(Step.REQUEST_KEY_RECORDED)
+            response = await perform(progress)
             verdict = response.verdict
             return response
+        except LateAnswerError as error:
+            late = error
+            raise
         except RequestError as error:
             verdict = error.verdict
             raise
         finally:
-            await self.keys.finish(
-                request.organisation, request.idempotency_key, verdict, response
-            )
-            await self.steps.reach(Step.REQUEST_KEY_FINISHED)
+            if late is None:
+                await self.finish(request, verdict, response)
+            else:
+                self.track(self.finish_late(request, late))
+
+    async def finish(
+        self,
+        request: CallerRequest,
+        verdict: Verdict,
+        response: CallerResponse | None,
+    ) -> None:
+        """Records for the key how the request ended."""
+        await self.keys.finish(
+            request.organisation, request.idempotency_key, verdict, response
+        )
+        await self.steps.reach(Step.REQUEST_KEY_FINISHED)
+
+    async def finish_late(self, request: CallerRequest, late: LateAnswerError) -> None:
+        """Records for the key an answer that came after the deadline."""
+        with self.counted():
+            verdict, response = Verdict.UNKNOWN, None
+            try:
+                response = await late.exchange
+                verdict = response.verdict
+            except EndpointError as error:
+                verdict = worse(late.earlier, error.verdict)
+            finally:
+                await self.finish(request, verdict, response)
 
     async def dispatch(
-        self, service: ServiceSpec, request: CallerRequest
+        self, service: ServiceSpec, request: CallerRequest, progress: Progress
     ) -> CallerResponse:
         """Tries endpoints until one answers or a retry is not allowed."""
         tried: frozenset[str] = frozenset()
         verdict = Verdict.NOT_RUN
         for attempt_number in itertools.count(1):
+            grant = await self.admit(service, request, progress, tried, verdict)
+            tried |= {grant.endpoint.vm}
             try:
-                endpoint = await self.admission.enter(service, request, tried)
-            except OverloadedError as error:
-                error.verdict = verdict
-                raise
-            tried |= {endpoint.vm}
-            await self.steps.reach(Step.REQUEST_ADMITTED)
-            try:
-                return await self.attempt(service, request, endpoint)
+                response = await self.attempt(service, request, grant, progress)
+                self.budget(service).succeeded()
+                return response
             except EndpointError as error:
+                if isinstance(error, LateAnswerError):
+                    error.earlier = verdict
                 verdict = worse(verdict, error.verdict)
                 error.verdict = verdict
-                if not self.may_retry(request, error, attempt_number):
+                if progress.abandoned or not self.may_retry(
+                    service, request, error, attempt_number
+                ):
                     raise
                 self.metrics.count("routing.retries")
         raise AssertionError("unreachable")
 
+    async def admit(
+        self,
+        service: ServiceSpec,
+        request: CallerRequest,
+        progress: Progress,
+        tried: frozenset[str],
+        verdict: Verdict,
+    ) -> Grant:
+        """Waits for a slot.
+
+        Args:
+            service: Service asked.
+            request: The request.
+            progress: Where a caller that hangs up is seen.
+            tried: VMs tried so far.
+            verdict: Verdict on the attempts so far, for a refusal.
+
+        Returns:
+            The slot.
+
+        Raises:
+            RequestError: Refused, or the caller has hung up.
+        """
+        try:
+            with progress.waiting():
+                return await self.admission.enter(service, request, tried)
+        except OverloadedError as error:
+            self.metrics.count(f"routing.overloaded.{request.request_class}")
+            error.verdict = verdict
+            raise
+        except asyncio.CancelledError:
+            if not progress.abandoned:
+                raise
+            reason = "the caller hung up before the request was sent"
+            raise RequestError(reason, verdict=verdict) from None
+
     def may_retry(
-        self, request: CallerRequest, error: EndpointError, attempt_number: int
+        self,
+        service: ServiceSpec,
+        request: CallerRequest,
+        error: EndpointError,
+        attempt_number: int,
     ) -> bool:
-        """Returns whether another attempt is allowed."""
+        """Returns whether another attempt is allowed, and spends its budget."""
         if attempt_number >= MAX_ATTEMPTS or self.clock.now() >= request.deadline_s:
             return False
-        return error.verdict is Verdict.NOT_RUN or request.idempotent
+        if error.verdict is not Verdict.NOT_RUN and not request.idempotent:
+            return False
+        allowed = self.budget(service).try_spend()
+        if not allowed:
+            self.metrics.count("routing.retry_budget_spent")
+        return allowed
+
+    def budget(self, service: ServiceSpec) -> RetryBudget:
+        """Returns the budget of retries of a service."""
+        found = self.budgets.get(service.name)
+        if found is None:
+            found = self.budgets[service.name] = RetryBudget(self.clock)
+        return found
 
     def acquire(
-        self, service: ServiceSpec, excluded: Collection[str]
+        self, service: ServiceSpec, avoided: Collection[str]
     ) -> Endpoint | None:
         """Takes a slot at an endpoint of a service."""
         endpoints = self.view.endpoints(service)
-        return self.chooser.acquire(service.name, endpoints, excluded)
+        return self.chooser.acquire(service.name, endpoints, avoided)
+
+    def release(self, service: ServiceSpec, endpoint: Endpoint) -> None:
+        """Gives a slot back and grants it to the next request."""
+        self.chooser.release(service.name, endpoint)
+        self.admission.pump(service)
 
     async def attempt(
-        self, service: ServiceSpec, request: CallerRequest, endpoint: Endpoint
+        self,
+        service: ServiceSpec,
+        request: CallerRequest,
+        grant: Grant,
+        progress: Progress,
     ) -> CallerResponse:
-        """Sends one attempt and gives the slot back."""
+        """Sends one attempt and waits for its answer until the deadline."""
+        exchange = self.track(self.exchange(service, request, grant, progress))
         try:
-            answer = await self.client.send(self.new_attempt(request, endpoint))
-        finally:
-            self.chooser.release(service.name, endpoint)
-            self.admission.pump(service)
+            async with self.clock.timeout(request.deadline_s - self.clock.now()):
+                response: CallerResponse = await asyncio.shield(exchange)
+        except TimeoutError:
+            reason = f"{grant.endpoint.vm} gave no answer before the deadline"
+            raise LateAnswerError(reason, exchange) from None
         await self.steps.reach(Step.REQUEST_ANSWERED)
-        if answer.draining and self.view.mark_leaving(endpoint.vm):
-            self.log.info("endpoint_leaving", vm=endpoint.vm, source="answer")
+        return response
+
+    async def exchange(
+        self,
+        service: ServiceSpec,
+        request: CallerRequest,
+        grant: Grant,
+        progress: Progress,
+    ) -> CallerResponse:
+        """Sends one attempt and holds its slot until it has surely ended."""
+        remaining_s = max(request.deadline_s - self.clock.now(), 0.0)
+        bound_s = max(remaining_s, service.deadline_s) + OVERRUN_S
+        free_s = 0.0
+        try:
+            await self.steps.reach(Step.REQUEST_ADMITTED)
+            if progress.abandoned:
+                raise EndpointError("the caller hung up before the request was sent")
+            answer = await self.send(self.new_attempt(request, grant.endpoint, bound_s))
+        except ExchangeCutError:
+            free_s = grant.granted_s + bound_s
+            raise
+        finally:
+            self.admission.leave(service, grant)
+            self.give_back(service, grant.endpoint, free_s)
         if answer.not_run:
-            raise EndpointError(f"{endpoint.vm} refused the request")
-        return caller_response(answer, endpoint)
+            raise EndpointError(f"{grant.endpoint.vm} refused the request")
+        return caller_response(answer, grant.endpoint)
+
+    async def send(self, attempt: Attempt) -> EndpointAnswer:
+        """Sends one attempt and notes whether its endpoint works."""
+        vm = attempt.endpoint.vm
+        try:
+            answer = await self.client.send(attempt)
+        except EndpointError as error:
+            self.note_failure(vm, str(error))
+            raise
+        if answer.draining and self.view.mark_leaving(vm):
+            self.log.info("endpoint_leaving", vm=vm, source="answer")
+        if answer.status < SERVER_ERROR:
+            self.chooser.outliers.succeeded(vm)
+        elif not answer.draining:
+            self.note_failure(vm, f"status {answer.status}")
+        return answer
+
+    def note_failure(self, vm: str, reason: str) -> None:
+        """Notes a failed attempt, which may eject the endpoint."""
+        if self.chooser.outliers.failed(vm):
+            self.metrics.count("routing.ejections")
+            self.log.warning("endpoint_ejected", vm=vm, reason=reason)
+
+    def give_back(
+        self, service: ServiceSpec, endpoint: Endpoint, free_s: float
+    ) -> None:
+        """Gives a slot back, not before the clock time given."""
+        if free_s <= self.clock.now():
+            self.release(service, endpoint)
+            return
+        slot = HeldSlot(free_s, next(self.attempt_ids), service, endpoint)
+        heapq.heappush(self.held, slot)
+        self.metrics.gauge("routing.slots_held_back", len(self.held))
 
-    def new_attempt(self, request: CallerRequest, endpoint: Endpoint) -> Attempt:
+    def new_attempt(
+        self, request: CallerRequest, endpoint: Endpoint, timeout_s: float
+    ) -> Attempt:
         """Returns an attempt with a fresh id."""
         return Attempt(
             attempt_id=f"{request.request_id}.{next(self.attempt_ids)}",
@@ -198,59 +454,6 @@
             path=request.path,
             body=request.body,
             content_type=request.content_type,
-            timeout_s=max(request.deadline_s - self.clock.now(), 0.001),
+            timeout_s=timeout_s,
             max_answer_bytes=MAX_ANSWER_BYTES,
         )
-
-
-def worse(first: Verdict, second: Verdict) -> Verdict:
-    """Returns UNKNOWN if either verdict is; attempts never undo each other."""
-    return Verdict.UNKNOWN if Verdict.UNKNOWN in (first, second) else second
-
-
-def caller_response(answer: EndpointAnswer, endpoint: Endpoint) -> CallerResponse:
-    """Turns an endpoint's answer into the caller's."""
-    return CallerResponse(
-        status=answer.status,
-        body=answer.body,
-        content_type=answer.content_type,
-        verdict=Verdict.RAN,
-        endpoint=endpoint.vm,
-    )
-
-
-def fingerprint(request: CallerRequest) -> str:
-    """Returns a hash that is equal for equal requests."""
-    parts = [request.service, request.method, request.path]
-    text = "\x00".join(parts).encode()
-    return hashlib.sha256(text + b"\x00" + request.body).hexdigest()
-
-
-def repeat_answer(decision: KeyDecision) -> CallerResponse:
-    """Answers a request whose key does not permit a dispatch.
-
-    Raises:
-        RequestError: There is no answer to repeat.
-    """
-    match decision.state:
-        case KeyState.ANSWERED if decision.response is not None:
-            return decision.response
-        case KeyState.CONFLICT:
-            error = RequestError("the key was used for another request")
-            error.status = 409
-            raise error
-        case KeyState.IN_PROGRESS:
-            error = RequestError(
-                "the first request with this key is under way",
-                verdict=Verdict.UNKNOWN,
-                retry_after_s=RETRY_AFTER_S,
-            )
-            error.status = 409
-            raise error
-        case KeyState.UNAVAILABLE:
-            raise RequestError(
-                "the owner of the key cannot be reached",
-                verdict=Verdict.UNKNOWN,
-                retry_after_s=RETRY_AFTER_S,
-            )
-    raise RequestError("the request may have run", verdict=Verdict.UNKNOWN)
