--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -119,7 +119,12 @@
         )
         entries = [entry["name"] for entry in self.settings["entries"]]
         self.permits = StaticPermits(self.name, entries, self.slots_of)
-        chooser = EndpointChooser(self.settings["availability_zone"], self.permits)
+        chooser = EndpointChooser(
+            self.settings["availability_zone"],
+            self.permits,
+            self.clock,
+            self.settings["region"],
+        )
         self.keys = OwnedKeys(self.mesh, self.clock, self.limits.idempotency_keys)
         self.router = Router(
             self.name,
