Test every spoiled answer of an endpoint over real sockets

A connection whose answer was crossed or carried no id was given back to the pool before its id was compared, because the library releases a connection at the end of the body; the next request then went out on it.

--- a/libs/routing/tests/conftest.py
+++ b/libs/routing/tests/conftest.py
@@ -8,7 +8,12 @@
 from burdockthread_model.intended import ServiceSpec
 from burdockthread_model.request import CallerRequest, RequestClass
 from burdockthread_routing.admission import Admission
-from burdockthread_routing.endpoint_client import Endpoint
+from burdockthread_routing.endpoint_client import (
+    Attempt,
+    Endpoint,
+    HttpEndpointClient,
+)
+from burdockthread_standins.endpoint import StandinEndpoint
 
 SERVICE = ServiceSpec("org/svc", "org", "org/pool", queue_limit=256, deadline_s=10.0)
 
@@ -100,3 +105,41 @@
         return SlotPool(clock, slots, hold_s, weights or {})
 
     return make
+
+
+@pytest.fixture
+async def vm():
+    """One stand-in endpoint on a real socket."""
+    endpoint = StandinEndpoint("vm-0", work_time_s=0.0)
+    endpoint.pool = SERVICE.pool
+    await endpoint.start("127.0.0.1")
+    yield endpoint
+    await endpoint.stop()
+
+
+@pytest.fixture
+async def client():
+    endpoint_client = HttpEndpointClient(64)
+    yield endpoint_client
+    await endpoint_client.close()
+
+
+@pytest.fixture
+def new_attempt(vm):
+    numbers = itertools.count(1)
+
+    def make(body="", method="POST", timeout_s=5.0, max_answer_bytes=100_000):
+        number = next(numbers)
+        return Attempt(
+            attempt_id=f"entry-1.{number}",
+            endpoint=endpoint_named(vm.name, port=vm.port),
+            organisation="org",
+            method=method,
+            path="/order?town=gangi",
+            body=(body or f"body-{number}").encode(),
+            content_type="text/plain",
+            timeout_s=timeout_s,
+            max_answer_bytes=max_answer_bytes,
+        )
+
+    return make
--- a/libs/standins/burdockthread_standins/endpoint.py
+++ b/libs/standins/burdockthread_standins/endpoint.py
@@ -38,6 +38,7 @@
         body: Body as text.
         time_s: Unix time of the start.
         in_flight: Requests under way at the start, this one included.
+        sender_port: TCP port that the request came from.
     """
 
     attempt_id: str
@@ -46,6 +47,7 @@
     body: str
     time_s: float = 0.0
     in_flight: int = 0
+    sender_port: int = 0
 
 
 class StandinEndpoint:
@@ -196,6 +198,7 @@
 
     def new_run(self, request: web.Request, text: str) -> Run:
         """Returns the record of a run that starts now."""
+        peer = request.get_extra_info("peername") or ("", 0)
         return Run(
             attempt_id=request.headers.get(ATTEMPT_HEADER, ""),
             method=request.method,
@@ -203,6 +206,7 @@
             body=text,
             time_s=self.clock.wall(),
             in_flight=self.in_flight,
+            sender_port=peer[1],
         )
 
     async def work(self, fault: Fault) -> None:
