--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -136,7 +136,12 @@
         )
         entries = [entry["name"] for entry in self.settings["entries"]]
         self.permits = StaticPermits(self.name, entries, self.slots_of)
-        chooser = EndpointChooser(self.settings["availability_zone"], self.permits)
+        chooser = EndpointChooser(
+            self.settings["availability_zone"],
+            self.permits,
+            self.clock,
+            self.settings["region"],
+        )
         self.membership = Membership.from_settings(
             self.settings, self.mesh, self.store, self.clock, self.log
         )
