--- a/libs/fleet/burdockthread_fleet/budget.py
+++ b/libs/fleet/burdockthread_fleet/budget.py
@@ -27,9 +27,9 @@
 
 def domain_of(listing: VmListing, survives: FailureDomain) -> tuple[str, ...]:
     """Returns the failure domain of a VM at the level that a pool survives."""
-    if survives is FailureDomain.ZONE:
+    if survives == FailureDomain.ZONE:
         return (listing.availability_zone,)
-    if survives is FailureDomain.RACK:
+    if survives == FailureDomain.RACK:
         return (listing.availability_zone, listing.rack)
     return (listing.name,)
 
