--- a/libs/fleet/burdockthread_fleet/memory_fleet.py
+++ b/libs/fleet/burdockthread_fleet/memory_fleet.py
@@ -109,8 +109,7 @@
         if self.clock is not self.fleet.clock:
             await self.clock.advance(STEP_INTERVAL_S)
         await self.look()
-        if await self.leadership.keep():
-            await self.planner.step()
+        await self.planner.tick()
 
 
 class MemoryFleet:
--- a/libs/fleet/burdockthread_fleet/planner.py
+++ b/libs/fleet/burdockthread_fleet/planner.py
@@ -131,13 +131,17 @@
     async def run(self) -> None:
         """Plans until cancelled."""
         while True:
-            if await self.leadership.keep():
-                await self.step()
+            await self.tick()
             await self.clock.sleep(STEP_INTERVAL_S)
 
+    async def tick(self) -> None:
+        """Notes which VMs are missing, and plans while the lease is held."""
+        self.absence.update(self.view.listings, self.view.records)
+        if await self.leadership.keep():
+            await self.step()
+
     async def step(self) -> None:
         """Does what is due now; a lost race is tried again at the next step."""
-        self.absence.update(self.view.listings, self.view.records)
         if not (self.vm_cache.synced and self.pool_cache.synced):
             return
         started_s = self.clock.now()
