--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -10,9 +10,17 @@
 
 import aiomisc
 from aiohttp import web
+from burdockthread_fleet.job_directory import (
+    JobDirectory,
+    JobsReport,
+    jobs_report,
+)
+from burdockthread_fleet.job_runner import JobRunner
+from burdockthread_fleet.job_segments import JobSegments
 from burdockthread_fleet.leadership import Leadership
 from burdockthread_fleet.planner import Planner
 from burdockthread_fleet.vm_control import HttpVmControl, VmControl
+from burdockthread_fleet.worker_client import HttpWorkerClient, WorkerClient
 from burdockthread_model.clock import Clock
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import MemoryMetrics, StatsdMetrics
@@ -21,6 +29,7 @@
 from burdockthread_operators.authentication import Authenticator
 from burdockthread_operators.changes import TemplateChanges
 from burdockthread_operators.operators_api import OperatorsApi
+from burdockthread_peers.membership import Membership
 from burdockthread_peers.mesh import PeerMesh
 from burdockthread_peers.owned_keys import OwnedKeys
 from burdockthread_peers.relay import ConfigurationRelay
@@ -30,7 +39,7 @@
 from burdockthread_routing.endpoint_choice import EndpointChooser
 from burdockthread_routing.endpoint_client import EndpointClient, HttpEndpointClient
 from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
-from burdockthread_routing.job_ledger import JobLedger
+from burdockthread_routing.job_ledger import JOB_PREFIX, JobLedger
 from burdockthread_routing.router import Router
 from burdockthread_routing.vm_directory import HttpVmDirectory, VmDirectory
 from burdockthread_store.applied import HEAD_PREFIX, AppliedConfiguration
@@ -53,6 +62,7 @@
     store: ConfigurationStore
     directory: VmDirectory
     control: VmControl
+    workers: WorkerClient
     endpoints: EndpointClient
     clock: Clock
 
@@ -65,6 +75,7 @@
             store=EtcdStore(platform["store_url"], clock),
             directory=HttpVmDirectory(platform["vm_directory_url"]),
             control=HttpVmControl(platform["vm_directory_url"]),
+            workers=HttpWorkerClient(platform["vm_directory_url"]),
             endpoints=HttpEndpointClient(max(ENDPOINT_CONNECTIONS // entries, 1)),
             clock=clock,
         )
@@ -72,6 +83,7 @@
     async def close(self) -> None:
         """Closes all connections."""
         await self.endpoints.close()
+        await self.workers.close()
         await self.control.close()
         await self.directory.close()
         await self.store.close()
@@ -99,6 +111,7 @@
         self.build_configuration()
         self.build_routing()
         self.build_fleet()
+        self.build_jobs()
         self.build_operators()
         self.ports: dict[str, int] = {}
 
@@ -120,7 +133,12 @@
         entries = [entry["name"] for entry in self.settings["entries"]]
         self.permits = StaticPermits(self.name, entries, self.slots_of)
         chooser = EndpointChooser(self.settings["availability_zone"], self.permits)
-        self.keys = OwnedKeys(self.mesh, self.clock, self.limits.idempotency_keys)
+        self.membership = Membership.from_settings(
+            self.settings, self.mesh, self.edges.store, self.clock, self.log
+        )
+        self.keys = OwnedKeys(
+            self.mesh, self.membership, self.clock, self.limits.idempotency_keys
+        )
         self.router = Router(
             self.name,
             self.view,
@@ -158,6 +176,35 @@
             self.steps,
         )
 
+    def build_jobs(self) -> None:
+        """Builds the side that places and runs jobs."""
+        store = self.edges.store
+        self.job_cache = PrefixCache(store, JOB_PREFIX, self.clock)
+        self.job_segments = JobSegments(store, self.job_cache, self.log)
+        self.job_runner = JobRunner(
+            self.mesh,
+            self.job_segments,
+            store,
+            self.view,
+            self.edges.workers,
+            self.clock,
+            self.metrics,
+            self.log,
+            self.steps,
+        )
+        self.job_directory = JobDirectory(
+            self.job_segments, self.clock, self.metrics, self.log
+        )
+
+    def jobs_report(self) -> JobsReport:
+        """Reports the jobs."""
+        return jobs_report(
+            self.job_segments.jobs.values(),
+            self.clock.wall(),
+            self.job_runner.quarantined_workers(),
+            self.job_runner.rounds,
+        )
+
     def build_operators(self) -> None:
         """Builds the operators' API."""
         self.status = FleetStatus(
@@ -172,6 +219,7 @@
                 "process": self.process_report,
                 "metrics": self.metrics_report,
                 "routing": self.routing_report,
+                "jobs": self.jobs_report,
                 "store": self.store_report,
             },
             self.metrics,
@@ -206,7 +254,12 @@
     def store_report(self) -> object:
         """Returns how current the copies of the store are."""
         now = self.clock.now()
-        caches = (self.config_cache, self.vm_cache, self.pool_cache)
+        caches = (
+            self.config_cache,
+            self.vm_cache,
+            self.pool_cache,
+            self.job_cache,
+        )
         return {
             cache.prefix: {
                 "revision": cache.revision,
@@ -242,10 +295,14 @@
             self.vm_cache.run(),
             self.pool_cache.run(),
             self.relay.run(),
+            self.membership.run(),
+            self.keys.run(),
             self.view.run(self.limits.directory_interval_s),
             self.router.run(),
             self.ledger.run(),
             self.planner.run(),
+            self.job_cache.run(),
+            self.job_runner.run(),
         )
 
     async def listen(
@@ -279,6 +336,7 @@
         give_up_s = self.clock.now() + self.limits.stop_timeout_s
         while self.router.in_flight and self.clock.now() < give_up_s:
             await self.clock.sleep(DRAIN_POLL_S)
+        await self.membership.leave()
         self.log.info("entry_stopped", in_flight=self.router.in_flight)
 
 
