--- a/libs/scenarios/burdockthread_scenarios/memory_vms.py
+++ b/libs/scenarios/burdockthread_scenarios/memory_vms.py
@@ -113,11 +113,12 @@
             found.pool = pool
             found.generation = generation
 
-    async def drain(self, vm: str) -> int:
-        """Makes a VM take no new work."""
+    async def drain(self, vm: str, boot_id: str) -> int:
+        """Makes a VM take no new work unless it has left the given boot."""
         self.check_reachable()
         found = self.vms[vm]
-        if found.draining_since_s is None:
+        same_boot = found.listing.boot_id == boot_id
+        if same_boot and found.draining_since_s is None:
             found.draining_since_s = self.clock.now()
             self.publish(found.listing._replace(status=VmStatus.LEAVING))
         return found.in_flight
