--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -208,7 +208,7 @@
     def build_operators(self) -> None:
         """Builds the operators' API."""
         self.status = FleetStatus(
-            self.name, self.applied, self.mesh, self.relay, self.view, self.leadership
+            self.name, self.applied, self.mesh, self.relay, self.view, self.planner
         )
         self.operators_api = OperatorsApi(
             Authenticator(self.settings["operator_tokens"]),
--- a/libs/burdockthread/burdockthread/status.py
+++ b/libs/burdockthread/burdockthread/status.py
@@ -3,7 +3,8 @@
 from collections import Counter
 from typing import NamedTuple
 
-from burdockthread_fleet.leadership import Leadership
+from burdockthread_fleet.planner import Planner
+from burdockthread_fleet.planner_report import PlannerReport, planner_report
 from burdockthread_model.vm import VmState
 from burdockthread_peers.mesh import Member, PeerMesh
 from burdockthread_peers.relay import ConfigurationRelay
@@ -32,6 +33,7 @@
     peer_versions: dict[str, dict[str, int]]
     members: tuple[Member, ...]
     pools: tuple[PoolStatus, ...]
+    planning: PlannerReport
 
 
 class FleetStatus:
@@ -44,24 +46,25 @@
         mesh: PeerMesh,
         relay: ConfigurationRelay,
         view: FleetView,
-        leadership: Leadership,
+        planner: Planner,
     ) -> None:
         self.name = name
         self.applied = applied
         self.mesh = mesh
         self.relay = relay
         self.view = view
-        self.leadership = leadership
+        self.planner = planner
 
     def report(self) -> EntryStatus:
         """Returns the status."""
         return EntryStatus(
             entry=self.name,
-            planner=self.leadership.held(),
+            planner=self.planner.leadership.held(),
             versions=self.applied.versions(),
             peer_versions=self.relay.peer_versions,
             members=self.mesh.members(),
             pools=tuple(self.pool(name) for name in sorted(self.view.pools)),
+            planning=planner_report(self.planner),
         )
 
     def pool(self, name: str) -> PoolStatus:
