--- a/libs/fleet/burdockthread_fleet/usage.py
+++ b/libs/fleet/burdockthread_fleet/usage.py
@@ -151,8 +151,9 @@
                 max(expected.memory_gb, report.memory_gb_used) * STALE_MARGIN,
                 job.accelerators,
             )
+        full_speed_cores = report.cores_used / self.shares.get(report.task_id, 1.0)
         memory_gb = report.memory_gb_used * MEMORY_MARGIN
-        return Size(report.cores_used, memory_gb, job.accelerators)
+        return Size(full_speed_cores, memory_gb, job.accelerators)
 
     def forget(self, task_id: str) -> None:
         """Drops what is kept for one task."""
