Start urgent jobs when every pool is full, and relieve crowded VMs

Rounds now place by class and team: an urgent job takes its own pool, then the organisation's spare pool, then the VM where the fewest and least urgent jobs have to be checkpointed; a class keeps its guaranteed share both ways. Room counts as free only once the worker has confirmed the checkpoint, and the job waits in the store as CHECKPOINTED once its report shows it. Stopping was ruled out for displacement: work that is not idempotent would be lost.

VMs whose real use exceeds them are relieved with hysteresis. A worker that fails three jobs without a success is closed, half of a pool at the most, and probed with one job at a time; unproven workers get 4 jobs until one is seen at work. A job that fails on three healthy workers is parked, as is one larger than any VM or than its team's quota; the latter wait again by themselves once a template makes room.

Tests failed first: a worker that fails everything started 8 jobs, not 4, because its failed jobs counted as seen at work. The bound of writes for 200 jobs first failed with 26 and 5: it is kept at 4 for proven workers and teams within their quota, and a test of a cold start bounds it by 2 a second.

--- /dev/null
+++ b/libs/fleet/burdockthread_fleet/job_placer.py
@@ -0,0 +1,387 @@
+"""Decides each round which waiting jobs start, and where."""
+
+from collections import defaultdict, deque
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.intended import OrganisationSpec, PoolSpec, ServiceSpec
+from burdockthread_model.job import Job, JobState
+from burdockthread_model.request import RequestClass
+from burdockthread_routing.fleet_view import FleetView
+
+from burdockthread_fleet.displacement import (
+    DISPLACEMENT_TIMEOUT_S,
+    ClassUsage,
+    Displacement,
+    choose_victims,
+)
+from burdockthread_fleet.job_segments import JobUpdate
+from burdockthread_fleet.placement import PlacementPolicy, Room
+from burdockthread_fleet.quarantine import WorkerQuarantine
+from burdockthread_fleet.quotas import TeamAccounts, class_minima, next_class
+from burdockthread_fleet.settlement import waiting
+from burdockthread_fleet.usage import Size
+
+MAX_CLAIMS_PER_ROUND = 200
+MAX_UNPROVEN_CLAIMS = 4
+MAX_MISSES_PER_QUEUE = 8
+MAX_DISPLACEMENTS_PER_ROUND = 32
+RESERVE_AFTER_S = 30.0
+AVOID_S = 5.0
+TOO_LARGE_REASON = "larger than any VM"
+OVER_QUOTA_REASON = "larger than the quota"
+NO_SERVICE_REASON = "unknown service"
+RELEASABLE_REASONS = (TOO_LARGE_REASON, OVER_QUOTA_REASON, NO_SERVICE_REASON)
+
+
+class Plan(NamedTuple):
+    """What a round decides about waiting jobs.
+
+    Attributes:
+        updates: Claims, and jobs parked or released.
+        displacements: Room made for urgent jobs, the pending ones included.
+    """
+
+    updates: tuple[JobUpdate, ...]
+    displacements: tuple[Displacement, ...]
+
+
+class PoolQueue:
+    """Waiting jobs of one pool by class and team, the oldest first."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[tuple[RequestClass, str], deque[Job]] = {}
+        self.misses: defaultdict[tuple[RequestClass, str], int] = defaultdict(int)
+
+    def put(self, job: Job) -> None:
+        """Adds a job; jobs are to be added oldest first."""
+        key = (job.request_class, job.team)
+        self.jobs.setdefault(key, deque()).append(job)
+
+    def classes(self) -> set[RequestClass]:
+        """Returns the classes that have jobs."""
+        return {request_class for request_class, _ in self.jobs}
+
+    def teams(self, request_class: RequestClass) -> list[str]:
+        """Returns the teams that have jobs of a class."""
+        return [team for c, team in self.jobs if c is request_class]
+
+    def take(self, request_class: RequestClass, team: str) -> Job:
+        """Removes and returns the oldest job of a class and team."""
+        key = (request_class, team)
+        job = self.jobs[key].popleft()
+        if not self.jobs[key]:
+            del self.jobs[key]
+        return job
+
+    def miss(self, job: Job) -> None:
+        """Notes a job without room; after some, its queue waits for a round."""
+        key = (job.request_class, job.team)
+        self.misses[key] += 1
+        if self.misses[key] >= MAX_MISSES_PER_QUEUE:
+            self.jobs.pop(key, None)
+
+
+class JobPlacer:
+    """Places the waiting jobs of one organisation.
+
+    Attributes:
+        policy: Sizes jobs and chooses among VMs.
+        quarantine: Workers and jobs that fail.
+        pending: Room that is being made, by job.
+        avoided_s: Clock time until which a VM gets no job, by VM.
+    """
+
+    def __init__(
+        self,
+        organisation: str,
+        view: FleetView,
+        policy: PlacementPolicy,
+        quarantine: WorkerQuarantine,
+        clock: Clock,
+    ) -> None:
+        self.organisation = organisation
+        self.view = view
+        self.policy = policy
+        self.quarantine = quarantine
+        self.clock = clock
+        self.pending: dict[str, Displacement] = {}
+        self.avoided_s: dict[str, float] = {}
+        self.rounds = 0
+
+    def plan(
+        self,
+        waiting_jobs: Sequence[Job],
+        parked: Sequence[Job],
+        rooms: Mapping[str, Room],
+    ) -> Plan:
+        """Decides one round.
+
+        Args:
+            waiting_jobs: Jobs that wait for a VM.
+            parked: Parked jobs.
+            rooms: VMs of the organisation with their jobs.
+
+        Returns:
+            What is to be written and ordered.
+        """
+        self.rounds += 1
+        return PlacementRound(self, rooms).decide(waiting_jobs, parked)
+
+    def spec(self) -> OrganisationSpec | None:
+        """Returns what is intended for the organisation."""
+        for spec in self.view.organisations.values():
+            if spec.organisation == self.organisation:
+                return spec
+        return None
+
+    def pools(self) -> list[PoolSpec]:
+        """Returns the pools of the organisation, another one first each round."""
+        pools = [
+            p for p in self.view.pools.values() if p.organisation == self.organisation
+        ]
+        if not pools:
+            return []
+        turn = self.rounds % len(pools)
+        return pools[turn:] + pools[:turn]
+
+    def avoid(self, vm: str) -> None:
+        """Places nothing on a VM that did not take an order."""
+        self.avoided_s[vm] = self.clock.now() + AVOID_S
+
+
+class PlacementRound:
+    """The state of one round of a `JobPlacer`."""
+
+    def __init__(self, placer: JobPlacer, rooms: Mapping[str, Room]) -> None:
+        self.placer = placer
+        self.policy = placer.policy
+        self.now = placer.clock.now()
+        self.wall_s = placer.clock.wall()
+        self.pools = {pool.name: pool for pool in placer.pools()}
+        self.spare = next((p.name for p in self.pools.values() if p.spare), "")
+        self.members: dict[str, list[Room]] = {name: [] for name in self.pools}
+        for room in rooms.values():
+            self.members.setdefault(room.pool, []).append(room)
+        self.usage = {name: self.class_usage(name) for name in self.members}
+        self.accounts = self.team_accounts(rooms.values())
+        self.open = {name: self.open_rooms(name) for name in self.members}
+        self.updates: list[JobUpdate] = []
+        self.displacements: list[Displacement] = []
+        self.claims = 0
+
+    def class_usage(self, pool: str) -> ClassUsage:
+        """Returns what each class uses of a pool."""
+        total = Size()
+        for room in self.members[pool]:
+            total = total.plus(room.capacity)
+        services = self.placer.view.services.values()
+        service = next((s for s in services if s.pool == pool), None)
+        usage = ClassUsage(total, class_minima(service))
+        for room in self.members[pool]:
+            for job_id, job in room.tasks.items():
+                usage.add(job, room.sizes[job_id])
+        return usage
+
+    def team_accounts(self, rooms: Iterable[Room]) -> TeamAccounts:
+        """Returns the accounts of the teams, charged with what runs."""
+        total = Size()
+        spec = self.placer.spec()
+        rooms = list(rooms)
+        for room in rooms:
+            total = total.plus(room.capacity)
+        accounts = TeamAccounts(spec.teams if spec else (), total)
+        for room in rooms:
+            for job_id, job in room.tasks.items():
+                accounts.charge(job.team, room.sizes[job_id])
+        return accounts
+
+    def open_rooms(self, pool: str) -> list[Room]:
+        """Returns the VMs of a pool that may get jobs."""
+        rooms = self.members[pool]
+        quarantine = self.placer.quarantine
+        closed = quarantine.closed([room.vm for room in rooms], self.now)
+        found = []
+        for room in rooms:
+            avoided = self.placer.avoided_s.get(room.vm, 0.0) > self.now
+            if room.vm in closed or avoided:
+                continue
+            if room.vm in quarantine.until_s:
+                room.claims = 0 if room.tasks else 1
+            elif room.vm not in quarantine.proven:
+                room.claims = MAX_UNPROVEN_CLAIMS - room.unconfirmed
+            found.append(room)
+        return found
+
+    def decide(self, waiting_jobs: Sequence[Job], parked: Sequence[Job]) -> Plan:
+        """Decides the round; see `JobPlacer.plan`."""
+        self.release(parked)
+        runnable = self.park(waiting_jobs)
+        runnable = self.finish_displacements(runnable)
+        queues: defaultdict[str, PoolQueue] = defaultdict(PoolQueue)
+        for job in sorted(runnable, key=lambda job: job.submitted_s):
+            queues[self.placer.view.services[job.service].pool].put(job)
+        for pool in self.pools:
+            if pool in queues:
+                self.fill(pool, queues[pool])
+        return Plan(tuple(self.updates), tuple(self.displacements))
+
+    def park(self, jobs: Sequence[Job]) -> list[Job]:
+        """Parks the jobs that can never run; returns the others."""
+        runnable = []
+        for job in jobs:
+            reason = self.obstacle(job)
+            if reason:
+                parked = waiting(job, JobState.PARKED, reason)
+                self.updates.append(JobUpdate(job, parked))
+            elif job.service in self.placer.view.services:
+                runnable.append(job)
+        return runnable
+
+    def release(self, parked: Sequence[Job]) -> None:
+        """Lets parked jobs wait again that a template has made runnable."""
+        for job in parked:
+            if job.reason.startswith(RELEASABLE_REASONS) and not self.obstacle(job):
+                state = JobState.QUEUED
+                self.updates.append(JobUpdate(job, waiting(job, state)))
+
+    def obstacle(self, job: Job) -> str:
+        """Returns why a job can never run as things are, or an empty string."""
+        service = self.placer.view.services.get(job.service)
+        if service is None:
+            return NO_SERVICE_REASON if self.placer.spec() is not None else ""
+        size = self.policy.size(job)
+        if not size.fits(self.accounts.account(job.team).limit):
+            return f"{OVER_QUOTA_REASON} of team {job.team or '-'}: {describe(size)}"
+        candidates = self.members.get(service.pool, []) + self.borrowable(job, service)
+        if candidates and not any(size.fits(room.capacity) for room in candidates):
+            return f"{TOO_LARGE_REASON} of {service.pool}: {describe(size)}"
+        return ""
+
+    def borrowable(self, job: Job, service: ServiceSpec) -> list[Room]:
+        """Returns the VMs of the spare pool if a job may borrow them."""
+        if job.request_class is not RequestClass.URGENT or self.spare == service.pool:
+            return []
+        return self.members.get(self.spare, [])
+
+    def finish_displacements(self, jobs: Sequence[Job]) -> list[Job]:
+        """Claims the room that was made; holds the room that is being made."""
+        by_id = {job.job_id: job for job in jobs}
+        pending, self.placer.pending = self.placer.pending, {}
+        for made in pending.values():
+            job = by_id.get(made.job_id)
+            rooms = [r for pool in self.open.values() for r in pool if r.vm == made.vm]
+            if job is None or not rooms:
+                continue
+            room = rooms[0]
+            left = [v for v in made.victims if room.sizes.get(v.job_id, Size()).cores]
+            if not left and self.try_claim(job, room):
+                del by_id[made.job_id]
+            elif left and self.now < made.expires_s:
+                self.hold(job, room, made)
+                del by_id[made.job_id]
+            elif left:
+                self.placer.avoid(made.vm)
+                room.claims = 0
+        return list(by_id.values())
+
+    def hold(self, job: Job, room: Room, made: Displacement) -> None:
+        """Keeps the room that is being made from other jobs."""
+        for victim in made.victims:
+            if victim.job_id in room.sizes:
+                freed = room.sizes[victim.job_id]
+                self.usage[room.pool].remove(victim, freed)
+                room.remove(victim)
+        room.add(job, made.size)
+        self.placer.pending[job.job_id] = made
+        self.displacements.append(made)
+
+    def fill(self, pool: str, queue: PoolQueue) -> None:
+        """Places the waiting jobs of one pool."""
+        usage = self.usage[pool]
+        reserved = False
+        while queue.jobs and self.claims < MAX_CLAIMS_PER_ROUND:
+            chosen = next_class(queue.classes(), usage.shares(), usage.minima)
+            team = self.accounts.next_team(queue.teams(chosen))
+            job = queue.take(chosen, team)
+            if not self.place(job, pool):
+                queue.miss(job)
+                aged = self.wall_s - job.submitted_s > RESERVE_AFTER_S
+                if aged and not reserved:
+                    reserved = self.reserve(job, pool)
+
+    def place(self, job: Job, pool: str) -> bool:
+        """Claims a VM for a job if there is room within the team's quota."""
+        size = self.policy.size(job)
+        if not self.accounts.account(job.team).allows(size):
+            return False
+        avoided = self.placer.quarantine.failed_on.get(job.job_id, ())
+        room = self.policy.choose(job, self.open[pool], avoided)
+        if room is None and job.request_class is RequestClass.URGENT:
+            if self.spare and self.spare != pool:
+                room = self.policy.choose(job, self.open[self.spare], avoided)
+            if room is None:
+                return self.displace(job, pool, size)
+        if room is None:
+            return False
+        self.claim(job, room, size)
+        return True
+
+    def try_claim(self, job: Job, room: Room) -> bool:
+        """Claims one VM for a job if it fits there."""
+        size = self.policy.size(job)
+        if self.policy.choose(job, [room]) is None:
+            return False
+        self.claim(job, room, size)
+        return True
+
+    def claim(self, job: Job, room: Room, size: Size) -> None:
+        """Claims a VM for a job."""
+        room.add(job, size)
+        room.claims -= 1
+        self.claims += 1
+        self.usage[room.pool].add(job, size)
+        self.accounts.charge(job.team, size)
+        claimed = job._replace(
+            state=JobState.CLAIMED,
+            vm=room.vm,
+            boot_id=room.boot_id,
+            attempt=job.attempt + 1,
+            claimed_s=self.wall_s,
+            reason="",
+        )
+        self.updates.append(JobUpdate(job, claimed))
+
+    def displace(self, job: Job, pool: str, size: Size) -> bool:
+        """Begins to make room for an urgent job; returns whether it does."""
+        if len(self.displacements) >= MAX_DISPLACEMENTS_PER_ROUND:
+            return False
+        for name in dict.fromkeys((pool, self.spare)):
+            rooms = self.open.get(name, [])
+            found = choose_victims(job, size, rooms, self.usage)
+            if found is None:
+                continue
+            room, victims = found
+            expires_s = self.now + DISPLACEMENT_TIMEOUT_S
+            made = Displacement(job.job_id, room.vm, size, victims, expires_s)
+            self.hold(job, room, made)
+            self.accounts.charge(job.team, size)
+            return True
+        return False
+
+    def reserve(self, job: Job, pool: str) -> bool:
+        """Keeps one VM free of new jobs for a job that has waited long."""
+        size = self.policy.size(job)
+        fitting = [room for room in self.open[pool] if size.fits(room.capacity)]
+        if not fitting:
+            return False
+        emptiest = min(fitting, key=lambda room: room.used.share_of(room.capacity))
+        emptiest.claims = 0
+        return True
+
+
+def describe(size: Size) -> str:
+    """Returns a size as text with its units."""
+    accelerators = f", {size.accelerators:g} accelerators" if size.accelerators else ""
+    return f"{size.cores:.3g} cores, {size.memory_gb:.3g} GB{accelerators}"
--- a/libs/fleet/burdockthread_fleet/job_rounds.py
+++ b/libs/fleet/burdockthread_fleet/job_rounds.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
 from burdockthread_model.clock import Clock
@@ -12,12 +12,15 @@
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.records import encode_record
 from burdockthread_model.steps import Step, Steps
-from burdockthread_model.vm import VmState
 from burdockthread_routing.fleet_view import FleetView
 from burdockthread_store.store import Change, ConfigurationStore
 
+from burdockthread_fleet.job_placer import JobPlacer
 from burdockthread_fleet.job_segments import JobSegments, JobUpdate
 from burdockthread_fleet.placement import ObservedFit, Room
+from burdockthread_fleet.quarantine import WorkerQuarantine
+from burdockthread_fleet.relief import OvercommitRules, ReliefKind
+from burdockthread_fleet.rooms import RoomBuilder
 from burdockthread_fleet.settlement import (
     CLAIMED_STATES,
     LOST_REASON,
@@ -29,7 +32,7 @@
 )
 from burdockthread_fleet.task_orders import TaskOrders
 from burdockthread_fleet.task_table import TASK_LEASE_S, TaskTable
-from burdockthread_fleet.usage import REPORT_MAX_AGE_S, Size, UsageEstimates
+from burdockthread_fleet.usage import REPORT_MAX_AGE_S, UsageEstimates
 from burdockthread_fleet.worker_client import (
     Task,
     TaskReport,
@@ -39,8 +42,8 @@
 
 PLACER_PREFIX = "placer/"
 REPORTS_TIMEOUT_S = 1.5
-MAX_CLAIMS_PER_ROUND = 200
 COMPACTION_INTERVAL_S = 60.0
+FAILED_REASON = "failed on several workers"
 POLL_LINGER_S = TASK_LEASE_S + 10.0
 
 
@@ -82,11 +85,22 @@
         self.log = log
         self.steps = steps
         self.table = TaskTable()
+        self.estimates = UsageEstimates()
+        self.builder = RoomBuilder(organisation, view, self.table, self.estimates)
+        self.quarantine = WorkerQuarantine()
+        self.rules = OvercommitRules(self.estimates.shares)
+        policy = ObservedFit(self.estimates)
+        self.placer = JobPlacer(organisation, view, policy, self.quarantine, clock)
         self.orders = TaskOrders(
-            workers, self.table, clock, metrics, log, steps, self.is_current
+            workers,
+            self.table,
+            clock,
+            metrics,
+            log,
+            steps,
+            self.is_current,
+            self.placer.avoid,
         )
-        self.estimates = UsageEstimates()
-        self.policy = ObservedFit(self.estimates)
         self.placer_revision: int | None = None
         self.must_see_revision = 0
         self.round_s = clock.now()
@@ -175,7 +189,7 @@
         now = self.clock.now()
         report = self.table.report(job)
         if report is not None and report.state is not TaskState.RUNNING:
-            return settle_report(job, report, self.clock.wall())
+            return self.settle_ended(job, report)
         if self.is_lost(job, now):
             return settle_lost(job, LOST_REASON, self.clock.wall())
         if report is not None:
@@ -187,6 +201,18 @@
             return job._replace(claimed_s=self.clock.wall())
         return job
 
+    def settle_ended(self, job: Job, report: TaskReport) -> Job:
+        """Returns a job whose task has ended; parks one that fails everywhere."""
+        after = settle_report(job, report, self.clock.wall())
+        if report.state is not TaskState.FAILED or not job.idempotent:
+            return after
+        service = self.view.services.get(job.service)
+        vms = 0 if service is None else len(self.view.endpoints(service))
+        if self.quarantine.fails_everywhere(job.job_id, job.vm, job.attempt, vms):
+            reason = f"{FAILED_REASON}: {report.reason}"
+            return waiting(job, JobState.PARKED, reason)
+        return after
+
     def may_adopt(self, job: Job) -> bool:
         """Returns whether to send the start of a claim that another process made."""
         if job.state is not JobState.CLAIMED:
@@ -233,60 +259,49 @@
             self.must_see_revision = self.placer_revision
         return self.segments.cache.revision >= self.must_see_revision
 
-    def rooms(self) -> dict[str, Room]:
-        """Returns the VMs that may get tasks, with what is used of each."""
-        rooms = {}
-        for record in self.view.records.values():
-            listing = self.view.listings.get(record.name)
-            pool = self.view.pools.get(record.pool)
-            if pool is None or pool.organisation != self.organisation:
-                continue
-            if record.state is not VmState.SERVING or listing is None:
-                continue
-            if not self.view.is_leaving(listing):
-                rooms[record.name] = Room(listing, record)
-        wall_s = self.clock.wall()
-        for job in self.claimed_jobs():
-            room = rooms.get(job.vm)
-            if room is not None:
-                room.add(job, self.used_by(job, wall_s))
-        return rooms
-
-    def used_by(self, job: Job, wall_s: float) -> Size:
-        """Returns what a claimed job is taken to use now."""
-        if task_id_of(job) in self.table.released:
-            return Size()
-        return self.estimates.running(job, self.table.report(job), wall_s)
-
     def placements(self) -> list[JobUpdate]:
-        """Returns the claims of this round."""
-        rooms = self.rooms()
-        queued = [job for job in self.open_jobs() if job.state in WAITING_STATES]
-        queued.sort(key=lambda job: job.submitted_s)
-        claims: list[JobUpdate] = []
-        for job in queued:
-            if len(claims) >= MAX_CLAIMS_PER_ROUND:
-                break
-            service = self.view.services.get(job.service)
-            if service is None:
-                continue
-            candidates = [r for r in rooms.values() if r.pool == service.pool]
-            room = self.policy.choose(job, candidates)
-            if room is not None:
-                room.add(job, self.policy.size(job))
-                claims.append(JobUpdate(job, self.claim(job, room)))
-        return claims
-
-    def claim(self, job: Job, room: Room) -> Job:
-        """Returns a job claimed for a room."""
-        return job._replace(
-            state=JobState.CLAIMED,
-            vm=room.vm,
-            boot_id=room.boot_id,
-            attempt=job.attempt + 1,
-            claimed_s=self.clock.wall(),
-            reason="",
-        )
+        """Returns the claims of this round, and orders the room they need."""
+        rooms = self.builder.build(self.claimed_jobs(), self.clock.wall())
+        self.relieve(rooms)
+        open_jobs = self.open_jobs()
+        queued = [job for job in open_jobs if job.state in WAITING_STATES]
+        parked = [job for job in open_jobs if job.state is JobState.PARKED]
+        plan = self.placer.plan(queued, parked, rooms)
+        for made in plan.displacements:
+            for victim in made.victims:
+                if self.orders.checkpoint(made.vm, task_id_of(victim)):
+                    self.metrics.count("jobs.displaced")
+                    self.log.info(
+                        "job_displaced",
+                        job=victim.job_id,
+                        vm=made.vm,
+                        for_job=made.job_id,
+                    )
+        return list(plan.updates)
+
+    def relieve(self, rooms: Mapping[str, Room]) -> None:
+        """Relieves the VMs that real usage has overcommitted."""
+        for room in rooms.values():
+            observed = self.builder.observed(room)
+            for kind, job, share in self.rules.decide(room, observed, self.clock.now()):
+                if self.send_relief(kind, job, share):
+                    self.metrics.count(f"jobs.relief.{kind.value}")
+                    self.log.info(
+                        "vm_relieved",
+                        vm=room.vm,
+                        order=kind.value,
+                        job=job.job_id,
+                        share=share,
+                    )
+
+    def send_relief(self, kind: ReliefKind, job: Job, share: float) -> bool:
+        """Sends an order of the rules; returns whether it is a new one."""
+        task_id = task_id_of(job)
+        if kind is ReliefKind.THROTTLE:
+            return self.orders.throttle(job.vm, task_id, share)
+        if kind is ReliefKind.STOP:
+            return self.orders.stop(job.vm, task_id)
+        return self.orders.checkpoint(job.vm, task_id)
 
     async def commit(self, updates: Sequence[JobUpdate]) -> None:
         """Writes updates in few writes; what fails is decided again."""
@@ -346,6 +361,7 @@
         """Writes the log line and the counter of a change."""
         if after.state is before.state:
             return
+        self.judge(before, after)
         self.metrics.count(f"jobs.{after.state.value}")
         self.log.info(
             f"job_{after.state.value}",
@@ -355,6 +371,24 @@
             reason=after.reason,
         )
 
+    def judge(self, before: Job, after: Job) -> None:
+        """Notes what the end of a task says of its worker and its job."""
+        report = self.table.report(before)
+        if report is None or before.state not in CLAIMED_STATES:
+            return
+        vm = before.vm
+        if report.state is TaskState.DONE:
+            if self.quarantine.succeed(vm, before.job_id):
+                self.metrics.count("jobs.workers_reinstated")
+                self.log.info("worker_reinstated", vm=vm)
+        elif report.state is TaskState.FAILED and self.quarantine.fail(
+            vm, before.job_id, self.clock.now()
+        ):
+            self.metrics.count("jobs.workers_quarantined")
+            self.log.warning("worker_quarantined", vm=vm, reason=report.reason)
+        if after.state is not JobState.QUEUED:
+            self.quarantine.forget_job(before.job_id)
+
     def task(self, job: Job) -> Task | None:
         """Returns the task of a claimed job, or None if its VM has gone."""
         record = self.view.records.get(job.vm)
@@ -380,16 +414,25 @@
         for job in self.claimed_jobs():
             task_id = task_id_of(job)
             self.table.adopt(task_id, now)
+            if self.builder.is_draining(job):
+                self.checkpoint_for_drain(job)
             if not self.has_rebooted(job) and not self.table.is_silent(task_id, now):
                 alive.append(job)
         self.orders.renew(alive)
 
+    def checkpoint_for_drain(self, job: Job) -> None:
+        """Moves a task off a VM that drains."""
+        if self.orders.checkpoint(job.vm, task_id_of(job)):
+            self.metrics.count("jobs.moved_for_drain")
+            self.log.info("job_moved_for_drain", job=job.job_id, vm=job.vm)
+
     def prune(self) -> None:
         """Forgets the tasks of jobs that have ended or wait again."""
         kept = {task_id_of(job) for job in self.claimed_jobs()}
         for task_id in self.table.prune(kept):
             self.orders.forget(task_id)
             self.estimates.forget(task_id)
+            self.rules.forget(task_id)
 
     async def compact(self) -> None:
         """Drops old ended jobs from the store now and then."""
--- a/libs/fleet/burdockthread_fleet/job_runner.py
+++ b/libs/fleet/burdockthread_fleet/job_runner.py
@@ -121,4 +121,8 @@
 
     def quarantined_workers(self) -> dict[str, str]:
         """Returns the reason for each worker that gets no work from here."""
-        return {}
+        now = self.clock.now()
+        reasons: dict[str, str] = {}
+        for rounds in self.rounds.values():
+            reasons.update(rounds.quarantine.reasons(now))
+        return reasons
--- a/libs/fleet/burdockthread_fleet/placement.py
+++ b/libs/fleet/burdockthread_fleet/placement.py
@@ -9,6 +9,7 @@
 from burdockthread_fleet.usage import Size, UsageEstimates, declared_size
 
 TARGET_SHARE = 0.95
+MAX_CLAIMS_PER_VM = 32
 
 
 class Room:
@@ -22,8 +23,10 @@
         capacity: What it has.
         declared: Sum of what its jobs declare.
         used: Sum of what its jobs are taken to use.
-        tasks: Jobs placed on it.
-        task_limit: Jobs that it may hold at the most, or None.
+        tasks: Jobs placed on it, by id.
+        sizes: What each of its jobs is taken to use, by id.
+        unconfirmed: Jobs that no report has shown at work.
+        claims: Jobs that it may still get in this round.
     """
 
     def __init__(self, listing: VmListing, record: VmRecord) -> None:
@@ -34,15 +37,24 @@
         self.capacity = Size(listing.cores, listing.memory_gb, listing.accelerators)
         self.declared = Size()
         self.used = Size()
-        self.tasks: list[Job] = []
-        self.task_limit: int | None = None
+        self.tasks: dict[str, Job] = {}
+        self.sizes: dict[str, Size] = {}
+        self.unconfirmed = 0
+        self.claims = MAX_CLAIMS_PER_VM
 
     def add(self, job: Job, used: Size) -> None:
         """Counts a job."""
-        self.tasks.append(job)
+        self.tasks[job.job_id] = job
+        self.sizes[job.job_id] = used
         self.declared = self.declared.plus(declared_size(job))
         self.used = self.used.plus(used)
 
+    def remove(self, job: Job) -> None:
+        """Counts a job no longer."""
+        if self.tasks.pop(job.job_id, None) is not None:
+            self.declared = self.declared.minus(declared_size(job))
+            self.used = self.used.minus(self.sizes.pop(job.job_id))
+
     def free(self) -> Size:
         """Returns what may still be filled."""
         limit = Size(
@@ -52,10 +64,6 @@
         )
         return limit.minus(self.used)
 
-    def is_open(self) -> bool:
-        """Returns whether one more job is allowed."""
-        return self.task_limit is None or len(self.tasks) < self.task_limit
-
 
 class PlacementPolicy(ABC):
     """Sizes jobs and chooses among rooms."""
@@ -93,7 +101,7 @@
         """Returns the first room that fits."""
         size = declared_size(job)
         for room in rooms:
-            if room.vm in excluded or not room.is_open():
+            if room.vm in excluded or room.claims <= 0:
                 continue
             if size.fits(room.capacity.minus(room.declared)):
                 return room
@@ -122,7 +130,7 @@
         best: Room | None = None
         best_share = float("inf")
         for room in rooms:
-            if room.vm in excluded or not room.is_open() or not size.fits(room.free()):
+            if room.vm in excluded or room.claims <= 0 or not size.fits(room.free()):
                 continue
             share = room.used.plus(size).share_of(room.capacity)
             if share < best_share:
--- /dev/null
+++ b/libs/fleet/burdockthread_fleet/rooms.py
@@ -0,0 +1,83 @@
+"""What the VMs of an organisation have, and what its jobs use of it."""
+
+from collections.abc import Iterable
+
+from burdockthread_model.job import Job
+from burdockthread_model.vm import VmState
+from burdockthread_routing.fleet_view import FleetView
+
+from burdockthread_fleet.placement import Room
+from burdockthread_fleet.settlement import task_id_of
+from burdockthread_fleet.task_table import TaskTable
+from burdockthread_fleet.usage import Size, UsageEstimates
+from burdockthread_fleet.worker_client import TaskState
+
+
+class RoomBuilder:
+    """Joins VM records, the platform's list, jobs and reports."""
+
+    def __init__(
+        self,
+        organisation: str,
+        view: FleetView,
+        table: TaskTable,
+        estimates: UsageEstimates,
+    ) -> None:
+        self.organisation = organisation
+        self.view = view
+        self.table = table
+        self.estimates = estimates
+
+    def build(self, claimed: Iterable[Job], wall_s: float) -> dict[str, Room]:
+        """Returns the VMs that may get jobs, with those that they have.
+
+        Args:
+            claimed: Jobs that are with a worker.
+            wall_s: Unix time.
+        """
+        rooms = self.empty_rooms()
+        for job in claimed:
+            room = rooms.get(job.vm)
+            if room is not None:
+                room.add(job, self.used_by(job, wall_s))
+                report = self.table.report(job)
+                room.unconfirmed += report is None or report.state is TaskState.FAILED
+        return rooms
+
+    def empty_rooms(self) -> dict[str, Room]:
+        """Returns the VMs in service."""
+        rooms = {}
+        for record in self.view.records.values():
+            listing = self.view.listings.get(record.name)
+            pool = self.view.pools.get(record.pool)
+            if pool is None or pool.organisation != self.organisation:
+                continue
+            if record.state is not VmState.SERVING or listing is None:
+                continue
+            if not self.view.is_leaving(listing):
+                rooms[record.name] = Room(listing, record)
+        return rooms
+
+    def used_by(self, job: Job, wall_s: float) -> Size:
+        """Returns what a claimed job is taken to use now."""
+        if task_id_of(job) in self.table.released:
+            return Size()
+        return self.estimates.running(job, self.table.report(job), wall_s)
+
+    def observed(self, room: Room) -> dict[str, Size]:
+        """Returns what each task of a VM that still runs was last seen to use."""
+        observed = {}
+        for job in room.tasks.values():
+            report = self.table.report(job)
+            if report is not None and task_id_of(job) not in self.table.released:
+                used = Size(report.cores_used, report.memory_gb_used)
+                observed[job.job_id] = used
+        return observed
+
+    def is_draining(self, job: Job) -> bool:
+        """Returns whether the VM of a claimed job is about to stop."""
+        record = self.view.records.get(job.vm)
+        listing = self.view.listings.get(job.vm)
+        if record is not None and record.state is VmState.DRAINING:
+            return True
+        return listing is not None and self.view.is_leaving(listing)
--- a/libs/fleet/burdockthread_fleet/task_orders.py
+++ b/libs/fleet/burdockthread_fleet/task_orders.py
@@ -46,8 +46,10 @@
         log: EventLog,
         steps: Steps,
         is_current: Callable[[Job], bool],
+        avoid: Callable[[str], None],
     ) -> None:
         self.is_current = is_current
+        self.avoid = avoid
         self.workers = workers
         self.table = table
         self.clock = clock
@@ -98,6 +100,7 @@
             try:
                 await self.workers.start(job.vm, task)
             except TaskRefusedError as error:
+                self.avoid(job.vm)
                 self.metrics.count("jobs.refused_starts")
                 self.log.info("job_start_refused", job=job.job_id, reason=error)
                 if alone:
@@ -105,6 +108,7 @@
                 return
             except PlatformError as error:
                 alone = False
+                self.avoid(job.vm)
                 self.log.info("job_start_unanswered", job=job.job_id, reason=error)
                 await self.clock.sleep(DISPATCH_RETRY_S)
                 continue
@@ -135,6 +139,7 @@
         except TaskRefusedError:
             return
         except PlatformError as error:
+            self.avoid(vm)
             self.metrics.count("jobs.renewals_failed")
             self.log.info("task_renewal_failed", vm=vm, reason=error)
         self.table.renewed(task_ids, self.clock.now(), answered=answered)
--- a/libs/fleet/tests/test_job_runner.py
+++ b/libs/fleet/tests/test_job_runner.py
@@ -8,7 +8,14 @@
 from burdockthread_fleet.job_segments import JobSegments
 from burdockthread_fleet.memory_workers import MemoryWorkerClient
 from burdockthread_model.errors import StoreUnknownError
-from burdockthread_model.intended import PoolSpec, ServiceSpec
+from burdockthread_model.intended import (
+    MaintenanceSpec,
+    OrganisationSpec,
+    PoolSpec,
+    ServiceSpec,
+    TeamSpec,
+    WeightsSpec,
+)
 from burdockthread_model.job import Job, JobState
 from burdockthread_model.request import RequestClass
 from burdockthread_model.steps import MemorySteps, Step
@@ -209,11 +216,13 @@
 async def test_many_jobs_take_few_writes(site):
     site.add_pool("big", 4, cores=64, memory_gb=512)
     site.owner()
+    big = {"service": "org/big", "run_time_s": 5.0}
+    warm = [new_job(f"warm-{n}", **big) for n in range(16)]
+    await site.submit(*warm, segment="warm", service="org/big")
+    await site.wait(10)
     for segment in range(4):
-        jobs = [
-            new_job(f"{segment}-{n}", service="org/big", run_time_s=5.0)
-            for n in range(50)
-        ]
+        team = f"team-{segment}"
+        jobs = [new_job(f"{segment}-{n}", team=team, **big) for n in range(50)]
         await site.submit(*jobs, segment=f"s{segment}", service="org/big")
     before = site.store.revision
     await site.wait(15)
@@ -221,6 +230,23 @@
     assert site.store.revision - before <= 4
 
 
+async def test_a_cold_start_takes_a_few_writes_a_second(site):
+    site.add_pool("big", 4, cores=64, memory_gb=512)
+    site.owner()
+    jobs = [
+        new_job(str(n), service="org/big", run_time_s=5.0, team=f"team-{n % 4}")
+        for n in range(200)
+    ]
+    await site.submit(*jobs, service="org/big")
+    await site.clock.advance(0.25)
+    before = site.store.revision
+    for _ in range(15):
+        await site.wait(1)
+        assert site.store.revision - before <= 2
+        before = site.store.revision
+    assert set((await site.states()).values()) == {JobState.DONE}
+
+
 @pytest.mark.parametrize("idempotent", [True, False])
 @pytest.mark.parametrize("step", JOB_STEPS)
 async def test_a_killed_runner_is_replaced(site, step, idempotent):
@@ -421,3 +447,234 @@
     await site.clock.advance(3_700)
     await site.wait(70)
     assert (await site.store.list(JOB_PREFIX)).items == ()
+
+
+def urgent(job_id, **fields):
+    return new_job(job_id, request_class=RequestClass.URGENT, **fields)
+
+
+async def start_delays(site, jobs, seconds):
+    """Submits jobs and returns after how long each was started."""
+    submitted_s = site.clock.now()
+    await site.submit(*jobs, segment="urgent")
+    delays = {}
+    while site.clock.now() < submitted_s + seconds:
+        await site.clock.advance(0.5)
+        for job_id in site.workers.starts():
+            delays.setdefault(job_id, site.clock.now() - submitted_s)
+    return [delays.get(job.job_id, float("inf")) for job in jobs]
+
+
+async def fill(site, service, count, **fields):
+    """Fills a pool with long jobs of many teams."""
+    jobs = [
+        new_job(
+            f"{service}-{n}",
+            service=service,
+            team=f"team-{n % 4}",
+            run_time_s=300.0,
+            **fields,
+        )
+        for n in range(count)
+    ]
+    await site.submit(*jobs, service=service, segment="fill")
+    await site.wait(30)
+
+
+async def test_an_urgent_job_borrows_from_the_spare_pool(site):
+    site.add_pool("spare", 1, spare=True)
+    site.owner()
+    await fill(site, SERVICE, 30, memory_gb=0.1)
+    (delay_s,) = await start_delays(site, [urgent("u")], 10)
+    assert delay_s <= 7.1
+    assert (await site.jobs())["u"].vm == "spare-0"
+    assert "checkpoint" not in " ".join(site.workers.orders)
+
+
+@pytest.mark.parametrize("lag_s", [0.0, 5.0])
+async def test_urgent_jobs_displace_when_every_pool_is_full(site, lag_s):
+    site.add_pool("spare", 2, spare=True)
+    for worker in site.workers.workers.values():
+        worker.faults.report_lag_s = lag_s
+    site.owner()
+    await fill(site, SERVICE, 30, memory_gb=0.1)
+    await fill(
+        site, "org/spare", 30, memory_gb=0.1, request_class=RequestClass.DEFERRED
+    )
+    jobs = [urgent(f"u{n}", team=f"team-{n}", run_time_s=60.0) for n in range(4)]
+    assert max(await start_delays(site, jobs, 20)) <= 7.1
+    states = await site.states()
+    displaced = [name for name, s in states.items() if s is JobState.CHECKPOINTED]
+    assert displaced
+    assert not {JobState.UNKNOWN, JobState.FAILED} & set(states.values())
+    await site.wait(1_500)
+    assert set((await site.states()).values()) == {JobState.DONE}
+
+
+async def test_tasks_leave_a_draining_vm_without_loss(site):
+    site.owner()
+    await site.submit(*(new_job(str(n), run_time_s=100.0) for n in range(4)))
+    await site.wait(50)
+    vm = "ledger-0"
+    assert site.workers.workers[vm].running()
+    site.records[vm] = site.records[vm]._replace(state=VmState.DRAINING)
+    await site.wait(5)
+    assert not site.workers.workers[vm].running()
+    await site.wait(70)
+    jobs = await site.jobs()
+    assert {job.state for job in jobs.values()} == {JobState.DONE}
+    assert {job.vm for job in jobs.values()} == {"ledger-1"}
+
+
+async def test_a_stale_generation_is_refused_and_placed_again(site):
+    site.owner()
+    site.workers.workers["ledger-0"].generation = 2
+    site.workers.workers["ledger-1"].pool = "org/other"
+    await site.submit(new_job("a"))
+    await site.wait(20)
+    assert not site.workers.starts()
+    assert (await site.jobs())["a"].state in (JobState.QUEUED, JobState.CLAIMED)
+    site.records["ledger-0"] = site.records["ledger-0"]._replace(generation=2)
+    await site.wait(40)
+    assert (await site.states())["a"] is JobState.DONE
+
+
+async def test_a_worker_that_fails_everything_gets_few_jobs(site):
+    site.add_pool("many", 4)
+    site.workers.workers["many-0"].faults.fails_everything = True
+    node = site.owner()
+    jobs = [
+        new_job(str(n), service="org/many", idempotent=True, run_time_s=10.0)
+        for n in range(100)
+    ]
+    await site.submit(*jobs, service="org/many")
+    await site.wait(55)
+    assert sum(site.workers.workers["many-0"].starts.values()) <= 4
+    assert "many-0" in node.runner.quarantined_workers()
+    site.workers.workers["many-0"].faults.fails_everything = False
+    await site.wait(10)
+    late = [job._replace(job_id=f"late-{job.job_id}") for job in jobs]
+    await site.submit(*late, service="org/many", segment="late")
+    await site.wait(100)
+    assert set((await site.states()).values()) == {JobState.DONE}
+    assert node.runner.quarantined_workers() == {}
+    assert site.metrics.counters["jobs.workers_reinstated"] == 1
+
+
+async def test_a_poisonous_job_is_parked_and_quarantines_nobody(site):
+    site.add_pool("many", 4)
+    for worker in site.workers.workers.values():
+        worker.faults.failing_payloads.add("poison")
+    node = site.owner()
+    jobs = [
+        new_job(str(n), service="org/many", idempotent=True, payload=payload)
+        for n, payload in enumerate(["poison"] + ["{}"] * 20)
+    ]
+    await site.submit(*jobs, service="org/many")
+    await site.wait(150)
+    jobs = await site.jobs()
+    assert jobs["0"].state is JobState.PARKED
+    assert "several workers" in jobs["0"].reason
+    assert jobs["0"].attempt == 3
+    assert {job.state for name, job in jobs.items() if name != "0"} == {JobState.DONE}
+    assert node.runner.quarantined_workers() == {}
+
+
+async def test_a_job_that_cannot_run_is_parked_until_it_can(site):
+    site.owner()
+    await site.submit(new_job("large", cores=20.0), new_job("small"))
+    await site.submit(
+        new_job("lost", service="org/gone"), segment="s2", service="org/gone"
+    )
+    await site.wait(5)
+    jobs = await site.jobs()
+    assert jobs["large"].state is JobState.PARKED
+    assert "20 cores" in jobs["large"].reason
+    assert jobs["lost"].state is JobState.QUEUED
+    site.add_pool("huge", 1, cores=64)
+    site.services[SERVICE] = site.services[SERVICE]._replace(pool="org/huge")
+    await site.wait(40)
+    assert (await site.states())["large"] is JobState.DONE
+
+
+async def test_memory_is_relieved_when_declarations_are_ten_times_too_small(site):
+    for worker in site.workers.workers.values():
+        worker.faults.size_factor = 10.0
+        worker.faults.report_lag_s = 2.0
+    site.owner()
+    jobs = [
+        new_job(str(n), cores=0.1, memory_gb=0.3, run_time_s=6.0) for n in range(40)
+    ]
+    await site.submit(*jobs)
+    over_s = 0.0
+    for _ in range(1_200):
+        await site.clock.advance(0.5)
+        for worker in site.workers.workers.values():
+            used_gb = sum(task.size.memory_gb for task in worker.running())
+            over_s += 0.5 * (used_gb > 16)
+    assert set((await site.states()).values()) == {JobState.DONE}
+    assert over_s <= 10
+
+
+async def test_a_quota_holds_with_two_runners_at_once(site):
+    site.add_pool("wide", 4, cores=32, memory_gb=64)
+    organisation = OrganisationSpec(
+        "org",
+        "template",
+        1,
+        (),
+        (),
+        (TeamSpec("desk", "org", 1.0, 10, 64),),
+        WeightsSpec(),
+        MaintenanceSpec(),
+    )
+    for name in ("entry-a", "entry-b"):
+        node = site.node(name)
+        node.view.organisations = {("template", "org"): organisation}
+        node.runner.owned = lambda: {"org"}
+        node.start()
+    for segment in range(10):
+        service = "org/wide" if segment % 2 else SERVICE
+        jobs = [
+            new_job(f"{segment}-{n}", service=service, run_time_s=10.0)
+            for n in range(5)
+        ]
+        await site.submit(*jobs, segment=f"s{segment}", service=service)
+    most = 0
+    for _ in range(180):
+        await site.clock.advance(0.5)
+        running = [w.running() for w in site.workers.workers.values()]
+        most = max(most, sum(len(tasks) for tasks in running))
+    assert most == 10
+    assert set((await site.states()).values()) == {JobState.DONE}
+
+
+async def test_the_least_urgent_class_never_starves(site):
+    site.owner()
+    jobs = [
+        new_job(
+            f"{request_class}-{n}",
+            request_class=request_class,
+            team=f"team-{n % 4}",
+            run_time_s=4.0,
+            memory_gb=0.1,
+        )
+        for request_class in (RequestClass.URGENT, RequestClass.DEFERRED)
+        for n in range(200)
+    ]
+    await site.submit(*jobs)
+    await site.wait(30)
+    done = [name for name, s in (await site.states()).items() if s is JobState.DONE]
+    urgent_done = sum(name.startswith("urgent") for name in done)
+    deferred_done = len(done) - urgent_done
+    assert deferred_done >= 0.05 * len(done)
+    assert urgent_done >= 0.5 * len(done)
+
+
+async def test_leases_are_renewed_in_one_order_for_each_worker(site):
+    site.owner()
+    await site.submit(*(new_job(str(n), run_time_s=90.0) for n in range(10)))
+    await site.wait(60)
+    renewals = [o for o in site.workers.orders if o.startswith("renew")]
+    assert len(renewals) <= 2 * 7
+    assert any(order.startswith("renew 4") for order in renewals)
--- /dev/null
+++ b/libs/fleet/tests/test_quarantine.py
@@ -0,0 +1,63 @@
+from burdockthread_fleet.quarantine import (
+    FIRST_QUARANTINE_S,
+    MAX_ATTEMPTS,
+    WorkerQuarantine,
+)
+
+
+def fail_many(quarantine, vm, jobs, now=0.0):
+    return [quarantine.fail(vm, job, now) for job in jobs]
+
+
+def test_a_worker_is_closed_after_three_jobs_failed():
+    quarantine = WorkerQuarantine()
+    assert fail_many(quarantine, "vm", "abc") == [False, False, True]
+    assert quarantine.is_closed("vm", FIRST_QUARANTINE_S - 1)
+    assert quarantine.is_on_probation("vm", FIRST_QUARANTINE_S)
+
+
+def test_one_job_failing_again_closes_nobody():
+    quarantine = WorkerQuarantine()
+    assert not any(fail_many(quarantine, "vm", "aaaaaa"))
+    assert not any(quarantine.fail(f"vm-{n}", "a", 0.0) for n in range(9))
+
+
+def test_a_success_clears_a_worker():
+    quarantine = WorkerQuarantine()
+    fail_many(quarantine, "vm", "ab")
+    assert not quarantine.succeed("vm", "c")
+    assert not any(fail_many(quarantine, "vm", "de"))
+
+
+def test_a_failed_probation_lasts_longer():
+    quarantine = WorkerQuarantine()
+    fail_many(quarantine, "vm", "abc")
+    later_s = FIRST_QUARANTINE_S + 1
+    assert quarantine.fail("vm", "d", later_s)
+    assert quarantine.is_closed("vm", later_s + 2 * FIRST_QUARANTINE_S - 1)
+    assert quarantine.succeed("vm", "e")
+    assert quarantine.reasons(later_s) == {}
+
+
+def test_at_most_half_of_a_pool_is_closed():
+    quarantine = WorkerQuarantine()
+    vms = [f"vm-{n}" for n in range(4)]
+    for number, vm in enumerate(vms):
+        fail_many(quarantine, vm, [f"{vm}-{n}" for n in range(3)], now=number)
+    assert quarantine.closed(vms, 10.0) == {"vm-2", "vm-3"}
+
+
+def test_a_job_that_failed_on_a_sick_worker_is_not_blamed():
+    quarantine = WorkerQuarantine()
+    fail_many(quarantine, "sick", "abc")
+    quarantine.fail("vm-1", "a", 0.0)
+    assert not quarantine.fails_everywhere("a", "vm-2", 3, vms=6)
+    quarantine.fail("vm-2", "a", 0.0)
+    assert quarantine.fails_everywhere("a", "vm-3", 4, vms=6)
+
+
+def test_a_small_pool_or_many_attempts_are_enough():
+    quarantine = WorkerQuarantine()
+    quarantine.fail("vm-1", "a", 0.0)
+    assert quarantine.fails_everywhere("a", "vm-2", 2, vms=2)
+    assert quarantine.fails_everywhere("b", "vm-1", MAX_ATTEMPTS, vms=6)
