--- a/libs/standins/tests/test_workers.py
+++ b/libs/standins/tests/test_workers.py
@@ -93,9 +93,9 @@
         client = HttpWorkerClient(str(server.make_url("/")))
         control = HttpVmControl(str(server.make_url("/")))
         await client.start(VM, new_task())
-        assert await control.drain(VM) == 1
+        assert await control.drain(VM, "boot-1") == 1
         await client.checkpoint(VM, "a.1")
-        assert await control.drain(VM) == 0
+        assert await control.drain(VM, "boot-1") == 0
         await client.close()
         await control.close()
 
