--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -10,9 +10,17 @@
 
 import aiomisc
 from aiohttp import web
+from burdockthread_fleet.job_directory import (
+    JobDirectory,
+    JobsReport,
+    jobs_report,
+)
+from burdockthread_fleet.job_runner import JobRunner
+from burdockthread_fleet.job_segments import JobSegments
 from burdockthread_fleet.leadership import Leadership
 from burdockthread_fleet.planner import Planner
 from burdockthread_fleet.vm_control import HttpVmControl, VmControl
+from burdockthread_fleet.worker_client import HttpWorkerClient, WorkerClient
 from burdockthread_model.clock import Clock
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import MemoryMetrics, StatsdMetrics
@@ -31,12 +39,13 @@
 from burdockthread_routing.endpoint_choice import EndpointChooser
 from burdockthread_routing.endpoint_client import EndpointClient, HttpEndpointClient
 from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
-from burdockthread_routing.job_ledger import JobLedger
+from burdockthread_routing.job_ledger import JOB_PREFIX, JobLedger
 from burdockthread_routing.router import Router
 from burdockthread_routing.vm_directory import HttpVmDirectory, VmDirectory
 from burdockthread_store.applied import HEAD_PREFIX, AppliedConfiguration
 from burdockthread_store.etcd_store import EtcdStore
 from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.settled_store import SettledStore
 from burdockthread_store.store import ConfigurationStore
 
 from burdockthread.status import FleetStatus
@@ -54,6 +63,7 @@
     store: ConfigurationStore
     directory: VmDirectory
     control: VmControl
+    workers: WorkerClient
     endpoints: EndpointClient
     clock: Clock
 
@@ -66,6 +76,7 @@
             store=EtcdStore(platform["store_url"], clock),
             directory=HttpVmDirectory(platform["vm_directory_url"]),
             control=HttpVmControl(platform["vm_directory_url"]),
+            workers=HttpWorkerClient(platform["vm_directory_url"]),
             endpoints=HttpEndpointClient(max(ENDPOINT_CONNECTIONS // entries, 1)),
             clock=clock,
         )
@@ -73,6 +84,7 @@
     async def close(self) -> None:
         """Closes all connections."""
         await self.endpoints.close()
+        await self.workers.close()
         await self.control.close()
         await self.directory.close()
         await self.store.close()
@@ -96,16 +108,20 @@
         self.name = settings["name"]
         self.log = EventLog(self.name)
         self.metrics = metrics_from_settings(settings)
+        self.store = SettledStore.with_budget(
+            edges.store, self.name, self.limits, self.clock, self.metrics
+        )
         self.mesh = mesh or StreamMesh(settings, self.clock, self.log)
         self.build_configuration()
         self.build_routing()
         self.build_fleet()
+        self.build_jobs()
         self.build_operators()
         self.ports: dict[str, int] = {}
 
     def build_configuration(self) -> None:
         """Builds the copies of the store and the peers that keep them current."""
-        store = self.edges.store
+        store = self.store
         self.config_cache = PrefixCache(store, HEAD_PREFIX, self.clock)
         self.vm_cache = PrefixCache(store, VM_PREFIX, self.clock)
         self.pool_cache = PrefixCache(store, "pool/", self.clock)
@@ -120,9 +136,14 @@
         )
         entries = [entry["name"] for entry in self.settings["entries"]]
         self.permits = StaticPermits(self.name, entries, self.slots_of)
-        chooser = EndpointChooser(self.settings["availability_zone"], self.permits)
+        chooser = EndpointChooser(
+            self.settings["availability_zone"],
+            self.permits,
+            self.clock,
+            self.settings["region"],
+        )
         self.membership = Membership.from_settings(
-            self.settings, self.mesh, self.edges.store, self.clock, self.log
+            self.settings, self.mesh, self.store, self.clock, self.log
         )
         self.keys = OwnedKeys(
             self.mesh, self.membership, self.clock, self.limits.idempotency_keys
@@ -138,7 +159,7 @@
             self.log,
             self.steps,
         )
-        self.ledger = JobLedger(self.edges.store, self.clock, self.steps)
+        self.ledger = JobLedger(self.store, self.clock, self.steps)
         self.callers_api = CallersApi(
             self.name, self.router, self.ledger, self.clock, self.metrics, self.log
         )
@@ -150,10 +171,10 @@
 
     def build_fleet(self) -> None:
         """Builds the planner."""
-        self.leadership = Leadership(self.name, self.edges.store, self.clock)
+        self.leadership = Leadership(self.name, self.store, self.clock)
         self.planner = Planner(
             self.leadership,
-            self.edges.store,
+            self.store,
             self.view,
             self.vm_cache,
             self.pool_cache,
@@ -164,20 +185,50 @@
             self.steps,
         )
 
+    def build_jobs(self) -> None:
+        """Builds the side that places and runs jobs."""
+        store = self.store
+        self.job_cache = PrefixCache(store, JOB_PREFIX, self.clock)
+        self.job_segments = JobSegments(store, self.job_cache, self.log)
+        self.job_runner = JobRunner(
+            self.mesh,
+            self.job_segments,
+            store,
+            self.view,
+            self.edges.workers,
+            self.clock,
+            self.metrics,
+            self.log,
+            self.steps,
+        )
+        self.job_directory = JobDirectory(
+            self.job_segments, self.clock, self.metrics, self.log
+        )
+
+    def jobs_report(self) -> JobsReport:
+        """Reports the jobs."""
+        return jobs_report(
+            self.job_segments.jobs.values(),
+            self.clock.wall(),
+            self.job_runner.quarantined_workers(),
+            self.job_runner.rounds,
+        )
+
     def build_operators(self) -> None:
         """Builds the operators' API."""
         self.status = FleetStatus(
-            self.name, self.applied, self.mesh, self.relay, self.view, self.leadership
+            self.name, self.applied, self.mesh, self.relay, self.view, self.planner
         )
         self.operators_api = OperatorsApi(
             Authenticator(self.settings["operator_tokens"]),
-            TemplateChanges(self.edges.store, self.clock, self.steps),
+            TemplateChanges(self.store, self.clock, self.steps),
             self.status.report,
             {
                 "status": self.status.report,
                 "process": self.process_report,
                 "metrics": self.metrics_report,
                 "routing": self.routing_report,
+                "jobs": self.jobs_report,
                 "store": self.store_report,
             },
             self.metrics,
@@ -212,7 +263,12 @@
     def store_report(self) -> object:
         """Returns how current the copies of the store are."""
         now = self.clock.now()
-        caches = (self.config_cache, self.vm_cache, self.pool_cache)
+        caches = (
+            self.config_cache,
+            self.vm_cache,
+            self.pool_cache,
+            self.job_cache,
+        )
         return {
             cache.prefix: {
                 "revision": cache.revision,
@@ -254,6 +310,8 @@
             self.router.run(),
             self.ledger.run(),
             self.planner.run(),
+            self.job_cache.run(),
+            self.job_runner.run(),
         )
 
     async def listen(
--- a/libs/scenarios/burdockthread_scenarios/memory_driver.py
+++ b/libs/scenarios/burdockthread_scenarios/memory_driver.py
@@ -1,8 +1,8 @@
 """Runs scenarios against a world in one process."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from burdockthread_operators.changes import TemplateChanges
 
@@ -82,6 +82,10 @@
         else:
             self.world.vms.vms[target].faults.clear()
 
+    async def passing(self, work: Coroutine[Any, Any, None]) -> None:
+        """Lets time pass until a coroutine has ended."""
+        await self.world.passing(work)
+
     async def send(
         self, amount: int, keyed: bool, request_class: str, entry: str
     ) -> None:
@@ -101,9 +105,11 @@
         await self.world.advance(seconds)
 
     def changes(self) -> TemplateChanges:
-        """Returns the changes as the first entry offers them."""
-        first = next(iter(self.world.entries.values()))
-        return first.entry.operators_api.changes
+        """Returns the changes as the first entry that runs offers them."""
+        for running in self.world.entries.values():
+            if running.gate.opened.is_set():
+                return running.entry.operators_api.changes
+        raise ScenarioError("no entry runs")
 
     async def propose(
         self, change: str, base_version: int | None, parameters: dict[str, float]
