Bound every stream between entries

A slow entry could grow our memory without end (writes, waiting calls, handlers of its messages), unknown callers could hold all accepted streams for 5 s each, a connect could hang for minutes, and a half-open stream was never noticed.

Now calls that wait (1,000) and bytes not yet written (4 MiB) are bounded for each stream: a call is refused as not sent, a broadcast dropped and counted, an answer ends the stream. At most 256 messages of a stream are handled at once, 16 streams wait for their handshake, and one stream is kept for each entry, the newest. Three heartbeats without an answer, or 10 s without a frame, end a stream. A recorded or reflected handshake is refused.

Frames after the handshake are not signed; the module says why.

--- a/libs/peers/burdockthread_peers/frames.py
+++ b/libs/peers/burdockthread_peers/frames.py
@@ -1,4 +1,10 @@
-"""Frames between entries: a length and a msgpack array."""
+"""Frames between entries: a length and a msgpack array.
+
+Both sides prove with fresh nonces that they know the shared key before the
+first frame. Frames after that carry no signature: they are as safe as the TCP
+stream, which joins VMs of one owner; whoever can write into such a stream can
+also reach the endpoints.
+"""
 
 import asyncio
 import hashlib
@@ -109,11 +115,10 @@
     Raises:
         PeerProtocolError: The other side is malformed or has another key.
     """
-    async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-        writer.write(with_length(msgpack.packb(list(hello))))
-        other = parse_hello(await read_payload(reader, MAX_HANDSHAKE_BYTES))
-        writer.write(with_length(msgpack.packb(proof(key, hello, other, dialled))))
-        received = await read_payload(reader, MAX_HANDSHAKE_BYTES)
+    writer.write(with_length(msgpack.packb(list(hello))))
+    other = parse_hello(await read_payload(reader, MAX_HANDSHAKE_BYTES))
+    writer.write(with_length(msgpack.packb(proof(key, hello, other, dialled))))
+    received = await read_payload(reader, MAX_HANDSHAKE_BYTES)
     expected = proof(key, other, hello, not dialled)
     if not isinstance(received, bytes) or not hmac.compare_digest(received, expected):
         raise PeerProtocolError("the peer does not know the shared key")
--- a/libs/peers/burdockthread_peers/stream_mesh.py
+++ b/libs/peers/burdockthread_peers/stream_mesh.py
@@ -1,7 +1,6 @@
 """The mesh over TCP streams: one dialled stream to each other entry."""
 
 import asyncio
-import itertools
 import secrets
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
@@ -20,6 +19,7 @@
 
 from burdockthread_peers.frames import (
     FAILURE,
+    HANDSHAKE_TIMEOUT_S,
     REPLY,
     Frame,
     encode_frame,
@@ -28,6 +28,7 @@
     read_frame,
 )
 from burdockthread_peers.handlers import HandlerTable, decode_fields, encode_fields
+from burdockthread_peers.link import Link, Traffic, has_room
 from burdockthread_peers.mesh import (
     Handler,
     Member,
@@ -41,7 +42,12 @@
 SUSPECT_AFTER_S = 3.0
 DOWN_AFTER_S = 10.0
 RECONNECT_S = 0.5
-MAX_INCOMING_STREAMS = 64
+CONNECT_TIMEOUT_S = 3.0
+SILENCE_S = 10.0
+MISSED_HEARTBEATS = 3
+MAX_LINKS = 64
+MAX_STRANGERS = 16
+MAX_HANDLERS = 256
 
 
 class Heartbeat(NamedTuple):
@@ -66,29 +72,6 @@
     heard_s: float
 
 
-class Link:
-    """The dialled stream to one entry.
-
-    Attributes:
-        peer: Settings of the entry.
-        writer: Outgoing side, or None while there is no stream.
-        pending: Calls that wait for an answer.
-    """
-
-    def __init__(self, peer: PeerSettings) -> None:
-        self.peer = peer
-        self.writer: asyncio.StreamWriter | None = None
-        self.pending: dict[int, asyncio.Future[list[object]]] = {}
-        self.call_ids = itertools.count(1)
-
-    def fail_pending(self, error: PeerError) -> None:
-        """Ends all waiting calls."""
-        for future in self.pending.values():
-            if not future.done():
-                future.set_exception(error)
-        self.pending.clear()
-
-
 class StreamMesh(PeerMesh):
     """Authenticated msgpack streams to all entries of the settings."""
 
@@ -103,13 +86,15 @@
         self.is_running = False
         self.port = settings["peers"]["port"]
         self.table = HandlerTable()
+        self.traffic = Traffic()
         self.links = {
-            peer["name"]: Link(peer)
+            peer["name"]: Link(peer, clock, self.traffic)
             for peer in settings["entries"]
             if peer["name"] != self.name
         }
         self.sightings: dict[str, Sighting] = {}
-        self.incoming: set[asyncio.StreamWriter] = set()
+        self.incoming: dict[str, asyncio.StreamWriter] = {}
+        self.strangers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.register(Heartbeat, HeartbeatReply, self.on_heartbeat)
 
@@ -126,13 +111,15 @@
             return
         link = self.links.get(peer["name"])
         if link is None:
-            link = self.links[peer["name"]] = Link(peer)
+            if len(self.links) >= MAX_LINKS:
+                self.log.warning("too_many_peers", peer=peer["name"])
+                return
+            link = self.links[peer["name"]] = Link(peer, self.clock, self.traffic)
             if self.is_running:
                 self.start_link(link)
         elif link.peer != peer:
             link.peer = peer
-            if link.writer is not None:
-                link.writer.close()
+            link.close()
 
     def member(self, peer: PeerSettings) -> Member:
         """Returns one entry with the state that this entry sees."""
@@ -187,28 +174,17 @@
             answer = await self.table.handle(peer, kind, encode_fields(message))
             return decode_fields(encode_fields(answer), reply)
         link = self.links.get(peer)
-        if link is None or link.writer is None:
-            raise PeerUnavailableError(f"no stream to {peer}")
-        call_id = next(link.call_ids)
-        future: asyncio.Future[list[object]]
-        future = asyncio.get_running_loop().create_future()
-        link.pending[call_id] = future
-        link.writer.write(encode_frame(Frame(call_id, kind, encode_fields(message))))
-        try:
-            async with self.clock.timeout(timeout_s):
-                return decode_fields(await future, reply)
-        except TimeoutError as error:
-            raise PeerTimeoutError(f"no answer from {peer} to {kind}") from error
-        finally:
-            link.pending.pop(call_id, None)
+        if link is None:
+            raise PeerUnavailableError(f"no entry {peer}")
+        fields = await link.call(kind, encode_fields(message), timeout_s)
+        return decode_fields(fields, reply)
 
     def broadcast(self, message: tuple[object, ...]) -> None:
         """Sends a message to every other entry without waiting."""
         kind = type(message).__name__
         frame = encode_frame(Frame(0, kind, encode_fields(message)))
         for link in list(self.links.values()):
-            if link.writer is not None:
-                link.writer.write(frame)
+            link.send(frame)
 
     @asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
@@ -229,7 +205,7 @@
             for task in list(self.tasks):
                 task.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
-            for writer in list(self.incoming):
+            for writer in [*self.incoming.values(), *self.strangers]:
                 writer.close()
 
     def start_link(self, link: Link) -> None:
@@ -259,77 +235,120 @@
     async def dial(self, link: Link) -> None:
         """Opens the stream to one entry and reads answers until it ends."""
         peer = link.peer
-        reader, writer = await asyncio.open_connection(peer["host"], peer["port"])
+        async with self.clock.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(peer["host"], peer["port"])
         try:
             hello = new_hello(self.name, self.incarnation)
-            other = await handshake(reader, writer, hello, self.key, dialled=True)
+            async with self.clock.timeout(HANDSHAKE_TIMEOUT_S):
+                other = await handshake(reader, writer, hello, self.key, dialled=True)
             if other.name != peer["name"]:
                 raise PeerProtocolError(f"{peer['name']} calls itself {other.name}")
             link.writer = writer
             self.log.info("peer_link_up", peer=peer["name"])
-            await self.read_answers(link, reader)
+            await link.read_answers(reader)
         finally:
             link.writer = None
             link.fail_pending(PeerTimeoutError(f"the stream to {peer['name']} broke"))
             writer.close()
 
-    async def read_answers(self, link: Link, reader: asyncio.StreamReader) -> None:
-        """Hands each answer to the call that waits for it."""
-        while True:
-            frame = await read_frame(reader)
-            future = link.pending.pop(frame.call_id, None)
-            if future is None or future.done():
-                continue
-            if frame.kind == REPLY:
-                future.set_result(frame.fields)
-            else:
-                future.set_exception(PeerProtocolError(str(frame.fields)))
-
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Serves one accepted stream until it ends."""
-        if len(self.incoming) >= MAX_INCOMING_STREAMS:
+        """Serves one accepted stream until it ends; an error ends it alone."""
+        if len(self.strangers) >= MAX_STRANGERS:
             writer.close()
             return
-        self.incoming.add(writer)
+        self.strangers.add(writer)
         try:
-            hello = new_hello(self.name, self.incarnation)
-            other = await handshake(reader, writer, hello, self.key, dialled=False)
-            while True:
-                frame = await read_frame(reader)
-                self.start(self.answer(other.name, frame, writer))
+            name = await self.authenticate(reader, writer)
+            await self.serve_peer(name, reader, writer)
         except (OSError, EOFError, TimeoutError):
             pass
         except PeerProtocolError as error:
             self.log.warning("peer_stream_refused", reason=error)
         finally:
-            self.incoming.discard(writer)
+            self.strangers.discard(writer)
             writer.close()
 
+    async def authenticate(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> str:
+        """Returns the name of the entry at the other side of a stream.
+
+        Raises:
+            PeerProtocolError: It does not know the key, or takes our name.
+        """
+        hello = new_hello(self.name, self.incarnation)
+        async with self.clock.timeout(HANDSHAKE_TIMEOUT_S):
+            other = await handshake(reader, writer, hello, self.key, dialled=False)
+        if other.name == self.name:
+            raise PeerProtocolError("the peer has the name of this entry")
+        if other.name not in self.incoming and len(self.incoming) >= MAX_LINKS:
+            raise PeerProtocolError("too many peers")
+        return other.name
+
+    async def serve_peer(
+        self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Handles messages; the stream replaces an older one of the same name."""
+        older = self.incoming.pop(name, None)
+        if older is not None:
+            older.transport.abort()
+        self.incoming[name] = writer
+        self.strangers.discard(writer)
+        limit = asyncio.Semaphore(MAX_HANDLERS)
+        try:
+            while has_room(writer):
+                async with self.clock.timeout(SILENCE_S):
+                    frame = await read_frame(reader)
+                await limit.acquire()
+                self.start(self.answer(name, frame, writer, limit))
+        finally:
+            if self.incoming.get(name) is writer:
+                del self.incoming[name]
+
     async def answer(
-        self, sender: str, frame: Frame, writer: asyncio.StreamWriter
+        self,
+        sender: str,
+        frame: Frame,
+        writer: asyncio.StreamWriter,
+        limit: asyncio.Semaphore,
     ) -> None:
         """Handles one message and writes the answer."""
+        try:
+            data = encode_frame(await self.result(sender, frame))
+        finally:
+            limit.release()
+        if frame.call_id and not writer.is_closing():
+            self.traffic.write(writer, data)
+
+    async def result(self, sender: str, frame: Frame) -> Frame:
+        """Returns the answer to a message."""
         try:
             reply = await self.table.handle(sender, frame.kind, frame.fields)
-            result = Frame(frame.call_id, REPLY, encode_fields(reply))
         except BurdockthreadError as error:
             self.log.warning("peer_message_refused", peer=sender, reason=error)
-            result = Frame(frame.call_id, FAILURE, [str(error)])
-        if frame.call_id and not writer.is_closing():
-            writer.write(encode_frame(result))
+            return Frame(frame.call_id, FAILURE, [str(error)])
+        return Frame(frame.call_id, REPLY, encode_fields(reply))
 
     async def send_heartbeats(self, link: Link) -> None:
         """Sends heartbeats to one entry and notes its answers."""
         name = link.peer["name"]
+        missed = 0
         while True:
             try:
                 heartbeat = Heartbeat(self.incarnation, self.leaving)
                 reply = await self.call(name, heartbeat, HeartbeatReply, HEARTBEAT_S)
                 self.note(name, reply.incarnation, reply.leaving)
+                missed = 0
+            except PeerTimeoutError:
+                missed += 1
             except PeerError:
-                pass
+                missed = 0
+            if missed >= MISSED_HEARTBEATS:
+                self.log.info("peer_link_silent", peer=name)
+                link.close()
+                missed = 0
             await self.clock.sleep(HEARTBEAT_S)
 
     async def on_heartbeat(self, sender: str, message: Heartbeat) -> HeartbeatReply:
