--- a/libs/scenarios/burdockthread_scenarios/ledger.py
+++ b/libs/scenarios/burdockthread_scenarios/ledger.py
@@ -1,10 +1,23 @@
 """What callers were told, against what endpoints really ran."""
 
+import secrets
+import uuid
 from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
 
 
+def new_key(wall_s: float) -> str:
+    """Returns a fresh UUID of version 7, which carries its time.
+
+    Args:
+        wall_s: Unix time in seconds.
+    """
+    fields = int(wall_s * 1000) << 80 | secrets.randbits(80)
+    fields &= ~(0xF << 76 | 0x3 << 62)
+    return str(uuid.UUID(int=fields | 0x7 << 76 | 0x2 << 62))
+
+
 class Outcome(NamedTuple):
     """How one request ended for its caller.
 
--- a/libs/scenarios/burdockthread_scenarios/process_driver.py
+++ b/libs/scenarios/burdockthread_scenarios/process_driver.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import secrets
 import signal
 import time
 from collections.abc import AsyncIterator, Coroutine
@@ -24,7 +23,7 @@
 from burdockthread_scenarios.driver import Driver, ScenarioError
 from burdockthread_scenarios.faults import store_fault
 from burdockthread_scenarios.forwarder import Forwarder
-from burdockthread_scenarios.ledger import Outcome, RequestLedger
+from burdockthread_scenarios.ledger import Outcome, RequestLedger, new_key
 from burdockthread_scenarios.memory_vms import ENDPOINT_FAULTS, LEAVING_BOUND_S
 from burdockthread_scenarios.world import (
     DEADLINE_S,
@@ -163,7 +162,7 @@
         """Sends requests at once."""
         target = self.entry(entry)
         for _ in range(amount):
-            body = secrets.token_hex(12)
+            body = new_key(time.time())
             self.ledger.sent += 1
             self.start_task(self.ask(target, body, keyed, request_class))
 
--- a/libs/scenarios/burdockthread_scenarios/world.py
+++ b/libs/scenarios/burdockthread_scenarios/world.py
@@ -26,7 +26,7 @@
 from burdockthread_store.store import ConfigurationStore
 
 from burdockthread_scenarios.gate import Gate, GatedClock, GatedMesh, GatedStore
-from burdockthread_scenarios.ledger import Outcome, RequestLedger
+from burdockthread_scenarios.ledger import Outcome, RequestLedger, new_key
 from burdockthread_scenarios.memory_vms import MemoryVms
 
 ORGANISATION = "trinacria"
@@ -287,7 +287,7 @@
     def send(self, amount: int, keyed: bool, request_class: str, name: str) -> None:
         """Sends requests at once."""
         for _ in range(amount):
-            body = f"request-{next(self.numbers)}"
+            body = new_key(self.clock.wall())
             self.send_one(body, keyed, RequestClass(request_class), name)
 
     def send_one(
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 from burdockthread_scenarios.cluster import Cluster, Site, running_cluster
+from burdockthread_scenarios.ledger import new_key
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 SITES = (
@@ -80,7 +81,7 @@
 
     async def request(self, organisation: str, service: str, urgency: str) -> Answer:
         """Sends one booking; retries with the same key at another entry."""
-        body = secrets.token_hex(12)
+        body = new_key(time.time())
         headers = {
             "Burdockthread-Organisation": organisation,
             "Burdockthread-Class": urgency,
