Run the jobs of the fault matrix on workers and restart with a new incarnation

A restarted entry of the harness kept its incarnation, which no process does; the owner then took the dead one's record for its own and five cells showed doubled=1.

--- a/libs/scenarios/burdockthread_scenarios/matrix.py
+++ b/libs/scenarios/burdockthread_scenarios/matrix.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from burdockthread_fleet.memory_workers import WorkerFaults
 from burdockthread_model.errors import BurdockthreadError, ConflictError
 from burdockthread_model.rendering import decode_accepted
 from burdockthread_model.steps import Step
@@ -49,6 +50,9 @@
     ENDPOINT_LATE = "endpoint.late"
     ENDPOINT_CROSSED = "endpoint.crossed"
     ENDPOINT_ERROR = "endpoint.error"
+    WORKER_FAILS = "worker.fails"
+    WORKER_REPORTS_LATE = "worker.reports_late"
+    WORKER_LIES = "worker.lies"
     PEER_LOST = "peer.lost"
     PEER_PAUSED = "peer.paused"
     PEER_PARTITIONED = "peer.partitioned"
@@ -73,6 +77,13 @@
 }
 
 
+WORKER_SWITCHES: dict[MatrixFault, tuple[str, object]] = {
+    MatrixFault.WORKER_FAILS: ("fails_everything", True),
+    MatrixFault.WORKER_REPORTS_LATE: ("report_lag_s", 8.0),
+    MatrixFault.WORKER_LIES: ("size_factor", 10.0),
+}
+
+
 class Cell(NamedTuple):
     """One fault at one step."""
 
@@ -151,9 +162,18 @@
         elif fault in ENDPOINT_SWITCHES:
             name, amount = ENDPOINT_SWITCHES[fault]
             await self.driver.set_fault("vm-000", name, amount)
+        elif fault in WORKER_SWITCHES:
+            self.set_workers(fault)
         else:
             await self.strike_entry(fault, running)
 
+    def set_workers(self, fault: MatrixFault | None) -> None:
+        """Sets a fault of all workers, or none."""
+        for worker in self.world.vms.workers.workers.values():
+            worker.faults = WorkerFaults()
+            if fault is not None:
+                setattr(worker.faults, *WORKER_SWITCHES[fault])
+
     async def strike_entry(self, fault: MatrixFault, running: RunningEntry) -> None:
         """Sets a fault of an entry or of the links between entries."""
         others = [name for name in self.world.entries if name != self.victim]
@@ -178,6 +198,7 @@
         await self.driver.heal()
         await self.driver.clear_faults("store")
         await self.driver.clear_faults("vm-000")
+        self.set_workers(None)
         for running in self.world.entries.values():
             running.gate.open()
         if self.stopping is not None:
@@ -288,6 +309,7 @@
         "not_run_that_ran",
         "jobs_lost",
         "jobs_refused_but_stored",
+        "jobs_doubled",
         "cut",
         "late_work",
         "reverted",
--- a/libs/scenarios/burdockthread_scenarios/memory_vms.py
+++ b/libs/scenarios/burdockthread_scenarios/memory_vms.py
@@ -5,6 +5,7 @@
 from collections.abc import Coroutine
 from typing import NamedTuple
 
+from burdockthread_fleet.memory_workers import MemoryWorkerClient
 from burdockthread_fleet.vm_control import VmControl
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import EndpointError, PlatformError
@@ -64,7 +65,8 @@
         vms: VMs by name.
         published: The lagging list.
         runs: Requests that were run.
-        cut_by_reboot: Requests that a reboot ended.
+        cut_by_reboot: Requests and tasks that a reboot ended.
+        workers: Workers of the VMs.
         late_work: Requests sent to a VM longer than the bound after its drain.
         down: Whether the list and the orders do not answer.
     """
@@ -77,6 +79,10 @@
         self.cut_by_reboot = 0
         self.late_work = 0
         self.down = False
+        self.workers = MemoryWorkerClient(clock)
+        for item in listings:
+            worker = self.workers.add(item.name, item.cores, "")
+            worker.boot_id = item.boot_id
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def list(self) -> tuple[VmListing, ...]:
@@ -112,6 +118,8 @@
         if generation >= found.generation:
             found.pool = pool
             found.generation = generation
+            self.workers.workers[vm].pool = pool
+            self.workers.workers[vm].generation = generation
 
     async def drain(self, vm: str, boot_id: str) -> int:
         """Makes a VM take no new work unless it has left the given boot already."""
@@ -120,8 +128,15 @@
         is_current = found.listing.boot_id == boot_id and found.up
         if is_current and found.draining_since_s is None:
             found.draining_since_s = self.clock.now()
+            self.workers.workers[vm].draining = True
             self.publish(found.listing._replace(status=VmStatus.LEAVING))
-        return found.in_flight
+        return self.work_under_way(found)
+
+    def work_under_way(self, vm: MemoryVm) -> int:
+        """Returns the requests and tasks under way on a VM."""
+        worker = self.workers.workers[vm.listing.name]
+        worker.advance()
+        return vm.in_flight + len(worker.running())
 
     async def reboot(self, vm: str, boot_id: str) -> None:
         """Reboots a VM unless it has left the given boot already."""
@@ -131,7 +146,7 @@
             return
         found.up = False
         found.reboots[boot_id] += 1
-        self.cut_by_reboot += found.in_flight
+        self.cut_by_reboot += self.work_under_way(found)
         self.start_task(self.boot_again(found))
 
     async def boot_again(self, vm: MemoryVm) -> None:
@@ -140,6 +155,7 @@
         vm.up = True
         vm.draining_since_s = None
         boot_id = f"{vm.listing.name}-boot-{vm.reboots.total() + 1}"
+        self.workers.workers[vm.listing.name].reboot(boot_id)
         self.publish(vm.listing._replace(status=VmStatus.LIVE, boot_id=boot_id))
 
     async def send(self, attempt: Attempt) -> EndpointAnswer:
--- a/libs/scenarios/burdockthread_scenarios/world.py
+++ b/libs/scenarios/burdockthread_scenarios/world.py
@@ -3,12 +3,12 @@
 import asyncio
 import itertools
 import json
+from collections import Counter
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
 from typing import Any, TypeVar
 
 from burdockthread.entry import Edges, Entry
-from burdockthread_fleet.memory_workers import MemoryWorkerClient
 from burdockthread_model.clock import MemoryClock, settle
 from burdockthread_model.errors import BurdockthreadError, RequestError
 from burdockthread_model.intended import TemplateDocument
@@ -181,7 +181,9 @@
         clock = GatedClock(self.clock, gate)
         index = self.names.index(name)
         zone = ZONES[index % len(ZONES)]
-        mesh = GatedMesh(self.network.join(name, zone, "sicily"), gate)
+        incarnation = f"start-{next(self.numbers)}"
+        joined = self.network.join(name, zone, "sicily", incarnation)
+        mesh = GatedMesh(joined, gate)
         edges = self.edges(self.store_of(name, gate), clock)
         steps = MemorySteps()
         entry = Entry(entry_settings(name, self.names), edges, mesh, steps)
@@ -217,7 +219,7 @@
 
     def edges(self, store: ConfigurationStore, clock: GatedClock) -> Edges:
         """Returns the edges of one entry."""
-        workers = MemoryWorkerClient(clock)
+        workers = self.vms.workers
         return Edges(store, self.vms, self.vms, workers, self.vms, clock)
 
     async def kill(self, name: str) -> None:
@@ -366,6 +368,8 @@
             "jobs_accepted": len(self.jobs),
             "jobs_lost": len(self.jobs - stored.keys()),
             "jobs_refused_but_stored": len(self.jobs_refused & stored.keys()),
+            "jobs_doubled": self.jobs_doubled(),
+            "jobs_done": sum(job.state is JobState.DONE for job in stored.values()),
             "cut": self.vms.cut_by_reboot,
             "late_work": self.vms.late_work,
             "lowest_available": self.lowest_available,
@@ -382,6 +386,18 @@
             ),
         }
 
+    def jobs_doubled(self) -> int:
+        """Returns the jobs started more often than checkpoints explain."""
+        workers = self.vms.workers
+        orders = [order.split() for order in workers.orders]
+        resumed = Counter(
+            task_id.rpartition(".")[0]
+            for name, task_id, *_ in orders
+            if name == "checkpoint"
+        )
+        starts = workers.starts().items()
+        return sum(count > 1 + resumed[job_id] for job_id, count in starts)
+
     def repeated_reboots(self) -> int:
         """Returns how often a boot was ended more than once."""
         return sum(
