Bound the callers' port and confirm deferred jobs by group commit

The callers' port was the library's own site: connections were not counted, a caller that dripped its headers held one for ever, a handler went on after its caller had hung up, the query of a request was lost, its path was sent on decoded, and an unexpected exception was answered without a verdict.

Connections beyond the bound are answered 503 not_run and closed; those that bring no whole request in 15 s are closed; a body has 10 s (408). Every answer of the application carries the verdict, 500 as unknown. stop_accepting() answers new requests 503 not_run with Connection: close while those under way end.

The ledger wrote one value for each service and batch, without pause, and a ConflictError ended its task. It now writes at most four times a second, all services in one write within 800 kB, refuses early beyond 5000 waiting jobs, and tells each submitter whether its record may stand; a submission that was not sent before its deadline is not_run.

--- /dev/null
+++ b/libs/routing/burdockthread_routing/caller_headers.py
@@ -0,0 +1,128 @@
+"""Reads the headers and the body of a caller's request."""
+
+import json
+import math
+
+from aiohttp import web
+from burdockthread_model.clock import Clock
+from burdockthread_model.errors import BadRequestError, RequestError
+from burdockthread_model.intended import ServiceSpec
+from burdockthread_model.request import RequestClass
+
+ORGANISATION_HEADER = "Burdockthread-Organisation"
+TEAM_HEADER = "Burdockthread-Team"
+CLASS_HEADER = "Burdockthread-Class"
+DEADLINE_HEADER = "Burdockthread-Deadline-Ms"
+IDEMPOTENT_HEADER = "Burdockthread-Idempotent"
+KEY_HEADER = "Idempotency-Key"
+SAFE_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE"})
+MAX_KEY_LENGTH = 128
+MAX_NAME_LENGTH = 64
+MAX_DEADLINE_MS = 600_000
+MAX_DEADLINE_DIGITS = 6
+BODY_TIMEOUT_S = 10.0
+DEFAULT_DEADLINE_S = 10.0
+
+
+class SlowBodyError(RequestError):
+    """A body that did not arrive in time."""
+
+    status = 408
+
+
+def read_deadline_s(
+    request: web.Request, spec: ServiceSpec | None, clock: Clock
+) -> float:
+    """Returns the clock time after which the caller waits no longer."""
+    text = request.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return clock.now() + (DEFAULT_DEADLINE_S if spec is None else spec.deadline_s)
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_DEADLINE_DIGITS:
+        raise BadRequestError(f"{DEADLINE_HEADER}: expected milliseconds")
+    if not 0 < int(text) <= MAX_DEADLINE_MS:
+        raise BadRequestError(f"{DEADLINE_HEADER}: expected 1 to {MAX_DEADLINE_MS}")
+    return clock.now() + int(text) / 1000.0
+
+
+async def read_body(request: web.Request, deadline_s: float, clock: Clock) -> bytes:
+    """Reads the whole body within a bounded time.
+
+    Raises:
+        SlowBodyError: The caller is too slow.
+    """
+    try:
+        async with clock.timeout(min(BODY_TIMEOUT_S, deadline_s - clock.now())):
+            return await request.read()
+    except TimeoutError:
+        raise SlowBodyError("the body did not arrive in time") from None
+
+
+def read_name(request: web.Request, header: str, *, required: bool) -> str:
+    """Reads a header that holds a name."""
+    text = request.headers.get(header, "")
+    if not text and not required:
+        return ""
+    allowed = text.replace("-", "").replace("_", "").replace(".", "")
+    if not allowed.isalnum() or not text.isascii() or len(text) > MAX_NAME_LENGTH:
+        raise BadRequestError(f"{header}: expected a name of letters, digits and -_.")
+    return text
+
+
+def read_path(request: web.Request) -> str:
+    """Returns the path below the service with its query, as the caller wrote it."""
+    _, _, below = request.raw_path.partition("/services/")
+    _, slash, path = below.partition("/")
+    if not slash:
+        raise BadRequestError("path: expected /services/<service>/<path>")
+    return f"/{path}"
+
+
+def read_class(request: web.Request) -> RequestClass:
+    """Reads the urgency."""
+    text = request.headers.get(CLASS_HEADER, RequestClass.STANDARD.value)
+    try:
+        return RequestClass(text)
+    except ValueError:
+        options = ", ".join(RequestClass)
+        raise BadRequestError(f"{CLASS_HEADER}: expected one of {options}") from None
+
+
+def read_idempotent(request: web.Request) -> bool:
+    """Reads whether running the request twice does no harm."""
+    text = request.headers.get(IDEMPOTENT_HEADER)
+    if text is None:
+        return request.method in SAFE_METHODS
+    if text not in ("true", "false"):
+        raise BadRequestError(f"{IDEMPOTENT_HEADER}: expected true or false")
+    return text == "true"
+
+
+def read_key(request: web.Request) -> str:
+    """Reads the idempotency key."""
+    text = request.headers.get(KEY_HEADER, "")
+    if len(text) > MAX_KEY_LENGTH or not text.isprintable():
+        raise BadRequestError(
+            f"{KEY_HEADER}: expected up to {MAX_KEY_LENGTH} characters"
+        )
+    return text
+
+
+def read_object(body: bytes) -> dict[str, object]:
+    """Reads a JSON object."""
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError):
+        raise BadRequestError("body: expected a JSON object") from None
+    if not isinstance(value, dict):
+        raise BadRequestError("body: expected a JSON object")
+    return value
+
+
+def read_number(fields: dict[str, object], name: str, default: float) -> float:
+    """Reads a number of a job."""
+    value = fields.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise BadRequestError(f"body.{name}: expected a number")
+    if not math.isfinite(value) or value < 0:
+        raise BadRequestError(f"body.{name}: expected zero or more")
+    return float(value)
--- a/libs/routing/burdockthread_routing/job_ledger.py
+++ b/libs/routing/burdockthread_routing/job_ledger.py
@@ -2,19 +2,34 @@
 
 import asyncio
 import secrets
+from collections import defaultdict, deque
 from collections.abc import Sequence
+from typing import NamedTuple
 
 import msgspec
 from burdockthread_model.clock import Clock
-from burdockthread_model.errors import StoreError
+from burdockthread_model.errors import (
+    BadRequestError,
+    BurdockthreadError,
+    OverloadedError,
+    RequestError,
+)
 from burdockthread_model.job import Job
 from burdockthread_model.rendering import canonical_json, to_plain
 from burdockthread_model.steps import Step, Steps
+from burdockthread_model.verdict import Verdict
 from burdockthread_store.store import Change, ConfigurationStore
 
 JOB_PREFIX = "job/"
-GROUP_COMMIT_S = 0.02
+GATHER_S = 0.02
+COMMIT_INTERVAL_S = 0.25
 MAX_JOBS_PER_SEGMENT = 500
+MAX_SEGMENT_BYTES = 200_000
+MAX_WRITE_BYTES = 800_000
+MAX_SEGMENTS_PER_WRITE = 32
+MAX_JOB_BYTES = 100_000
+MAX_WAITING_JOBS = 5_000
+RETRY_AFTER_S = 1.0
 
 
 def segment_key(service: str, segment_id: str) -> str:
@@ -38,65 +53,173 @@
     return [{name: item[name] for name in Job._fields} for item in items]
 
 
+class LateRecordError(RequestError):
+    """A job whose record was not confirmed before the caller's deadline."""
+
+    status = 504
+
+
 class Submission:
-    """A job that waits for its record to be confirmed."""
+    """A job that waits for its record to be confirmed.
+
+    Attributes:
+        job: The job.
+        size: Size of its record in bytes.
+        sent: Whether its record may have been sent to the store.
+        dropped: Whether its submitter has gone before that.
+        confirmed: Done once the record is confirmed or has failed.
+    """
 
     def __init__(self, job: Job) -> None:
         self.job = job
+        self.size = len(canonical_json(to_plain(job))) + 1
+        self.sent = False
+        self.dropped = False
         self.confirmed: asyncio.Future[None]
         self.confirmed = asyncio.get_running_loop().create_future()
 
 
+class Segment(NamedTuple):
+    """Submissions that are recorded under one key."""
+
+    key: str
+    submissions: list[Submission]
+
+
 class JobLedger:
-    """Confirms jobs by group commit: many jobs in one value."""
+    """Confirms jobs by group commit: many jobs in one write.
+
+    One write carries what has come since the last, so that the rate of writes
+    is bounded and the size of a write grows with the load.
+
+    Attributes:
+        waiting: Jobs whose record was not sent yet, oldest first.
+    """
 
     def __init__(self, store: ConfigurationStore, clock: Clock, steps: Steps) -> None:
         self.store = store
         self.clock = clock
         self.steps = steps
-        self.waiting: dict[str, list[Submission]] = {}
+        self.waiting: deque[Submission] = deque()
         self.arrived = asyncio.Event()
 
-    async def submit(self, job: Job) -> None:
+    async def submit(self, job: Job, deadline_s: float) -> None:
         """Records a job.
 
         Args:
             job: Job to record.
+            deadline_s: Clock time after which the answer is useless.
 
         Raises:
-            StoreUnavailableError: It was not recorded.
-            StoreUnknownError: It may have been recorded.
+            OverloadedError: Too many jobs wait; it was not recorded.
+            BadRequestError: Its record is too large.
+            RequestError: Not recorded, or perhaps so; see its verdict.
         """
         await self.steps.reach(Step.JOB_READ)
         submission = Submission(job)
-        self.waiting.setdefault(job.service, []).append(submission)
+        if submission.size > MAX_JOB_BYTES:
+            raise BadRequestError(f"body: the job exceeds {MAX_JOB_BYTES} bytes")
+        if len(self.waiting) >= MAX_WAITING_JOBS:
+            raise OverloadedError(
+                "too many jobs wait for their record", retry_after_s=RETRY_AFTER_S
+            )
+        self.waiting.append(submission)
         self.arrived.set()
-        await submission.confirmed
+        await self.wait(submission, deadline_s)
+
+    async def wait(self, submission: Submission, deadline_s: float) -> None:
+        """Waits until a record is confirmed or the deadline has passed."""
+        try:
+            async with self.clock.timeout(deadline_s - self.clock.now()):
+                await asyncio.shield(submission.confirmed)
+        except TimeoutError:
+            verdict = Verdict.UNKNOWN if submission.sent else Verdict.NOT_RUN
+            raise LateRecordError(
+                "the job was not recorded before the deadline",
+                verdict=verdict,
+                retry_after_s=RETRY_AFTER_S,
+            ) from None
+        except BurdockthreadError as error:
+            raise RequestError(
+                f"the job could not be recorded: {error}",
+                verdict=error.verdict,
+                retry_after_s=RETRY_AFTER_S,
+            ) from error
+        finally:
+            submission.dropped = not submission.sent
 
     async def run(self) -> None:
         """Commits waiting jobs until cancelled."""
         while True:
             await self.arrived.wait()
-            await self.clock.sleep(GROUP_COMMIT_S)
-            self.arrived.clear()
-            groups, self.waiting = self.waiting, {}
-            for service, submissions in groups.items():
-                for start in range(0, len(submissions), MAX_JOBS_PER_SEGMENT):
-                    end = start + MAX_JOBS_PER_SEGMENT
-                    await self.commit(service, submissions[start:end])
-
-    async def commit(self, service: str, group: Sequence[Submission]) -> None:
-        """Writes one segment and tells each of its submitters."""
-        key = segment_key(service, secrets.token_hex(8))
-        value = encode_jobs([submission.job for submission in group])
-        try:
-            await self.store.write([Change(key, value, 0)])
-        except StoreError as error:
-            for submission in group:
-                if not submission.confirmed.done():
+            await self.clock.sleep(GATHER_S)
+            started_s = self.clock.now()
+            await self.commit(self.take_segments())
+            if not self.waiting:
+                self.arrived.clear()
+            elapsed_s = self.clock.now() - started_s
+            await self.clock.sleep(COMMIT_INTERVAL_S - elapsed_s)
+
+    def take_segments(self) -> list[Segment]:
+        """Takes waiting jobs out, up to the bounds of one write."""
+        open_segments: dict[str, Segment] = {}
+        sizes: defaultdict[str, int] = defaultdict(int)
+        segments: list[Segment] = []
+        total = 0
+        while self.waiting:
+            submission = self.waiting[0]
+            if submission.dropped:
+                self.waiting.popleft()
+                continue
+            service = submission.job.service
+            segment = open_segments.get(service)
+            if segment is None or self.is_full(segment, sizes[segment.key], submission):
+                if len(segments) >= MAX_SEGMENTS_PER_WRITE:
+                    break
+                segment = Segment(segment_key(service, secrets.token_hex(8)), [])
+                open_segments[service] = segment
+                segments.append(segment)
+            total += submission.size
+            if total > MAX_WRITE_BYTES:
+                break
+            submission.sent = True
+            segment.submissions.append(self.waiting.popleft())
+            sizes[segment.key] += submission.size
+        return [segment for segment in segments if segment.submissions]
+
+    def is_full(self, segment: Segment, size: int, submission: Submission) -> bool:
+        """Returns whether a segment has no room for one more job."""
+        if len(segment.submissions) >= MAX_JOBS_PER_SEGMENT:
+            return True
+        return size + submission.size > MAX_SEGMENT_BYTES
+
+    async def commit(self, segments: Sequence[Segment]) -> None:
+        """Writes segments and tells each submitter how it ended."""
+        error = await self.write(segments) if segments else None
+        for segment in segments:
+            for submission in segment.submissions:
+                if submission.confirmed.done():
+                    continue
+                if error is None:
+                    submission.confirmed.set_result(None)
+                else:
                     submission.confirmed.set_exception(error)
-            return
-        await self.steps.reach(Step.JOB_RECORDED)
-        for submission in group:
-            if not submission.confirmed.done():
-                submission.confirmed.set_result(None)
+                    # A submitter that has gone leaves no one to read it.
+                    submission.confirmed.exception()
+
+    async def write(self, segments: Sequence[Segment]) -> BurdockthreadError | None:
+        """Writes segments; returns the error that tells whether they stand."""
+        changes = [
+            Change(segment.key, encode_jobs([s.job for s in segment.submissions]), 0)
+            for segment in segments
+        ]
+        try:
+            await self.store.write(changes)
+            await self.steps.reach(Step.JOB_RECORDED)
+        except BurdockthreadError as error:
+            return error
+        except Exception as error:
+            return RequestError(
+                f"unexpected {type(error).__name__}", verdict=Verdict.UNKNOWN
+            )
+        return None
--- a/libs/routing/tests/conftest.py
+++ b/libs/routing/tests/conftest.py
@@ -6,6 +6,7 @@
 
 import pytest
 from burdockthread_model.intended import ServiceSpec
+from burdockthread_model.job import Job, JobState
 from burdockthread_model.records import encode_record
 from burdockthread_model.request import CallerRequest, RequestClass
 from burdockthread_model.steps import Steps
@@ -22,10 +23,12 @@
     MemoryEndpointClient,
 )
 from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
+from burdockthread_routing.job_ledger import JobLedger, decode_jobs
 from burdockthread_routing.router import Router
 from burdockthread_routing.vm_directory import MemoryVmDirectory
 from burdockthread_standins.endpoint import StandinEndpoint
 from burdockthread_store.applied import AppliedConfiguration
+from burdockthread_store.memory_store import MemoryStore
 from burdockthread_store.prefix_cache import PrefixCache
 from burdockthread_store.store import KeyValue
 
@@ -259,3 +262,71 @@
 @pytest.fixture
 def router(new_router, script):
     return new_router(MemoryEndpointClient(script))
+
+
+class SlowStore(MemoryStore):
+    """A store whose writes take time, can fail, and are counted.
+
+    Attributes:
+        write_time_s: Time of one write.
+        error: What the next writes raise after that time, or None.
+        writes: Changes of each write that was tried.
+    """
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.write_time_s = 0.0
+        self.error = None
+        self.writes = []
+
+    async def write(self, changes, guards=()):
+        self.writes.append(changes)
+        await self.clock.sleep(self.write_time_s)
+        if self.error is not None:
+            raise self.error
+        return await super().write(changes, guards)
+
+
+@pytest.fixture
+def slow_store(clock):
+    return SlowStore(clock)
+
+
+@pytest.fixture
+async def ledger(slow_store, clock):
+    job_ledger = JobLedger(slow_store, clock, Steps())
+    running = asyncio.create_task(job_ledger.run())
+    yield job_ledger
+    running.cancel()
+
+
+@pytest.fixture
+def new_job():
+    numbers = itertools.count(1)
+
+    def make(payload="", service="org/svc"):
+        return Job(
+            f"job-{next(numbers)}",
+            service,
+            "org",
+            "",
+            RequestClass.DEFERRED,
+            1.0,
+            1.0,
+            0,
+            60.0,
+            False,
+            JobState.QUEUED,
+            payload=payload,
+        )
+
+    return make
+
+
+@pytest.fixture
+async def recorded(slow_store):
+    async def read():
+        listing = await slow_store.list("job/")
+        return [job for item in listing.items for job in decode_jobs(item.value)]
+
+    return read
--- /dev/null
+++ b/libs/routing/tests/test_callers_port.py
@@ -0,0 +1,181 @@
+import asyncio
+import json
+
+import aiohttp
+import pytest
+from burdockthread_model.clock import settle
+from burdockthread_model.errors import EndpointError
+from burdockthread_model.steps import Steps
+from burdockthread_routing.callers_api import CallersApi
+from burdockthread_routing.callers_port import PortLimits, callers_port
+from burdockthread_routing.endpoint_client import EndpointAnswer
+from burdockthread_routing.job_ledger import JobLedger
+
+HEADERS = {"Burdockthread-Organisation": "org", "Burdockthread-Class": "urgent"}
+LIMITS = PortLimits(body_bytes=1000, connections=5, stop_timeout_s=1.0)
+
+
+@pytest.fixture
+def api(router, store, clock, metrics, log):
+    ledger = JobLedger(store, clock, Steps())
+    return CallersApi("entry-1", router, ledger, clock, metrics, log)
+
+
+@pytest.fixture
+async def port(api, clock):
+    async with callers_port(api, clock, "127.0.0.1", 0, LIMITS) as chosen:
+        yield chosen
+
+
+@pytest.fixture
+async def call(port):
+    async with aiohttp.ClientSession(f"http://127.0.0.1:{port}") as session:
+
+        async def send(path="/services/svc/order", method="POST", data=b"x", **headers):
+            fields = {name.replace("_", "-"): value for name, value in headers.items()}
+            async with session.request(
+                method, path, data=data, headers=HEADERS | fields
+            ) as answer:
+                body = await answer.read()
+                verdict = answer.headers.get("Burdockthread-Verdict")
+                return answer.status, verdict, body, answer.headers
+
+        yield send
+
+
+async def test_an_answer_carries_verdict_and_endpoint(call, add_vm, router):
+    add_vm("vm-0")
+    status, verdict, body, headers = await call("/services/svc/a%2Fb?town=gangi&x=%20")
+    assert (status, verdict, body) == (200, "ran", b"x")
+    assert headers["Burdockthread-Endpoint"] == "vm-0"
+    assert router.client.attempts[0].path == "/a%2Fb?town=gangi&x=%20"
+
+
+@pytest.mark.parametrize(
+    ("headers", "named"),
+    [
+        ({"Burdockthread_Organisation": "a b"}, "Burdockthread-Organisation"),
+        ({"Burdockthread_Team": "x" * 65}, "Burdockthread-Team"),
+        ({"Burdockthread_Class": "soon"}, "Burdockthread-Class"),
+        ({"Burdockthread_Deadline_Ms": "-1"}, "Burdockthread-Deadline-Ms"),
+        ({"Burdockthread_Deadline_Ms": "0"}, "Burdockthread-Deadline-Ms"),
+        ({"Burdockthread_Idempotent": "maybe"}, "Burdockthread-Idempotent"),
+        ({"Idempotency_Key": "k" * 129}, "Idempotency-Key"),
+    ],
+)
+async def test_a_malformed_header_is_named(call, add_vm, router, headers, named):
+    add_vm("vm-0")
+    status, verdict, body, _ = await call(**headers)
+    assert (status, verdict) == (400, "not_run")
+    assert named in json.loads(body)["error"]
+    assert not router.client.attempts
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "data", "status"),
+    [
+        ("/services/none/order", "POST", b"", 404),
+        ("/elsewhere", "GET", b"", 404),
+        ("/jobs/svc", "PUT", b"", 405),
+        ("/services/svc/order", "POST", b"x" * 1001, 413),
+        ("/jobs/svc", "POST", b"[", 400),
+        ("/jobs/svc", "POST", b'{"cores": -1}', 400),
+    ],
+)
+async def test_what_cannot_be_served_has_not_run(call, path, method, data, status):
+    found, verdict, body, _ = await call(path, method, data)
+    assert (found, verdict) == (status, "not_run")
+    assert json.loads(body)["verdict"] == "not_run"
+
+
+async def test_an_unexpected_error_is_unknown(call, add_vm, script):
+    add_vm("vm-0")
+
+    async def fail(attempt):
+        raise ZeroDivisionError
+
+    script.by_vm["vm-0"] = fail
+    status, verdict, body, _ = await call()
+    assert (status, verdict) == (500, "unknown")
+    assert json.loads(body)["verdict"] == "unknown"
+
+
+async def test_an_endpoint_error_keeps_its_verdict(call, add_vm, script):
+    add_vm("vm-0")
+
+    async def refuse(attempt):
+        raise EndpointError("no connection")
+
+    script.by_vm["vm-0"] = refuse
+    assert (await call())[:2] == (502, "not_run")
+
+
+async def test_a_caller_that_hangs_up_leaves_the_queue(port, router):
+    head = "POST /services/svc/order HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n"
+    _, writer = await asyncio.open_connection("127.0.0.1", port)
+    lines = "".join(f"{name}: {value}\r\n" for name, value in HEADERS.items())
+    writer.write(f"{head}{lines}\r\n".encode())
+    assert await reached(lambda: router.in_flight == 1)
+    writer.close()
+    assert await reached(lambda: router.in_flight == 0)
+    assert not len(router.admission.waiting["org/svc"])
+
+
+async def reached(condition, rounds=2000):
+    """Returns whether a condition came true while the event loop ran."""
+    for _ in range(rounds):
+        if condition():
+            return True
+        await asyncio.sleep(0.001)
+    return False
+
+
+async def test_slow_callers_are_timed_out(port, clock):
+    streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(2)]
+    streams[0][1].write(b"POST /services/svc/order HTTP/1.1\r\nHost")
+    lines = "".join(f"{name}: {value}\r\n" for name, value in HEADERS.items())
+    head = "POST /services/svc/order HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n"
+    streams[1][1].write(f"{head}{lines}\r\nhalf".encode())
+    await asyncio.sleep(0.05)
+    await clock.advance(10.5)
+    answer = await asyncio.wait_for(streams[1][0].read(), 5.0)
+    assert b"408" in answer.split(b"\r\n")[0]
+    assert b"not_run" in answer
+    await clock.advance(6.0)
+    assert await asyncio.wait_for(streams[0][0].read(), 5.0) == b""
+
+
+async def test_connections_are_bounded(port):
+    streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(5)]
+    reader, _ = await asyncio.open_connection("127.0.0.1", port)
+    answer = await asyncio.wait_for(reader.read(), 5.0)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"Burdockthread-Verdict: not_run" in answer
+    assert json.loads(answer.partition(b"\r\n\r\n")[2])["verdict"] == "not_run"
+    for _, writer in streams:
+        writer.close()
+
+
+async def test_a_graceful_stop_cuts_nothing(api, call, add_vm, script, router):
+    add_vm("vm-0")
+    released = asyncio.Event()
+
+    async def hold(attempt):
+        await released.wait()
+        return EndpointAnswer(200, b"whole", "text/plain")
+
+    await call()
+    script.by_vm["vm-0"] = hold
+    under_way = [asyncio.create_task(call()) for _ in range(4)]
+    assert await reached(lambda: router.in_flight == 4)
+    api.stop_accepting()
+    status, verdict, _, headers = await call()
+    assert (status, verdict) == (503, "not_run")
+    assert headers["Connection"] == "close"
+    assert (await call("/readyz", "GET"))[0] == 503
+    released.set()
+    answers = await asyncio.gather(*under_way)
+    assert [answer[2] for answer in answers] == [b"whole"] * 4
+    assert {answer[3]["Connection"] for answer in answers} == {"close"}
+    await settle()
+    assert not api.busy
