--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -36,10 +36,12 @@
 from burdockthread_peers.static_permits import StaticPermits
 from burdockthread_peers.stream_mesh import StreamMesh
 from burdockthread_routing.callers_api import MAX_HEADER_BYTES, CallersApi
+from burdockthread_routing.callers_port import PortLimits, callers_port
 from burdockthread_routing.endpoint_choice import EndpointChooser
 from burdockthread_routing.endpoint_client import EndpointClient, HttpEndpointClient
 from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
 from burdockthread_routing.job_ledger import JOB_PREFIX, JobLedger
+from burdockthread_routing.jobs_api import JobAccess
 from burdockthread_routing.router import Router
 from burdockthread_routing.vm_directory import HttpVmDirectory, VmDirectory
 from burdockthread_store.applied import HEAD_PREFIX, AppliedConfiguration
@@ -54,6 +56,7 @@
 ENDPOINT_CONNECTIONS = 64
 READINESS_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.05
+CLOSE_TIMEOUT_S = 1.0
 BACKLOG = 256
 
 
@@ -204,6 +207,9 @@
         self.job_directory = JobDirectory(
             self.job_segments, self.clock, self.metrics, self.log
         )
+        self.callers_api.jobs.access = JobAccess(
+            self.job_segments.jobs.get, self.job_directory.cancel
+        )
 
     def jobs_report(self) -> JobsReport:
         """Reports the jobs."""
@@ -288,8 +294,7 @@
             for work in self.background():
                 stack.push_async_callback(cancel, asyncio.create_task(work))
             await self.listen(stack, "operators", self.operators_api.application())
-            callers = self.callers_api.application(self.limits.body_bytes)
-            await self.listen(stack, "callers", callers)
+            await self.listen_for_callers(stack)
             self.callers_api.ready = True
             self.log.info("entry_started", **self.ports)
             try:
@@ -332,18 +337,36 @@
         await site.start()
         self.ports[name] = runner.addresses[0][1]
 
+    async def listen_for_callers(self, stack: AsyncExitStack) -> None:
+        """Serves callers on the port of the settings."""
+        address = self.address("callers")
+        limits = PortLimits(
+            body_bytes=self.limits.body_bytes,
+            connections=self.limits.caller_connections,
+            stop_timeout_s=CLOSE_TIMEOUT_S,
+        )
+        listening = callers_port(
+            self.callers_api, self.clock, address["host"], address["port"], limits
+        )
+        self.ports["callers"] = await stack.enter_async_context(listening)
+
     def address(self, name: str) -> AddressSettings:
         """Returns the address of a port by its name."""
         return self.settings["callers" if name == "callers" else "operators"]
 
+    def is_busy(self) -> bool:
+        """Returns whether a caller waits or a sent request has no verdict yet."""
+        return bool(self.router.in_flight or self.callers_api.busy)
+
     async def drain(self) -> None:
         """Refuses new callers, then waits for the requests in flight."""
         self.log.info("entry_stopping", in_flight=self.router.in_flight)
         self.callers_api.ready = False
         self.mesh.announce_leaving()
-        await self.clock.sleep(READINESS_NOTICE_S)
         give_up_s = self.clock.now() + self.limits.stop_timeout_s
-        while self.router.in_flight and self.clock.now() < give_up_s:
+        await self.clock.sleep(READINESS_NOTICE_S)
+        self.callers_api.stop_accepting()
+        while self.is_busy() and self.clock.now() < give_up_s:
             await self.clock.sleep(DRAIN_POLL_S)
         await self.membership.leave()
         self.log.info("entry_stopped", in_flight=self.router.in_flight)
