--- a/libs/scenarios/burdockthread_scenarios/world.py
+++ b/libs/scenarios/burdockthread_scenarios/world.py
@@ -34,6 +34,7 @@
 TEMPLATE = "yard"
 ZONES = ("palermo", "catania", "trapani")
 DEADLINE_S = 5.0
+JOB_DEADLINE_S = 10.0
 TICK_S = 0.5
 SHORT_TICK_S = 0.1
 START_S = 15.0
@@ -344,7 +345,8 @@
     async def submit_one(self, running: RunningEntry, job: Job) -> None:
         """Submits one job and notes whether it was accepted."""
         try:
-            await running.entry.ledger.submit(job)
+            deadline_s = self.clock.now() + JOB_DEADLINE_S
+            await running.entry.ledger.submit(job, deadline_s)
             self.jobs.add(job.job_id)
         except BurdockthreadError as error:
             if error.verdict.value == "not_run":
