--- a/libs/routing/burdockthread_routing/fleet_view.py
+++ b/libs/routing/burdockthread_routing/fleet_view.py
@@ -138,11 +138,12 @@
             if stays or listing.boot_id != boot_id:
                 del self.leaving[name]
 
-    def mark_leaving(self, vm: str) -> bool:
+    def mark_leaving(self, vm: str, boot_id: str = "") -> bool:
         """Notes that a VM is leaving, by its own word, a peer's or the list.
 
         Args:
             vm: Name of the VM.
+            boot_id: Boot that is leaving; empty for the one in the list.
 
         Returns:
             Whether this is news.
@@ -150,6 +151,8 @@
         listing = self.listings.get(vm)
         if listing is None or self.leaving.get(vm) == listing.boot_id:
             return False
+        if boot_id not in ("", listing.boot_id):
+            return False
         self.leaving[vm] = listing.boot_id
         self.serving.clear()
         for listener in self.leaving_listeners:
--- a/libs/routing/tests/test_fleet_view.py
+++ b/libs/routing/tests/test_fleet_view.py
@@ -38,5 +38,13 @@
     assert vms() == {"vm-0"}
 
 
+def test_a_peers_word_counts_for_the_boot_it_names(view, add_vm, vms):
+    add_vm("vm-0")
+    assert not view.mark_leaving("vm-0", "b0")
+    assert vms() == {"vm-0"}
+    assert view.mark_leaving("vm-0", "b1")
+    assert not vms()
+
+
 def test_a_signal_of_an_unknown_vm_is_ignored(view):
     assert not view.mark_leaving("vm-9")
