--- a/libs/routing/burdockthread_routing/outliers.py
+++ b/libs/routing/burdockthread_routing/outliers.py
@@ -9,6 +9,7 @@
 FAILURES_TO_EJECT = 5
 EJECTION_FIRST_S = 5.0
 EJECTION_MAX_S = 60.0
+PROBE_INTERVAL_S = 1.0
 MAX_EJECTED_FRACTION = 0.34
 
 
@@ -20,12 +21,14 @@
         ejections: Ejections since the last success.
         ejected_until_s: Clock time of the end of the ejection; after it the
             endpoint is on probation until an attempt succeeds.
+        next_probe_s: Clock time from which it may get one attempt again.
     """
 
     def __init__(self) -> None:
         self.failures = 0
         self.ejections = 0
         self.ejected_until_s = 0.0
+        self.next_probe_s = 0.0
 
 
 class OutlierDetector:
@@ -58,35 +61,47 @@
         length_s = min(EJECTION_FIRST_S * 2.0**health.ejections, EJECTION_MAX_S)
         health.ejections += 1
         health.ejected_until_s = self.clock.now() + length_s
+        health.next_probe_s = health.ejected_until_s
         return True
 
-    def on_probation(self, vm: str) -> bool:
-        """Returns whether an endpoint may get one attempt at a time only."""
-        health = self.health.get(vm)
-        return health is not None and health.ejections > 0
-
     def allowed(self, endpoints: Sequence[Endpoint]) -> Sequence[Endpoint]:
-        """Leaves ejected endpoints out, up to a fraction of all.
+        """Leaves endpoints out that are ejected or were probed just now.
 
         Args:
             endpoints: Endpoints of one service.
 
         Returns:
-            The endpoints that may be chosen. When more are ejected than the
-            fraction allows, the fault is not one of single endpoints, and
-            those whose ejection ends first are kept.
+            The endpoints that may be chosen. When more fail than the fraction
+            allows, the fault is not one of single endpoints: only as many as
+            it allows stay out, and the others are not limited.
         """
         if not self.health:
             return endpoints
-        ejected = [e for e in endpoints if self.is_ejected(e.vm)]
-        if not ejected:
-            return endpoints
+        failing = [e for e in endpoints if self.is_failing(e.vm)]
         most = int(len(endpoints) * MAX_EJECTED_FRACTION)
-        if len(ejected) > most:
-            ejected.sort(key=lambda e: self.health[e.vm].ejected_until_s, reverse=True)
-        left_out = {e.vm for e in ejected[:most]}
+        if len(failing) > most:
+            failing = [e for e in failing if self.is_ejected(e.vm)]
+            failing.sort(key=lambda e: self.health[e.vm].ejected_until_s, reverse=True)
+            failing = failing[:most]
+        else:
+            failing = [e for e in failing if not self.may_probe(e.vm)]
+        left_out = {e.vm for e in failing}
         return [e for e in endpoints if e.vm not in left_out]
 
+    def is_failing(self, vm: str) -> bool:
+        """Returns whether an endpoint is ejected or on probation."""
+        health = self.health.get(vm)
+        return health is not None and health.ejections > 0
+
+    def may_probe(self, vm: str) -> bool:
+        """Returns whether an endpoint on probation may get an attempt now."""
+        return self.health[vm].next_probe_s <= self.clock.now()
+
+    def taken(self, vm: str) -> None:
+        """Notes that an endpoint gets an attempt, a probe if on probation."""
+        if self.is_failing(vm):
+            self.health[vm].next_probe_s = self.clock.now() + PROBE_INTERVAL_S
+
     def is_ejected(self, vm: str) -> bool:
         """Returns whether an endpoint is ejected now."""
         health = self.health.get(vm)
--- a/libs/routing/tests/conftest.py
+++ b/libs/routing/tests/conftest.py
@@ -6,22 +6,44 @@
 
 import pytest
 from burdockthread_model.intended import ServiceSpec
+from burdockthread_model.job import Job, JobState
+from burdockthread_model.records import encode_record
 from burdockthread_model.request import CallerRequest, RequestClass
+from burdockthread_model.steps import Steps
+from burdockthread_model.vm import VmListing, VmRecord, VmState, VmStatus
+from burdockthread_peers.idempotency import KeyDecision, KeyOwnership, KeyState
+from burdockthread_peers.static_permits import StaticPermits
 from burdockthread_routing.admission import Admission
+from burdockthread_routing.endpoint_choice import EndpointChooser
 from burdockthread_routing.endpoint_client import (
     Attempt,
     Endpoint,
+    EndpointAnswer,
     HttpEndpointClient,
+    MemoryEndpointClient,
 )
+from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
+from burdockthread_routing.job_ledger import JobLedger, decode_jobs
+from burdockthread_routing.router import Router
+from burdockthread_routing.vm_directory import MemoryVmDirectory
 from burdockthread_standins.endpoint import StandinEndpoint
+from burdockthread_store.applied import AppliedConfiguration
+from burdockthread_store.memory_store import MemoryStore
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.store import KeyValue
 
 SERVICE = ServiceSpec("org/svc", "org", "org/pool", queue_limit=256, deadline_s=10.0)
 
 
-def endpoint_named(vm, zone="here", region="region", port=1):
+def new_endpoint(vm, zone="here", region="region", port=1):
     return Endpoint(vm, "127.0.0.1", port, zone, SERVICE.pool, 1, region)
 
 
+@pytest.fixture
+def endpoint_named():
+    return new_endpoint
+
+
 @pytest.fixture
 def service():
     return SERVICE
@@ -70,7 +92,7 @@
         if not self.free:
             return None
         self.free -= 1
-        return endpoint_named("vm")
+        return new_endpoint("vm")
 
     def release(self, service, endpoint):
         self.free += 1
@@ -132,7 +154,7 @@
         number = next(numbers)
         return Attempt(
             attempt_id=f"entry-1.{number}",
-            endpoint=endpoint_named(vm.name, port=vm.port),
+            endpoint=new_endpoint(vm.name, port=vm.port),
             organisation="org",
             method=method,
             path="/order?town=gangi",
@@ -143,3 +165,168 @@
         )
 
     return make
+
+
+class RecordedKeys(KeyOwnership):
+    """Permits every key once and notes how each ended."""
+
+    def __init__(self):
+        self.begun = []
+        self.finished = []
+
+    async def begin(self, organisation, key, fingerprint, deadline_s):
+        self.begun.append(key)
+        return KeyDecision(KeyState.RUN)
+
+    async def finish(self, organisation, key, verdict, response):
+        await asyncio.sleep(0)
+        self.finished.append((key, verdict, response and response.body))
+
+
+class EndpointScript:
+    """Behaviour of endpoints that a test sets for each VM."""
+
+    def __init__(self):
+        self.by_vm = {}
+        self.in_flight = Counter()
+        self.highest = 0
+
+    async def __call__(self, attempt):
+        vm = attempt.endpoint.vm
+        self.in_flight[vm] += 1
+        self.highest = max(self.highest, self.in_flight[vm])
+        try:
+            behave = self.by_vm.get(vm, answer_ok)
+            return await behave(attempt)
+        finally:
+            self.in_flight[vm] -= 1
+
+
+async def answer_ok(attempt):
+    return EndpointAnswer(200, attempt.body, "text/plain")
+
+
+@pytest.fixture
+def script():
+    return EndpointScript()
+
+
+@pytest.fixture
+def view(clock, store, log):
+    cache = PrefixCache(store, VM_PREFIX, clock)
+    applied = AppliedConfiguration(log)
+    fleet_view = FleetView(applied, cache, MemoryVmDirectory(), clock, log)
+    fleet_view.services[SERVICE.name] = SERVICE
+    return fleet_view
+
+
+@pytest.fixture
+def add_vm(view):
+    def add(name, zone="here", region="region", port=1):
+        listing = VmListing(
+            name, "127.0.0.1", port, zone, region, "rack", 4, 8, 0, VmStatus.LIVE, "b1"
+        )
+        record = VmRecord(name, SERVICE.pool, VmState.SERVING, 1)
+        view.on_record(f"vm/{name}", KeyValue(f"vm/{name}", encode_record(record), 1))
+        view.on_listings((*view.listings.values(), listing))
+        return listing
+
+    return add
+
+
+@pytest.fixture
+def keys():
+    return RecordedKeys()
+
+
+@pytest.fixture
+def new_router(view, clock, metrics, log, keys):
+    def make(endpoint_client):
+        permits = StaticPermits("entry-1", ["entry-1"], lambda service: SERVICE.slots)
+        chooser = EndpointChooser("here", permits, clock, "region", seed=1)
+        return Router(
+            "entry-1",
+            view,
+            chooser,
+            endpoint_client,
+            keys,
+            clock,
+            metrics,
+            log,
+            Steps(),
+        )
+
+    return make
+
+
+@pytest.fixture
+def router(new_router, script):
+    return new_router(MemoryEndpointClient(script))
+
+
+class SlowStore(MemoryStore):
+    """A store whose writes take time, can fail, and are counted.
+
+    Attributes:
+        write_time_s: Time of one write.
+        error: What the next writes raise after that time, or None.
+        writes: Changes of each write that was tried.
+    """
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.write_time_s = 0.0
+        self.error = None
+        self.writes = []
+
+    async def write(self, changes, guards=()):
+        self.writes.append(changes)
+        await self.clock.sleep(self.write_time_s)
+        if self.error is not None:
+            raise self.error
+        return await super().write(changes, guards)
+
+
+@pytest.fixture
+def slow_store(clock):
+    return SlowStore(clock)
+
+
+@pytest.fixture
+async def ledger(slow_store, clock):
+    job_ledger = JobLedger(slow_store, clock, Steps())
+    running = asyncio.create_task(job_ledger.run())
+    yield job_ledger
+    running.cancel()
+
+
+@pytest.fixture
+def new_job():
+    numbers = itertools.count(1)
+
+    def make(payload="", service="org/svc"):
+        return Job(
+            f"job-{next(numbers)}",
+            service,
+            "org",
+            "",
+            RequestClass.DEFERRED,
+            1.0,
+            1.0,
+            0,
+            60.0,
+            False,
+            JobState.QUEUED,
+            payload=payload,
+        )
+
+    return make
+
+
+@pytest.fixture
+async def recorded(slow_store):
+    async def read():
+        listing = await slow_store.list("job/")
+        return [job for item in listing.items for job in decode_jobs(item.value)]
+
+    return read
