--- a/libs/fleet/burdockthread_fleet/budget.py
+++ b/libs/fleet/burdockthread_fleet/budget.py
@@ -4,7 +4,6 @@
 from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
-from burdockthread_model.errors import ConflictError
 from burdockthread_model.intended import FailureDomain, PoolSpec
 from burdockthread_model.records import RecordError, decode_record, encode_record
 from burdockthread_model.vm import VmListing
@@ -96,13 +95,13 @@
 def read_disruptions(cache: PrefixCache, pool: str) -> Disruptions:
     """Returns a pool's disruption record as last seen.
 
-    Raises:
-        ConflictError: The record is malformed.
+    A malformed record counts as empty and is overwritten by the next change;
+    decisions rest on the VM records.
     """
     known = cache.values.get(disruptions_key(pool))
     if known is None:
         return Disruptions(())
     try:
         return decode_record(known.value, Disruptions)
-    except RecordError as error:
-        raise ConflictError(f"{known.key}: {error}") from error
+    except RecordError:
+        return Disruptions(())
--- a/libs/fleet/burdockthread_fleet/planner.py
+++ b/libs/fleet/burdockthread_fleet/planner.py
@@ -55,6 +55,7 @@
 
 STEP_INTERVAL_S = 0.5
 MAX_VIEW_AGE_S = 5.0
+RECOVERY_INTERVAL_S = 5.0
 RECENT_MOVES = 100
 
 
@@ -126,6 +127,7 @@
         )
         self.absence = Absence(clock)
         self.surplus = Pacing(clock)
+        self.recovery = Pacing(clock)
         self.recent_moves: deque[RecentMove] = deque(maxlen=RECENT_MOVES)
 
     async def run(self) -> None:
@@ -163,7 +165,8 @@
         """Reads again what a conflict has shown to be out of date."""
         try:
             await self.leadership.verify()
-            await self.refresh()
+            if self.recovery.due(("", ""), RECOVERY_INTERVAL_S):
+                await self.refresh()
         except StoreError as error:
             self.log.warning("planner_refresh_failed", reason=error)
 
--- a/libs/fleet/burdockthread_fleet/vm_control.py
+++ b/libs/fleet/burdockthread_fleet/vm_control.py
@@ -68,6 +68,7 @@
         pools: Pool that each VM serves.
         generations: Generation of each VM.
         reboots: Boots that were ended, as VM and boot id.
+        cut: Boots that were ended with work in flight.
         stuck: VMs that never come back from a reboot.
         silent: VMs that answer no order.
         reboot_s: Seconds that a reboot takes.
@@ -87,6 +88,7 @@
         self.pools: dict[str, str] = {}
         self.generations: dict[str, int] = {}
         self.reboots: list[tuple[str, str]] = []
+        self.cut: list[tuple[str, str]] = []
         self.stuck: set[str] = set()
         self.silent: set[str] = set()
         self.booting: dict[str, float] = {}
@@ -122,6 +124,8 @@
         listing = self.answer(f"reboot {vm} {boot_id}", vm)
         if listing.boot_id == boot_id and vm not in self.booting:
             self.reboots.append((vm, boot_id))
+            if self.in_flight.get(vm, 0):
+                self.cut.append((vm, boot_id))
             self.booting[vm] = self.clock.now() + self.reboot_s
 
     def finish_reboots(self) -> None:
--- a/libs/fleet/burdockthread_fleet/waves.py
+++ b/libs/fleet/burdockthread_fleet/waves.py
@@ -4,7 +4,6 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from burdockthread_model.errors import ConflictError
 from burdockthread_model.intended import MaintenanceSpec, OrganisationSpec
 from burdockthread_model.records import RecordError, decode_record, encode_record
 from burdockthread_model.vm import VmListing, VmRecord, VmState, VmStatus
@@ -308,16 +307,15 @@
 def read_wave(cache: PrefixCache, spec: OrganisationSpec) -> Wave:
     """Returns the wave of an organisation as last seen.
 
-    Raises:
-        ConflictError: The record is malformed.
+    A malformed record counts as no wave and is overwritten by the next one.
     """
     known = cache.values.get(wave_key(spec))
     if known is None:
         return Wave()
     try:
         return decode_record(known.value, Wave)
-    except RecordError as error:
-        raise ConflictError(f"{known.key}: {error}") from error
+    except RecordError:
+        return Wave()
 
 
 def wave_change(cache: PrefixCache, spec: OrganisationSpec, wave: Wave) -> Change:
