Fill pools by a buffer policy, and group the fleet only when it changed

A profile showed the grouping of the fleet (twice a step), deficits counted again at each use, and the spread of pools that lack nothing.

--- a/libs/fleet/burdockthread_fleet/assignment.py
+++ b/libs/fleet/burdockthread_fleet/assignment.py
@@ -68,7 +68,7 @@
     free: dict[Rack, list[str]] = defaultdict(list)
     for name in sorted(state.free, reverse=True):
         free[rack_of(state.free[name])].append(name)
-    filling = Filling(state, free)
+    filling = Filling(free)
     order = sorted(state.pools.values(), key=fill_order)
     for pool in order:
         filling.fill(pool, pool.spec.vms - pool.spec.min_available)
@@ -91,16 +91,19 @@
         assignments: VMs taken so far.
     """
 
-    def __init__(self, state: FleetState, free: dict[Rack, list[str]]) -> None:
+    def __init__(self, free: dict[Rack, list[str]]) -> None:
         self.free = free
         self.assignments: list[Assignment] = []
         self.given: Counter[str] = Counter()
-        self.spreads = {name: spread_of(pool) for name, pool in state.pools.items()}
+        self.spreads: dict[str, Spread] = {}
 
     def fill(self, pool: PoolState, leave: int) -> None:
         """Gives a pool VMs until it lacks no more than `leave`."""
         name = pool.spec.name
-        for _ in range(pool.deficit - self.given[name] - leave):
+        wanted = pool.deficit - self.given[name] - leave
+        if wanted > 0 and name not in self.spreads:
+            self.spreads[name] = spread_of(pool)
+        for _ in range(wanted):
             rack = self.best_rack(pool.spec)
             if rack is None:
                 return
--- a/libs/fleet/burdockthread_fleet/feasibility.py
+++ b/libs/fleet/burdockthread_fleet/feasibility.py
@@ -136,7 +136,7 @@
 def best_layout(pool: PoolSpec, live: Sequence[VmListing]) -> list[VmListing]:
     """Returns the VMs that a pool would have if it chose first."""
     free = {v.name: v for v in live if may_hold(pool, v)}
-    state = FleetState({pool.name: PoolState(pool, (), 0)}, (), free)
+    state = FleetState({pool.name: PoolState.from_members(pool, (), 0)}, (), free)
     return [free[assignment.vm] for assignment in assign_free_vms(state)]
 
 
--- a/libs/fleet/burdockthread_fleet/fleet_state.py
+++ b/libs/fleet/burdockthread_fleet/fleet_state.py
@@ -1,11 +1,13 @@
 """The fleet at one moment, grouped by pool for the planner's decisions."""
 
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Mapping, Sequence, Set
 from typing import NamedTuple
 
 from burdockthread_model.intended import PoolSpec
 from burdockthread_model.vm import VmListing, VmRecord, VmState, VmStatus
 from burdockthread_routing.fleet_view import FleetView
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.store import KeyValue
 
 
 class Member(NamedTuple):
@@ -42,18 +44,21 @@
     Attributes:
         spec: Pool as intended.
         members: VMs recorded in the pool.
-        incoming: VMs that are on their way from other pools.
+        deficit: VMs that the pool lacks, those on their way counted as there;
+            negative for a surplus.
     """
 
     spec: PoolSpec
     members: tuple[Member, ...]
-    incoming: int
+    deficit: int
 
-    @property
-    def deficit(self) -> int:
-        """VMs that the pool lacks; negative for a surplus."""
-        held = sum(member.counts for member in self.members)
-        return self.spec.vms - held - self.incoming
+    @classmethod
+    def from_members(
+        cls, spec: PoolSpec, members: Sequence[Member], incoming: int
+    ) -> "PoolState":
+        """Returns a pool to which some VMs are on their way."""
+        held = sum(member.counts for member in members)
+        return cls(spec, tuple(members), spec.vms - held - incoming)
 
     def available(self) -> list[VmListing]:
         """Returns the VMs that serve now."""
@@ -90,14 +95,39 @@
             if member.leaves_pool and record.target_pool in incoming:
                 incoming[record.target_pool] += not member.lost
         pools = {
-            name: PoolState(spec, tuple(by_pool[name]), incoming[name])
+            name: PoolState.from_members(spec, by_pool[name], incoming[name])
             for name, spec in view.pools.items()
         }
         return cls(pools, tuple(orphans), free_vms(view))
 
-    def members(self, pools: Iterable[str]) -> list[Member]:
-        """Returns the VMs of some pools."""
-        return [m for name in pools for m in self.pools[name].members]
+
+class StateCache:
+    """Groups the fleet again only when something that matters has changed.
+
+    Attributes:
+        view: The entry's view.
+        changes: VM records changed so far.
+    """
+
+    def __init__(self, view: FleetView, vm_cache: PrefixCache) -> None:
+        self.view = view
+        self.changes = 0
+        self.known: FleetState | None = None
+        self.known_by: tuple[object, ...] = ()
+        vm_cache.listeners.append(self.on_record)
+
+    def on_record(self, key: str, item: KeyValue | None) -> None:
+        """Notes a change of a VM record."""
+        self.changes += 1
+
+    def get(self, lost: frozenset[str]) -> FleetState:
+        """Returns the fleet with some VMs taken as lost."""
+        view = self.view
+        known_by = (self.changes, lost, view.pools, view.leaving.copy(), view.listings)
+        if self.known is None or known_by != self.known_by:
+            self.known = FleetState.from_view(view, lost)
+            self.known_by = known_by
+        return self.known
 
 
 def member_of(view: FleetView, record: VmRecord, lost: bool) -> Member:
--- a/libs/fleet/burdockthread_fleet/lifecycle.py
+++ b/libs/fleet/burdockthread_fleet/lifecycle.py
@@ -131,11 +131,9 @@
 
     def rebooted_unasked(self, record: VmRecord) -> bool:
         """Returns whether a VM serves from another boot than the one assigned."""
-        listing = self.live(record)
-        if listing is None or not record.boot_id:
+        if record.state in OUT_STATES or not record.boot_id:
             return False
-        serves = record.state in (VmState.SERVING, VmState.QUARANTINED)
-        return serves and listing.boot_id != record.boot_id
+        return self.left_boot(record)
 
     def live(self, record: VmRecord) -> VmListing | None:
         """Returns the listing of a VM that is listed as live, or None."""
--- a/libs/fleet/burdockthread_fleet/memory_fleet.py
+++ b/libs/fleet/burdockthread_fleet/memory_fleet.py
@@ -97,11 +97,18 @@
     async def look(self) -> None:
         """Brings the view up to date."""
         if not self.fleet.store.down:
-            await self.vm_cache.refresh()
-            await self.pool_cache.refresh()
+            await self.refresh(self.vm_cache)
+            await self.refresh(self.pool_cache)
         if not self.fleet.directory.down:
             self.view.listings = dict(self.fleet.directory.listings)
 
+    async def refresh(self, cache: PrefixCache) -> None:
+        """Brings one copy up to date; asks nothing if nothing was written."""
+        if cache.synced and cache.revision == self.fleet.store.revision:
+            cache.contact_s = self.clock.now()
+        else:
+            await cache.refresh()
+
     async def step(self) -> None:
         """Looks and plans once, as the process does at each interval."""
         if self.paused:
@@ -149,9 +156,9 @@
         for _ in range(round(seconds / STEP_INTERVAL_S)):
             await self.tick()
 
-    async def tick(self) -> None:
+    async def tick(self, interval_s: float = STEP_INTERVAL_S) -> None:
         """Lets one interval pass."""
-        await self.clock.advance(STEP_INTERVAL_S)
+        await self.clock.advance(interval_s)
         self.control.finish_reboots()
         for node in self.nodes:
             await node.step()
--- a/libs/fleet/burdockthread_fleet/moves.py
+++ b/libs/fleet/burdockthread_fleet/moves.py
@@ -7,6 +7,7 @@
 
 from burdockthread_fleet.assignment import Spread, may_hold, rack_of, spread_of
 from burdockthread_fleet.budget import may_take
+from burdockthread_fleet.buffer import DEFAULT_POLICY, BufferPolicy
 from burdockthread_fleet.fleet_state import FleetState, Member, PoolState
 from burdockthread_fleet.waves import out_limit
 
@@ -34,7 +35,9 @@
     return pool.partition("/")[0]
 
 
-def plan_moves(state: FleetState, settled: Set[str]) -> list[Move]:
+def plan_moves(
+    state: FleetState, settled: Set[str], policy: BufferPolicy = DEFAULT_POLICY
+) -> list[Move]:
     """Plans the moves that bring every pool nearer to its intended size.
 
     Demand does not enter: it rises for seconds, while a move takes minutes.
@@ -43,6 +46,7 @@
     Args:
         state: The fleet.
         settled: Pools whose surplus has lasted long enough to be given back.
+        policy: Who gives VMs to a pool that lacks some.
 
     Returns:
         Moves that all budgets allow to be started together.
@@ -51,7 +55,7 @@
     return [
         move
         for organisation in organisations
-        for move in MovePlan(state, organisation, settled).plan()
+        for move in MovePlan(state, organisation, settled, policy).plan()
     ]
 
 
@@ -64,7 +68,14 @@
         wanted: VMs that each pool lacks, negative for a surplus.
     """
 
-    def __init__(self, state: FleetState, organisation: str, settled: Set[str]) -> None:
+    def __init__(
+        self,
+        state: FleetState,
+        organisation: str,
+        settled: Set[str],
+        policy: BufferPolicy,
+    ) -> None:
+        self.policy = policy
         self.settled = settled
         self.pools = {
             name: pool
@@ -85,7 +96,7 @@
         """Returns the moves, most urgent first."""
         for pool in sorted(self.pools.values(), key=self.urgency):
             if not pool.spec.spare:
-                self.fill(pool, self.surplus_pools() + self.spare_pools())
+                self.fill(pool, self.sources())
         for pool in self.spare_pools():
             self.fill(pool, self.settled_pools())
             self.give_back(pool)
@@ -96,6 +107,10 @@
         above = len(self.left[pool.spec.name]) - pool.spec.min_available
         return above, pool.spec.name
 
+    def sources(self) -> list[PoolState]:
+        """Returns the pools that may give VMs to one that lacks some."""
+        return self.policy.sources(self.surplus_pools(), self.spare_pools())
+
     def surplus_pools(self) -> list[PoolState]:
         """Returns the pools that have too many VMs."""
         return [p for n, p in sorted(self.pools.items()) if self.wanted[n] < 0]
@@ -115,6 +130,8 @@
     def fill(self, target: PoolState, sources: list[PoolState]) -> None:
         """Plans moves into a pool until it lacks none or no VM may leave."""
         name = target.spec.name
+        if self.wanted[name] <= 0:
+            return
         spread = spread_of(target)
         while self.wanted[name] > 0 and self.limit > 0:
             reason = f"{name} lacks {self.wanted[name]}"
@@ -123,8 +140,11 @@
 
     def give_back(self, spare: PoolState) -> None:
         """Plans moves of what other pools have too many into the spare pool."""
+        settled = self.settled_pools()
+        if not settled and not self.orphans:
+            return
         spread = spread_of(spare)
-        for source in self.settled_pools():
+        for source in settled:
             name = source.spec.name
             while self.wanted[name] < 0 and self.limit > 0:
                 reason = f"{name} has {-self.wanted[name]} too many"
--- a/libs/fleet/burdockthread_fleet/planner.py
+++ b/libs/fleet/burdockthread_fleet/planner.py
@@ -27,7 +27,8 @@
     Absence,
 )
 from burdockthread_fleet.assignment import assign_free_vms
-from burdockthread_fleet.fleet_state import FleetState, Member
+from burdockthread_fleet.buffer import DEFAULT_POLICY
+from burdockthread_fleet.fleet_state import FleetState, Member, StateCache
 from burdockthread_fleet.leadership import Leadership
 from burdockthread_fleet.lifecycle import VmLifecycle
 from burdockthread_fleet.moves import (
@@ -96,6 +97,7 @@
 
     Attributes:
         absence: How long VMs have been missing.
+        policy: Who gives VMs to a pool that lacks some.
         recent_moves: Last moves that this process started.
     """
 
@@ -125,6 +127,9 @@
         self.lifecycle = VmLifecycle(
             leadership, self.writer, view, control, clock, metrics, log, steps
         )
+        self.policy = DEFAULT_POLICY
+        self.states = StateCache(view, vm_cache)
+        self.urgent_states = StateCache(view, vm_cache)
         self.absence = Absence(clock)
         self.surplus = Pacing(clock)
         self.recovery = Pacing(clock)
@@ -183,7 +188,7 @@
     def state(self) -> FleetState:
         """Returns the fleet as known now."""
         lost = self.absence.missing_for(LOST_AFTER_S) | self.overdue()
-        state = FleetState.from_view(self.view, lost)
+        state = self.states.get(lost)
         needed = self.absence.missing_for(NEEDED_LOST_AFTER_S) - lost
         if not needed:
             return state
@@ -194,7 +199,7 @@
         }
         records = self.view.records
         urgent = {vm for vm in needed if vm in records and records[vm].pool in short}
-        return FleetState.from_view(self.view, lost | urgent) if urgent else state
+        return self.urgent_states.get(lost | urgent) if urgent else state
 
     def overdue(self) -> frozenset[str]:
         """Returns the VMs that did not come back from a reboot in time."""
@@ -308,7 +313,7 @@
     def plan(self) -> DisruptionPlan:
         """Returns what may be taken out now; moves go before maintenance."""
         state = self.state()
-        moves = plan_moves(state, self.settled_surplus(state))
+        moves = plan_moves(state, self.settled_surplus(state), self.policy)
         if moves:
             updates = [self.move_update(move) for move in moves]
             return DisruptionPlan(updates, [], moves, [])
