Measure the planner against the buffer per pool and a naive planner

Weighing: each measure counts as a share of a fixed reference (the buffer per pool, its delivery, the naive planner's moves).

--- a/libs/fleet/burdockthread_fleet/buffer.py
+++ b/libs/fleet/burdockthread_fleet/buffer.py
@@ -125,23 +125,26 @@
 
 
 def score(
-    measures: PolicyMeasures, worst: PolicyMeasures, weights: WeightsSpec
+    measures: PolicyMeasures, reference: PolicyMeasures, weights: WeightsSpec
 ) -> float:
-    """Returns the weighted sum of the measures, each as a share of the worst."""
+    """Returns the weighted sum of the measures, each as a share of a reference.
+
+    The reference does not depend on the policies that are compared: against
+    the worse of two, one move a year would weigh as much as a thousand a day.
+    """
     return sum(
-        weight * (value / limit if limit else 0.0)
-        for value, limit, weight in zip(measures, worst, weights, strict=True)
+        weight * value / limit if limit else 0.0
+        for value, limit, weight in zip(measures, reference, weights, strict=True)
     )
 
 
 def better_policy(
-    measures: Mapping[str, PolicyMeasures], weights: WeightsSpec
+    measures: Mapping[str, PolicyMeasures],
+    reference: PolicyMeasures,
+    weights: WeightsSpec,
 ) -> tuple[str, Mapping[str, float]]:
     """Returns the policy with the smallest score, and all scores."""
-    worst = PolicyMeasures(
-        *(max(column) for column in zip(*measures.values(), strict=True))
-    )
-    scores = {name: score(m, worst, weights) for name, m in measures.items()}
+    scores = {name: score(m, reference, weights) for name, m in measures.items()}
     return min(scores, key=scores.__getitem__), scores
 
 
--- a/libs/fleet/tests/test_buffer.py
+++ b/libs/fleet/tests/test_buffer.py
@@ -46,8 +46,10 @@
         "lean": PolicyMeasures(buffer=1, rollout=10, moves=1, flood=0),
         "fast": PolicyMeasures(buffer=10, rollout=1, moves=1, flood=0),
     }
-    assert better_policy(measures, WeightsSpec(buffer=3))[0] == "lean"
-    assert better_policy(measures, WeightsSpec(rollout=3))[0] == "fast"
+    reference = PolicyMeasures(buffer=10, rollout=10, moves=100, flood=1)
+    lean = better_policy(measures, reference, WeightsSpec(buffer=3))
+    fast = better_policy(measures, reference, WeightsSpec(rollout=3))
+    assert (lean[0], fast[0]) == ("lean", "fast")
 
 
 def test_shared_spare_is_the_default(fleet):
