Halve the cost of a round and let other tasks run within it

Trial with 610 workers of one organisation, 3,000 tasks and 1,600 waiting jobs: a round held the event loop of a process that also routes for 0.46 s, twice a second.

An update decided before a pause is dropped if its job has changed since, as before. A longer interval was ruled out: with a displacement that is not confirmed, urgent work takes up to four intervals.

--- a/libs/burdockthread/burdockthread/bench_jobs.py
+++ b/libs/burdockthread/burdockthread/bench_jobs.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 
 from burdockthread_fleet.job_directory import JobDirectory
+from burdockthread_fleet.job_runner import ROUND_INTERVAL_S
 from burdockthread_model.job import Job, JobState
 from burdockthread_model.request import RequestClass
 
@@ -71,7 +72,7 @@
     load: float,
     request_class: RequestClass | None = None,
 ) -> list[Job]:
-    """Returns the jobs that arrive at a pool during half a second.
+    """Returns the jobs that arrive at a pool between two rounds.
 
     Args:
         trial: Trial that they are for.
@@ -80,7 +81,7 @@
         request_class: Their class, or None for a mixture.
     """
     per_second = load * trial.site.workers / (MEAN_CORES_SHARE * MEAN_RUN_TIME_S)
-    expected = per_second * 0.5
+    expected = per_second * ROUND_INTERVAL_S
     count = int(expected) + (trial.random.random() < expected % 1)
     jobs = []
     for _ in range(count):
@@ -100,7 +101,7 @@
 async def run_demand(site: SiteSize, seed: int, *, first_come: bool) -> JobTrial:
     """Runs the brief's demand: each queue in turn five times its mean."""
     trial = JobTrial(site, seed, first_come=first_come)
-    for _ in halves(DEMAND_S):
+    for _ in rounds(DEMAND_S):
         elapsed_s = trial.clock.now() - 1_000_000.0
         turn = bursting(site, elapsed_s)
         jobs: list[Job] = []
@@ -112,9 +113,9 @@
     return trial
 
 
-def halves(seconds: float) -> Iterator[int]:
-    """Yields once for each half second."""
-    yield from range(int(seconds * 2))
+def rounds(seconds: float) -> Iterator[int]:
+    """Yields once for each round within some seconds."""
+    yield from range(int(seconds / ROUND_INTERVAL_S))
 
 
 async def measure_demand(site: SiteSize, seed: int) -> list[Measure]:
@@ -168,7 +169,7 @@
             request_class = DEFERRED if number % 2 else STANDARD
             jobs.append(trial.new_job(pool, request_class, 120.0))
     await trial.submit(jobs)
-    for _ in halves(30.0):
+    for _ in rounds(30.0):
         await trial.round()
 
 
@@ -178,7 +179,7 @@
     await fill_pools(trial)
     jobs = [trial.new_job(p, URGENT, 20.0) for p in site.pools for _ in range(6)]
     await trial.submit(jobs)
-    for _ in halves(60.0):
+    for _ in rounds(60.0):
         await trial.round()
     return sorted(trial.delays_s(jobs))
 
@@ -202,13 +203,13 @@
     """Returns the standard jobs done in the flooded pool, the spare, and others."""
     trial = JobTrial(site, seed, first_come=first_come)
     flooded = site.pools[0]
-    for number in halves(FLOOD_END_S):
+    for number in rounds(FLOOD_END_S):
         jobs: list[Job] = []
-        if number < FLOOD_S * 2:
+        if number < FLOOD_S / ROUND_INTERVAL_S:
             for pool in site.pools:
                 jobs += arrivals(trial, pool, STEADY_LOAD, STANDARD)
         await trial.submit(jobs)
-        if flood is not None and number < FLOOD_S * 2:
+        if flood is not None and number < FLOOD_S / ROUND_INTERVAL_S:
             others = JobTrial(site, seed + number)
             others.clock = trial.clock
             extra = arrivals(others, flooded, STEADY_LOAD * BURST_FACTOR, flood)
@@ -262,7 +263,7 @@
         trial = JobTrial(site, seed, first_come=first_come)
         sick = trial.workers.workers[f"{site.pools[0]}-0"]
         sick.faults.fails_everything = True
-        for _ in halves(FAILING_S):
+        for _ in rounds(FAILING_S):
             await trial.submit(arrivals(trial, site.pools[0], STEADY_LOAD))
             await trial.round()
         values.append(float(sick.starts.total()))
@@ -290,7 +291,7 @@
         rooms = trial.rounds.builder.build(
             trial.rounds.claimed_jobs(), trial.clock.wall()
         )
-        trial.rounds.placements(rooms)
+        await trial.rounds.placements(rooms)
         value = time.perf_counter() - started_s
         name = f"jobs.placement_round.{workers}_workers"
         found.append(at_most(name, "target", value, "s", ROUND_TARGET_S, None))
--- a/libs/burdockthread/burdockthread/job_trial.py
+++ b/libs/burdockthread/burdockthread/job_trial.py
@@ -93,7 +93,7 @@
 class FirstComePlacer(JobPlacer):
     """First come, first fit by declared sizes; nothing is displaced or closed."""
 
-    def plan(
+    async def plan(
         self,
         waiting_jobs: Sequence[Job],
         parked: Sequence[Job],
--- a/libs/fleet/burdockthread_fleet/job_placer.py
+++ b/libs/fleet/burdockthread_fleet/job_placer.py
@@ -25,7 +25,7 @@
 
 MAX_CLAIMS_PER_ROUND = 200
 MAX_UNPROVEN_CLAIMS = 4
-MAX_MISSES_PER_QUEUE = 8
+MAX_MISSES_PER_QUEUE = 4
 MAX_DISPLACEMENTS_PER_ROUND = 32
 RESERVE_AFTER_S = 30.0
 MAX_RESERVED_SHARE = 0.5
@@ -116,13 +116,13 @@
         self.avoided_s: dict[str, float] = {}
         self.rounds = 0
 
-    def plan(
+    async def plan(
         self,
         waiting_jobs: Sequence[Job],
         parked: Sequence[Job],
         rooms: Mapping[str, Room],
     ) -> Plan:
-        """Decides one round.
+        """Decides one round; other tasks run between one pool and the next.
 
         Args:
             waiting_jobs: Jobs that wait for a VM.
@@ -133,7 +133,7 @@
             What is to be written and ordered.
         """
         self.rounds += 1
-        return PlacementRound(self, rooms).decide(waiting_jobs, parked)
+        return await PlacementRound(self, rooms).decide(waiting_jobs, parked)
 
     def spec(self) -> OrganisationSpec | None:
         """Returns what is intended for the organisation."""
@@ -225,7 +225,7 @@
             found.append(room)
         return found
 
-    def decide(self, waiting_jobs: Sequence[Job], parked: Sequence[Job]) -> Plan:
+    async def decide(self, waiting_jobs: Sequence[Job], parked: Sequence[Job]) -> Plan:
         """Decides the round; see `JobPlacer.plan`."""
         self.release(parked)
         runnable = self.park(waiting_jobs)
@@ -236,6 +236,7 @@
         for pool in self.pools:
             if pool in queues:
                 self.fill(pool, queues[pool])
+                await self.placer.clock.sleep(0)
         return Plan(tuple(self.updates), tuple(self.displacements))
 
     def park(self, jobs: Sequence[Job]) -> list[Job]:
--- a/libs/fleet/burdockthread_fleet/job_rounds.py
+++ b/libs/fleet/burdockthread_fleet/job_rounds.py
@@ -123,7 +123,7 @@
         settled = self.settlements()
         rooms = self.builder.build(self.claimed_jobs(), self.clock.wall())
         self.relieve(rooms)
-        claims = self.placements(rooms) if await self.sees_all_claims() else []
+        claims = await self.placements(rooms) if await self.sees_all_claims() else []
         await self.commit([*settled, *claims])
         self.send_orders()
         self.prune()
@@ -261,12 +261,14 @@
             self.must_see_revision = self.placer_revision
         return self.segments.cache.revision >= self.must_see_revision
 
-    def placements(self, rooms: Mapping[str, Room]) -> list[JobUpdate]:
+    async def placements(self, rooms: Mapping[str, Room]) -> list[JobUpdate]:
         """Returns the claims of this round, and orders the room they need."""
         open_jobs = self.open_jobs()
         queued = [job for job in open_jobs if job.state in WAITING_STATES]
         parked = [job for job in open_jobs if job.state is JobState.PARKED]
-        plan = self.placer.plan(queued, parked, rooms)
+        if not queued and not parked:
+            return []
+        plan = await self.placer.plan(queued, parked, rooms)
         for made in plan.displacements:
             for victim in made.victims:
                 if self.orders.checkpoint(made.vm, task_id_of(victim)):
--- a/libs/fleet/burdockthread_fleet/job_runner.py
+++ b/libs/fleet/burdockthread_fleet/job_runner.py
@@ -15,7 +15,7 @@
 from burdockthread_fleet.job_segments import JobSegments
 from burdockthread_fleet.worker_client import WorkerClient
 
-ROUND_INTERVAL_S = 0.5
+ROUND_INTERVAL_S = 1.0
 
 
 class JobRunner:
--- a/libs/fleet/burdockthread_fleet/job_segments.py
+++ b/libs/fleet/burdockthread_fleet/job_segments.py
@@ -55,6 +55,8 @@
         self.jobs: dict[str, Job] = {}
         self.keys: dict[str, str] = {}
         self.segments: dict[str, tuple[Job, ...]] = {}
+        self.encoded: dict[str, tuple[Job, bytes]] = {}
+        self.written: dict[str, tuple[bytes, tuple[Job, ...]]] = {}
         self.open: defaultdict[str, dict[str, Job]] = defaultdict(dict)
         cache.listeners.append(self.on_item)
         for key, item in cache.values.items():
@@ -65,14 +67,10 @@
         for job in self.segments.pop(key, ()):
             if self.keys.get(job.job_id) == key:
                 self.forget(job)
-        if item is None:
-            return
-        try:
-            jobs = decode_jobs(item.value)
-        except (msgspec.DecodeError, KeyError) as error:
-            self.log.error("job_segment_refused", segment=key, reason=error)
+        jobs = self.read(key, item)
+        if jobs is None:
             return
-        self.segments[key] = tuple(jobs)
+        self.segments[key] = jobs
         for job in jobs:
             self.keys[job.job_id] = key
             self.jobs[job.job_id] = job
@@ -81,10 +79,24 @@
             else:
                 self.open[job.organisation].pop(job.job_id, None)
 
+    def read(self, key: str, item: KeyValue | None) -> tuple[Job, ...] | None:
+        """Returns the jobs of a segment, or None if it is gone or malformed."""
+        value, jobs = self.written.pop(key, (b"", ()))
+        if item is None:
+            return None
+        if item.value is value:
+            return jobs
+        try:
+            return tuple(decode_jobs(item.value))
+        except (msgspec.DecodeError, KeyError) as error:
+            self.log.error("job_segment_refused", segment=key, reason=error)
+            return None
+
     def forget(self, job: Job) -> None:
         """Drops a job from the index."""
         del self.keys[job.job_id]
         del self.jobs[job.job_id]
+        self.encoded.pop(job.job_id, None)
         self.open[job.organisation].pop(job.job_id, None)
 
     def batches(self, updates: Sequence[JobUpdate]) -> list[Batch]:
@@ -122,7 +134,20 @@
         """Returns the write of one segment."""
         after = {update.after.job_id: update.after for update in updates}
         jobs = [after.get(job.job_id, job) for job in self.segments[key]]
-        return Change(key, encode_jobs(jobs), self.cache.values[key].revision)
+        return self.replacement(key, jobs)
+
+    def encode(self, jobs: Sequence[Job]) -> bytes:
+        """Returns the text of a segment; unchanged jobs are not encoded again."""
+        return b"[" + b",".join(self.encode_one(job) for job in jobs) + b"]"
+
+    def encode_one(self, job: Job) -> bytes:
+        """Returns the text of one job within a segment."""
+        known = self.encoded.get(job.job_id)
+        if known is not None and known[0] is job:
+            return known[1]
+        text = encode_jobs([job])[1:-1]
+        self.encoded[job.job_id] = (job, text)
+        return text
 
     async def commit(self, changes: Sequence[Change], *others: Change) -> int:
         """Writes changes of segments and takes them into the index.
@@ -175,7 +200,9 @@
 
     def replacement(self, key: str, jobs: Sequence[Job]) -> Change:
         """Returns the write that leaves only some jobs in a segment."""
-        value = encode_jobs(jobs) if jobs else None
+        value = self.encode(jobs) if jobs else None
+        if value is not None:
+            self.written[key] = (value, tuple(jobs))
         return Change(key, value, self.cache.values[key].revision)
 
     def merge(self, keys: Sequence[str]) -> tuple[Change, ...]:
