--- a/libs/operators/burdockthread_operators/client.py
+++ b/libs/operators/burdockthread_operators/client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from urllib.parse import quote
 
 import aiohttp
 from burdockthread_model.errors import (
@@ -64,20 +65,30 @@
     async def review(self, change: str, content_hash: str, *, approve: bool) -> object:
         """Reviews a change."""
         body = {"content_hash": content_hash, "approve": approve}
-        return await self.call("POST", f"/v1/changes/{change}/review", json=body)
+        return await self.call(
+            "POST", f"/v1/changes/{quote(change, safe='')}/review", json=body
+        )
 
     async def accept(self, change: str, content_hash: str) -> object:
         """Accepts a change."""
         body = {"content_hash": content_hash}
-        return await self.call("POST", f"/v1/changes/{change}/accept", json=body)
+        return await self.call(
+            "POST", f"/v1/changes/{quote(change, safe='')}/accept", json=body
+        )
 
     async def show(self, template: str) -> object:
         """Reads the accepted version of a template."""
-        return await self.call("GET", f"/v1/templates/{template}")
+        return await self.call("GET", f"/v1/templates/{quote(template, safe='')}")
 
-    async def history(self, template: str) -> object:
-        """Reads the changes of a template."""
-        return await self.call("GET", f"/v1/templates/{template}/history")
+    async def history(self, template: str, before: int = 0) -> object:
+        """Reads a page of the changes of a template, newest first.
+
+        Args:
+            template: Name of the template.
+            before: ``before`` of the page read last; 0 for the newest.
+        """
+        path = f"/v1/templates/{quote(template, safe='')}/history"
+        return await self.call("GET", path, params={"before": str(before)})
 
 
 @asynccontextmanager
--- a/libs/operators/burdockthread_operators/operators_api.py
+++ b/libs/operators/burdockthread_operators/operators_api.py
@@ -20,6 +20,8 @@
 from burdockthread_operators.changes import TemplateChanges
 
 MAX_BODY_BYTES = 300_000
+MAX_NUMBER_DIGITS = 9
+DEFAULT_PAGE = 20
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 Report = Callable[[], object]
@@ -120,7 +122,7 @@
     async def post_change(self, request: web.Request) -> web.Response:
         """Proposes a template."""
         operator = self.require(request, "propose")
-        base_version = read_version(request.query.get("base_version", "0"))
+        base_version = read_number(request, "base_version", 0)
         data = await request.read()
         change = await self.changes.propose(operator.name, data, base_version)
         self.log_change("change_proposed", operator, change.change_id)
@@ -160,8 +162,11 @@
     async def get_history(self, request: web.Request) -> web.Response:
         """Answers with the changes of a template."""
         self.require(request, "read")
-        changes = await self.changes.history(request.match_info["template"])
-        return web.json_response(to_plain(changes))
+        before = read_number(request, "before", 0)
+        limit = read_number(request, "limit", DEFAULT_PAGE)
+        template = request.match_info["template"]
+        page = await self.changes.history(template, before, limit)
+        return web.json_response(to_plain(page))
 
     def log_change(self, event: str, operator: Operator, change_id: str) -> None:
         """Logs and counts what an operator did to a change."""
@@ -177,10 +182,15 @@
     return 500
 
 
-def read_version(text: str) -> int:
-    """Reads a version number."""
-    if not text.isascii() or not text.isdigit():
-        raise TemplateError("base_version: expected a whole number")
+def read_number(request: web.Request, name: str, default: int) -> int:
+    """Reads a number from the query.
+
+    Raises:
+        TemplateError: It is no whole number.
+    """
+    text = request.query.get(name, str(default))
+    if len(text) > MAX_NUMBER_DIGITS or not (text.isascii() and text.isdigit()):
+        raise TemplateError(f"{name}: expected a whole number")
     return int(text)
 
 
