--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -29,6 +29,7 @@
 from burdockthread_operators.authentication import Authenticator
 from burdockthread_operators.changes import TemplateChanges
 from burdockthread_operators.operators_api import OperatorsApi
+from burdockthread_peers.lent_permits import LentPermits
 from burdockthread_peers.membership import Membership
 from burdockthread_peers.mesh import PeerMesh
 from burdockthread_peers.owned_keys import OwnedKeys
@@ -36,10 +37,12 @@
 from burdockthread_peers.static_permits import StaticPermits
 from burdockthread_peers.stream_mesh import StreamMesh
 from burdockthread_routing.callers_api import MAX_HEADER_BYTES, CallersApi
+from burdockthread_routing.callers_port import PortLimits, callers_port
 from burdockthread_routing.endpoint_choice import EndpointChooser
 from burdockthread_routing.endpoint_client import EndpointClient, HttpEndpointClient
 from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
 from burdockthread_routing.job_ledger import JOB_PREFIX, JobLedger
+from burdockthread_routing.jobs_api import JobAccess
 from burdockthread_routing.router import Router
 from burdockthread_routing.vm_directory import HttpVmDirectory, VmDirectory
 from burdockthread_store.applied import HEAD_PREFIX, AppliedConfiguration
@@ -54,6 +57,7 @@
 ENDPOINT_CONNECTIONS = 64
 READINESS_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.05
+CLOSE_TIMEOUT_S = 1.0
 BACKLOG = 256
 
 
@@ -102,15 +106,15 @@
     ) -> None:
         self.settings = settings
         self.steps = steps or Steps()
+        self.edges = edges
         self.clock = edges.clock
         self.limits = Limits.from_settings(settings)
         self.name = settings["name"]
         self.log = EventLog(self.name)
         self.metrics = metrics_from_settings(settings)
-        store = SettledStore.with_budget(
+        self.store = SettledStore.with_budget(
             edges.store, self.name, self.limits, self.clock, self.metrics
         )
-        self.edges = edges._replace(store=store)
         self.mesh = mesh or StreamMesh(settings, self.clock, self.log)
         self.build_configuration()
         self.build_routing()
@@ -121,7 +125,7 @@
 
     def build_configuration(self) -> None:
         """Builds the copies of the store and the peers that keep them current."""
-        store = self.edges.store
+        store = self.store
         self.config_cache = PrefixCache(store, HEAD_PREFIX, self.clock)
         self.vm_cache = PrefixCache(store, VM_PREFIX, self.clock)
         self.pool_cache = PrefixCache(store, "pool/", self.clock)
@@ -135,11 +139,22 @@
             self.applied, self.vm_cache, self.edges.directory, self.clock, self.log
         )
         entries = [entry["name"] for entry in self.settings["entries"]]
-        self.permits = StaticPermits(self.name, entries, self.slots_of)
-        chooser = EndpointChooser(self.settings["availability_zone"], self.permits)
         self.membership = Membership.from_settings(
             self.settings, self.mesh, self.edges.store, self.clock, self.log
         )
+        self.permits = LentPermits(
+            self.mesh,
+            StaticPermits(self.name, entries, self.slots_of),
+            self.endpoints_of,
+            self.membership.me.incarnation,
+            self.clock,
+        )
+        chooser = EndpointChooser(
+            self.settings["availability_zone"],
+            self.permits,
+            self.clock,
+            self.settings["region"],
+        )
         self.keys = OwnedKeys(
             self.mesh, self.membership, self.clock, self.limits.idempotency_keys
         )
@@ -154,7 +169,7 @@
             self.log,
             self.steps,
         )
-        self.ledger = JobLedger(self.edges.store, self.clock, self.steps)
+        self.ledger = JobLedger(self.store, self.clock, self.steps)
         self.callers_api = CallersApi(
             self.name, self.router, self.ledger, self.clock, self.metrics, self.log
         )
@@ -164,12 +179,18 @@
         spec = self.view.services.get(service)
         return DEFAULT_SLOTS if spec is None else spec.slots
 
+    def endpoints_of(self, service: str) -> tuple[str, ...]:
+        """Returns the VMs that serve a service."""
+        spec = self.view.services.get(service)
+        endpoints = () if spec is None else self.view.endpoints(spec)
+        return tuple(endpoint.vm for endpoint in endpoints)
+
     def build_fleet(self) -> None:
         """Builds the planner."""
-        self.leadership = Leadership(self.name, self.edges.store, self.clock)
+        self.leadership = Leadership(self.name, self.store, self.clock)
         self.planner = Planner(
             self.leadership,
-            self.edges.store,
+            self.store,
             self.view,
             self.vm_cache,
             self.pool_cache,
@@ -182,7 +203,7 @@
 
     def build_jobs(self) -> None:
         """Builds the side that places and runs jobs."""
-        store = self.edges.store
+        store = self.store
         self.job_cache = PrefixCache(store, JOB_PREFIX, self.clock)
         self.job_segments = JobSegments(store, self.job_cache, self.log)
         self.job_runner = JobRunner(
@@ -199,6 +220,9 @@
         self.job_directory = JobDirectory(
             self.job_segments, self.clock, self.metrics, self.log
         )
+        self.callers_api.jobs.access = JobAccess(
+            self.job_segments.jobs.get, self.job_directory.cancel
+        )
 
     def jobs_report(self) -> JobsReport:
         """Reports the jobs."""
@@ -212,11 +236,11 @@
     def build_operators(self) -> None:
         """Builds the operators' API."""
         self.status = FleetStatus(
-            self.name, self.applied, self.mesh, self.relay, self.view, self.leadership
+            self.name, self.applied, self.mesh, self.relay, self.view, self.planner
         )
         self.operators_api = OperatorsApi(
             Authenticator(self.settings["operator_tokens"]),
-            TemplateChanges(self.edges.store, self.clock, self.steps),
+            TemplateChanges(self.store, self.clock, self.steps),
             self.status.report,
             {
                 "status": self.status.report,
@@ -283,8 +307,7 @@
             for work in self.background():
                 stack.push_async_callback(cancel, asyncio.create_task(work))
             await self.listen(stack, "operators", self.operators_api.application())
-            callers = self.callers_api.application(self.limits.body_bytes)
-            await self.listen(stack, "callers", callers)
+            await self.listen_for_callers(stack)
             self.callers_api.ready = True
             self.log.info("entry_started", **self.ports)
             try:
@@ -300,6 +323,7 @@
             self.pool_cache.run(),
             self.relay.run(),
             self.membership.run(),
+            self.permits.run(),
             self.keys.run(),
             self.view.run(self.limits.directory_interval_s),
             self.router.run(),
@@ -327,18 +351,36 @@
         await site.start()
         self.ports[name] = runner.addresses[0][1]
 
+    async def listen_for_callers(self, stack: AsyncExitStack) -> None:
+        """Serves callers on the port of the settings."""
+        address = self.address("callers")
+        limits = PortLimits(
+            body_bytes=self.limits.body_bytes,
+            connections=self.limits.caller_connections,
+            stop_timeout_s=CLOSE_TIMEOUT_S,
+        )
+        listening = callers_port(
+            self.callers_api, self.clock, address["host"], address["port"], limits
+        )
+        self.ports["callers"] = await stack.enter_async_context(listening)
+
     def address(self, name: str) -> AddressSettings:
         """Returns the address of a port by its name."""
         return self.settings["callers" if name == "callers" else "operators"]
 
+    def is_busy(self) -> bool:
+        """Returns whether a caller waits or a sent request has no verdict yet."""
+        return bool(self.router.in_flight or self.callers_api.busy)
+
     async def drain(self) -> None:
         """Refuses new callers, then waits for the requests in flight."""
         self.log.info("entry_stopping", in_flight=self.router.in_flight)
         self.callers_api.ready = False
         self.mesh.announce_leaving()
-        await self.clock.sleep(READINESS_NOTICE_S)
         give_up_s = self.clock.now() + self.limits.stop_timeout_s
-        while self.router.in_flight and self.clock.now() < give_up_s:
+        await self.clock.sleep(READINESS_NOTICE_S)
+        self.callers_api.stop_accepting()
+        while self.is_busy() and self.clock.now() < give_up_s:
             await self.clock.sleep(DRAIN_POLL_S)
         await self.membership.leave()
         self.log.info("entry_stopped", in_flight=self.router.in_flight)
--- a/libs/fleet/burdockthread_fleet/job_runner.py
+++ b/libs/fleet/burdockthread_fleet/job_runner.py
@@ -15,7 +15,7 @@
 from burdockthread_fleet.job_segments import JobSegments
 from burdockthread_fleet.worker_client import WorkerClient
 
-ROUND_INTERVAL_S = 0.5
+ROUND_INTERVAL_S = 1.0
 
 
 class JobRunner:
@@ -121,4 +121,8 @@
 
     def quarantined_workers(self) -> dict[str, str]:
         """Returns the reason for each worker that gets no work from here."""
-        return {}
+        now = self.clock.now()
+        reasons: dict[str, str] = {}
+        for rounds in self.rounds.values():
+            reasons.update(rounds.quarantine.reasons(now))
+        return reasons
--- a/libs/fleet/burdockthread_fleet/placement.py
+++ b/libs/fleet/burdockthread_fleet/placement.py
@@ -9,6 +9,7 @@
 from burdockthread_fleet.usage import Size, UsageEstimates, declared_size
 
 TARGET_SHARE = 0.95
+MAX_CLAIMS_PER_VM = 32
 
 
 class Room:
@@ -20,10 +21,15 @@
         generation: Generation of its record.
         boot_id: Its boot.
         capacity: What it has.
+        limit: What may be filled of it.
         declared: Sum of what its jobs declare.
         used: Sum of what its jobs are taken to use.
-        tasks: Jobs placed on it.
-        task_limit: Jobs that it may hold at the most, or None.
+        tasks: Jobs placed on it, by id.
+        sizes: What each of its jobs is taken to use, by id.
+        in_service: Whether it may get jobs.
+        unconfirmed: Jobs that no report has shown at work.
+        claims: Jobs that it may still get in this round.
+        reserved: Least urgent rank that may still get it.
     """
 
     def __init__(self, listing: VmListing, record: VmRecord) -> None:
@@ -32,29 +38,36 @@
         self.generation = record.generation
         self.boot_id = listing.boot_id
         self.capacity = Size(listing.cores, listing.memory_gb, listing.accelerators)
+        self.limit = Size(
+            listing.cores * TARGET_SHARE,
+            listing.memory_gb * TARGET_SHARE,
+            listing.accelerators,
+        )
         self.declared = Size()
         self.used = Size()
-        self.tasks: list[Job] = []
-        self.task_limit: int | None = None
+        self.tasks: dict[str, Job] = {}
+        self.sizes: dict[str, Size] = {}
+        self.in_service = True
+        self.unconfirmed = 0
+        self.claims = MAX_CLAIMS_PER_VM
+        self.reserved = float("inf")
 
     def add(self, job: Job, used: Size) -> None:
         """Counts a job."""
-        self.tasks.append(job)
+        self.tasks[job.job_id] = job
+        self.sizes[job.job_id] = used
         self.declared = self.declared.plus(declared_size(job))
         self.used = self.used.plus(used)
 
+    def remove(self, job: Job) -> None:
+        """Counts a job no longer."""
+        if self.tasks.pop(job.job_id, None) is not None:
+            self.declared = self.declared.minus(declared_size(job))
+            self.used = self.used.minus(self.sizes.pop(job.job_id))
+
     def free(self) -> Size:
         """Returns what may still be filled."""
-        limit = Size(
-            self.capacity.cores * TARGET_SHARE,
-            self.capacity.memory_gb * TARGET_SHARE,
-            self.capacity.accelerators,
-        )
-        return limit.minus(self.used)
-
-    def is_open(self) -> bool:
-        """Returns whether one more job is allowed."""
-        return self.task_limit is None or len(self.tasks) < self.task_limit
+        return self.limit.minus(self.used)
 
 
 class PlacementPolicy(ABC):
@@ -93,7 +106,7 @@
         """Returns the first room that fits."""
         size = declared_size(job)
         for room in rooms:
-            if room.vm in excluded or not room.is_open():
+            if room.vm in excluded or room.claims <= 0:
                 continue
             if size.fits(room.capacity.minus(room.declared)):
                 return room
@@ -122,7 +135,7 @@
         best: Room | None = None
         best_share = float("inf")
         for room in rooms:
-            if room.vm in excluded or not room.is_open() or not size.fits(room.free()):
+            if room.vm in excluded or room.claims <= 0 or not size.fits(room.free()):
                 continue
             share = room.used.plus(size).share_of(room.capacity)
             if share < best_share:
--- a/libs/fleet/burdockthread_fleet/planner.py
+++ b/libs/fleet/burdockthread_fleet/planner.py
@@ -27,7 +27,8 @@
     Absence,
 )
 from burdockthread_fleet.assignment import assign_free_vms
-from burdockthread_fleet.fleet_state import FleetState, Member
+from burdockthread_fleet.buffer import DEFAULT_POLICY
+from burdockthread_fleet.fleet_state import FleetState, Member, StateCache
 from burdockthread_fleet.leadership import Leadership
 from burdockthread_fleet.lifecycle import VmLifecycle
 from burdockthread_fleet.moves import (
@@ -55,6 +56,7 @@
 
 STEP_INTERVAL_S = 0.5
 MAX_VIEW_AGE_S = 5.0
+RECOVERY_INTERVAL_S = 5.0
 RECENT_MOVES = 100
 
 
@@ -95,6 +97,7 @@
 
     Attributes:
         absence: How long VMs have been missing.
+        policy: Who gives VMs to a pool that lacks some.
         recent_moves: Last moves that this process started.
     """
 
@@ -124,20 +127,28 @@
         self.lifecycle = VmLifecycle(
             leadership, self.writer, view, control, clock, metrics, log, steps
         )
+        self.policy = DEFAULT_POLICY
+        self.states = StateCache(view, vm_cache)
+        self.urgent_states = StateCache(view, vm_cache)
         self.absence = Absence(clock)
         self.surplus = Pacing(clock)
+        self.recovery = Pacing(clock)
         self.recent_moves: deque[RecentMove] = deque(maxlen=RECENT_MOVES)
 
     async def run(self) -> None:
         """Plans until cancelled."""
         while True:
-            if await self.leadership.keep():
-                await self.step()
+            await self.tick()
             await self.clock.sleep(STEP_INTERVAL_S)
 
+    async def tick(self) -> None:
+        """Notes which VMs are missing, and plans while the lease is held."""
+        self.absence.update(self.view.listings, self.view.records)
+        if await self.leadership.keep():
+            await self.step()
+
     async def step(self) -> None:
         """Does what is due now; a lost race is tried again at the next step."""
-        self.absence.update(self.view.listings, self.view.records)
         if not (self.vm_cache.synced and self.pool_cache.synced):
             return
         started_s = self.clock.now()
@@ -159,7 +170,8 @@
         """Reads again what a conflict has shown to be out of date."""
         try:
             await self.leadership.verify()
-            await self.refresh()
+            if self.recovery.due(("", ""), RECOVERY_INTERVAL_S):
+                await self.refresh()
         except StoreError as error:
             self.log.warning("planner_refresh_failed", reason=error)
 
@@ -176,7 +188,7 @@
     def state(self) -> FleetState:
         """Returns the fleet as known now."""
         lost = self.absence.missing_for(LOST_AFTER_S) | self.overdue()
-        state = FleetState.from_view(self.view, lost)
+        state = self.states.get(lost)
         needed = self.absence.missing_for(NEEDED_LOST_AFTER_S) - lost
         if not needed:
             return state
@@ -187,7 +199,7 @@
         }
         records = self.view.records
         urgent = {vm for vm in needed if vm in records and records[vm].pool in short}
-        return FleetState.from_view(self.view, lost | urgent) if urgent else state
+        return self.urgent_states.get(lost | urgent) if urgent else state
 
     def overdue(self) -> frozenset[str]:
         """Returns the VMs that did not come back from a reboot in time."""
@@ -301,7 +313,7 @@
     def plan(self) -> DisruptionPlan:
         """Returns what may be taken out now; moves go before maintenance."""
         state = self.state()
-        moves = plan_moves(state, self.settled_surplus(state))
+        moves = plan_moves(state, self.settled_surplus(state), self.policy)
         if moves:
             updates = [self.move_update(move) for move in moves]
             return DisruptionPlan(updates, [], moves, [])
--- a/libs/scenarios/burdockthread_scenarios/world.py
+++ b/libs/scenarios/burdockthread_scenarios/world.py
@@ -3,12 +3,12 @@
 import asyncio
 import itertools
 import json
+from collections import Counter
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, TypeVar
 
 from burdockthread.entry import Edges, Entry
-from burdockthread_fleet.memory_workers import MemoryWorkerClient
 from burdockthread_model.clock import MemoryClock, settle
 from burdockthread_model.errors import BurdockthreadError, RequestError
 from burdockthread_model.intended import TemplateDocument
@@ -26,7 +26,7 @@
 from burdockthread_store.store import ConfigurationStore
 
 from burdockthread_scenarios.gate import Gate, GatedClock, GatedMesh, GatedStore
-from burdockthread_scenarios.ledger import Outcome, RequestLedger
+from burdockthread_scenarios.ledger import Outcome, RequestLedger, new_key
 from burdockthread_scenarios.memory_vms import MemoryVms
 
 ORGANISATION = "trinacria"
@@ -34,13 +34,18 @@
 TEMPLATE = "yard"
 ZONES = ("palermo", "catania", "trapani")
 DEADLINE_S = 5.0
+JOB_DEADLINE_S = 10.0
 TICK_S = 0.5
-START_S = 8.0
+SHORT_TICK_S = 0.1
+START_S = 15.0
 POOL_VMS = 3
 SPARE_VMS = 1
 MIN_AVAILABLE = 2
 
 
+Result = TypeVar("Result")
+
+
 def template_document(parameters: dict[str, float] | None = None) -> TemplateDocument:
     """Returns the template of the world, with parameters changed."""
     values = parameters or {}
@@ -177,7 +182,9 @@
         clock = GatedClock(self.clock, gate)
         index = self.names.index(name)
         zone = ZONES[index % len(ZONES)]
-        mesh = GatedMesh(self.network.join(name, zone, "sicily"), gate)
+        incarnation = f"start-{next(self.numbers)}"
+        joined = self.network.join(name, zone, "sicily", incarnation)
+        mesh = GatedMesh(joined, gate)
         edges = self.edges(self.store_of(name, gate), clock)
         steps = MemorySteps()
         entry = Entry(entry_settings(name, self.names), edges, mesh, steps)
@@ -213,7 +220,7 @@
 
     def edges(self, store: ConfigurationStore, clock: GatedClock) -> Edges:
         """Returns the edges of one entry."""
-        workers = MemoryWorkerClient(clock)
+        workers = self.vms.workers
         return Edges(store, self.vms, self.vms, workers, self.vms, clock)
 
     async def kill(self, name: str) -> None:
@@ -225,10 +232,15 @@
 
     async def stop(self, name: str) -> None:
         """Stops an entry gracefully, letting time pass."""
-        stopping = asyncio.create_task(self.stop_alone(name))
-        while not stopping.done():
-            await self.advance(TICK_S)
-        await stopping
+        await self.passing(self.stop_alone(name))
+
+    async def passing(self, work: Coroutine[Any, Any, Result]) -> Result:
+        """Lets time pass until a coroutine has ended; returns its result."""
+        task = asyncio.create_task(work)
+        await settle()
+        while not task.done():
+            await self.advance(SHORT_TICK_S)
+        return await task
 
     async def stop_alone(self, name: str) -> None:
         """Stops an entry gracefully while the caller lets time pass."""
@@ -278,7 +290,7 @@
     def send(self, amount: int, keyed: bool, request_class: str, name: str) -> None:
         """Sends requests at once."""
         for _ in range(amount):
-            body = f"request-{next(self.numbers)}"
+            body = new_key(self.clock.wall())
             self.send_one(body, keyed, RequestClass(request_class), name)
 
     def send_one(
@@ -335,7 +347,8 @@
     async def submit_one(self, running: RunningEntry, job: Job) -> None:
         """Submits one job and notes whether it was accepted."""
         try:
-            await running.entry.ledger.submit(job)
+            deadline_s = self.clock.now() + JOB_DEADLINE_S
+            await running.entry.ledger.submit(job, deadline_s)
             self.jobs.add(job.job_id)
         except BurdockthreadError as error:
             if error.verdict.value == "not_run":
@@ -357,6 +370,8 @@
             "jobs_accepted": len(self.jobs),
             "jobs_lost": len(self.jobs - stored.keys()),
             "jobs_refused_but_stored": len(self.jobs_refused & stored.keys()),
+            "jobs_doubled": self.jobs_doubled(),
+            "jobs_done": sum(job.state is JobState.DONE for job in stored.values()),
             "cut": self.vms.cut_by_reboot,
             "late_work": self.vms.late_work,
             "lowest_available": self.lowest_available,
@@ -373,6 +388,18 @@
             ),
         }
 
+    def jobs_doubled(self) -> int:
+        """Returns the jobs started more often than checkpoints explain."""
+        workers = self.vms.workers
+        orders = [order.split() for order in workers.orders]
+        resumed = Counter(
+            task_id.rpartition(".")[0]
+            for name, task_id, *_ in orders
+            if name == "checkpoint"
+        )
+        starts = workers.starts().items()
+        return sum(count > 1 + resumed[job_id] for job_id, count in starts)
+
     def repeated_reboots(self) -> int:
         """Returns how often a boot was ended more than once."""
         return sum(
@@ -408,7 +435,7 @@
         for name in world.names:
             world.start(name)
         await settle()
-        await accept_template(world, parameters or {}, 0)
+        await world.passing(accept_template(world, parameters or {}, 0))
         await world.advance(START_S)
         yield world
     finally:
