Wiring: serve jobs, VMs, templates and paged history to operators

The operators' port lists and cancels jobs through what the constructor is given, shows VMs and templates in force, one change with its document (a reviewer could not read what he reviewed), and history by pages.

The client tells a cut answer (unknown) from a refused connection (not run).

--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -29,6 +29,7 @@
 from burdockthread_operators.authentication import Authenticator
 from burdockthread_operators.changes import TemplateChanges
 from burdockthread_operators.operators_api import OperatorsApi
+from burdockthread_operators.views import Views, template_summaries, vm_summaries
 from burdockthread_peers.lent_permits import LentPermits
 from burdockthread_peers.membership import Membership
 from burdockthread_peers.mesh import PeerMesh
@@ -241,7 +242,7 @@
         self.operators_api = OperatorsApi(
             Authenticator(self.settings["operator_tokens"]),
             TemplateChanges(self.store, self.clock, self.steps),
-            self.status.report,
+            Views(self.status.report, self.templates_report, self.vms_report),
             {
                 "status": self.status.report,
                 "process": self.process_report,
@@ -252,8 +253,19 @@
             },
             self.metrics,
             self.log,
+            self.job_directory,
+            self.clock,
+            self.limits.operator_connections,
         )
 
+    def templates_report(self) -> object:
+        """Returns the templates in force."""
+        return template_summaries(self.applied.templates.values())
+
+    def vms_report(self) -> object:
+        """Returns the VMs as recorded and as listed."""
+        return vm_summaries(self.view.records, self.view.listings)
+
     def process_report(self) -> object:
         """Returns facts about this process."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
--- a/libs/operators/burdockthread_operators/client.py
+++ b/libs/operators/burdockthread_operators/client.py
@@ -12,8 +12,10 @@
     NotFoundError,
     TemplateError,
 )
+from burdockthread_model.verdict import Verdict
 
-CALL_TIMEOUT_S = 10.0
+CALL_TIMEOUT_S = 35.0
+DEFAULT_JOBS = 100
 
 STATUS_ERROR: dict[int, type[BurdockthreadError]] = {
     401: ForbiddenError,
@@ -24,6 +26,12 @@
 }
 
 
+class OperatorsAnswerError(BurdockthreadError):
+    """No whole answer; the entry may have acted on the request."""
+
+    verdict = Verdict.UNKNOWN
+
+
 class OperatorsClient:
     """Asks one entry, one method for each action of an operator."""
 
@@ -35,15 +43,19 @@
         """Sends a request and returns the decoded answer.
 
         Raises:
-            BurdockthreadError: The entry refused or did not answer.
+            BurdockthreadError: The entry refused or could not be reached.
+            OperatorsAnswerError: No whole answer; repeating is safe, because
+                an action that was done is answered with what it did.
         """
         url = self.base_url + path
         try:
             async with self.session.request(method, url, **options) as answer:  # type: ignore[arg-type]
                 body = await answer.json(content_type=None)
+        except aiohttp.ClientConnectorError as error:
+            raise BurdockthreadError(f"{self.base_url}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             reason = str(error) or type(error).__name__
-            raise BurdockthreadError(f"{self.base_url}: {reason}") from error
+            raise OperatorsAnswerError(f"{self.base_url}: {reason}") from error
         if answer.status < 400:
             return body
         reason = body.get("error", "") if isinstance(body, dict) else str(body)
@@ -57,6 +69,36 @@
         """Reads the state of the process."""
         return await self.call("GET", "/v1/dump")
 
+    async def vms(self) -> object:
+        """Reads the VMs."""
+        return await self.call("GET", "/v1/vms")
+
+    async def templates(self) -> object:
+        """Reads the templates in force at the entry."""
+        return await self.call("GET", "/v1/templates")
+
+    async def jobs(self, state: str = "", limit: int = DEFAULT_JOBS) -> object:
+        """Reads jobs, those submitted first at the head.
+
+        Args:
+            state: Only jobs in this state; all if empty.
+            limit: Most jobs to read.
+        """
+        params = {"state": state, "limit": str(limit)}
+        return await self.call("GET", "/v1/jobs", params=params)
+
+    async def cancel_job(self, job: str) -> object:
+        """Cancels a job."""
+        return await self.call("POST", f"/v1/jobs/{segment(job)}/cancel")
+
+    async def release_job(self, job: str) -> object:
+        """Lets a parked job wait for a VM again."""
+        return await self.call("POST", f"/v1/jobs/{segment(job)}/release")
+
+    async def change(self, change: str) -> object:
+        """Reads a change and its document."""
+        return await self.call("GET", f"/v1/changes/{segment(change)}")
+
     async def propose(self, template: bytes, base_version: int) -> object:
         """Proposes a template."""
         params = {"base_version": str(base_version)}
@@ -66,19 +108,19 @@
         """Reviews a change."""
         body = {"content_hash": content_hash, "approve": approve}
         return await self.call(
-            "POST", f"/v1/changes/{quote(change, safe='')}/review", json=body
+            "POST", f"/v1/changes/{segment(change)}/review", json=body
         )
 
     async def accept(self, change: str, content_hash: str) -> object:
         """Accepts a change."""
         body = {"content_hash": content_hash}
         return await self.call(
-            "POST", f"/v1/changes/{quote(change, safe='')}/accept", json=body
+            "POST", f"/v1/changes/{segment(change)}/accept", json=body
         )
 
     async def show(self, template: str) -> object:
         """Reads the accepted version of a template."""
-        return await self.call("GET", f"/v1/templates/{quote(template, safe='')}")
+        return await self.call("GET", f"/v1/templates/{segment(template)}")
 
     async def history(self, template: str, before: int = 0) -> object:
         """Reads a page of the changes of a template, newest first.
@@ -87,10 +129,15 @@
             template: Name of the template.
             before: ``before`` of the page read last; 0 for the newest.
         """
-        path = f"/v1/templates/{quote(template, safe='')}/history"
+        path = f"/v1/templates/{segment(template)}/history"
         return await self.call("GET", path, params={"before": str(before)})
 
 
+def segment(text: str) -> str:
+    """Returns text as one segment of a path."""
+    return quote(text, safe="")
+
+
 @asynccontextmanager
 async def operators_client(base_url: str, token: str) -> AsyncIterator[OperatorsClient]:
     """Connects within the block.
