--- a/libs/peers/burdockthread_peers/lent_permits.py
+++ b/libs/peers/burdockthread_peers/lent_permits.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import PeerError
@@ -28,7 +28,8 @@
 CALL_TIMEOUT_S = 1.0
 DEMAND_S = 1.0
 GROWTH = 1
-MAX_ROWS = 200
+NEW_ROWS = 16
+ROWS_PER_S = 100.0
 
 EndpointNames = Callable[[str], Sequence[str]]
 
@@ -73,6 +74,8 @@
         self.unanswered = set(others)
         self.settled_s = clock.now() + self.book.reserve_s
         self.looked_up: dict[str, tuple[float, tuple[str, ...]]] = {}
+        self.row_budget = ROWS_PER_S
+        self.row_budget_s = clock.now()
         self.refusals: Counter[str] = Counter()
         self.refused_s: dict[str, float] = {}
         mesh.register(AskSlots, LentSlots, self.on_ask)
@@ -192,7 +195,7 @@
             PeerError: No answer; what is not kept is given up all the same.
         """
         book = self.borrowed[lender]
-        rows = tuple(self.rows(book))[:MAX_ROWS]
+        rows = self.rows(book)
         if not rows:
             return
         for row in rows:
@@ -205,20 +208,39 @@
             return
         for grant in reply.grants:
             book.take(grant, sent_s, sent_wall_s)
+        if any(row.want > row.keep for row in rows):
+            kept = sum(row.keep for row in rows)
+            book.note_growth(sum(grant.slots for grant in reply.grants) > kept)
 
-    def rows(self, book: BorrowerBook) -> Iterable[SlotRow]:
-        """Yields a row for each endpoint at which anything changes."""
+    def rows(self, book: BorrowerBook) -> tuple[SlotRow, ...]:
+        """Returns a row for each endpoint at which anything changes.
+
+        What is kept or given back comes before what is wanted, and both are
+        bounded by `ROWS_PER_S` for all lenders together.
+        """
         wanted = {
             (service, endpoint)
             for service in self.refused_s
             if self.in_demand(service)
             for endpoint in self.endpoint_names(service)
         }
-        for slot in sorted(wanted | book.loans.keys() | book.in_use.keys()):
-            used = book.in_use.get(slot, 0)
-            want = used + GROWTH if slot in wanted else used
-            keep = max(used, min(book.usable(slot), want))
-            yield SlotRow(*slot, keep, want)
+        held = [book.row(slot, GROWTH * (slot in wanted)) for slot in book.loans]
+        new = [book.row(slot, GROWTH) for slot in sorted(wanted - book.loans.keys())]
+        if new:
+            first = book.number * NEW_ROWS % len(new)
+            new = (new[first:] + new[:first])[:NEW_ROWS]
+        rows = [row for row in held + new if row is not None]
+        return tuple(rows[: self.take_row_budget(len(rows))])
+
+    def take_row_budget(self, wanted: int) -> int:
+        """Returns how many rows may be sent now, and counts them as sent."""
+        now_s = self.clock.now()
+        earned = (now_s - self.row_budget_s) * ROWS_PER_S
+        self.row_budget = min(self.row_budget + earned, ROWS_PER_S)
+        self.row_budget_s = now_s
+        taken = min(wanted, int(self.row_budget))
+        self.row_budget -= taken
+        return taken
 
     async def on_ask(self, sender: str, message: AskSlots) -> LentSlots:
         """Lends what is idle and takes back what is not kept."""
--- a/libs/peers/burdockthread_peers/loans.py
+++ b/libs/peers/burdockthread_peers/loans.py
@@ -6,6 +6,8 @@
 from burdockthread_model.clock import Clock
 
 LOAN_S = 2.0
+GROW_FIRST_S = 0.1
+GROW_MAX_S = 0.8
 MAX_ENDED = 1_000
 
 Slot = tuple[str, str]
@@ -156,6 +158,9 @@
     Attributes:
         loans: Loans by endpoint.
         in_use: Borrowed slots in use, also beyond the end of their loan.
+        number: Number of the last message to the lender.
+        grow_at_s: Clock time from which more may be asked for.
+        back_off_s: Time between two questions for more.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -163,6 +168,34 @@
         self.loans: dict[Slot, Loan] = {}
         self.in_use: dict[Slot, int] = {}
         self.number = 0
+        self.grow_at_s = float("-inf")
+        self.back_off_s = GROW_FIRST_S
+
+    def note_growth(self, grew: bool) -> None:
+        """Waits longer before asking again where nothing was to be had."""
+        self.back_off_s = min(self.back_off_s * 2, GROW_MAX_S)
+        if grew:
+            self.back_off_s = GROW_FIRST_S
+        self.grow_at_s = self.clock.now() + self.back_off_s
+
+    def row(self, slot: Slot, growth: int) -> SlotRow | None:
+        """Returns what to tell the lender of an endpoint, or None if nothing.
+
+        Args:
+            slot: Service and endpoint.
+            growth: Slots wanted beyond those in use.
+        """
+        used, usable = self.in_use.get(slot, 0), self.usable(slot)
+        want = used + growth
+        keep = max(used, min(usable, want))
+        loan = self.loans.get(slot)
+        may_grow = want > usable and self.clock.now() >= self.grow_at_s
+        if loan is None:
+            return SlotRow(*slot, keep, want) if growth and may_grow else None
+        ends_soon = loan.until_s - self.clock.now() < LOAN_S / 2
+        if ends_soon or keep < usable or (growth and may_grow):
+            return SlotRow(*slot, keep, want if may_grow or not growth else keep)
+        return None
 
     def usable(self, slot: Slot) -> int:
         """Returns how many slots of an endpoint may be taken by now."""
--- a/libs/peers/tests/test_lent_permits.py
+++ b/libs/peers/tests/test_lent_permits.py
@@ -3,7 +3,7 @@
 
 import pytest
 from burdockthread_model.clock import MemoryClock
-from burdockthread_peers.lent_permits import LentPermits
+from burdockthread_peers.lent_permits import ROWS_PER_S, LentPermits
 from burdockthread_peers.loans import AskSlots, SlotRow
 from burdockthread_peers.memory_mesh import MemoryNetwork
 from burdockthread_peers.static_permits import StaticPermits
@@ -172,6 +172,24 @@
     assert not entries.permits["b"].book.lent_out(("s", "vm-1"))
 
 
+async def test_rows_are_bounded_when_every_entry_is_in_demand(entries, monkeypatch):
+    many = tuple(f"vm-{number}" for number in range(500))
+    permits = entries.permits["a"]
+    monkeypatch.setattr(permits, "endpoints", lambda service: many)
+    monkeypatch.setattr(permits, "in_demand", lambda service: True)
+    permits.refused_s["s"] = entries.clock.now()
+    sent = []
+    call = permits.mesh.call
+
+    async def counted(peer, message, reply, timeout_s):
+        sent.extend(message.rows)
+        return await call(peer, message, reply, timeout_s)
+
+    monkeypatch.setattr(permits.mesh, "call", counted)
+    await entries.wait(10.0)
+    assert ROWS_PER_S < len(sent) <= 11 * ROWS_PER_S
+
+
 async def test_an_entry_that_is_not_listed_has_no_share(entries):
     permits = StaticPermits("z", NAMES, lambda service: SLOTS)
     assert not permits.try_acquire("s", "vm-1")
