--- a/libs/routing/burdockthread_routing/endpoint_choice.py
+++ b/libs/routing/burdockthread_routing/endpoint_choice.py
@@ -97,22 +97,17 @@
         self, service: str, group: Sequence[Endpoint]
     ) -> Endpoint | None:
         """Takes a slot at the less loaded of two, until one has a free slot."""
-        left = [e for e in group if self.may_take(e)]
+        left = list(group)
         while left:
             pair = self.random.sample(left, min(2, len(left)))
             endpoint = min(pair, key=lambda e: self.outstanding[e.vm])
             if self.permits.try_acquire(service, endpoint.vm):
                 self.outstanding[endpoint.vm] += 1
+                self.outliers.taken(endpoint.vm)
                 return endpoint
             left.remove(endpoint)
         return None
 
-    def may_take(self, endpoint: Endpoint) -> bool:
-        """Returns whether an endpoint may get one attempt more."""
-        if not self.outliers.on_probation(endpoint.vm):
-            return True
-        return not self.outstanding[endpoint.vm]
-
     def release(self, service: str, endpoint: Endpoint) -> None:
         """Gives a slot back."""
         self.outstanding[endpoint.vm] -= 1
--- /dev/null
+++ b/libs/routing/tests/test_fleet_view.py
@@ -0,0 +1,50 @@
+import pytest
+from burdockthread_model.vm import VmStatus
+
+
+@pytest.fixture
+def vms(view, service):
+    return lambda: {endpoint.vm for endpoint in view.endpoints(service)}
+
+
+def test_the_first_signal_ends_new_work(view, add_vm, vms):
+    told = []
+    view.leaving_listeners.append(lambda vm, boot_id: told.append((vm, boot_id)))
+    add_vm("vm-0")
+    listing = add_vm("vm-1")
+    assert vms() == {"vm-0", "vm-1"}
+    assert view.mark_leaving("vm-0")
+    assert vms() == {"vm-1"}
+    assert not view.mark_leaving("vm-0")
+    view.on_listings((view.listings["vm-0"], listing._replace(status=VmStatus.LEAVING)))
+    assert not vms()
+    assert told == [("vm-0", "b1"), ("vm-1", "b1")]
+
+
+def test_a_lagging_list_does_not_undo_a_signal(view, add_vm, vms):
+    listing = add_vm("vm-0")
+    view.mark_leaving("vm-0")
+    view.on_listings((listing,))
+    assert not vms()
+    view.on_listings((listing._replace(boot_id="b2"),))
+    assert vms() == {"vm-0"}
+
+
+def test_a_vm_that_stays_after_all_serves_again(view, add_vm, vms):
+    listing = add_vm("vm-0")
+    view.on_listings((listing._replace(status=VmStatus.LEAVING),))
+    assert not vms()
+    view.on_listings((listing,))
+    assert vms() == {"vm-0"}
+
+
+def test_a_peers_word_counts_for_the_boot_it_names(view, add_vm, vms):
+    add_vm("vm-0")
+    assert not view.mark_leaving("vm-0", "b0")
+    assert vms() == {"vm-0"}
+    assert view.mark_leaving("vm-0", "b1")
+    assert not vms()
+
+
+def test_a_signal_of_an_unknown_vm_is_ignored(view):
+    assert not view.mark_leaving("vm-9")
