--- a/libs/peers/burdockthread_peers/lent_permits.py
+++ b/libs/peers/burdockthread_peers/lent_permits.py
@@ -225,10 +225,12 @@
             for endpoint in self.endpoint_names(service)
         }
         held = [book.row(slot, GROWTH * (slot in wanted)) for slot in book.loans]
-        new = [book.row(slot, GROWTH) for slot in sorted(wanted - book.loans.keys())]
-        if new:
-            first = book.number * NEW_ROWS % len(new)
-            new = (new[first:] + new[:first])[:NEW_ROWS]
+        new: list[SlotRow | None] = []
+        if wanted and self.clock.now() >= book.grow_at_s:
+            slots = sorted(wanted - book.loans.keys())
+            first = book.number * NEW_ROWS % max(len(slots), 1)
+            chosen = (slots[first:] + slots[:first])[:NEW_ROWS]
+            new = [book.row(slot, GROWTH) for slot in chosen]
         rows = [row for row in held + new if row is not None]
         return tuple(rows[: self.take_row_budget(len(rows))])
 
