Wiring: tell other entries of a leaving VM

The first entry that learns of it announces the boot that is leaving; another takes its word only for that boot, and does not announce it again (its test failed first: the signal was pending there too).

--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -29,6 +29,7 @@
 from burdockthread_operators.authentication import Authenticator
 from burdockthread_operators.changes import TemplateChanges
 from burdockthread_operators.operators_api import OperatorsApi
+from burdockthread_peers.leaving_relay import LeavingRelay, LeavingVm
 from burdockthread_peers.lent_permits import LentPermits
 from burdockthread_peers.membership import Membership
 from burdockthread_peers.mesh import PeerMesh
@@ -138,6 +139,8 @@
         self.view = FleetView(
             self.applied, self.vm_cache, self.edges.directory, self.clock, self.log
         )
+        self.leaving = LeavingRelay(self.mesh, self.on_peer_leaving, self.clock)
+        self.view.leaving_listeners.append(self.leaving.announce)
         entries = [entry["name"] for entry in self.settings["entries"]]
         self.membership = Membership.from_settings(
             self.settings, self.mesh, self.edges.store, self.clock, self.log
@@ -179,6 +182,12 @@
         spec = self.view.services.get(service)
         return DEFAULT_SLOTS if spec is None else spec.slots
 
+    def on_peer_leaving(self, signal: LeavingVm) -> None:
+        """Takes another entry's word that a VM is leaving."""
+        listing = self.view.listings.get(signal.vm)
+        if listing is not None and listing.boot_id == signal.boot_id:
+            self.view.mark_leaving(signal.vm)
+
     def endpoints_of(self, service: str) -> tuple[str, ...]:
         """Returns the VMs that serve a service."""
         spec = self.view.services.get(service)
@@ -324,6 +333,7 @@
             self.relay.run(),
             self.membership.run(),
             self.permits.run(),
+            self.leaving.run(),
             self.keys.run(),
             self.view.run(self.limits.directory_interval_s),
             self.router.run(),
--- a/libs/peers/burdockthread_peers/leaving_relay.py
+++ b/libs/peers/burdockthread_peers/leaving_relay.py
@@ -37,6 +37,7 @@
     Attributes:
         listener: Called with each signal of another entry.
         pending: Broadcasts still to be made, by signal.
+        known: Signals announced or heard, oldest first.
     """
 
     def __init__(self, mesh: PeerMesh, listener: Listener, clock: Clock) -> None:
@@ -44,6 +45,7 @@
         self.listener = listener
         self.clock = clock
         self.pending: dict[LeavingVm, int] = {}
+        self.known: dict[LeavingVm, None] = {}
         mesh.register(LeavingVm, SignalNoted, self.on_leaving)
 
     def announce(self, vm: str, boot_id: str) -> None:
@@ -54,10 +56,21 @@
             boot_id: Boot that is leaving.
         """
         signal = LeavingVm(vm, boot_id)
+        if not self.note(signal):
+            return
         self.mesh.broadcast(signal)
         if len(self.pending) < MAX_SIGNALS:
             self.pending[signal] = REPEATS - 1
 
+    def note(self, signal: LeavingVm) -> bool:
+        """Returns whether a signal is news; the oldest known are forgotten."""
+        if signal in self.known:
+            return False
+        self.known[signal] = None
+        if len(self.known) > MAX_SIGNALS:
+            del self.known[next(iter(self.known))]
+        return True
+
     async def run(self) -> None:
         """Repeats the broadcasts until cancelled."""
         while True:
@@ -70,5 +83,6 @@
 
     async def on_leaving(self, sender: str, message: LeavingVm) -> SignalNoted:
         """Hands a signal of another entry on; it is not relayed again."""
+        self.note(message)
         self.listener(message)
         return SignalNoted()
--- a/libs/peers/tests/test_relay.py
+++ b/libs/peers/tests/test_relay.py
@@ -161,3 +161,15 @@
     task.cancel()
     assert set(heard) == {LeavingVm("vm-1", "boot-1")}
     assert not relay.pending
+
+
+async def test_a_signal_of_another_entry_is_not_announced_again(clock):
+    network = MemoryNetwork()
+    first = LeavingRelay(network.join("a"), lambda signal: None, clock)
+    second = LeavingRelay(
+        network.join("b"), lambda signal: second.announce(*signal), clock
+    )
+    first.announce("vm-1", "boot-1")
+    await clock.advance(0.0)
+    assert second.known
+    assert not second.pending
