Refuse doubled headers and methods that are not passed on

A header that stood twice was read once, so that two keys could mean one request to the caller and another to the entry. TRACE and CONNECT were passed to endpoints. A service without any endpoint answered 429, which tells the caller to slow down; it is 503 now. Health records of VMs that are gone are dropped.

--- a/libs/routing/burdockthread_routing/admission.py
+++ b/libs/routing/burdockthread_routing/admission.py
@@ -17,6 +17,7 @@
 URGENT_WAIT_S = 7.0
 MAX_GRANTS_PER_PUMP = 256
 DEFAULT_WEIGHT = 1.0
+UNAVAILABLE = 503
 
 Acquire = Callable[[ServiceSpec, Collection[str]], Endpoint | None]
 Release = Callable[[ServiceSpec, Endpoint], None]
@@ -174,17 +175,26 @@
         except TimeoutError as error:
             if waiter.granted.done():
                 return waiter.granted.result()
-            wait_s = queue.expected_wait_s(request.request_class, waiter.team)
-            raise OverloadedError(
-                f"no slot within {patience_s:.1f} s",
-                retry_after_s=retry_after_s(wait_s),
-            ) from error
+            raise self.too_late(queue, waiter, patience_s) from error
         except asyncio.CancelledError:
             self.give_back(service, waiter)
             raise
         finally:
             queue.classes[request.request_class].remove(waiter)
 
+    def too_late(
+        self, queue: ServiceQueue, waiter: Waiter, patience_s: float
+    ) -> OverloadedError:
+        """Returns the error for a request that has waited too long."""
+        request_class = waiter.request.request_class
+        wait_s = queue.expected_wait_s(request_class, waiter.team)
+        error = OverloadedError(
+            f"no slot within {patience_s:.1f} s", retry_after_s=retry_after_s(wait_s)
+        )
+        if not queue.in_use:
+            error.status = UNAVAILABLE
+        return error
+
     def give_back(self, service: ServiceSpec, waiter: Waiter) -> None:
         """Returns a slot that was granted just as its request was cancelled."""
         granted = waiter.granted
--- a/libs/routing/burdockthread_routing/caller_headers.py
+++ b/libs/routing/burdockthread_routing/caller_headers.py
@@ -16,6 +16,7 @@
 IDEMPOTENT_HEADER = "Burdockthread-Idempotent"
 KEY_HEADER = "Idempotency-Key"
 SAFE_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE"})
+PASSED_METHODS = SAFE_METHODS | {"POST", "PATCH", "OPTIONS"}
 MAX_KEY_LENGTH = 128
 MAX_NAME_LENGTH = 64
 MAX_DEADLINE_MS = 600_000
@@ -24,17 +25,45 @@
 DEFAULT_DEADLINE_S = 10.0
 
 
+class MethodError(RequestError):
+    """A method that is not passed on to endpoints."""
+
+    status = 405
+
+
 class SlowBodyError(RequestError):
     """A body that did not arrive in time."""
 
     status = 408
 
 
+def read_header(request: web.Request, name: str) -> str | None:
+    """Returns the value of a header, or None if it is missing.
+
+    Raises:
+        BadRequestError: The header stands more than once.
+    """
+    values = request.headers.getall(name, [])
+    if len(values) > 1:
+        raise BadRequestError(f"{name}: expected once")
+    return values[0] if values else None
+
+
+def check_method(request: web.Request) -> None:
+    """Refuses methods that are not passed on.
+
+    Raises:
+        MethodError: The method is not passed on.
+    """
+    if request.method not in PASSED_METHODS:
+        raise MethodError(f"method {request.method} is not passed on")
+
+
 def read_deadline_s(
     request: web.Request, spec: ServiceSpec | None, clock: Clock
 ) -> float:
     """Returns the clock time after which the caller waits no longer."""
-    text = request.headers.get(DEADLINE_HEADER)
+    text = read_header(request, DEADLINE_HEADER)
     if text is None:
         return clock.now() + (DEFAULT_DEADLINE_S if spec is None else spec.deadline_s)
     if not text.isascii() or not text.isdigit() or len(text) > MAX_DEADLINE_DIGITS:
@@ -59,7 +88,7 @@
 
 def read_name(request: web.Request, header: str, *, required: bool) -> str:
     """Reads a header that holds a name."""
-    text = request.headers.get(header, "")
+    text = read_header(request, header) or ""
     if not text and not required:
         return ""
     allowed = text.replace("-", "").replace("_", "").replace(".", "")
@@ -79,7 +108,7 @@
 
 def read_class(request: web.Request) -> RequestClass:
     """Reads the urgency."""
-    text = request.headers.get(CLASS_HEADER, RequestClass.STANDARD.value)
+    text = read_header(request, CLASS_HEADER) or RequestClass.STANDARD.value
     try:
         return RequestClass(text)
     except ValueError:
@@ -89,7 +118,7 @@
 
 def read_idempotent(request: web.Request) -> bool:
     """Reads whether running the request twice does no harm."""
-    text = request.headers.get(IDEMPOTENT_HEADER)
+    text = read_header(request, IDEMPOTENT_HEADER)
     if text is None:
         return request.method in SAFE_METHODS
     if text not in ("true", "false"):
@@ -99,7 +128,7 @@
 
 def read_key(request: web.Request) -> str:
     """Reads the idempotency key."""
-    text = request.headers.get(KEY_HEADER, "")
+    text = read_header(request, KEY_HEADER) or ""
     if len(text) > MAX_KEY_LENGTH or not text.isprintable():
         raise BadRequestError(
             f"{KEY_HEADER}: expected up to {MAX_KEY_LENGTH} characters"
--- a/libs/routing/burdockthread_routing/callers_api.py
+++ b/libs/routing/burdockthread_routing/callers_api.py
@@ -22,6 +22,7 @@
     ORGANISATION_HEADER,
     TEAM_HEADER,
     SlowBodyError,
+    check_method,
     read_body,
     read_class,
     read_deadline_s,
@@ -201,6 +202,7 @@
         Raises:
             BadRequestError: A header is missing or malformed.
         """
+        check_method(request)
         organisation = read_name(request, ORGANISATION_HEADER, required=True)
         service = f"{organisation}/{request.match_info['service']}"
         spec = self.router.view.services.get(service)
--- a/libs/routing/burdockthread_routing/outliers.py
+++ b/libs/routing/burdockthread_routing/outliers.py
@@ -1,6 +1,6 @@
 """Ejection of endpoints that fail, with probation."""
 
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 
 from burdockthread_model.clock import Clock
 
@@ -107,7 +107,7 @@
         health = self.health.get(vm)
         return health is not None and health.ejected_until_s > self.clock.now()
 
-    def forget(self, known: Sequence[str]) -> None:
+    def forget(self, known: Container[str]) -> None:
         """Drops all VMs but the known ones."""
-        for vm in set(self.health) - set(known):
+        for vm in [vm for vm in self.health if vm not in known]:
             del self.health[vm]
--- a/libs/routing/burdockthread_routing/router.py
+++ b/libs/routing/burdockthread_routing/router.py
@@ -30,6 +30,7 @@
 from burdockthread_routing.fleet_view import FleetView
 from burdockthread_routing.retry_budget import RetryBudget
 from burdockthread_routing.verdicts import (
+    RETRY_AFTER_S,
     LateAnswerError,
     ServiceNotFoundError,
     caller_response,
@@ -119,6 +120,7 @@
         """Frees held slots and grants slots that became free, until cancelled."""
         while True:
             self.free_held_slots()
+            self.chooser.outliers.forget(self.view.listings)
             for service in list(self.view.services.values()):
                 self.admission.pump(service)
             await self.clock.sleep(PUMP_INTERVAL_S)
@@ -289,6 +291,8 @@
                 if progress.abandoned or not self.may_retry(
                     service, request, error, attempt_number
                 ):
+                    if verdict is Verdict.NOT_RUN:
+                        error.retry_after_s = RETRY_AFTER_S
                     raise
                 self.metrics.count("routing.retries")
         raise AssertionError("unreachable")
--- a/libs/routing/tests/test_admission.py
+++ b/libs/routing/tests/test_admission.py
@@ -95,6 +95,7 @@
     standard = asyncio.create_task(pool.call(new_request(deadline_s=2.0)))
     await clock.advance(2.0)
     assert isinstance(standard.exception(), OverloadedError)
+    assert standard.exception().status == 503
     await clock.advance(4.9)
     assert not urgent.done()
     await clock.advance(0.2)
--- a/libs/routing/tests/test_callers_port.py
+++ b/libs/routing/tests/test_callers_port.py
@@ -71,12 +71,23 @@
     assert not router.client.attempts
 
 
+async def test_a_header_that_stands_twice_is_refused(port):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    lines = "Host: x\r\nBurdockthread-Organisation: org\r\n"
+    keys = "Idempotency-Key: a\r\nIdempotency-Key: b\r\nConnection: close\r\n"
+    writer.write(f"GET /services/svc/order HTTP/1.1\r\n{lines}{keys}\r\n".encode())
+    answer = await asyncio.wait_for(reader.read(), 5.0)
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert b"Idempotency-Key: expected once" in answer
+
+
 @pytest.mark.parametrize(
     ("path", "method", "data", "status"),
     [
         ("/services/none/order", "POST", b"", 404),
         ("/elsewhere", "GET", b"", 404),
         ("/jobs/svc", "PUT", b"", 405),
+        ("/services/svc/order", "TRACE", b"", 405),
         ("/services/svc/order", "POST", b"x" * 1001, 413),
         ("/jobs/svc", "POST", b"[", 400),
         ("/jobs/svc", "POST", b'{"cores": -1}', 400),
