Give every exchange up within what lenders of slots reckon with

A request with the longest deadline could keep its exchange for 605 s, while a lender takes a slot back 600 s after its loan. Seen before: assert [605.0, 15.0] == [600.0, 15.0].

--- a/libs/routing/burdockthread_routing/router.py
+++ b/libs/routing/burdockthread_routing/router.py
@@ -16,6 +16,7 @@
 from burdockthread_model.steps import Step, Steps
 from burdockthread_model.verdict import Verdict
 from burdockthread_peers.idempotency import KeyOwnership, KeyState
+from burdockthread_peers.lent_permits import LONGEST_EXCHANGE_S
 
 from burdockthread_routing.admission import Admission
 from burdockthread_routing.endpoint_choice import EndpointChooser
@@ -396,7 +397,7 @@
     ) -> CallerResponse:
         """Sends one attempt and holds its slot until it has surely ended."""
         remaining_s = max(request.deadline_s - self.clock.now(), 0.0)
-        bound_s = max(remaining_s, service.deadline_s) + OVERRUN_S
+        bound_s = longest_exchange_s(service, remaining_s)
         free_s = 0.0
         try:
             await self.steps.reach(Step.REQUEST_ADMITTED)
@@ -461,3 +462,18 @@
             timeout_s=timeout_s,
             max_answer_bytes=MAX_ANSWER_BYTES,
         )
+
+
+def longest_exchange_s(service: ServiceSpec, remaining_s: float) -> float:
+    """Returns how long an attempt may occupy its slot.
+
+    Args:
+        service: Service asked.
+        remaining_s: Seconds until the caller's deadline.
+
+    Returns:
+        Seconds after which the attempt is given up and its slot counts as
+        free; never more than lenders of slots reckon with.
+    """
+    longest_s = max(remaining_s, service.deadline_s) + OVERRUN_S
+    return min(longest_s, LONGEST_EXCHANGE_S)
--- a/libs/routing/tests/test_router.py
+++ b/libs/routing/tests/test_router.py
@@ -132,6 +132,15 @@
     return await task
 
 
+async def test_no_exchange_outlasts_what_lenders_of_slots_reckon_with(
+    router, add_vm, new_request
+):
+    add_vm("vm-0")
+    await router.handle(new_request(deadline_s=600.0))
+    await router.handle(new_request(deadline_s=1.0))
+    assert [a.timeout_s for a in router.client.attempts] == [600.0, 15.0]
+
+
 async def test_a_late_exchange_keeps_its_slot_and_finishes_its_key(
     router, add_vm, script, clock, keys, new_request
 ):
