--- a/libs/routing/burdockthread_routing/callers_port.py
+++ b/libs/routing/burdockthread_routing/callers_port.py
@@ -11,7 +11,7 @@
 
 from burdockthread_routing.callers_api import MAX_HEADER_BYTES, CallersApi
 
-BACKLOG = 256
+BACKLOG = 1_024
 IDLE_TIMEOUT_S = 15.0
 SWEEP_INTERVAL_S = 1.0
 LINGERING_TIME_S = 0.5
--- a/libs/standins/burdockthread_standins/endpoint_faults.py
+++ b/libs/standins/burdockthread_standins/endpoint_faults.py
@@ -75,13 +75,15 @@
 
     Attributes:
         faults: Faults that are set; the first that hits counts.
-        hits: Requests hit, by kind.
+        hits: Requests hit since the faults were set, by kind.
+        total_hits: Requests hit since the start.
     """
 
     def __init__(self, seed: int = 0) -> None:
         self.faults: list[Fault] = []
         self.random = random.Random(seed)
         self.hits: dict[FaultKind, int] = {}
+        self.total_hits = 0
 
     def set(self, *faults: Fault) -> None:
         """Replaces all faults; none clears them."""
@@ -100,6 +102,7 @@
                 continue
             if self.random.random() < fault.share:
                 self.hits[fault.kind] = hits + 1
+                self.total_hits += 1
                 return fault
         return Fault()
 
