Measure a flood over real sockets as well

The policy figures use a test clock; this one sends each class at its rate through a router to stand-in endpoints.

--- a/libs/burdockthread/burdockthread/bench_routing.py
+++ b/libs/burdockthread/burdockthread/bench_routing.py
@@ -22,7 +22,7 @@
 from burdockthread_store.memory_store import MemoryStore
 from hdrh.histogram import HdrHistogram
 
-from burdockthread import bench_faults, bench_flood
+from burdockthread import bench_faults, bench_flood, bench_socket_flood
 from burdockthread.bench_rig import LOOPBACK, SERVICE, SITES, Rig, SiteSize, running_rig
 from burdockthread.measures import Measure
 
@@ -183,6 +183,7 @@
         The figures, each with its baseline where there is one.
     """
     found = await bench_flood.measures(seed)
+    found += await bench_socket_flood.measures(seed)
     found += await bench_faults.measures(seed)
     for size in SITES:
         found += await measure_cost(size, seed)
