Keep one slot for urgent requests where requests take long

With less urgent requests that hold every slot for 20 s, an urgent one was refused after 7 s: shares are kept when a slot comes back, and none did. Where a slot comes back less often than every 1.75 s on average, the last free one is now left to urgent requests. Ruled out: a slot kept at all times, which wastes a slot of six at an entry although slots come back many times a second; cutting a running request off, which loses work.

--- a/libs/routing/burdockthread_routing/admission.py
+++ b/libs/routing/burdockthread_routing/admission.py
@@ -15,12 +15,15 @@
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_MAX_S = 30.0
 URGENT_WAIT_S = 7.0
+LONG_WAIT_S = URGENT_WAIT_S / 4
+MIN_SLOTS_TO_KEEP_ONE = 2
 MAX_GRANTS_PER_PUMP = 256
 DEFAULT_WEIGHT = 1.0
 UNAVAILABLE = 503
 
 Acquire = Callable[[ServiceSpec, Collection[str]], Endpoint | None]
 Release = Callable[[ServiceSpec, Endpoint], None]
+Capacity = Callable[[ServiceSpec], int]
 TeamWeight = Callable[[str, str], float | None]
 
 
@@ -29,6 +32,11 @@
     return None
 
 
+def unknown_capacity(service: ServiceSpec) -> int:
+    """Returns no capacity, so that no slot is kept free."""
+    return 0
+
+
 class Admission:
     """Queues of all services at this entry.
 
@@ -37,6 +45,7 @@
         acquire: Takes a slot of a service, or returns None.
         release: Gives a slot back that was granted but never used.
         team_weight: Weight of a team, or None for one that is not known.
+        capacity: Slots of a service that this entry may use now.
         waiting: Queues by service.
     """
 
@@ -46,11 +55,13 @@
         acquire: Acquire,
         release: Release,
         team_weight: TeamWeight = equal_weight,
+        capacity: Capacity = unknown_capacity,
     ) -> None:
         self.clock = clock
         self.acquire = acquire
         self.release = release
         self.team_weight = team_weight
+        self.capacity = capacity
         self.waiting: dict[str, ServiceQueue] = {}
         self.order = itertools.count()
 
@@ -86,7 +97,7 @@
         queue.configure(service)
         team, weight = self.team_of(request)
         queue.classes[request.request_class].team(team, weight)
-        if not len(queue):
+        if self.may_start(service, queue, request.request_class):
             endpoint = self.acquire(service, avoided)
             if endpoint is not None:
                 return self.grant(queue, request.request_class, team, endpoint)
@@ -234,20 +245,52 @@
         if not unused:
             queue.observe_hold(held_s)
 
+    def keeps_last(self, service: ServiceSpec, queue: ServiceQueue) -> bool:
+        """Returns whether the one free slot is kept for urgent requests.
+
+        Where requests hold slots for long, a slot comes back too seldom for an
+        urgent request to start in time.
+        """
+        if queue.hold_s is None:
+            return False
+        if queue.hold_s <= LONG_WAIT_S * max(queue.in_use, 1):
+            return False
+        capacity = self.capacity(service)
+        return capacity >= MIN_SLOTS_TO_KEEP_ONE and queue.in_use >= capacity - 1
+
+    def may_start(
+        self, service: ServiceSpec, queue: ServiceQueue, request_class: RequestClass
+    ) -> bool:
+        """Returns whether a new request may take a free slot without waiting."""
+        if request_class is not RequestClass.URGENT:
+            return not len(queue) and not self.keeps_last(service, queue)
+        if queue.classes[RequestClass.URGENT].waiting:
+            return False
+        return not len(queue) or self.keeps_last(service, queue)
+
+    def next_waiter(self, service: ServiceSpec, queue: ServiceQueue) -> Waiter | None:
+        """Returns the request to serve next, or None if none may start."""
+        chosen = queue.next_class()
+        if chosen is None:
+            return None
+        urgent = queue.classes[RequestClass.URGENT]
+        if chosen is not urgent and self.keeps_last(service, queue):
+            return urgent.head() if urgent.waiting else None
+        return chosen.head()
+
     def pump(self, service: ServiceSpec) -> None:
         """Grants free slots to the requests that wait."""
         queue = self.waiting.get(service.name)
         if queue is None:
             return
         for _ in range(MAX_GRANTS_PER_PUMP):
-            classes = queue.next_class()
-            if classes is None:
+            waiter = self.next_waiter(service, queue)
+            if waiter is None:
                 return
-            waiter = classes.head()
             endpoint = self.acquire(service, waiter.avoided)
             if endpoint is None:
                 return
-            classes.remove(waiter)
+            queue.classes[waiter.request.request_class].remove(waiter)
             granted = self.grant(
                 queue, waiter.request.request_class, waiter.team, endpoint
             )
--- a/libs/routing/burdockthread_routing/router.py
+++ b/libs/routing/burdockthread_routing/router.py
@@ -110,7 +110,9 @@
         self.metrics = metrics
         self.log = log
         self.steps = steps
-        self.admission = Admission(clock, self.acquire, self.release, view.team_weight)
+        self.admission = Admission(
+            clock, self.acquire, self.release, view.team_weight, self.capacity
+        )
         self.attempt_ids = itertools.count(1)
         self.in_flight = 0
         self.held: list[HeldSlot] = []
@@ -365,6 +367,12 @@
         endpoints = self.view.endpoints(service)
         return self.chooser.acquire(service.name, endpoints, avoided)
 
+    def capacity(self, service: ServiceSpec) -> int:
+        """Returns the slots of a service that this entry may use now."""
+        permits = self.chooser.permits
+        endpoints = self.view.endpoints(service)
+        return sum(permits.limit(service.name, e.vm) for e in endpoints)
+
     def release(self, service: ServiceSpec, endpoint: Endpoint) -> None:
         """Gives a slot back and grants it to the next request."""
         self.chooser.release(service.name, endpoint)
--- a/libs/routing/tests/conftest.py
+++ b/libs/routing/tests/conftest.py
@@ -81,7 +81,11 @@
         self.free = slots
         self.hold_s = hold_s
         self.admission = Admission(
-            clock, self.acquire, self.release, lambda org, team: weights.get(team)
+            clock,
+            self.acquire,
+            self.release,
+            lambda org, team: weights.get(team),
+            lambda service: slots,
         )
         self.served = Counter()
         self.refused = Counter()
--- a/libs/routing/tests/test_admission.py
+++ b/libs/routing/tests/test_admission.py
@@ -103,6 +103,24 @@
     assert not len(pool.admission.waiting["org/svc"])
 
 
+async def test_urgent_work_starts_in_time_when_requests_take_long(
+    clock, new_pool, new_request
+):
+    pool = new_pool(slots=4, hold_s=20.0)
+    flood = [
+        asyncio.create_task(pool.call(new_request("deferred", deadline_s=300.0)))
+        for _ in range(12)
+    ]
+    await clock.advance(21.0)
+    assert pool.free == 1
+    urgent = asyncio.create_task(pool.call(new_request("urgent", deadline_s=300.0)))
+    await clock.advance(7.1)
+    assert pool.waits["urgent", ""] == [0.0]
+    await clock.advance(100.0)
+    await asyncio.gather(urgent, *flood)
+    assert pool.served["deferred", ""] == 12
+
+
 async def test_a_full_queue_keeps_room_for_other_classes_and_teams(
     clock, new_pool, new_request
 ):
