Test a placer with an old view, and a start delivered after a reboot

A worker that does not compare boots starts a job twice; the new test then fails with "DID NOT RAISE TaskRefusedError".

--- a/libs/fleet/tests/test_job_runner.py
+++ b/libs/fleet/tests/test_job_runner.py
@@ -7,6 +7,7 @@
 from burdockthread_fleet.job_runner import JobRunner
 from burdockthread_fleet.job_segments import JobSegments
 from burdockthread_fleet.memory_workers import MemoryWorkerClient
+from burdockthread_fleet.worker_client import TaskRefusedError
 from burdockthread_model.errors import StoreUnknownError
 from burdockthread_model.intended import (
     MaintenanceSpec,
@@ -618,19 +619,9 @@
 
 async def test_a_quota_holds_with_two_runners_at_once(site):
     site.add_pool("wide", 4, cores=32, memory_gb=64)
-    organisation = OrganisationSpec(
-        "org",
-        "template",
-        1,
-        (),
-        (),
-        (TeamSpec("desk", "org", 1.0, 10, 64),),
-        WeightsSpec(),
-        MaintenanceSpec(),
-    )
     for name in ("entry-a", "entry-b"):
         node = site.node(name)
-        node.view.organisations = {("template", "org"): organisation}
+        node.view.organisations = {("template", "org"): desk_with_cores(10)}
         node.runner.owned = lambda: {"org"}
         node.start()
     for segment in range(10):
@@ -699,3 +690,71 @@
     assert [job.job_id for job in decode_jobs(segment.value)] == ["open"]
     assert len(listing.items) == 2
     assert len(await site.jobs()) == 11
+
+
+def desk_with_cores(cores):
+    teams = (TeamSpec("desk", "org", 1.0, cores, 64),)
+    maintenance = MaintenanceSpec()
+    return OrganisationSpec(
+        "org", "template", 1, (), (), teams, WeightsSpec(), maintenance
+    )
+
+
+async def test_a_placer_with_an_old_view_claims_nothing(site):
+    site.add_pool("ledger", 4)
+    first, second = site.node("entry-a"), site.node("entry-b")
+    for node in (first, second):
+        node.view.organisations = {("template", "org"): desk_with_cores(5)}
+        node.runner.owned = lambda: {"org"}
+        node.start()
+    records = dict(site.records)
+    site.records.clear()
+    late = [new_job(f"late-{n}", submitted_s=9.0) for n in range(5)]
+    await site.submit(*late, segment="late")
+    await site.wait(2)
+    missed = []
+    apply, second.cache.apply = second.cache.apply, missed.append
+    await site.submit(*(new_job(f"early-{n}") for n in range(5)), segment="early")
+    site.records.update(records)
+    await site.wait(10)
+    assert set(site.workers.starts()) == {f"early-{n}" for n in range(5)}
+    second.cache.apply = apply
+    for event in missed:
+        apply(event)
+    await site.wait(60)
+    assert set((await site.states()).values()) == {JobState.DONE}
+    assert site.most_starts() == 1
+
+
+async def test_a_start_delivered_after_a_reboot_is_refused(site):
+    first = site.owner()
+    start = site.workers.start
+    held = []
+
+    async def hold(vm, task):
+        held.append((vm, task))
+        await asyncio.Event().wait()
+
+    site.workers.start = hold
+    await site.submit(new_job("a", run_time_s=100.0))
+    await site.wait(2)
+    ((vm, task),) = held
+    await first.kill()
+    site.workers.start = start
+    site.node("entry-c").start()
+    await site.wait(10)
+    assert site.workers.starts() == {"a": 1}
+    site.reboot(vm)
+    with pytest.raises(TaskRefusedError):
+        await start(vm, task)
+    await site.wait(60)
+    assert site.workers.starts() == {"a": 1}
+    assert (await site.states())["a"] is JobState.UNKNOWN
+
+
+async def test_urgent_work_starts_although_a_worker_does_not_answer(site):
+    site.owner()
+    await fill(site, SERVICE, 30, memory_gb=0.1)
+    site.workers.workers["ledger-0"].faults.paused = True
+    jobs = [urgent(f"u{n}", team=f"team-{n}") for n in range(2)]
+    assert max(await start_delays(site, jobs, 12)) <= 7.1
