List VMs and jobs, cancel and release jobs, and measure on the command line

The entry's edges, state reports and service are modules of their own: entry.py 449 lines before, 327 after.

--- a/libs/burdockthread/burdockthread/actions.py
+++ b/libs/burdockthread/burdockthread/actions.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import AbstractAsyncContextManager
 from pathlib import Path
 from typing import TypeVar
@@ -16,7 +16,9 @@
 from burdockthread_operators.client import OperatorsClient, operators_client
 from burdockthread_standins.processes import platform, site
 
-from burdockthread.entry import EntryService
+from burdockthread.bench import run_bench
+from burdockthread.measures import Measure
+from burdockthread.service import EntryService
 
 LOOPBACK = "127.0.0.1"
 STOP_MARGIN_S = 10.0
@@ -108,6 +110,31 @@
     return ask(entry, token, lambda client: client.status())
 
 
+def vms(entry: str, token: str) -> object:
+    """Reads the VMs as recorded and as listed."""
+    return ask(entry, token, lambda client: client.vms())
+
+
+def jobs(entry: str, token: str, state: str, limit: int) -> object:
+    """Reads jobs, those submitted first at the head."""
+    return ask(entry, token, lambda client: client.jobs(state, limit))
+
+
+def cancel_job(entry: str, token: str, job: str) -> object:
+    """Cancels a job."""
+    return ask(entry, token, lambda client: client.cancel_job(job))
+
+
+def release_job(entry: str, token: str, job: str) -> object:
+    """Lets a parked job wait for a VM again."""
+    return ask(entry, token, lambda client: client.release_job(job))
+
+
+def bench(seed: int, parts: tuple[str, ...]) -> Iterator[Measure]:
+    """Runs the measurements; see `run_bench`."""
+    return run_bench(seed, parts)
+
+
 def dump(entry: str, token: str) -> object:
     """Reads the state of one process."""
     return ask(entry, token, lambda client: client.dump())
--- a/libs/burdockthread/burdockthread/bench.py
+++ b/libs/burdockthread/burdockthread/bench.py
@@ -6,12 +6,21 @@
 import uvloop
 from burdockthread_model.errors import NotFoundError
 
-from burdockthread import bench_fleet, bench_jobs
+from burdockthread import (
+    bench_fleet,
+    bench_jobs,
+    bench_peers,
+    bench_routing,
+    bench_store,
+)
 from burdockthread.measures import Measure
 
 Measurement = Callable[[int], Awaitable[list[Measure]]]
 
 PARTS: dict[str, Measurement] = {
+    "routing": bench_routing.measures,
+    "peers": bench_peers.measures,
+    "store": bench_store.measures,
     "fleet": bench_fleet.measures,
     "jobs": bench_jobs.measures,
 }
--- a/libs/burdockthread/burdockthread/commands.py
+++ b/libs/burdockthread/burdockthread/commands.py
@@ -1,7 +1,7 @@
 """The command line; each command calls one function of `actions`."""
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Annotated
 
 import cappa
@@ -185,6 +185,100 @@
         show(actions.status(self.entry, self.token), self.as_json)
 
 
+@cappa.command(name="list", help="List the VMs.")
+@dataclass
+class VmList:
+    """Lists the VMs."""
+
+    entry: EntryUrl
+    token: Token
+    as_json: Json = False
+
+    def __call__(self) -> None:
+        """Runs the command."""
+        show(actions.vms(self.entry, self.token), self.as_json)
+
+
+@cappa.command(name="vm", help="Look at VMs.")
+@dataclass
+class VmCommand:
+    """Looks at VMs."""
+
+    command: Subcommands[VmList]
+
+
+@cappa.command(name="list", help="List deferred jobs.")
+@dataclass
+class JobList:
+    """Lists deferred jobs."""
+
+    entry: EntryUrl
+    token: Token
+    state: Annotated[str, Arg(long=True, help="Only jobs in this state.")] = ""
+    limit: Annotated[int, Arg(long=True, help="Most jobs to list.")] = 100
+    as_json: Json = False
+
+    def __call__(self) -> None:
+        """Runs the command."""
+        found = actions.jobs(self.entry, self.token, self.state, self.limit)
+        show(found, self.as_json)
+
+
+@cappa.command(name="cancel", help="Cancel a deferred job.")
+@dataclass
+class JobCancel:
+    """Cancels a deferred job."""
+
+    job: Annotated[str, Arg(help="Id of the job.")]
+    entry: EntryUrl
+    token: Token
+    as_json: Json = False
+
+    def __call__(self) -> None:
+        """Runs the command."""
+        show(actions.cancel_job(self.entry, self.token, self.job), self.as_json)
+
+
+@cappa.command(name="release", help="Let a parked job wait for a VM again.")
+@dataclass
+class JobRelease:
+    """Releases a parked job."""
+
+    job: Annotated[str, Arg(help="Id of the job.")]
+    entry: EntryUrl
+    token: Token
+    as_json: Json = False
+
+    def __call__(self) -> None:
+        """Runs the command."""
+        show(actions.release_job(self.entry, self.token, self.job), self.as_json)
+
+
+@cappa.command(name="job", help="List, cancel and release deferred jobs.")
+@dataclass
+class JobCommand:
+    """Works with deferred jobs."""
+
+    command: Subcommands[JobList | JobCancel | JobRelease]
+
+
+@cappa.command(name="bench", help="Measure on loopback; a line for each figure.")
+@dataclass
+class BenchCommand:
+    """Runs the measurements."""
+
+    parts: Annotated[list[str], Arg(help="Parts to run; all if left out.")] = field(
+        default_factory=list
+    )
+    seed: Annotated[int, Arg(long=True, help="Seed of all random draws.")] = 1
+
+    def __call__(self) -> None:
+        """Runs the command."""
+        print(f"seed={self.seed}", flush=True)
+        for measure in actions.bench(self.seed, tuple(self.parts)):
+            print(measure.line(), flush=True)
+
+
 @cappa.command(name="dump", help="Show the state of one process.")
 @dataclass
 class DumpCommand:
@@ -246,5 +340,8 @@
         | TemplateCommand
         | StatusCommand
         | DumpCommand
+        | VmCommand
+        | JobCommand
+        | BenchCommand
         | StandinCommand
     ]
--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -1,35 +1,28 @@
 """One entry: every part wired together in one process."""
 
 import asyncio
-import os
-import resource
-import signal
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import AsyncExitStack, asynccontextmanager
-from typing import NamedTuple
 
-import aiomisc
 from aiohttp import web
+from burdockthread_fleet.feasibility import check_feasible
 from burdockthread_fleet.job_directory import (
     JobDirectory,
-    JobsReport,
-    jobs_report,
 )
 from burdockthread_fleet.job_runner import JobRunner
 from burdockthread_fleet.job_segments import JobSegments
 from burdockthread_fleet.leadership import Leadership
 from burdockthread_fleet.planner import Planner
-from burdockthread_fleet.vm_control import HttpVmControl, VmControl
-from burdockthread_fleet.worker_client import HttpWorkerClient, WorkerClient
-from burdockthread_model.clock import Clock
 from burdockthread_model.events import EventLog
+from burdockthread_model.intended import TemplateDocument
 from burdockthread_model.metrics import MemoryMetrics, StatsdMetrics
+from burdockthread_model.rendering import render
 from burdockthread_model.settings import AddressSettings, EntrySettings, Limits
 from burdockthread_model.steps import Steps
 from burdockthread_operators.authentication import Authenticator
 from burdockthread_operators.changes import TemplateChanges
 from burdockthread_operators.operators_api import OperatorsApi
-from burdockthread_operators.views import Views, template_summaries, vm_summaries
+from burdockthread_operators.views import Views
 from burdockthread_peers.leaving_relay import LeavingRelay, LeavingVm
 from burdockthread_peers.lent_permits import LentPermits
 from burdockthread_peers.membership import Membership
@@ -41,61 +34,25 @@
 from burdockthread_routing.callers_api import MAX_HEADER_BYTES, CallersApi
 from burdockthread_routing.callers_port import PortLimits, callers_port
 from burdockthread_routing.endpoint_choice import EndpointChooser
-from burdockthread_routing.endpoint_client import EndpointClient, HttpEndpointClient
 from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
 from burdockthread_routing.job_ledger import JOB_PREFIX, JobLedger
 from burdockthread_routing.jobs_api import JobAccess
 from burdockthread_routing.router import Router
-from burdockthread_routing.vm_directory import HttpVmDirectory, VmDirectory
 from burdockthread_store.applied import HEAD_PREFIX, AppliedConfiguration
-from burdockthread_store.etcd_store import EtcdStore
 from burdockthread_store.prefix_cache import PrefixCache
 from burdockthread_store.settled_store import SettledStore
-from burdockthread_store.store import ConfigurationStore
 
+from burdockthread.edges import Edges
+from burdockthread.state_reports import StateReports
 from burdockthread.status import FleetStatus
 
 DEFAULT_SLOTS = 8
-ENDPOINT_CONNECTIONS = 64
 READINESS_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.05
 CLOSE_TIMEOUT_S = 1.0
 BACKLOG = 256
 
 
-class Edges(NamedTuple):
-    """Everything outside that an entry talks to."""
-
-    store: ConfigurationStore
-    directory: VmDirectory
-    control: VmControl
-    workers: WorkerClient
-    endpoints: EndpointClient
-    clock: Clock
-
-    @classmethod
-    def from_settings(cls, settings: EntrySettings, clock: Clock) -> "Edges":
-        """Returns the real edges; call within a running event loop."""
-        platform = settings["platform"]
-        entries = len(settings["entries"])
-        return cls(
-            store=EtcdStore(platform["store_url"], clock),
-            directory=HttpVmDirectory(platform["vm_directory_url"]),
-            control=HttpVmControl(platform["vm_directory_url"]),
-            workers=HttpWorkerClient(platform["vm_directory_url"]),
-            endpoints=HttpEndpointClient(max(ENDPOINT_CONNECTIONS // entries, 1)),
-            clock=clock,
-        )
-
-    async def close(self) -> None:
-        """Closes all connections."""
-        await self.endpoints.close()
-        await self.workers.close()
-        await self.control.close()
-        await self.directory.close()
-        await self.store.close()
-
-
 class Entry:
     """One entry of the system."""
 
@@ -144,7 +101,7 @@
         self.view.leaving_listeners.append(self.leaving.announce)
         entries = [entry["name"] for entry in self.settings["entries"]]
         self.membership = Membership.from_settings(
-            self.settings, self.mesh, self.edges.store, self.clock, self.log
+            self.settings, self.mesh, self.store, self.clock, self.log
         )
         self.permits = LentPermits(
             self.mesh,
@@ -234,32 +191,17 @@
             self.job_segments.jobs.get, self.job_directory.cancel
         )
 
-    def jobs_report(self) -> JobsReport:
-        """Reports the jobs."""
-        return jobs_report(
-            self.job_segments.jobs.values(),
-            self.clock.wall(),
-            self.job_runner.quarantined_workers(),
-            self.job_runner.rounds,
-        )
-
     def build_operators(self) -> None:
         """Builds the operators' API."""
         self.status = FleetStatus(
             self.name, self.applied, self.mesh, self.relay, self.view, self.planner
         )
+        reports = StateReports(self)
         self.operators_api = OperatorsApi(
             Authenticator(self.settings["operator_tokens"]),
-            TemplateChanges(self.store, self.clock, self.steps),
-            Views(self.status.report, self.templates_report, self.vms_report),
-            {
-                "status": self.status.report,
-                "process": self.process_report,
-                "metrics": self.metrics_report,
-                "routing": self.routing_report,
-                "jobs": self.jobs_report,
-                "store": self.store_report,
-            },
+            TemplateChanges(self.store, self.clock, self.steps, self.check_feasible),
+            Views(self.status.report, reports.templates, reports.vms),
+            reports.parts(),
             self.metrics,
             self.log,
             self.job_directory,
@@ -267,56 +209,18 @@
             self.limits.operator_connections,
         )
 
-    def templates_report(self) -> object:
-        """Returns the templates in force."""
-        return template_summaries(self.applied.templates.values())
-
-    def vms_report(self) -> object:
-        """Returns the VMs as recorded and as listed."""
-        return vm_summaries(self.view.records, self.view.listings)
-
-    def process_report(self) -> object:
-        """Returns facts about this process."""
-        usage = resource.getrusage(resource.RUSAGE_SELF)
-        return {
-            "pid": os.getpid(),
-            "max_resident_kb": usage.ru_maxrss,
-            "cpu_s": usage.ru_utime + usage.ru_stime,
-            "ports": self.ports,
-        }
-
-    def metrics_report(self) -> object:
-        """Returns counters and gauges."""
-        return {"counters": self.metrics.counters, "gauges": self.metrics.gauges}
+    def check_feasible(self, document: TemplateDocument) -> None:
+        """Refuses a template that the fleet cannot satisfy.
 
-    def routing_report(self) -> object:
-        """Returns the state of the caller's path."""
-        waiting = self.router.admission.waiting
-        return {
-            "ready": self.callers_api.ready,
-            "in_flight": self.router.in_flight,
-            "waiting": {name: len(queue) for name, queue in waiting.items()},
-            "outstanding": dict(self.router.chooser.outstanding),
-            "keys": len(self.keys.records),
-        }
-
-    def store_report(self) -> object:
-        """Returns how current the copies of the store are."""
-        now = self.clock.now()
-        caches = (
-            self.config_cache,
-            self.vm_cache,
-            self.pool_cache,
-            self.job_cache,
-        )
-        return {
-            cache.prefix: {
-                "revision": cache.revision,
-                "synced": cache.synced,
-                "silent_s": now - cache.contact_s if cache.synced else None,
-            }
-            for cache in caches
-        }
+        Raises:
+            TemplateError: The reason with the numbers.
+        """
+        others = [
+            spec
+            for (template, _), spec in self.view.organisations.items()
+            if template != document["name"]
+        ]
+        check_feasible(render(document, version=0), others, self.view.listings)
 
     @asynccontextmanager
     async def running(self) -> AsyncIterator["Entry"]:
@@ -421,29 +325,3 @@
     """Cancels a task and waits for its end."""
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
-
-
-class EntryService(aiomisc.Service):
-    """Runs an entry under aiomisc, which handles SIGTERM and SIGINT."""
-
-    settings: EntrySettings
-    clock: Clock
-    stack: AsyncExitStack
-
-    async def start(self) -> None:
-        """Starts the entry."""
-        self.stack = AsyncExitStack()
-        entry = Entry(self.settings, Edges.from_settings(self.settings, self.clock))
-        await self.stack.enter_async_context(entry.running())
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGUSR1, log_dump, entry)
-
-    async def stop(self, exception: Exception | None = None) -> None:
-        """Stops the entry gracefully."""
-        await self.stack.aclose()
-
-
-def log_dump(entry: Entry) -> None:
-    """Logs the state of this process."""
-    for name, report in entry.operators_api.reports.items():
-        entry.log.info("state_dump", part=name, state=report())
