Keep a prefix cache alive when a listener fails

An error raised by a listener ended the task that follows the prefix, and the entry served from an ever older copy without a word. It is logged as cache_listener_failed and counted now. The test failed first with [] == ['p/a', 'p/b'].

--- a/libs/store/burdockthread_store/prefix_cache.py
+++ b/libs/store/burdockthread_store/prefix_cache.py
@@ -5,8 +5,10 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+from absl import logging
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import StoreError, WatchCompactedError
+from burdockthread_model.events import format_event
 
 from burdockthread_store.store import (
     ConfigurationStore,
@@ -49,6 +51,7 @@
         contact_s: Clock time of the last word from the store.
         lists: Listings taken.
         rollbacks: Times that the store went back for good.
+        listener_failures: Times that a listener raised an error.
     """
 
     def __init__(self, store: ConfigurationStore, prefix: str, clock: Clock) -> None:
@@ -64,6 +67,7 @@
         self.contact_s = float("-inf")
         self.lists = 0
         self.rollbacks = 0
+        self.listener_failures = 0
         self.listeners: list[Listener] = []
         self.silences = itertools.cycle(SILENCES_S)
         self.retry_s = RETRY_FIRST_S
@@ -194,8 +198,7 @@
             return
         self.tombstones.pop(item.key, None)
         self.values[item.key] = item
-        for listener in self.listeners:
-            listener(item.key, item)
+        self.tell(item.key, item)
 
     def remove(self, key: str, revision: int) -> None:
         """Drops a key unless a newer value is known."""
@@ -206,8 +209,17 @@
         if known is None:
             return
         del self.values[key]
+        self.tell(key, None)
+
+    def tell(self, key: str, item: KeyValue | None) -> None:
+        """Tells the listeners of a change; one that fails is logged."""
         for listener in self.listeners:
-            listener(key, None)
+            try:
+                listener(key, item)
+            except Exception as error:
+                self.listener_failures += 1
+                fields: dict[str, object] = {"store_key": key, "reason": repr(error)}
+                logging.error("%s", format_event("cache_listener_failed", fields))
 
     def bury(self, key: str, revision: int) -> None:
         """Notes a deletion, so that an older value cannot come back."""
--- a/libs/store/tests/test_prefix_cache.py
+++ b/libs/store/tests/test_prefix_cache.py
@@ -169,3 +169,17 @@
     await put(faulty.store, "p/b", b"new")
     await clock.advance(1.0)
     assert contents(cache) == {"p/a": b"old", "p/b": b"new"}
+
+
+async def test_listener_that_fails_does_not_end_the_cache(cache, store, clock):
+    def fail(key, item):
+        raise KeyError(key)
+
+    seen = []
+    cache.listeners.extend([fail, lambda key, item: seen.append(key)])
+    await put(store, "p/a", b"1")
+    await clock.advance(1.0)
+    await put(store, "p/b", b"1")
+    await clock.advance(1.0)
+    assert seen == ["p/a", "p/b"]
+    assert cache.listener_failures == 2
