--- a/libs/burdockthread/burdockthread/bench_store.py
+++ b/libs/burdockthread/burdockthread/bench_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import threading
 import time
 import tracemalloc
@@ -26,6 +27,7 @@
 from burdockthread_standins.processes import listening
 from burdockthread_store.applied import HEAD_PREFIX, AppliedConfiguration
 from burdockthread_store.etcd_store import EtcdStore
+from burdockthread_store.faults import StoreFaults
 from burdockthread_store.faulty_store import FaultyStore
 from burdockthread_store.memory_store import MemoryStore
 from burdockthread_store.prefix_cache import PrefixCache
@@ -43,6 +45,10 @@
 CHANGES_COUNTED = 50
 SECONDS_PER_DAY = 86_400.0
 SIMULATED_S = 3_600.0
+PHASES = 25
+OUTAGE_S = 60.0
+DELAY_STEP_S = 0.1
+IN_FORCE_TARGET_S = 15.0
 EVENTS = 300
 WRITES = 200
 LOST_ANSWERS = 40
@@ -60,13 +66,15 @@
     """Measures the store client.
 
     Args:
-        seed: Unused; nothing here is random that changes a figure.
+        seed: Seed of the jitter of retries.
 
     Returns:
         All measures.
     """
+    random.seed(seed)
     found = await measure_calls()
     found += await measure_changes()
+    found += await measure_delays()
     found += measure_memory()
     for count in VM_COUNTS:
         found.append(await measure_vm_events(count))
@@ -146,6 +154,56 @@
         await memory.write([Change(key, value, revision)])
 
 
+def silence(faults: StoreFaults) -> None:
+    """Makes the open watches deliver nothing."""
+    faults.silence_watches()
+
+
+def start_outage(faults: StoreFaults) -> None:
+    """Takes the store out."""
+    faults.down = True
+
+
+async def measure_delays() -> list[Measure]:
+    """Measures the longest time until a change is known after a fault.
+
+    A watch dies silently at different moments, and an outage ends at different
+    moments; the change is written while it lasts.
+    """
+    found = []
+    for name, begin in (("dead_watch", silence), ("outage_end", start_outage)):
+        delays = [await time_delay(begin, float(phase)) for phase in range(PHASES)]
+        label = f"store_{name}_worst"
+        found.append(at_most(label, TARGET, max(delays), "s", IN_FORCE_TARGET_S, None))
+    return found
+
+
+async def time_delay(begin: Callable[[StoreFaults], None], phase_s: float) -> float:
+    """Returns the seconds until a change is known after a fault has ended.
+
+    Args:
+        begin: Starts the fault; an outage ends after `OUTAGE_S`.
+        phase_s: Seconds after the start of the cache at which it begins.
+    """
+    clock = MemoryClock()
+    memory = MemoryStore(clock)
+    faulty = FaultyStore(memory, clock)
+    cache = PrefixCache(new_client(faulty, clock), "vm/", clock)
+    following = asyncio.create_task(cache.run())
+    await clock.advance(phase_s)
+    begin(faulty.faults)
+    key, value = vm_record(0, 0.0)
+    await memory.write([Change(key, value, 0)])
+    if faulty.faults.down:
+        await clock.advance(OUTAGE_S)
+        faulty.faults.down = False
+    started_s = clock.now()
+    while key not in cache.values:
+        await clock.advance(DELAY_STEP_S)
+    following.cancel()
+    return clock.now() - started_s
+
+
 async def measure_changes() -> list[Measure]:
     """Counts the calls of one change from its proposal to its acceptance."""
     clock = MemoryClock()
