Keep the membership running when the list is malformed

A malformed record at members/view ended the task that confirms the list, so an entry never acted again, also after the record was mended (the new test printed acting False for all). Now it is not confirmed, which stops decisions, and read again in the next round. Its revision is not taken over either, so that no entry writes over a list that it could not read; the first try of this change did, and the test failed with a conflict of its own write.

--- a/libs/peers/burdockthread_peers/membership.py
+++ b/libs/peers/burdockthread_peers/membership.py
@@ -256,7 +256,7 @@
             if self.clock.now() >= self.confirm_at_s:
                 await self.confirm()
             await self.propose()
-        except StoreError as error:
+        except (StoreError, PeerProtocolError) as error:
             self.log.info("membership_waits", reason=type(error).__name__)
 
     def broadcast_report(self) -> None:
@@ -281,14 +281,15 @@
 
         Raises:
             StoreError: No answer; nothing is confirmed.
+            PeerProtocolError: The list is malformed; nothing is confirmed.
         """
         self.confirm_at_s = self.clock.now() + CONFIRM_S
         await self.keep_registration()
         sent_s, sent_wall_s = self.clock.now(), self.clock.wall()
         found = await self.store.get(VIEW_KEY)
-        self.view_revision = 0 if found is None else found.revision
         if found is not None:
             self.adopt(MembersView.from_bytes(found.value))
+        self.view_revision = 0 if found is None else found.revision
         self.confirmed_until_s = sent_s + TENURE_S - TENURE_MARGIN_S
         self.confirmed_until_wall_s = sent_wall_s + TENURE_S - TENURE_MARGIN_S
 
--- a/libs/peers/tests/test_membership.py
+++ b/libs/peers/tests/test_membership.py
@@ -161,3 +161,22 @@
 def test_a_list_survives_its_record():
     view = MembersView(3).successor((), 10.0, 16.0)
     assert MembersView.from_bytes(view.to_bytes()) == view
+
+
+async def test_a_malformed_list_stops_decisions_but_not_the_entry(
+    cluster, clock, store
+):
+    from burdockthread_store.store import Change
+
+    await cluster.started(*NAMES)
+    good = await store.get(VIEW_KEY)
+    broken = await store.write([Change(VIEW_KEY, b"{", good.revision)])
+    for node in cluster.nodes.values():
+        node.membership.reports.clear()
+    cluster.network.partition({"a"}, {"b", "c"})
+    await clock.advance(8.0)
+    assert not cluster.nodes["a"].membership.acting()
+    cluster.network.heal()
+    await store.write([Change(VIEW_KEY, good.value, broken)])
+    await clock.advance(8.0)
+    assert all(node.membership.acting() for node in cluster.nodes.values())
