--- a/libs/routing/burdockthread_routing/fleet_view.py
+++ b/libs/routing/burdockthread_routing/fleet_view.py
@@ -60,7 +60,7 @@
         self.leaving: dict[str, str] = {}
         self.weights: dict[tuple[str, str], float] = {}
         self.leaving_listeners: list[LeavingListener] = []
-        self.serving: dict[str, list[Endpoint]] = {}
+        self.serving: dict[str, list[Endpoint]] | None = None
         applied.listeners.append(self.on_template)
         vm_cache.listeners.append(self.on_record)
 
@@ -96,7 +96,7 @@
     def on_record(self, key: str, item: KeyValue | None) -> None:
         """Takes a change of a VM record in."""
         name = key.removeprefix(VM_PREFIX)
-        self.serving.clear()
+        self.serving = None
         if item is None:
             self.records.pop(name, None)
             return
@@ -117,7 +117,8 @@
     def on_listings(self, listings: tuple[VmListing, ...]) -> None:
         """Takes the platform's list in."""
         before, self.listings = self.listings, {item.name: item for item in listings}
-        self.serving.clear()
+        if self.listings != before:
+            self.serving = None
         self.forget_old_signals(before)
         for listing in listings:
             if listing.status is VmStatus.LEAVING:
@@ -137,6 +138,7 @@
             stays = was_leaving and listing.status is VmStatus.LIVE
             if stays or listing.boot_id != boot_id:
                 del self.leaving[name]
+                self.serving = None
 
     def mark_leaving(self, vm: str, boot_id: str = "") -> bool:
         """Notes that a VM is leaving, by its own word, a peer's or the list.
@@ -154,7 +156,7 @@
         if boot_id not in ("", listing.boot_id):
             return False
         self.leaving[vm] = listing.boot_id
-        self.serving.clear()
+        self.serving = None
         for listener in self.leaving_listeners:
             listener(vm, listing.boot_id)
         return True
@@ -167,20 +169,19 @@
 
     def endpoints(self, service: ServiceSpec) -> list[Endpoint]:
         """Returns the endpoints that may get new requests of a service."""
-        found = self.serving.get(service.pool)
-        if found is None:
-            found = self.serving[service.pool] = self.find_endpoints(service.pool)
-        return found
+        if self.serving is None:
+            self.serving = self.find_endpoints()
+        return self.serving.get(service.pool, [])
 
-    def find_endpoints(self, pool: str) -> list[Endpoint]:
-        """Returns the endpoints of a pool that serve and are not leaving."""
-        found = []
+    def find_endpoints(self) -> dict[str, list[Endpoint]]:
+        """Returns the endpoints that serve and are not leaving, by pool."""
+        found: dict[str, list[Endpoint]] = {}
         for record in self.records.values():
-            if record.pool != pool or record.state is not VmState.SERVING:
+            if record.state is not VmState.SERVING:
                 continue
             listing = self.listings.get(record.name)
             if listing is not None and not self.is_leaving(listing):
-                found.append(endpoint_of(listing, record))
+                found.setdefault(record.pool, []).append(endpoint_of(listing, record))
         return found
 
 
--- a/libs/routing/burdockthread_routing/vm_directory.py
+++ b/libs/routing/burdockthread_routing/vm_directory.py
@@ -1,5 +1,6 @@
 """The platform's lagging list of live and leaving VMs."""
 
+import json
 from abc import ABC, abstractmethod
 
 import aiohttp
@@ -8,6 +9,7 @@
 from burdockthread_model.vm import VmListing
 
 CALL_TIMEOUT_S = 2.0
+NOT_MODIFIED = 304
 
 
 class VmDirectory(ABC):
@@ -47,22 +49,55 @@
 
 
 class HttpVmDirectory(VmDirectory):
-    """The list over HTTP: ``GET <base>/vms`` answers a JSON array of objects."""
+    """The list over HTTP: ``GET <base>/vms`` answers a JSON array of objects.
+
+    A list that has not changed is neither sent, if the platform gives an
+    entity tag, nor decoded again.
+
+    Attributes:
+        listings: The list as last decoded.
+        body: Text of that list.
+        entity_tag: Entity tag of that list, or empty.
+    """
 
     def __init__(self, base_url: str) -> None:
         self.base_url = base_url.rstrip("/")
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         self.session = aiohttp.ClientSession(timeout=timeout)
+        self.listings: tuple[VmListing, ...] = ()
+        self.body = b""
+        self.entity_tag = ""
 
     async def list(self) -> tuple[VmListing, ...]:
         """Reads the list."""
+        headers = {"If-None-Match": self.entity_tag} if self.entity_tag else {}
         try:
-            async with self.session.get(f"{self.base_url}/vms") as answer:
+            async with self.session.get(
+                f"{self.base_url}/vms", headers=headers
+            ) as answer:
                 answer.raise_for_status()
-                items = await answer.json()
-                return tuple(record_from_plain(item, VmListing) for item in items)
-        except (aiohttp.ClientError, TimeoutError, TypeError, RecordError) as error:
+                if answer.status != NOT_MODIFIED:
+                    self.take(await answer.read())
+                    self.entity_tag = answer.headers.get("ETag", "")
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise PlatformError(f"list of VMs: {error}") from error
+        return self.listings
+
+    def take(self, body: bytes) -> None:
+        """Decodes a list unless it is the last one again.
+
+        Raises:
+            PlatformError: The list is malformed.
+        """
+        if body == self.body:
+            return
+        try:
+            items = json.loads(body)
+            listings = tuple(record_from_plain(item, VmListing) for item in items)
+        except (ValueError, TypeError, RecordError) as error:
             raise PlatformError(f"list of VMs: {error}") from error
+        self.listings = listings
+        self.body = body
 
     async def close(self) -> None:
         """Closes the connections."""
