--- a/libs/routing/burdockthread_routing/router.py
+++ b/libs/routing/burdockthread_routing/router.py
@@ -1,11 +1,10 @@
 """Carries a caller's request to an endpoint and its answer back."""
 
 import asyncio
-import heapq
 import itertools
 from collections.abc import Awaitable, Callable, Collection, Iterator
 from contextlib import contextmanager
-from typing import Any, NamedTuple
+from typing import Any
 
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import EndpointError, OverloadedError, RequestError
@@ -29,6 +28,7 @@
 )
 from burdockthread_routing.fair_queue import Grant
 from burdockthread_routing.fleet_view import FleetView
+from burdockthread_routing.held_slots import HeldSlots
 from burdockthread_routing.retry_budget import RetryBudget
 from burdockthread_routing.verdicts import (
     RETRY_AFTER_S,
@@ -71,21 +71,12 @@
             self.queued = False
 
 
-class HeldSlot(NamedTuple):
-    """A slot whose exchange was cut and that may still be occupied."""
-
-    free_s: float
-    order: int
-    service: ServiceSpec
-    endpoint: Endpoint
-
-
 class Router:
     """The caller's path of one entry.
 
     Attributes:
         in_flight: Requests under way, late answers to keyed ones included.
-        held: Slots that are held back after a cut exchange, as a heap.
+        held: Slots that are held back after a cut exchange.
         budgets: Budget of retries by service.
     """
 
@@ -115,7 +106,7 @@
         )
         self.attempt_ids = itertools.count(1)
         self.in_flight = 0
-        self.held: list[HeldSlot] = []
+        self.held = HeldSlots()
         self.budgets: dict[str, RetryBudget] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
 
@@ -130,8 +121,7 @@
 
     def free_held_slots(self) -> None:
         """Gives back the slots whose attempt must have ended by now."""
-        while self.held and self.held[0].free_s <= self.clock.now():
-            slot = heapq.heappop(self.held)
+        for slot in self.held.take_free(self.clock.now()):
             self.release(slot.service, slot.endpoint)
 
     async def handle(self, request: CallerRequest) -> CallerResponse:
@@ -451,8 +441,7 @@
         if free_s <= self.clock.now():
             self.release(service, endpoint)
             return
-        slot = HeldSlot(free_s, next(self.attempt_ids), service, endpoint)
-        heapq.heappush(self.held, slot)
+        self.held.hold(free_s, service, endpoint)
         self.metrics.gauge("routing.slots_held_back", len(self.held))
 
     def new_attempt(
