Give an endpoint no more exchanges than it has connections

With nine entries each may open 7 of the 64 connections of an endpoint, while lent permits may allow it 8 slots: the eighth exchange waited for a connection with its slot taken, although other endpoints were free.

--- a/libs/routing/burdockthread_routing/endpoint_choice.py
+++ b/libs/routing/burdockthread_routing/endpoint_choice.py
@@ -11,6 +11,7 @@
 from burdockthread_routing.outliers import OutlierDetector
 
 LOADED_FRACTION = 0.75
+CONNECTIONS_PER_ENDPOINT = 64
 
 
 class EndpointChooser:
@@ -20,6 +21,8 @@
         availability_zone: Availability zone of this entry.
         region: Region of this entry, or empty if all count as one.
         permits: Slots that this entry may use.
+        connections: Connections that this entry may have to one endpoint; an
+            exchange beyond them would hold its slot while it waits for one.
         outliers: Endpoints that are left out because they fail.
         outstanding: Slots that this entry holds, by VM.
     """
@@ -31,10 +34,12 @@
         clock: Clock,
         region: str = "",
         seed: int | None = None,
+        connections: int = CONNECTIONS_PER_ENDPOINT,
     ) -> None:
         self.availability_zone = availability_zone
         self.region = region
         self.permits = permits
+        self.connections = connections
         self.outliers = OutlierDetector(clock)
         self.random = random.Random(seed)
         self.outstanding: Counter[str] = Counter()
@@ -97,7 +102,7 @@
         self, service: str, group: Sequence[Endpoint]
     ) -> Endpoint | None:
         """Takes a slot at the less loaded of two, until one has a free slot."""
-        left = list(group)
+        left = [e for e in group if self.outstanding[e.vm] < self.connections]
         while left:
             pair = self.random.sample(left, min(2, len(left)))
             endpoint = min(pair, key=lambda e: self.outstanding[e.vm])
--- a/libs/routing/tests/test_endpoint_choice.py
+++ b/libs/routing/tests/test_endpoint_choice.py
@@ -46,6 +46,12 @@
     assert max(chooser.outstanding.values()) - min(chooser.outstanding.values()) <= 2
 
 
+def test_no_endpoint_gets_more_than_its_connections(chooser, endpoints):
+    chooser.connections = 3
+    assert take(chooser, endpoints[:2], 8) == {"near": 6, None: 2}
+    assert set(chooser.outstanding.values()) == {3}
+
+
 def fail(chooser, vm, times=5):
     return [chooser.outliers.failed(vm) for _ in range(times)]
 
