--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -77,13 +77,12 @@
     def from_settings(cls, settings: EntrySettings, clock: Clock) -> "Edges":
         """Returns the real edges; call within a running event loop."""
         platform = settings["platform"]
-        entries = len(settings["entries"])
         return cls(
             store=EtcdStore(platform["store_url"], clock),
             directory=HttpVmDirectory(platform["vm_directory_url"]),
             control=HttpVmControl(platform["vm_directory_url"]),
             workers=HttpWorkerClient(platform["vm_directory_url"]),
-            endpoints=HttpEndpointClient(max(ENDPOINT_CONNECTIONS // entries, 1)),
+            endpoints=HttpEndpointClient(connections_per_endpoint(settings)),
             clock=clock,
         )
 
@@ -158,6 +157,7 @@
             self.permits,
             self.clock,
             self.settings["region"],
+            connections=connections_per_endpoint(self.settings),
         )
         self.keys = OwnedKeys(
             self.mesh, self.membership, self.clock, self.limits.idempotency_keys
@@ -408,6 +408,11 @@
         self.log.info("entry_stopped", in_flight=self.router.in_flight)
 
 
+def connections_per_endpoint(settings: EntrySettings) -> int:
+    """Returns this entry's share of the connections of one endpoint."""
+    return max(ENDPOINT_CONNECTIONS // len(settings["entries"]), 1)
+
+
 def metrics_from_settings(settings: EntrySettings) -> MemoryMetrics:
     """Returns metrics sent by statsd if the settings name an address."""
     statsd = settings.get("statsd")
