--- a/libs/burdockthread/burdockthread/edges.py
+++ b/libs/burdockthread/burdockthread/edges.py
@@ -37,13 +37,12 @@
     def from_settings(cls, settings: EntrySettings, clock: Clock) -> "Edges":
         """Returns the real edges; call within a running event loop."""
         platform = settings["platform"]
-        entries = len(settings["entries"])
         return cls(
             store=EtcdStore(platform["store_url"], clock),
             directory=HttpVmDirectory(platform["vm_directory_url"]),
             control=HttpVmControl(platform["vm_directory_url"]),
             workers=HttpWorkerClient(platform["vm_directory_url"]),
-            endpoints=HttpEndpointClient(max(ENDPOINT_CONNECTIONS // entries, 1)),
+            endpoints=HttpEndpointClient(connections_per_endpoint(settings)),
             clock=clock,
         )
 
@@ -54,3 +53,8 @@
         await self.control.close()
         await self.directory.close()
         await self.store.close()
+
+
+def connections_per_endpoint(settings: EntrySettings) -> int:
+    """Returns this entry's share of the connections of one endpoint."""
+    return max(ENDPOINT_CONNECTIONS // len(settings["entries"]), 1)
--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -42,7 +42,7 @@
 from burdockthread_store.prefix_cache import PrefixCache
 from burdockthread_store.settled_store import SettledStore
 
-from burdockthread.edges import Edges
+from burdockthread.edges import Edges, connections_per_endpoint
 from burdockthread.state_reports import StateReports
 from burdockthread.status import FleetStatus
 
@@ -115,6 +115,7 @@
             self.permits,
             self.clock,
             self.settings["region"],
+            connections=connections_per_endpoint(self.settings),
         )
         self.keys = OwnedKeys(
             self.mesh, self.membership, self.clock, self.limits.idempotency_keys
