Count own writes when a new record's generation is chosen

Cause: a new record's generation was taken from the revision that the watch had brought, which own writes run ahead of; a record deleted and made again before the watch caught up could get a generation below the VM's own and be refused. Seen failing: test_new_generation_exceeds_that_of_a_record_just_deleted printed 'assert 3 > 22'. After: passes; make check passes.

--- a/libs/fleet/burdockthread_fleet/vm_writer.py
+++ b/libs/fleet/burdockthread_fleet/vm_writer.py
@@ -38,6 +38,7 @@
     Attributes:
         vm_cache: Copy of the VM records.
         pool_cache: Copy of the pools' records.
+        written_revision: Revision of the last write.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         self.leadership = leadership
         self.vm_cache = vm_cache
         self.pool_cache = pool_cache
+        self.written_revision = 1
 
     async def commit(
         self, updates: Sequence[VmUpdate], others: Sequence[Change] = ()
@@ -88,6 +90,7 @@
     async def write(self, changes: Sequence[Change]) -> None:
         """Writes one transaction and takes it into the copies."""
         revision = await self.leadership.write(changes)
+        self.written_revision = max(self.written_revision, revision)
         for change in changes:
             self.take_in(change, revision)
 
@@ -104,9 +107,11 @@
         """Returns a generation for a new record, above all earlier ones.
 
         A generation never exceeds the revision of the write that set it, and
-        a record seen deleted was deleted at a later revision than that.
+        a record seen deleted was deleted at a later revision than that; own
+        writes count at once, as the watch brings them later.
         """
-        return max(self.vm_cache.revision, self.leadership.revision, 1)
+        known = (self.vm_cache.revision, self.leadership.revision)
+        return max(*known, self.written_revision)
 
 
 def batches(updates: Sequence[VmUpdate]) -> Iterator[Sequence[VmUpdate]]:
