Compare the stateful test's model with the store, not with stale views

Cause: a longer random trial (80 examples of 30 steps) failed with 'assert 2 == 1' on a VM's generation. The invariant read the views of planners that are not paused, and a planner resumed a moment before still has the view from before its pause. The records in the store agreed with the platform. The earlier trials that ended without a result were shrinking this failure. The invariant now reads the records from the store, which is stricter: no record may disagree, whatever any planner knows.

--- a/libs/fleet/tests/test_planner.py
+++ b/libs/fleet/tests/test_planner.py
@@ -156,17 +156,11 @@
     @invariant()
     def records_agree_with_the_platform(self):
         control = self.fleet.control
-        stored = {
-            record.name: record
-            for node in self.fleet.nodes
-            if not node.paused
-            for record in node.view.records.values()
-        }
-        for name, record in stored.items():
+        for record in self.stored_records():
             serving = record.state is VmState.SERVING
-            if serving and name in self.fleet.directory.listings:
-                assert control.pools[name] == record.pool
-                assert control.generations[name] == record.generation
+            if serving and record.name in self.fleet.directory.listings:
+                assert control.pools[record.name] == record.pool
+                assert control.generations[record.name] == record.generation
 
     @invariant()
     def generations_never_go_back(self):
