--- a/libs/fleet/burdockthread_fleet/usage.py
+++ b/libs/fleet/burdockthread_fleet/usage.py
@@ -16,6 +16,7 @@
 MEMORY_DEVIATIONS = 2.0
 MIN_RATIO = 0.01
 MAX_RATIO = 100.0
+ROUNDING = 1e-9
 
 
 class Size(NamedTuple):
@@ -27,20 +28,36 @@
 
     def plus(self, other: "Size") -> "Size":
         """Returns the sum."""
-        return Size(*(a + b for a, b in zip(self, other, strict=True)))
+        return Size(
+            self.cores + other.cores,
+            self.memory_gb + other.memory_gb,
+            self.accelerators + other.accelerators,
+        )
 
     def minus(self, other: "Size") -> "Size":
         """Returns the difference."""
-        return Size(*(a - b for a, b in zip(self, other, strict=True)))
+        return Size(
+            self.cores - other.cores,
+            self.memory_gb - other.memory_gb,
+            self.accelerators - other.accelerators,
+        )
 
     def fits(self, room: "Size") -> bool:
         """Returns whether it is nowhere larger than some room."""
-        return all(a <= b + 1e-9 for a, b in zip(self, room, strict=True))
+        return (
+            self.cores <= room.cores + ROUNDING
+            and self.memory_gb <= room.memory_gb + ROUNDING
+            and self.accelerators <= room.accelerators + ROUNDING
+        )
 
     def share_of(self, whole: "Size") -> float:
         """Returns the largest share of a whole, over what the whole has."""
-        pairs = zip(self, whole, strict=True)
-        return max((part / total for part, total in pairs if total > 0), default=0.0)
+        share = self.cores / whole.cores if whole.cores > 0 else 0.0
+        if whole.memory_gb > 0:
+            share = max(share, self.memory_gb / whole.memory_gb)
+        if whole.accelerators > 0:
+            share = max(share, self.accelerators / whole.accelerators)
+        return share
 
 
 def declared_size(job: Job) -> Size:
@@ -90,12 +107,17 @@
         if declared.memory_gb > 0:
             self.memory.learn(report.memory_gb_used / declared.memory_gb)
 
+    def is_known(self) -> bool:
+        """Returns whether enough tasks have been seen."""
+        return min(self.cores.samples, self.memory.samples) >= MIN_SAMPLES
+
 
 class UsageEstimates:
     """Expected sizes of jobs.
 
     Attributes:
-        corrections: What was learned, by service and team.
+        corrections: What was learned, by service and team; under an empty service
+            what was learned of a team in all services.
         learned: Tasks that have been learned from.
         shares: Share of its processors that a throttled task has, by task id.
     """
@@ -117,12 +139,15 @@
         if report.cores_used <= 0 and report.memory_gb_used <= 0:
             return
         self.learned.add(report.task_id)
-        key = (job.service, job.team)
-        self.corrections.setdefault(key, Correction()).learn(declared_size(job), report)
+        for key in ((job.service, job.team), ("", job.team)):
+            correction = self.corrections.setdefault(key, Correction())
+            correction.learn(declared_size(job), report)
 
     def expected(self, job: Job) -> Size:
         """Returns what a job that does not run yet is expected to use."""
         found = self.corrections.get((job.service, job.team))
+        if found is None or not found.is_known():
+            found = self.corrections.get(("", job.team))
         if found is None:
             return declared_size(job)
         return Size(
--- a/libs/routing/burdockthread_routing/router.py
+++ b/libs/routing/burdockthread_routing/router.py
@@ -16,6 +16,7 @@
 from burdockthread_model.steps import Step, Steps
 from burdockthread_model.verdict import Verdict
 from burdockthread_peers.idempotency import KeyOwnership, KeyState
+from burdockthread_peers.lent_permits import LONGEST_EXCHANGE_S
 
 from burdockthread_routing.admission import Admission
 from burdockthread_routing.endpoint_choice import EndpointChooser
@@ -30,6 +31,7 @@
 from burdockthread_routing.fleet_view import FleetView
 from burdockthread_routing.retry_budget import RetryBudget
 from burdockthread_routing.verdicts import (
+    RETRY_AFTER_S,
     LateAnswerError,
     ServiceNotFoundError,
     caller_response,
@@ -108,7 +110,9 @@
         self.metrics = metrics
         self.log = log
         self.steps = steps
-        self.admission = Admission(clock, self.acquire, self.release, view.team_weight)
+        self.admission = Admission(
+            clock, self.acquire, self.release, view.team_weight, self.capacity
+        )
         self.attempt_ids = itertools.count(1)
         self.in_flight = 0
         self.held: list[HeldSlot] = []
@@ -119,6 +123,7 @@
         """Frees held slots and grants slots that became free, until cancelled."""
         while True:
             self.free_held_slots()
+            self.chooser.outliers.forget(self.view.listings)
             for service in list(self.view.services.values()):
                 self.admission.pump(service)
             await self.clock.sleep(PUMP_INTERVAL_S)
@@ -289,6 +294,8 @@
                 if progress.abandoned or not self.may_retry(
                     service, request, error, attempt_number
                 ):
+                    if verdict is Verdict.NOT_RUN:
+                        error.retry_after_s = RETRY_AFTER_S
                     raise
                 self.metrics.count("routing.retries")
         raise AssertionError("unreachable")
@@ -360,6 +367,12 @@
         endpoints = self.view.endpoints(service)
         return self.chooser.acquire(service.name, endpoints, avoided)
 
+    def capacity(self, service: ServiceSpec) -> int:
+        """Returns the slots of a service that this entry may use now."""
+        permits = self.chooser.permits
+        endpoints = self.view.endpoints(service)
+        return sum(permits.limit(service.name, e.vm) for e in endpoints)
+
     def release(self, service: ServiceSpec, endpoint: Endpoint) -> None:
         """Gives a slot back and grants it to the next request."""
         self.chooser.release(service.name, endpoint)
@@ -392,7 +405,7 @@
     ) -> CallerResponse:
         """Sends one attempt and holds its slot until it has surely ended."""
         remaining_s = max(request.deadline_s - self.clock.now(), 0.0)
-        bound_s = max(remaining_s, service.deadline_s) + OVERRUN_S
+        bound_s = longest_exchange_s(service, remaining_s)
         free_s = 0.0
         try:
             await self.steps.reach(Step.REQUEST_ADMITTED)
@@ -457,3 +470,18 @@
             timeout_s=timeout_s,
             max_answer_bytes=MAX_ANSWER_BYTES,
         )
+
+
+def longest_exchange_s(service: ServiceSpec, remaining_s: float) -> float:
+    """Returns how long an attempt may occupy its slot.
+
+    Args:
+        service: Service asked.
+        remaining_s: Seconds until the caller's deadline.
+
+    Returns:
+        Seconds after which the attempt is given up and its slot counts as
+        free; never more than lenders of slots reckon with.
+    """
+    longest_s = max(remaining_s, service.deadline_s) + OVERRUN_S
+    return min(longest_s, LONGEST_EXCHANGE_S)
