--- a/libs/fleet/burdockthread_fleet/job_segments.py
+++ b/libs/fleet/burdockthread_fleet/job_segments.py
@@ -6,14 +6,19 @@
 
 import msgspec
 from burdockthread_model.events import EventLog
-from burdockthread_model.job import FINAL_JOB_STATES, Job
+from burdockthread_model.job import FINAL_JOB_STATES, Job, JobState
 from burdockthread_routing.job_ledger import JOB_PREFIX, decode_jobs, encode_jobs
 from burdockthread_store.prefix_cache import PrefixCache
 from burdockthread_store.store import Change, ConfigurationStore, KeyValue
 
 MAX_SEGMENTS_PER_WRITE = 64
 MAX_BYTES_PER_WRITE = 1_000_000
-ENDED_RETENTION_S = 3_600.0
+ENDED_RETENTION_S = {
+    JobState.DONE: 900.0,
+    JobState.CANCELLED: 900.0,
+    JobState.FAILED: 86_400.0,
+    JobState.UNKNOWN: 86_400.0,
+}
 SMALL_SEGMENT_JOBS = 32
 SMALL_SEGMENTS_TO_MERGE = 8
 MAX_MERGED_JOBS = 400
@@ -182,13 +187,12 @@
             organisation: Organisation whose segments are compacted.
             wall_s: Unix time.
         """
-        oldest_s = wall_s - ENDED_RETENTION_S
         writes: list[tuple[Change, ...]] = []
         small: defaultdict[str, list[str]] = defaultdict(list)
         for key, jobs in self.segments.items():
             if not key.startswith(f"{JOB_PREFIX}{organisation}/"):
                 continue
-            kept = [job for job in jobs if not expired(job, oldest_s)]
+            kept = [job for job in jobs if not expired(job, wall_s)]
             if len(kept) * 2 <= len(jobs):
                 writes.append((self.replacement(key, kept),))
             elif len(kept) < SMALL_SEGMENT_JOBS and all_ended(kept):
@@ -218,9 +222,10 @@
         return (target, *(self.replacement(key, ()) for key in merged[1:]))
 
 
-def expired(job: Job, oldest_s: float) -> bool:
+def expired(job: Job, wall_s: float) -> bool:
     """Returns whether an ended job has been kept long enough."""
-    return job.state in FINAL_JOB_STATES and job.ended_s < oldest_s
+    kept_s = ENDED_RETENTION_S.get(job.state, float("inf"))
+    return wall_s - job.ended_s > kept_s
 
 
 def all_ended(jobs: Sequence[Job]) -> bool:
--- a/libs/fleet/tests/test_job_runner.py
+++ b/libs/fleet/tests/test_job_runner.py
@@ -445,7 +445,12 @@
     keys = (await site.store.list(JOB_PREFIX)).items
     assert len(keys) < 8
     assert len(await site.jobs()) == 30
-    await site.clock.advance(3_700)
+    unknown = new_job("x", state=JobState.UNKNOWN, ended_s=site.clock.wall())
+    await site.submit(unknown, segment="unknown")
+    site.clock.time_s += 1_000
+    await site.wait(70)
+    assert await site.states() == {"x": JobState.UNKNOWN}
+    site.clock.time_s += 86_400
     await site.wait(70)
     assert (await site.store.list(JOB_PREFIX)).items == ()
 
@@ -758,3 +763,21 @@
     site.workers.workers["ledger-0"].faults.paused = True
     jobs = [urgent(f"u{n}", team=f"team-{n}") for n in range(2)]
     assert max(await start_delays(site, jobs, 12)) <= 7.1
+
+
+async def test_a_job_cancelled_between_claim_and_dispatch_does_not_start(site):
+    node = site.owner()
+    resume = asyncio.Event()
+    node.steps.actions[Step.JOB_CLAIMED] = resume.wait
+    await site.submit(new_job("a"))
+    await site.wait(2)
+    (found,) = (await site.store.list(JOB_PREFIX)).items
+    (job,) = decode_jobs(found.value)
+    assert job.state is JobState.CLAIMED
+    job = job._replace(state=JobState.CANCELLED, ended_s=site.clock.wall())
+    await site.store.write([Change(found.key, encode_jobs([job]), found.revision)])
+    await site.wait(1)
+    resume.set()
+    await site.wait(20)
+    assert not site.workers.starts()
+    assert await site.states() == {"a": JobState.CANCELLED}
