--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -29,6 +29,8 @@
 from burdockthread_operators.authentication import Authenticator
 from burdockthread_operators.changes import TemplateChanges
 from burdockthread_operators.operators_api import OperatorsApi
+from burdockthread_operators.views import Views, template_summaries, vm_summaries
+from burdockthread_peers.leaving_relay import LeavingRelay, LeavingVm
 from burdockthread_peers.lent_permits import LentPermits
 from burdockthread_peers.membership import Membership
 from burdockthread_peers.mesh import PeerMesh
@@ -37,10 +39,12 @@
 from burdockthread_peers.static_permits import StaticPermits
 from burdockthread_peers.stream_mesh import StreamMesh
 from burdockthread_routing.callers_api import MAX_HEADER_BYTES, CallersApi
+from burdockthread_routing.callers_port import PortLimits, callers_port
 from burdockthread_routing.endpoint_choice import EndpointChooser
 from burdockthread_routing.endpoint_client import EndpointClient, HttpEndpointClient
 from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
 from burdockthread_routing.job_ledger import JOB_PREFIX, JobLedger
+from burdockthread_routing.jobs_api import JobAccess
 from burdockthread_routing.router import Router
 from burdockthread_routing.vm_directory import HttpVmDirectory, VmDirectory
 from burdockthread_store.applied import HEAD_PREFIX, AppliedConfiguration
@@ -55,6 +59,7 @@
 ENDPOINT_CONNECTIONS = 64
 READINESS_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.05
+CLOSE_TIMEOUT_S = 1.0
 BACKLOG = 256
 
 
@@ -135,6 +140,8 @@
         self.view = FleetView(
             self.applied, self.vm_cache, self.edges.directory, self.clock, self.log
         )
+        self.leaving = LeavingRelay(self.mesh, self.on_peer_leaving, self.clock)
+        self.view.leaving_listeners.append(self.leaving.announce)
         entries = [entry["name"] for entry in self.settings["entries"]]
         self.membership = Membership.from_settings(
             self.settings, self.mesh, self.edges.store, self.clock, self.log
@@ -176,6 +183,12 @@
         spec = self.view.services.get(service)
         return DEFAULT_SLOTS if spec is None else spec.slots
 
+    def on_peer_leaving(self, signal: LeavingVm) -> None:
+        """Takes another entry's word that a VM is leaving."""
+        listing = self.view.listings.get(signal.vm)
+        if listing is not None and listing.boot_id == signal.boot_id:
+            self.view.mark_leaving(signal.vm)
+
     def endpoints_of(self, service: str) -> tuple[str, ...]:
         """Returns the VMs that serve a service."""
         spec = self.view.services.get(service)
@@ -217,6 +230,9 @@
         self.job_directory = JobDirectory(
             self.job_segments, self.clock, self.metrics, self.log
         )
+        self.callers_api.jobs.access = JobAccess(
+            self.job_segments.jobs.get, self.job_directory.cancel
+        )
 
     def jobs_report(self) -> JobsReport:
         """Reports the jobs."""
@@ -235,7 +251,7 @@
         self.operators_api = OperatorsApi(
             Authenticator(self.settings["operator_tokens"]),
             TemplateChanges(self.store, self.clock, self.steps),
-            self.status.report,
+            Views(self.status.report, self.templates_report, self.vms_report),
             {
                 "status": self.status.report,
                 "process": self.process_report,
@@ -246,8 +262,19 @@
             },
             self.metrics,
             self.log,
+            self.job_directory,
+            self.clock,
+            self.limits.operator_connections,
         )
 
+    def templates_report(self) -> object:
+        """Returns the templates in force."""
+        return template_summaries(self.applied.templates.values())
+
+    def vms_report(self) -> object:
+        """Returns the VMs as recorded and as listed."""
+        return vm_summaries(self.view.records, self.view.listings)
+
     def process_report(self) -> object:
         """Returns facts about this process."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
@@ -301,8 +328,7 @@
             for work in self.background():
                 stack.push_async_callback(cancel, asyncio.create_task(work))
             await self.listen(stack, "operators", self.operators_api.application())
-            callers = self.callers_api.application(self.limits.body_bytes)
-            await self.listen(stack, "callers", callers)
+            await self.listen_for_callers(stack)
             self.callers_api.ready = True
             self.log.info("entry_started", **self.ports)
             try:
@@ -319,6 +345,7 @@
             self.relay.run(),
             self.membership.run(),
             self.permits.run(),
+            self.leaving.run(),
             self.keys.run(),
             self.view.run(self.limits.directory_interval_s),
             self.router.run(),
@@ -346,18 +373,36 @@
         await site.start()
         self.ports[name] = runner.addresses[0][1]
 
+    async def listen_for_callers(self, stack: AsyncExitStack) -> None:
+        """Serves callers on the port of the settings."""
+        address = self.address("callers")
+        limits = PortLimits(
+            body_bytes=self.limits.body_bytes,
+            connections=self.limits.caller_connections,
+            stop_timeout_s=CLOSE_TIMEOUT_S,
+        )
+        listening = callers_port(
+            self.callers_api, self.clock, address["host"], address["port"], limits
+        )
+        self.ports["callers"] = await stack.enter_async_context(listening)
+
     def address(self, name: str) -> AddressSettings:
         """Returns the address of a port by its name."""
         return self.settings["callers" if name == "callers" else "operators"]
 
+    def is_busy(self) -> bool:
+        """Returns whether a caller waits or a sent request has no verdict yet."""
+        return bool(self.router.in_flight or self.callers_api.busy)
+
     async def drain(self) -> None:
         """Refuses new callers, then waits for the requests in flight."""
         self.log.info("entry_stopping", in_flight=self.router.in_flight)
         self.callers_api.ready = False
         self.mesh.announce_leaving()
-        await self.clock.sleep(READINESS_NOTICE_S)
         give_up_s = self.clock.now() + self.limits.stop_timeout_s
-        while self.router.in_flight and self.clock.now() < give_up_s:
+        await self.clock.sleep(READINESS_NOTICE_S)
+        self.callers_api.stop_accepting()
+        while self.is_busy() and self.clock.now() < give_up_s:
             await self.clock.sleep(DRAIN_POLL_S)
         await self.membership.leave()
         self.log.info("entry_stopped", in_flight=self.router.in_flight)
