--- a/libs/scenarios/burdockthread_scenarios/driver.py
+++ b/libs/scenarios/burdockthread_scenarios/driver.py
@@ -44,7 +44,7 @@
 
     @abstractmethod
     async def set_fault(self, target: str, name: str, amount: float) -> None:
-        """Sets a fault of ``store`` or of a VM.
+        """Sets a fault of ``store``, of ``workers`` or of a VM.
 
         Raises:
             ScenarioError: No such target or fault.
@@ -52,7 +52,7 @@
 
     @abstractmethod
     async def clear_faults(self, target: str) -> None:
-        """Clears all faults of ``store`` or of a VM."""
+        """Clears all faults of ``store``, of ``workers`` or of a VM."""
 
     @abstractmethod
     async def send(
--- a/libs/scenarios/burdockthread_scenarios/ledger.py
+++ b/libs/scenarios/burdockthread_scenarios/ledger.py
@@ -27,6 +27,7 @@
         status: HTTP status; 0 if the caller got no answer.
         verdict: Verdict told, or ``unknown`` without an answer.
         echo: Body of the answer.
+        ran_before: Runs of the body seen when the caller was told; 0 if unseen.
     """
 
     body: str
@@ -34,6 +35,7 @@
     status: int
     verdict: str
     echo: str
+    ran_before: int = 0
 
 
 class RequestLedger:
@@ -67,6 +69,7 @@
         answered = [o for o in self.outcomes if o.status == 200]
         not_run = [o for o in self.outcomes if o.verdict == "not_run"]
         keyed = {o.body for o in self.outcomes if o.keyed}
+        may_have_run = {o.body for o in self.outcomes if o.verdict != "not_run"}
         return {
             "sent": self.sent,
             "ended": len(self.outcomes),
@@ -77,5 +80,8 @@
             "crossed": sum(o.echo != o.body for o in answered),
             "lost": sum(ran[o.body] == 0 for o in answered),
             "doubled": sum(ran[body] > 1 for body in keyed),
-            "not_run_that_ran": sum(ran[o.body] > 0 for o in not_run),
+            "not_run_that_ran": sum(
+                o.ran_before > 0 or (o.body not in may_have_run and ran[o.body] > 0)
+                for o in not_run
+            ),
         }
--- a/libs/scenarios/burdockthread_scenarios/matrix.py
+++ b/libs/scenarios/burdockthread_scenarios/matrix.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 import uvloop
-from burdockthread_fleet.memory_workers import WorkerFaults
 from burdockthread_model.errors import BurdockthreadError, ConflictError
 from burdockthread_model.rendering import decode_accepted
 from burdockthread_model.steps import Step
@@ -78,10 +77,10 @@
 }
 
 
-WORKER_SWITCHES: dict[MatrixFault, tuple[str, object]] = {
-    MatrixFault.WORKER_FAILS: ("fails_everything", True),
-    MatrixFault.WORKER_REPORTS_LATE: ("report_lag_s", 8.0),
-    MatrixFault.WORKER_LIES: ("size_factor", 10.0),
+WORKER_FAULT_NAMES: dict[MatrixFault, tuple[str, float]] = {
+    MatrixFault.WORKER_FAILS: ("fails", 1),
+    MatrixFault.WORKER_REPORTS_LATE: ("reports_late", 8.0),
+    MatrixFault.WORKER_LIES: ("lies", 10.0),
 }
 
 
@@ -163,18 +162,12 @@
         elif fault in ENDPOINT_SWITCHES:
             name, amount = ENDPOINT_SWITCHES[fault]
             await self.driver.set_fault("vm-000", name, amount)
-        elif fault in WORKER_SWITCHES:
-            self.set_workers(fault)
+        elif fault in WORKER_FAULT_NAMES:
+            name, amount = WORKER_FAULT_NAMES[fault]
+            await self.driver.set_fault("workers", name, amount)
         else:
             await self.strike_entry(fault, running)
 
-    def set_workers(self, fault: MatrixFault | None) -> None:
-        """Sets a fault of all workers, or none."""
-        for worker in self.world.vms.workers.workers.values():
-            worker.faults = WorkerFaults()
-            if fault is not None:
-                setattr(worker.faults, *WORKER_SWITCHES[fault])
-
     async def strike_entry(self, fault: MatrixFault, running: RunningEntry) -> None:
         """Sets a fault of an entry or of the links between entries."""
         others = [name for name in self.world.entries if name != self.victim]
@@ -199,7 +192,7 @@
         await self.driver.heal()
         await self.driver.clear_faults("store")
         await self.driver.clear_faults("vm-000")
-        self.set_workers(None)
+        await self.driver.clear_faults("workers")
         for running in self.world.entries.values():
             running.gate.open()
         if self.stopping is not None:
@@ -316,6 +309,7 @@
         "jobs_lost",
         "jobs_refused_but_stored",
         "jobs_doubled",
+        "wrong_pool",
         "cut",
         "late_work",
         "reverted",
--- a/libs/scenarios/burdockthread_scenarios/memory_driver.py
+++ b/libs/scenarios/burdockthread_scenarios/memory_driver.py
@@ -4,10 +4,11 @@
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
+from burdockthread_fleet.memory_workers import WorkerFaults
 from burdockthread_operators.changes import TemplateChanges
 
 from burdockthread_scenarios.driver import Driver, ScenarioError
-from burdockthread_scenarios.faults import store_fault
+from burdockthread_scenarios.faults import store_fault, worker_faults
 from burdockthread_scenarios.memory_vms import ENDPOINT_FAULTS
 from burdockthread_scenarios.world import (
     TEMPLATE,
@@ -70,6 +71,9 @@
         """Sets a fault."""
         if target == "store":
             self.world.set_store_faults(store_fault(name, amount))
+        elif target == "workers":
+            for worker in self.world.vms.workers.workers.values():
+                worker.faults = worker_faults(name, amount)
         elif target in self.world.vms.vms and name in ENDPOINT_FAULTS:
             self.world.vms.vms[target].faults[name] = amount
         else:
@@ -79,6 +83,9 @@
         """Clears faults."""
         if target == "store":
             self.world.clear_store_faults()
+        elif target == "workers":
+            for worker in self.world.vms.workers.workers.values():
+                worker.faults = WorkerFaults()
         else:
             self.world.vms.vms[target].faults.clear()
 
--- a/libs/scenarios/burdockthread_scenarios/memory_vms.py
+++ b/libs/scenarios/burdockthread_scenarios/memory_vms.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import NamedTuple
 
 from burdockthread_fleet.memory_workers import MemoryWorkerClient
@@ -67,6 +67,8 @@
         runs: Requests that were run.
         cut_by_reboot: Requests and tasks that a reboot ended.
         workers: Workers of the VMs.
+        recorded_pool: Returns the pool in the store's record of a VM.
+        wrong_pool: Requests run for another pool than the record's.
         late_work: Requests sent to a VM longer than the bound after its drain.
         down: Whether the list and the orders do not answer.
     """
@@ -79,6 +81,8 @@
         self.cut_by_reboot = 0
         self.late_work = 0
         self.down = False
+        self.recorded_pool: Callable[[str], str] = lambda vm: ""
+        self.wrong_pool = 0
         self.workers = MemoryWorkerClient(clock)
         for item in listings:
             worker = self.workers.add(item.name, item.cores, "")
@@ -184,6 +188,8 @@
     async def run(self, vm: MemoryVm, attempt: Attempt) -> EndpointAnswer:
         """Runs a request and answers, or misbehaves."""
         body = attempt.body.decode()
+        recorded = self.recorded_pool(vm.listing.name)
+        self.wrong_pool += attempt.endpoint.pool != recorded
         self.runs.append(VmRun(body, vm.listing.name, vm.pool, self.clock.now()))
         vm.in_flight += 1
         vm.highest_in_flight = max(vm.highest_in_flight, vm.in_flight)
--- a/libs/scenarios/burdockthread_scenarios/world.py
+++ b/libs/scenarios/burdockthread_scenarios/world.py
@@ -166,6 +166,7 @@
         self.faulty_stores: dict[str, FaultyStore] = {}
         self.network = MemoryNetwork()
         self.vms = MemoryVms(self.clock, vm_listings(vms))
+        self.vms.recorded_pool = self.recorded_pool
         self.names = [f"entry-{number + 1}" for number in range(entries)]
         self.entries: dict[str, RunningEntry] = {}
         self.ledger = RequestLedger()
@@ -227,6 +228,7 @@
     async def kill(self, name: str) -> None:
         """Ends an entry at once; nothing that it still does has an effect."""
         running = self.entries.pop(name)
+        await settle()
         running.gate.kill()
         self.network.meshes.pop(name)
         await running.cancel_tasks()
@@ -288,6 +290,11 @@
             if key.startswith("vm/")
         ]
 
+    def recorded_pool(self, vm: str) -> str:
+        """Returns the pool in the store's record of a VM."""
+        found = self.store.values.get(f"vm/{vm}")
+        return "" if found is None else decode_record(found.value, VmRecord).pool
+
     def send(self, amount: int, keyed: bool, request_class: str, name: str) -> None:
         """Sends requests at once."""
         for _ in range(amount):
@@ -331,7 +338,8 @@
         except RequestError as error:
             outcome = Outcome(body, keyed, error.status, error.verdict.value, "")
         finally:
-            self.ledger.outcomes.append(outcome)
+            ran_before = sum(run.body == body for run in self.vms.runs)
+            self.ledger.outcomes.append(outcome._replace(ran_before=ran_before))
 
     def repeat(self, name: str) -> None:
         """Sends every keyed request that was not answered once more."""
@@ -373,6 +381,7 @@
             "jobs_refused_but_stored": len(self.jobs_refused & stored.keys()),
             "jobs_doubled": self.jobs_doubled(),
             "jobs_done": sum(job.state is JobState.DONE for job in stored.values()),
+            "wrong_pool": self.vms.wrong_pool,
             "cut": self.vms.cut_by_reboot,
             "late_work": self.vms.late_work,
             "lowest_available": self.lowest_available,
