--- a/libs/model/burdockthread_model/settings.py
+++ b/libs/model/burdockthread_model/settings.py
@@ -261,7 +261,7 @@
     store_reads_per_s: float = 100.0
     store_writes_per_s: float = 40.0
     stop_timeout_s: float = 30.0
-    idempotency_keys: int = 100_000
+    idempotency_keys: int = 20_000
     directory_interval_s: float = 1.0
 
     @classmethod
