Count VMs that are out for maintenance as part of the fleet

Cause: a proposal during a wave was refused at a fleet that fits exactly, because only live VMs counted. The new test first said: the pools of all templates need 24 VMs, the fleet has 22 live. The stand-in VMs now also refuse an assignment older than their last one.

--- a/libs/fleet/burdockthread_fleet/feasibility.py
+++ b/libs/fleet/burdockthread_fleet/feasibility.py
@@ -6,7 +6,7 @@
 
 from burdockthread_model.errors import TemplateError
 from burdockthread_model.intended import OrganisationSpec, PoolSpec
-from burdockthread_model.vm import VmListing, VmStatus
+from burdockthread_model.vm import VmListing
 
 from burdockthread_fleet.assignment import assign_free_vms, may_hold
 from burdockthread_fleet.budget import worst_loss
@@ -31,7 +31,8 @@
 ) -> None:
     """Refuses a proposal that cannot be satisfied.
 
-    While no list of VMs is known, only what does not need it is checked.
+    While no list of VMs is known, only what does not need it is checked. VMs that
+    are leaving count: most are out for maintenance and come back.
 
     Args:
         specs: What the proposal intends.
@@ -43,12 +44,12 @@
     """
     check_names(specs, others)
     check_spares(specs, others)
-    live = [v for v in listings.values() if v.status is VmStatus.LIVE]
-    if not listings:
+    listed = list(listings.values())
+    if not listed:
         return
-    check_capacity([*specs, *others], live)
+    check_capacity([*specs, *others], listed)
     for spec in specs:
-        layout = [(pool, best_layout(pool, live)) for pool in spec.pools if pool.vms]
+        layout = [(pool, best_layout(pool, listed)) for pool in spec.pools if pool.vms]
         for pool, held in layout:
             check_budget(pool, held)
         check_period(spec, layout)
@@ -92,7 +93,7 @@
 
 
 def check_capacity(
-    specs: Sequence[OrganisationSpec], live: Sequence[VmListing]
+    specs: Sequence[OrganisationSpec], listed: Sequence[VmListing]
 ) -> None:
     """Refuses pools that together need more VMs than there are.
 
@@ -100,12 +101,11 @@
     """
     pools = [pool for pool in pools_of(specs) if pool.vms]
     wanted = sum(pool.vms for pool in pools)
-    if wanted > len(live):
+    if wanted > len(listed):
         raise TemplateError(
-            f"the pools of all templates need {wanted} VMs,"
-            f" the fleet has {len(live)} live"
+            f"the pools of all templates need {wanted} VMs, the fleet has {len(listed)}"
         )
-    held = Counter(v.availability_zone for v in live)
+    held = Counter(v.availability_zone for v in listed)
     for zones in zone_sets(pools):
         confined = [p for p in pools if p.zones and set(p.zones) <= zones]
         needed = sum(pool.vms for pool in confined)
@@ -114,7 +114,7 @@
             names = ", ".join(pool.name for pool in confined)
             raise TemplateError(
                 f"pools {names} need {needed} VMs in {', '.join(sorted(zones))},"
-                f" which has {there} live"
+                f" which has {there}"
             )
 
 
@@ -133,9 +133,9 @@
             yield frozenset(zones)
 
 
-def best_layout(pool: PoolSpec, live: Sequence[VmListing]) -> list[VmListing]:
+def best_layout(pool: PoolSpec, listed: Sequence[VmListing]) -> list[VmListing]:
     """Returns the VMs that a pool would have if it chose first."""
-    free = {v.name: v for v in live if may_hold(pool, v)}
+    free = {v.name: v for v in listed if may_hold(pool, v)}
     state = FleetState({pool.name: PoolState.from_members(pool, (), 0)}, (), free)
     return [free[assignment.vm] for assignment in assign_free_vms(state)]
 
--- a/libs/fleet/tests/test_feasibility.py
+++ b/libs/fleet/tests/test_feasibility.py
@@ -3,6 +3,7 @@
 from burdockthread_fleet.memory_fleet import rack_listings
 from burdockthread_model.errors import TemplateError
 from burdockthread_model.rendering import document_from_raw, render
+from burdockthread_model.vm import VmStatus
 
 from .conftest import ZONES, small_template
 
@@ -95,3 +96,12 @@
     zones = template["pools"][next(iter(template["pools"]))]["zones"]
     vms = {v.name: v for v in rack_listings(zones, 30)}
     check_feasible(render(template, 1), (), vms)
+
+
+def test_vms_out_for_maintenance_still_belong_to_the_fleet():
+    leaving = {
+        name: listing._replace(status=VmStatus.LEAVING)
+        for name, listing in list(VMS.items())[:2]
+    }
+    listings = VMS | leaving
+    check_feasible(specs(a={"vms": 24, "min_available": 20}), (), listings)
--- a/libs/standins/burdockthread_standins/vm_host.py
+++ b/libs/standins/burdockthread_standins/vm_host.py
@@ -66,11 +66,12 @@
         return found
 
     async def assign(self, request: web.Request) -> web.Response:
-        """Makes a VM serve a pool."""
+        """Makes a VM serve a pool unless the order is older than its last one."""
         endpoint = self.endpoint(request)
         order = await request.json()
-        endpoint.pool = order["pool"]
-        endpoint.generation = max(endpoint.generation, order["generation"])
+        if order["generation"] >= endpoint.generation:
+            endpoint.pool = order["pool"]
+            endpoint.generation = order["generation"]
         return web.json_response({})
 
     async def drain(self, request: web.Request) -> web.Response:
