--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -14,6 +14,7 @@
 
 VM_COUNTS = (10, 30, 60)
 ENTRIES = 3
+TEMPLATE_VMS = 30
 SETTLE_S = 12.0
 IDLE_S = 20.0
 KB_PER_MB = 1024.0
@@ -50,7 +51,7 @@
     placement = [(ZONES[n % len(ZONES)], "sicily") for n in range(ENTRIES)]
     async with running_cluster([site], placement) as cluster:
         await asyncio.gather(*(e.start() for e in cluster.entries.values()))
-        if vms >= 30:
+        if vms >= TEMPLATE_VMS:
             await cluster.accept_template(TEMPLATE, 0)
         await asyncio.sleep(SETTLE_S)
         started_s = time.monotonic()
