Mend what a read-through found

NamedChange stood in both drivers of scenarios; the switches of workers were the only ones with another name. The other pairs shown are abstract signatures with their implementations, imports and constructors; they stay.

--- a/libs/scenarios/burdockthread_scenarios/driver.py
+++ b/libs/scenarios/burdockthread_scenarios/driver.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, NamedTuple
 
 from burdockthread_model.errors import BurdockthreadError
 
@@ -11,6 +11,13 @@
     """A statement that cannot be carried out."""
 
 
+class NamedChange(NamedTuple):
+    """A change that a scenario has named."""
+
+    change_id: str
+    content_hash: str
+
+
 class Driver(ABC):
     """A running system that statements act on."""
 
--- a/libs/scenarios/burdockthread_scenarios/matrix.py
+++ b/libs/scenarios/burdockthread_scenarios/matrix.py
@@ -77,7 +77,7 @@
 }
 
 
-WORKER_FAULT_NAMES: dict[MatrixFault, tuple[str, float]] = {
+WORKER_SWITCHES: dict[MatrixFault, tuple[str, float]] = {
     MatrixFault.WORKER_FAILS: ("fails", 1),
     MatrixFault.WORKER_REPORTS_LATE: ("reports_late", 8.0),
     MatrixFault.WORKER_LIES: ("lies", 10.0),
@@ -162,8 +162,8 @@
         elif fault in ENDPOINT_SWITCHES:
             name, amount = ENDPOINT_SWITCHES[fault]
             await self.driver.set_fault("vm-000", name, amount)
-        elif fault in WORKER_FAULT_NAMES:
-            name, amount = WORKER_FAULT_NAMES[fault]
+        elif fault in WORKER_SWITCHES:
+            name, amount = WORKER_SWITCHES[fault]
             await self.driver.set_fault("workers", name, amount)
         else:
             await self.strike_entry(fault, running)
--- a/libs/scenarios/burdockthread_scenarios/memory_driver.py
+++ b/libs/scenarios/burdockthread_scenarios/memory_driver.py
@@ -2,12 +2,12 @@
 
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
-from typing import Any, NamedTuple
+from typing import Any
 
 from burdockthread_fleet.memory_workers import WorkerFaults
 from burdockthread_operators.changes import TemplateChanges
 
-from burdockthread_scenarios.driver import Driver, ScenarioError
+from burdockthread_scenarios.driver import Driver, NamedChange, ScenarioError
 from burdockthread_scenarios.faults import store_fault, worker_faults
 from burdockthread_scenarios.memory_vms import ENDPOINT_FAULTS
 from burdockthread_scenarios.world import (
@@ -18,13 +18,6 @@
 )
 
 
-class NamedChange(NamedTuple):
-    """A change that a scenario has named."""
-
-    change_id: str
-    content_hash: str
-
-
 class MemoryDriver(Driver):
     """Statements on a `World`."""
 
--- a/libs/scenarios/burdockthread_scenarios/process_driver.py
+++ b/libs/scenarios/burdockthread_scenarios/process_driver.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 import aiohttp
 from burdockthread_operators.client import OperatorsClient, operators_client
@@ -20,7 +20,7 @@
     running_cluster,
     token,
 )
-from burdockthread_scenarios.driver import Driver, ScenarioError
+from burdockthread_scenarios.driver import Driver, NamedChange, ScenarioError
 from burdockthread_scenarios.faults import store_fault
 from burdockthread_scenarios.forwarder import Forwarder
 from burdockthread_scenarios.ledger import Outcome, RequestLedger, new_key
@@ -41,13 +41,6 @@
 POOL = f"{ORGANISATION}/{SERVICE}"
 
 
-class NamedChange(NamedTuple):
-    """A change that a scenario has named."""
-
-    change_id: str
-    content_hash: str
-
-
 class ProcessDriver(Driver):
     """Statements on a `Cluster`.
 
