Reserve the ports of processes and name one that ends before it is ready

Cause: the ports of entries were picked by the kernel and closed again before the entries bound them. They lie in the range from which the kernel also takes the source ports of connections and the ports of the forwarders, so another process could get one first. The entry then ended with "address already in use", and the wait for its readiness went on for 20 s and said TimeoutError. Ruled out: a slow start. Change: each port is held in TIME_WAIT by ephemeral-port-reserve, so that only a process that names it gets it; the wait ends when the process ends or after 20 s and prints the end of its log.

--- a/libs/scenarios/burdockthread_scenarios/cluster.py
+++ b/libs/scenarios/burdockthread_scenarios/cluster.py
@@ -4,19 +4,23 @@
 import hashlib
 import json
 import signal
-import socket
 import sys
 import tempfile
+import time
 from asyncio.subprocess import DEVNULL, PIPE, Process
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any, NamedTuple
 
 import aiohttp
+from ephemeral_port_reserve import reserve
 
 LOOPBACK = "127.0.0.1"
 START_TIMEOUT_S = 20.0
+READY_TIMEOUT_S = 2.0
+LOG_LINES = 10
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.1
 PEER_KEY = "a-key-for-trials-on-loopback"
@@ -72,11 +76,10 @@
         """Starts the process and waits until it is ready."""
         path = self.folder / f"{self.name}.json"
         path.write_text(json.dumps(self.settings))
-        log = (self.folder / f"{self.name}.log").open("ab")
-        self.process = await asyncio.create_subprocess_exec(
-            *command("entry", "--settings", str(path)), stdout=log, stderr=log
-        )
-        await wait_ready(f"{self.callers_url}/readyz")
+        arguments = command("entry", "--settings", str(path))
+        log = self.folder / f"{self.name}.log"
+        self.process = await start_process(arguments, log)
+        await wait_ready(self.process, log, f"{self.callers_url}/readyz")
 
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
@@ -260,34 +263,57 @@
         await process.wait()
 
 
-async def wait_ready(url: str) -> None:
-    """Waits until an address answers 200."""
-    async with aiohttp.ClientSession() as session, asyncio.timeout(START_TIMEOUT_S):
-        while True:
-            try:
-                async with session.get(url) as answer:
-                    if answer.status == 200:
-                        return
-            except aiohttp.ClientError:
-                pass
+async def start_process(arguments: Sequence[str], log: Path) -> Process:
+    """Starts a process that writes into a log."""
+    with log.open("ab") as output:
+        return await asyncio.create_subprocess_exec(
+            *arguments, stdout=output, stderr=output
+        )
+
+
+async def wait_ready(process: Process, log: Path, url: str) -> None:
+    """Waits until a process answers 200 at an address.
+
+    Args:
+        process: The process.
+        log: What it writes.
+        url: The address.
+
+    Raises:
+        RuntimeError: If the process ends or is not ready in START_TIMEOUT_S;
+            the message ends with the last lines of its log.
+    """
+    timeout = aiohttp.ClientTimeout(total=READY_TIMEOUT_S)
+    deadline_s = time.monotonic() + START_TIMEOUT_S
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while not await is_ready(session, url):
+            if process.returncode is not None or time.monotonic() > deadline_s:
+                raise RuntimeError(f"not ready: {url}: {last_lines(log)}")
             await asyncio.sleep(POLL_S)
 
 
+async def is_ready(session: aiohttp.ClientSession, url: str) -> bool:
+    """Returns whether an address answers 200."""
+    try:
+        async with session.get(url) as answer:
+            return answer.status == HTTPStatus.OK
+    except (aiohttp.ClientError, TimeoutError):
+        return False
+
+
+def last_lines(log: Path) -> str:
+    """Returns the end of a log."""
+    return "\n".join(log.read_text().splitlines()[-LOG_LINES:])
+
+
 def command(*arguments: str) -> list[str]:
     """Returns the command line of the program."""
     return [sys.executable, "-m", "burdockthread", *arguments]
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports that the kernel says are free."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind((LOOPBACK, 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Returns ports that the kernel keeps from whoever does not name them."""
+    return [reserve(LOOPBACK) for _ in range(count)]
 
 
 def token(operator: str) -> str:
