Wait in the demo until every accepted job has ended as done

Cause: the demo counted jobs that were answered with 202 and never looked what became of them, so a lost job would have passed. Change: it asks for each accepted job until all have ended, 40 s at most, and ends with exit code 1 if any did not end as done.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 import aiohttp
+from burdockthread_model.job import FINAL_JOB_STATES, JobState
 from burdockthread_scenarios.cluster import Cluster, Site, running_cluster
 from burdockthread_scenarios.ledger import new_key
 
@@ -41,6 +42,8 @@
 POLL_S = 0.2
 ATTEMPTS = 8
 SHORT_PERIOD_DAYS = 0.0008
+JOB_RUN_TIME_S = 1.0
+JOBS_TIMEOUT_S = 40.0
 
 REQUESTS = (
     ("trinacria", "bookings", "urgent"),
@@ -62,6 +65,14 @@
     echo: str
 
 
+class AcceptedJob(NamedTuple):
+    """A deferred job that was answered with 202."""
+
+    organisation: str
+    service: str
+    job: str
+
+
 class Load:
     """Callers that send bookings and jobs and note every answer."""
 
@@ -70,6 +81,7 @@
         self.session = session
         self.answers: list[Answer] = []
         self.jobs: Counter[int] = Counter()
+        self.accepted_jobs: list[AcceptedJob] = []
         self.stopped = False
 
     async def caller(self, number: int) -> None:
@@ -98,6 +110,25 @@
             await asyncio.sleep(POLL_S)
         return answer
 
+    async def job_state(self, accepted: AcceptedJob) -> str:
+        """Returns the state of a job, empty if the entry doesn't know it."""
+        entry = self.cluster.entries["entry-1"]
+        url = f"{entry.callers_url}/jobs/{accepted.service}/{accepted.job}"
+        headers = {"Burdockthread-Organisation": accepted.organisation}
+        async with self.session.get(url, headers=headers) as answer:
+            state: str = (await answer.json()).get("state", "")
+        return state
+
+    async def job_states(self) -> Counter[str]:
+        """Returns how many jobs ended in each state, waiting for them to end."""
+        give_up_s = time.monotonic() + JOBS_TIMEOUT_S
+        while True:
+            states = [await self.job_state(job) for job in self.accepted_jobs]
+            ended = all(state in FINAL_JOB_STATES for state in states)
+            if ended or time.monotonic() > give_up_s:
+                return Counter(states)
+            await asyncio.sleep(1.0)
+
     async def post(self, url: str, headers: dict[str, str], body: str) -> Answer:
         """Sends one request to one entry."""
         try:
@@ -115,11 +146,20 @@
             organisation, service = JOBS[number % len(JOBS)]
             entry = self.cluster.entries["entry-1"]
             headers = {"Burdockthread-Organisation": organisation}
-            body = {"cores": 1, "memory_gb": 1, "payload": number}
+            body = {
+                "cores": 1,
+                "memory_gb": 1,
+                "run_time_s": JOB_RUN_TIME_S,
+                "payload": number,
+            }
             url = f"{entry.callers_url}/jobs/{service}"
             try:
                 async with self.session.post(url, headers=headers, json=body) as answer:
                     self.jobs[answer.status] += 1
+                    if answer.status == 202:
+                        job = (await answer.json())["job"]
+                        accepted = AcceptedJob(organisation, service, job)
+                        self.accepted_jobs.append(accepted)
             except aiohttp.ClientError:
                 self.jobs[0] += 1
             number += 1
@@ -256,8 +296,11 @@
         load.stopped = True
         await asyncio.gather(*tasks)
         counts = summarize(load.answers, await read_runs(cluster, session))
+        states = await load.job_states()
     counts["jobs_accepted"] = load.jobs[202]
     counts["jobs_refused"] = load.jobs.total() - load.jobs[202]
+    counts["jobs_done"] = states[JobState.DONE]
+    counts["jobs_not_done"] = states.total() - states[JobState.DONE]
     counts["graceful_exit_code"] = code
     return counts
 
@@ -269,7 +312,14 @@
         counts: dict[str, Any] = await drive(cluster)
     for name, value in counts.items():
         print(f"{name}={value}")
-    bad = ("crossed", "lost", "doubled", "not_run_that_ran", "graceful_exit_code")
+    bad = (
+        "crossed",
+        "lost",
+        "doubled",
+        "not_run_that_ran",
+        "jobs_not_done",
+        "graceful_exit_code",
+    )
     failed = [name for name in bad if counts[name]]
     if failed or not counts["answered"] or not counts["jobs_accepted"]:
         print(f"demo: failed: {', '.join(failed) or 'nothing was answered'}")
