Give the stand-in's list of VMs an entity tag

The stand-in platform sent the whole list at each reading, although the client has long sent If-None-Match. The tag is a hash of the text, which is encoded again only when a listed field has changed.

A change of one VM still costs the whole list once.

Ruled out: a difference of lists (the platform's interface is not ours), and reading less often (a VM that leaves would be noticed later).

--- a/libs/standins/burdockthread_standins/platform_vms.py
+++ b/libs/standins/burdockthread_standins/platform_vms.py
@@ -1,6 +1,8 @@
 """Stand-in of the platform's lagging list of VMs and of its orders to them."""
 
 import asyncio
+import hashlib
+import json
 from typing import Any
 
 import aiohttp
@@ -16,6 +18,8 @@
         hosts: Addresses of the processes that run VMs.
         published: What the list says now, by VM.
         host_of: Address of the process that runs a VM, by VM.
+        text: The list as JSON text.
+        entity_tag: Changes with every change of the text.
     """
 
     def __init__(
@@ -26,6 +30,7 @@
         self.hosts: list[str] = []
         self.published: dict[str, dict[str, Any]] = {}
         self.host_of: dict[str, str] = {}
+        self.set_text()
 
     def add_routes(self, app: web.Application) -> None:
         """Adds the paths of the list and of the orders."""
@@ -53,13 +58,33 @@
                 items = await answer.json()
         except aiohttp.ClientError:
             return
+        self.publish(host, items)
+
+    def publish(self, host: str, items: list[dict[str, Any]]) -> None:
+        """Takes the list of one site in."""
+        changed = False
         for item in items:
-            self.published[item["name"]] = item
-            self.host_of[item["name"]] = host
+            name = item["name"]
+            changed |= self.published.get(name) != item
+            self.published[name] = item
+            self.host_of[name] = host
+        if changed:
+            self.set_text()
+
+    def set_text(self) -> None:
+        """Encodes the list as it stands now."""
+        self.text = json.dumps(list(self.published.values()))
+        self.entity_tag = hashlib.sha256(self.text.encode()).hexdigest()
 
     async def get_list(self, request: web.Request) -> web.Response:
-        """Answers with the lagging list."""
-        return web.json_response(list(self.published.values()))
+        """Answers with the lagging list, or that it has not changed."""
+        known = {tag.value for tag in request.if_none_match or ()}
+        if self.entity_tag in known:
+            response = web.Response(status=web.HTTPNotModified.status_code)
+        else:
+            response = web.json_response(text=self.text)
+        response.etag = self.entity_tag
+        return response
 
     async def pass_on(self, request: web.Request) -> web.Response:
         """Passes a request on to the site that runs the VM."""
