Print answers as tables for people

Now a field is a line and a list of objects a table, by rich, which the command line's library already brings; Unix times stand as UTC, and control characters in others' text are not passed to the terminal.

--- a/libs/burdockthread/burdockthread/commands.py
+++ b/libs/burdockthread/burdockthread/commands.py
@@ -8,6 +8,7 @@
 from cappa import Arg, Subcommands
 
 from burdockthread import actions
+from burdockthread.text_output import render_text
 
 EXIT_FAILURE = 1
 EXIT_SETTINGS = 2
@@ -37,7 +38,7 @@
     if as_json:
         print(json.dumps(value, sort_keys=True))
         return
-    print(json.dumps(value, indent=2, sort_keys=True))
+    print(render_text(value))
 
 
 @cappa.command(name="entry", help="Run one entry until SIGTERM.")
