Put an acceptance in force as soon as the store has confirmed it

Cause: the accepting entry learned of its own acceptance only by its watch. Ruled out: the relay, which tells the others at once of what one entry has. Change: a confirmed acceptance, also a repeated one, is applied by the entry that confirmed it, and the relay carries it.

--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -200,7 +200,7 @@
         reports = StateReports(self)
         self.operators_api = OperatorsApi(
             Authenticator(self.settings["operator_tokens"]),
-            TemplateChanges(self.store, self.clock, self.steps, self.check_feasible),
+            self.template_changes(),
             Views(self.status.report, reports.templates, reports.vms),
             reports.parts(),
             self.metrics,
@@ -210,6 +210,16 @@
             self.limits.operator_connections,
         )
 
+    def template_changes(self) -> TemplateChanges:
+        """Builds the changes of templates."""
+        return TemplateChanges(
+            self.store,
+            self.clock,
+            self.steps,
+            self.check_feasible,
+            lambda accepted: self.applied.apply(accepted, "acceptance"),
+        )
+
     def check_feasible(self, document: TemplateDocument) -> None:
         """Refuses a template that the fleet cannot satisfy.
 
--- a/libs/operators/burdockthread_operators/changes.py
+++ b/libs/operators/burdockthread_operators/changes.py
@@ -45,12 +45,17 @@
 MAX_PAGE = 50
 
 Check = Callable[[TemplateDocument], None]
+AcceptedListener = Callable[[AcceptedTemplate], object]
 
 
 def accept_any(document: TemplateDocument) -> None:
     """Checks nothing."""
 
 
+def tell_nobody(accepted: AcceptedTemplate) -> None:
+    """Does nothing with an accepted version."""
+
+
 class TemplateChanges:
     """Proposes, reviews and accepts changes; the store keeps them.
 
@@ -62,6 +67,8 @@
     Attributes:
         check: Refuses a valid template that the fleet cannot satisfy; called
             at the proposal and again at the acceptance.
+        on_accepted: Called with each version whose acceptance the store has
+            confirmed, so that it is in force without waiting for a watch.
     """
 
     def __init__(
@@ -70,11 +77,13 @@
         clock: Clock,
         steps: Steps,
         check: Check = accept_any,
+        on_accepted: AcceptedListener = tell_nobody,
     ) -> None:
         self.store = store
         self.clock = clock
         self.steps = steps
         self.check = check
+        self.on_accepted = on_accepted
 
     async def propose(
         self, operator: str, data: bytes, base_version: int
@@ -229,6 +238,7 @@
         check_hash(change, accepted_hash)
         check_other(change, operator)
         if is_accepted_by(change, operator):
+            self.on_accepted(accepted_template(change))
             return change
         check_state(change, ChangeState.REVIEWED)
         check_content(change)
@@ -246,6 +256,7 @@
         except ConflictError:
             accepted = await self.explain_lost_race(operator, change)
         await self.steps.reach(Step.TEMPLATE_ACCEPTED)
+        self.on_accepted(accepted_template(accepted))
         return accepted
 
     async def put_accepted(
--- a/libs/operators/tests/conftest.py
+++ b/libs/operators/tests/conftest.py
@@ -16,9 +16,11 @@
 def new_changes(faulty, clock, metrics):
     """Returns the changes as another entry offers them."""
 
-    def build(name: str, check=lambda document: None) -> TemplateChanges:
+    def build(
+        name: str, check=lambda document: None, on_accepted=lambda accepted: None
+    ) -> TemplateChanges:
         settled = SettledStore(faulty, name, clock, metrics)
-        return TemplateChanges(settled, clock, Steps(), check)
+        return TemplateChanges(settled, clock, Steps(), check, on_accepted)
 
     return build
 
--- a/libs/operators/tests/test_changes.py
+++ b/libs/operators/tests/test_changes.py
@@ -217,3 +217,30 @@
     await accept(changes, change)
     page = await changes.history("yard")
     assert [entry.state for entry in page.changes] == [ChangeState.ACCEPTED]
+
+
+async def test_version_is_passed_on_once_the_store_has_confirmed_it(
+    new_changes, faulty, template_text
+):
+    accepted = []
+    changes = new_changes("entry-1", on_accepted=accepted.append)
+    change = await propose_reviewed(changes, template_text())
+    faulty.faults.down = True
+    with pytest.raises(StoreUnavailableError):
+        await accept(changes, change)
+    assert not accepted
+    faulty.faults.down = False
+    await accept(changes, change)
+    assert [(item.name, item.version) for item in accepted] == [("yard", 1)]
+    assert accepted[0].document == change.document
+
+
+async def test_refused_acceptance_is_not_passed_on(new_changes, template_text):
+    accepted = []
+    changes = new_changes("entry-1", on_accepted=accepted.append)
+    first = await propose_reviewed(changes, template_text())
+    second = await propose_reviewed(changes, template_text(4))
+    await accept(changes, first)
+    with pytest.raises(ConflictError):
+        await accept(changes, second)
+    assert [item.content_hash for item in accepted] == [first.content_hash]
