Show the memory scenarios red with their mechanism off

budget-holds, flood, paused-planner and workers-fail had stayed green with their mechanism off. Cause: two VMs of a pool were never in one availability zone, a flood ended within the deadline of the others, nothing was in flight at the reboot, and nothing was submitted while the store was out.

The world now takes parameters of its first template, a fault can hit all VMs at once, and answers are counted by class. On scratch copies: - budget-holds, may_take always true: lowest_available >= 5, found 4 - flood, strict priority: answered_standard = 32, found 20 - flood, least urgent first and no early refusal: answered_urgent = 20, found 0; with the least urgent first alone it stays green, because the early refusal keeps the queue of the flood short, so the proof needs both - paused-planner, reboots that do not wait for the drain: cut = 0, found 2 - paused-planner, the lease held for ever: planners <= 1, found 2 - workers-fail, every job taken as idempotent: jobs_doubled = 0, found 4 - workers-fail, jobs accepted before their record: jobs_lost = 0, found 5 Green without the mutations.

--- a/libs/scenarios/burdockthread_scenarios/driver.py
+++ b/libs/scenarios/burdockthread_scenarios/driver.py
@@ -6,6 +6,8 @@
 
 from burdockthread_model.errors import BurdockthreadError
 
+ALL_VMS = "vms"
+
 
 class ScenarioError(BurdockthreadError):
     """A statement that cannot be carried out."""
@@ -51,7 +53,7 @@
 
     @abstractmethod
     async def set_fault(self, target: str, name: str, amount: float) -> None:
-        """Sets a fault of ``store``, of ``workers`` or of a VM.
+        """Sets a fault of ``store``, of ``workers``, of a VM or of all ``vms``.
 
         Raises:
             ScenarioError: No such target or fault.
@@ -59,7 +61,7 @@
 
     @abstractmethod
     async def clear_faults(self, target: str) -> None:
-        """Clears all faults of ``store``, of ``workers`` or of a VM."""
+        """Clears all faults of ``store``, ``workers``, a VM or all ``vms``."""
 
     @abstractmethod
     async def send(
--- a/libs/scenarios/burdockthread_scenarios/language.py
+++ b/libs/scenarios/burdockthread_scenarios/language.py
@@ -10,7 +10,7 @@
 GRAMMAR = r"""
 statement: "promise" STRING                                    -> promise
     | "mode" MODE                                              -> mode
-    | "world" "entries" INT "vms" INT                          -> world
+    | "world" "entries" INT "vms" INT ["with" parameter+]        -> world
     | ENTRY_ACTION NAME                                        -> entry_action
     | "cut" NAME "from" NAME                                   -> cut
     | "heal"                                                   -> heal
@@ -58,10 +58,11 @@
 
 
 class WorldSize(NamedTuple):
-    """How many entries and VMs there are."""
+    """How many entries and VMs there are, and what the first template changes."""
 
     entries: int
     vms: int
+    parameters: tuple[tuple[str, float], ...] = ()
 
 
 class EntryAction(NamedTuple):
@@ -206,9 +207,11 @@
         """Builds a statement."""
         return Mode(str(items[0]))
 
-    def world(self, items: list[Token]) -> WorldSize:
+    def world(self, items: list[object]) -> WorldSize:
         """Builds a statement."""
-        return WorldSize(int(items[0]), int(items[1]))
+        entries, vms, *given = items
+        parameters = tuple(item for item in given if isinstance(item, tuple))
+        return WorldSize(int(str(entries)), int(str(vms)), parameters)
 
     def entry_action(self, items: list[Token]) -> EntryAction:
         """Builds a statement."""
--- a/libs/scenarios/burdockthread_scenarios/ledger.py
+++ b/libs/scenarios/burdockthread_scenarios/ledger.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from burdockthread_model.request import RequestClass
+
 
 def new_key(wall_s: float) -> str:
     """Returns a fresh UUID of version 7, which carries its time.
@@ -27,6 +29,7 @@
         status: HTTP status; 0 if the caller got no answer.
         verdict: Verdict told, or ``unknown`` without an answer.
         echo: Body of the answer.
+        request_class: Urgency of the request.
         ran_before: Runs of the body seen when the caller was told; 0 if unseen.
     """
 
@@ -35,6 +38,7 @@
     status: int
     verdict: str
     echo: str
+    request_class: str
     ran_before: int = 0
 
 
@@ -74,6 +78,10 @@
             "sent": self.sent,
             "ended": len(self.outcomes),
             "answered": len(answered),
+            **{
+                f"answered_{name}": sum(o.request_class == name for o in answered)
+                for name in RequestClass
+            },
             "not_run": len(not_run),
             "aborted": sum(o.status == 0 for o in self.outcomes),
             "unknown": len(self.outcomes) - len(answered) - len(not_run),
--- a/libs/scenarios/burdockthread_scenarios/memory_driver.py
+++ b/libs/scenarios/burdockthread_scenarios/memory_driver.py
@@ -7,9 +7,9 @@
 from burdockthread_fleet.memory_workers import WorkerFaults
 from burdockthread_operators.changes import TemplateChanges
 
-from burdockthread_scenarios.driver import Driver, NamedChange, ScenarioError
+from burdockthread_scenarios.driver import ALL_VMS, Driver, NamedChange, ScenarioError
 from burdockthread_scenarios.faults import store_fault, worker_faults
-from burdockthread_scenarios.memory_vms import ENDPOINT_FAULTS
+from burdockthread_scenarios.memory_vms import ENDPOINT_FAULTS, MemoryVm
 from burdockthread_scenarios.world import (
     TEMPLATE,
     World,
@@ -67,8 +67,9 @@
         elif target == "workers":
             for worker in self.world.vms.workers.workers.values():
                 worker.faults = worker_faults(name, amount)
-        elif target in self.world.vms.vms and name in ENDPOINT_FAULTS:
-            self.world.vms.vms[target].faults[name] = amount
+        elif name in ENDPOINT_FAULTS and self.vms(target):
+            for vm in self.vms(target):
+                vm.faults[name] = amount
         else:
             raise ScenarioError(f"no fault {name} of {target}")
 
@@ -80,7 +81,13 @@
             for worker in self.world.vms.workers.workers.values():
                 worker.faults = WorkerFaults()
         else:
-            self.world.vms.vms[target].faults.clear()
+            for vm in self.vms(target):
+                vm.faults.clear()
+
+    def vms(self, target: str) -> list[MemoryVm]:
+        """Returns the VM of a name, or all VMs for ``vms``."""
+        vms = self.world.vms.vms
+        return [vm for name, vm in vms.items() if target in (name, ALL_VMS)]
 
     async def passing(self, work: Coroutine[Any, Any, None]) -> None:
         """Lets time pass until a coroutine has ended."""
@@ -143,7 +150,9 @@
 
 
 @asynccontextmanager
-async def memory_driver(entries: int, vms: int) -> AsyncIterator[MemoryDriver]:
-    """Runs a world within the block."""
-    async with running_world(entries, vms) as world:
+async def memory_driver(
+    entries: int, vms: int, parameters: dict[str, float] | None = None
+) -> AsyncIterator[MemoryDriver]:
+    """Runs a world within the block; its first template has the parameters."""
+    async with running_world(entries, vms, parameters) as world:
         yield MemoryDriver(world)
--- a/libs/scenarios/burdockthread_scenarios/process_driver.py
+++ b/libs/scenarios/burdockthread_scenarios/process_driver.py
@@ -20,7 +20,7 @@
     running_cluster,
     token,
 )
-from burdockthread_scenarios.driver import Driver, NamedChange, ScenarioError
+from burdockthread_scenarios.driver import ALL_VMS, Driver, NamedChange, ScenarioError
 from burdockthread_scenarios.faults import store_fault
 from burdockthread_scenarios.forwarder import Forwarder
 from burdockthread_scenarios.ledger import Outcome, RequestLedger, new_key
@@ -55,6 +55,7 @@
         cluster: Cluster,
         session: aiohttp.ClientSession,
         links: dict[tuple[str, str], Forwarder],
+        pool_vms: int,
     ) -> None:
         self.cluster = cluster
         self.session = session
@@ -63,7 +64,7 @@
         self.named: dict[str, NamedChange] = {}
         self.jobs: set[str] = set()
         self.tasks: set[asyncio.Task[None]] = set()
-        self.lowest_available = POOL_VMS
+        self.lowest_available = pool_vms
         self.versions_seen: dict[str, int] = {}
         self.reverted = 0
         self.late_work: dict[str, float] = {}
@@ -131,7 +132,8 @@
             await self.post(f"{platform}/faults", store_fault(name, amount))
         elif name in ENDPOINT_FAULTS:
             fault = {"kind": name, "delay_s": amount}
-            await self.post(f"{platform}/vms/{target}/faults", [fault])
+            for vm in await self.vms(target):
+                await self.post(f"{platform}/vms/{vm}/faults", [fault])
         else:
             raise ScenarioError(f"no fault {name} of {target}")
 
@@ -142,7 +144,12 @@
             async with self.session.delete(f"{platform}/faults") as answer:
                 answer.raise_for_status()
         else:
-            await self.post(f"{platform}/vms/{target}/faults", [])
+            for vm in await self.vms(target):
+                await self.post(f"{platform}/vms/{vm}/faults", [])
+
+    async def vms(self, target: str) -> list[str]:
+        """Returns the VM of a name, or all VMs for ``vms``."""
+        return await self.vm_names() if target == ALL_VMS else [target]
 
     async def post(self, url: str, body: object) -> None:
         """Posts an order to a stand-in."""
@@ -171,13 +178,15 @@
         if keyed:
             headers["Idempotency-Key"] = body
         url = f"{entry.callers_url}/services/{SERVICE}/order"
-        outcome = Outcome(body, keyed, 0, "unknown", "")
+        outcome = Outcome(body, keyed, 0, "unknown", "", request_class)
         try:
             async with self.session.post(url, headers=headers, data=body) as answer:
                 fields = await answer.json(content_type=None)
                 verdict = answer.headers.get("Burdockthread-Verdict", "unknown")
                 echo = str(fields.get("echo", ""))
-                outcome = Outcome(body, keyed, answer.status, verdict, echo)
+                outcome = outcome._replace(
+                    status=answer.status, verdict=verdict, echo=echo
+                )
         except (aiohttp.ClientError, TimeoutError, ValueError):
             pass
         finally:
@@ -342,7 +351,9 @@
 
 
 @asynccontextmanager
-async def process_driver(entries: int, vms: int) -> AsyncIterator[ProcessDriver]:
+async def process_driver(
+    entries: int, vms: int, parameters: dict[str, float] | None = None
+) -> AsyncIterator[ProcessDriver]:
     """Runs the processes within the block; the first template is in force."""
     site = Site("vm", ZONES, vms, Path())
     placement = [(ZONES[n % len(ZONES)], "sicily") for n in range(entries)]
@@ -354,8 +365,10 @@
         )
         links = await link_entries(cluster, stack)
         await asyncio.gather(*(e.start() for e in cluster.entries.values()))
-        driver = ProcessDriver(cluster, session, links)
-        await driver.propose("first", 0, {})
+        values = parameters or {}
+        pool_vms = int(values.get("vms", POOL_VMS))
+        driver = ProcessDriver(cluster, session, links, pool_vms)
+        await driver.propose("first", 0, values)
         await driver.review("first")
         await driver.accept("first")
         await driver.wait_settled()
--- a/libs/scenarios/burdockthread_scenarios/runner.py
+++ b/libs/scenarios/burdockthread_scenarios/runner.py
@@ -170,11 +170,12 @@
 @asynccontextmanager
 async def running_driver(mode: str, size: lang.WorldSize) -> AsyncIterator[Driver]:
     """Runs a world or processes within the block."""
+    parameters = dict(size.parameters)
     if mode == "memory":
-        async with memory_driver(size.entries, size.vms) as in_memory:
+        async with memory_driver(size.entries, size.vms, parameters) as in_memory:
             yield in_memory
     else:
-        async with process_driver(size.entries, size.vms) as processes:
+        async with process_driver(size.entries, size.vms, parameters) as processes:
             yield processes
 
 
--- a/libs/scenarios/burdockthread_scenarios/world.py
+++ b/libs/scenarios/burdockthread_scenarios/world.py
@@ -64,7 +64,10 @@
             "yard-misc": {"vms": "$spare", "min_available": 0, "spare": True},
         },
         "services": {
-            "bookings": {"pool": "bookings", "deadline_s": DEADLINE_S},
+            "bookings": {
+                "pool": "bookings",
+                "deadline_s": values.get("deadline_s", DEADLINE_S),
+            },
             "inspections": {"pool": "yard-misc", "deadline_s": DEADLINE_S},
         },
         "maintenance": {
@@ -156,10 +159,12 @@
         entries: Running entries by name.
         ledger: Requests and how they ended.
         jobs: Ids of the jobs whose acceptance was told.
+        pool_vms: VMs of the pool by the first template.
         lowest_available: Fewest VMs of the pool ever available at a tick.
     """
 
-    def __init__(self, entries: int, vms: int) -> None:
+    def __init__(self, entries: int, vms: int, pool_vms: int) -> None:
+        self.pool_vms = pool_vms
         self.clock = MemoryClock()
         self.store = MemoryStore(self.clock)
         self.store_faults: FaultSettings = {}
@@ -174,7 +179,7 @@
         self.jobs_refused: set[str] = set()
         self.versions_seen: dict[str, int] = {}
         self.reverted = 0
-        self.lowest_available = POOL_VMS
+        self.lowest_available = pool_vms
         self.fresh_answered = 0
         self.numbers = itertools.count(1)
 
@@ -272,10 +277,10 @@
     def available(self) -> int:
         """Returns the VMs of the pool that can serve now."""
         if not any(r.entry.view.pools for r in self.entries.values()):
-            return POOL_VMS
+            return self.pool_vms
         records = self.records()
         if len(records) < len(self.vms.vms):
-            return POOL_VMS
+            return self.pool_vms
         return sum(
             record.state is VmState.SERVING and self.vms.vms[record.name].up
             for record in records
@@ -328,15 +333,17 @@
         """Sends one request and notes how it ended."""
         body = request.body.decode()
         keyed = bool(request.idempotency_key)
-        outcome = Outcome(body, keyed, 0, "unknown", "")
+        urgency = request.request_class
+        outcome = Outcome(body, keyed, 0, "unknown", "", urgency)
         try:
             response = await running.entry.router.handle(request)
             echo = response.body.decode()
             outcome = Outcome(
-                body, keyed, response.status, response.verdict.value, echo
+                body, keyed, response.status, response.verdict.value, echo, urgency
             )
         except RequestError as error:
-            outcome = Outcome(body, keyed, error.status, error.verdict.value, "")
+            verdict = error.verdict.value
+            outcome = Outcome(body, keyed, error.status, verdict, "", urgency)
         finally:
             ran_before = sum(run.body == body for run in self.vms.runs)
             self.ledger.outcomes.append(outcome._replace(ran_before=ran_before))
@@ -386,6 +393,7 @@
             "late_work": self.vms.late_work,
             "lowest_available": self.lowest_available,
             "available": self.available(),
+            "draining": sum(r.state is VmState.DRAINING for r in self.records()),
             "reverted": self.reverted,
             "reboots": sum(vm.reboots.total() for vm in self.vms.vms.values()),
             "repeated_reboots": self.repeated_reboots(),
@@ -440,12 +448,13 @@
     entries: int, vms: int, parameters: dict[str, float] | None = None
 ) -> AsyncIterator[World]:
     """Runs a world within the block; its first template is in force."""
-    world = World(entries, vms)
+    values = parameters or {}
+    world = World(entries, vms, int(values.get("vms", POOL_VMS)))
     try:
         for name in world.names:
             world.start(name)
         await settle()
-        await world.passing(accept_template(world, parameters or {}, 0))
+        await world.passing(accept_template(world, values, 0))
         await world.advance(START_S)
         yield world
     finally:
--- a/libs/scenarios/tests/test_language.py
+++ b/libs/scenarios/tests/test_language.py
@@ -6,6 +6,7 @@
     Propose,
     ScenarioSyntaxError,
     Send,
+    WorldSize,
     parse_scenario,
 )
 
@@ -23,6 +24,9 @@
             "send 1 unkeyed standard request via entry-2",
             Send(1, False, "standard", "entry-2"),
         ),
+        ("world entries 3 vms 4", WorldSize(3, 4)),
+        ("world entries 3 vms 4 with vms = 2", WorldSize(3, 4, (("vms", 2.0),))),
+        ("fault vms late 2", Fault("vms", "late", 2)),
         ("fault store slow 2.5", Fault("store", "slow", 2.5)),
         ("fault vm-1 drop", Fault("vm-1", "drop", 0)),
         ("propose c1 base 1 vms = 5", Propose("c1", 1, (("vms", 5.0),))),
