Displace nothing where a job has failed, and judge workers by ended jobs too

Jobs that have ended now count in full; jobs parked because they fail everywhere no longer count against any worker.

Ruled out: several claims in one round before the first failure is seen; claims under way and failures together are held to 4 already.

--- a/libs/burdockthread/tests/test_bench_jobs.py
+++ b/libs/burdockthread/tests/test_bench_jobs.py
@@ -12,6 +12,12 @@
         assert measure.baseline > measure.value
 
 
+@pytest.mark.parametrize("seed", [1, 4])
+async def test_a_worker_that_fails_everything_gets_few_jobs(seed):
+    measure = await bench_jobs.measure_failing_worker(KLOOFSIG, seed)
+    assert measure.holds, measure.line()
+
+
 async def test_a_wave_of_cancellations_takes_few_writes():
     writes, _ = await bench_jobs.measure_cancellations(seed=7)
     assert writes.value <= 5
--- a/libs/fleet/burdockthread_fleet/job_placer.py
+++ b/libs/fleet/burdockthread_fleet/job_placer.py
@@ -374,9 +374,14 @@
         """Begins to make room for a job; returns whether it does."""
         if len(self.displacements) >= MAX_DISPLACEMENTS_PER_ROUND:
             return False
+        avoided = self.placer.quarantine.failed_on.get(job.job_id, ())
         names = (pool, self.spare) if self.may_borrow(job, pool) else (pool,)
         for name in names:
-            rooms = self.open.get(name, [])
+            rooms = [
+                room
+                for room in self.open.get(name, [])
+                if room.claims > 0 and room.vm not in avoided
+            ]
             found = choose_victims(job, size, rooms, self.usage)
             if found is None:
                 continue
--- a/libs/fleet/burdockthread_fleet/job_rounds.py
+++ b/libs/fleet/burdockthread_fleet/job_rounds.py
@@ -390,7 +390,9 @@
         ):
             self.metrics.count("jobs.workers_quarantined")
             self.log.warning("worker_quarantined", vm=vm, reason=report.reason)
-        if after.state is not JobState.QUEUED:
+        if after.state is JobState.PARKED:
+            self.quarantine.blame_job(before.job_id)
+        elif after.state is not JobState.QUEUED:
             self.quarantine.forget_job(before.job_id)
 
     def task(self, job: Job) -> Task | None:
--- a/libs/fleet/burdockthread_fleet/quarantine.py
+++ b/libs/fleet/burdockthread_fleet/quarantine.py
@@ -65,8 +65,15 @@
         return True
 
     def score(self, vm: str) -> float:
-        """Returns how much speaks against a worker."""
-        return sum(1.0 / len(self.failed_on[job_id]) for job_id in self.failures[vm])
+        """Returns how much speaks against a worker.
+
+        A job that has ended since counts in full: it ran well elsewhere, or was
+        not tried anywhere else.
+        """
+        return sum(
+            1.0 / max(len(self.failed_on.get(job_id, ())), 1)
+            for job_id in self.failures[vm]
+        )
 
     def acquit_jobs(self, vm: str) -> None:
         """Takes back what a quarantined worker's failures said of the jobs."""
@@ -107,6 +114,11 @@
         """Drops what is kept for a job."""
         self.failed_on.pop(job_id, None)
 
+    def blame_job(self, job_id: str) -> None:
+        """Takes back what a job that fails everywhere said of its workers."""
+        for vm in self.failed_on.pop(job_id, set()):
+            self.failures[vm].discard(job_id)
+
     def reasons(self, now: float) -> dict[str, str]:
         """Returns for each quarantined worker why and how long."""
         reasons = {}
--- a/libs/fleet/tests/test_job_runner.py
+++ b/libs/fleet/tests/test_job_runner.py
@@ -517,6 +517,29 @@
     assert set((await site.states()).values()) == {JobState.DONE}
 
 
+async def test_a_job_displaces_nothing_where_it_has_failed(site):
+    node = site.owner()
+    deferred = RequestClass.DEFERRED
+    await fill(site, SERVICE, 30, memory_gb=0.1, request_class=deferred)
+    node.runner.rounds["org"].quarantine.failed_on["u"].add("ledger-0")
+    (delay_s,) = await start_delays(site, [urgent("u")], 10)
+    assert delay_s <= 7.1
+    assert (await site.jobs())["u"].vm == "ledger-1"
+
+
+async def test_failing_jobs_that_are_not_idempotent_stop_no_round(site):
+    site.owner()
+    for worker in site.workers.workers.values():
+        worker.faults.failing_payloads.add("poison")
+    jobs = [new_job(str(n), payload="poison") for n in range(6)]
+    await site.submit(*jobs, new_job("good"))
+    await site.wait(40)
+    states = await site.states()
+    assert states.pop("good") is JobState.DONE
+    assert set(states.values()) == {JobState.FAILED}
+    assert site.metrics.counters["jobs.rounds_failed"] == 0
+
+
 async def test_tasks_leave_a_draining_vm_without_loss(site):
     site.owner()
     await site.submit(*(new_job(str(n), run_time_s=100.0) for n in range(4)))
--- a/libs/fleet/tests/test_quarantine.py
+++ b/libs/fleet/tests/test_quarantine.py
@@ -61,3 +61,20 @@
     quarantine.fail("vm-1", "a", 0.0)
     assert quarantine.fails_everywhere("a", "vm-2", 2, vms=2)
     assert quarantine.fails_everywhere("b", "vm-1", MAX_ATTEMPTS, vms=6)
+
+
+def test_failures_of_jobs_that_have_ended_still_count():
+    quarantine = WorkerQuarantine()
+    for job in "ab":
+        assert not quarantine.fail("vm", job, 0.0)
+        quarantine.forget_job(job)
+    assert quarantine.fail("vm", "c", 0.0)
+
+
+def test_a_job_that_fails_everywhere_leaves_its_workers_blameless():
+    quarantine = WorkerQuarantine()
+    for vm in ("vm-1", "vm-2", "vm-3"):
+        quarantine.fail(vm, "a", 0.0)
+    quarantine.blame_job("a")
+    assert not any(quarantine.failures.values())
+    assert not any(fail_many(quarantine, "vm-1", "bc"))
