End the watches before the stand-in of the store measurements stops

Each of the seven stand-ins waited a second at its end for watches whose client had gone. They're closed first.

--- a/libs/burdockthread/burdockthread/bench_store.py
+++ b/libs/burdockthread/burdockthread/bench_store.py
@@ -284,9 +284,14 @@
         try:
             yield self
         finally:
-            self.loop.call_soon_threadsafe(self.stopped.set)
+            self.loop.call_soon_threadsafe(self.stop)
             self.thread.join()
 
+    def stop(self) -> None:
+        """Ends the watches, which would hold up the end, and the service."""
+        self.platform.faulty.faults.close_watches()
+        self.stopped.set()
+
     async def call(self, work: Coroutine[Any, Any, None]) -> None:
         """Runs a coroutine in the thread."""
         future = asyncio.run_coroutine_threadsafe(work, self.loop)
