--- a/libs/burdockthread/burdockthread/bench_fleet.py
+++ b/libs/burdockthread/burdockthread/bench_fleet.py
@@ -45,6 +45,7 @@
 QUIET_FACTOR = 0.05
 MEAN_SHARE = 0.3
 IDLE_TICK_S = 5.0
+BUSY_TICK_S = 2 * STEP_INTERVAL_S
 STRETCH_S = 10_800.0
 RESTARTS = 3
 RESTART_S = 120.0
@@ -249,7 +250,7 @@
             boot_id = f"{listing.name}-{now_s}"
             fleet.directory.listings[listing.name] = listing._replace(boot_id=boot_id)
         busy = any(r.state is not VmState.SERVING for r in fleet.records().values())
-        await fleet.tick(STEP_INTERVAL_S if busy else IDLE_TICK_S)
+        await fleet.tick(BUSY_TICK_S if busy else IDLE_TICK_S)
         wanted = demand(list(pools), now_s)
         naive.step(wanted)
         flooded = max(wanted, key=wanted.__getitem__)
