--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 
 bench: $(STAMP)
 	$(VENV)/bin/python -m burdockthread bench
+	$(VENV)/bin/python scripts/measure_rollout.py
 
 binary: dist/burdockthread
 
