--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -243,6 +243,14 @@
 
     def background(self) -> tuple[Coroutine[None, None, None], ...]:
         """Returns the work that runs for as long as the entry does."""
+        return (*self.routing_work(), *self.control_work())
+
+    def routing_work(self) -> tuple[Coroutine[None, None, None], ...]:
+        """Returns the work that answers callers from the configuration at hand."""
+        return (self.router.run(), self.ledger.run())
+
+    def control_work(self) -> tuple[Coroutine[None, None, None], ...]:
+        """Returns the work that keeps the configuration and changes the fleet."""
         return (
             self.config_cache.run(),
             self.vm_cache.run(),
@@ -253,8 +261,6 @@
             self.leaving.run(),
             self.keys.run(),
             self.view.run(self.limits.directory_interval_s),
-            self.router.run(),
-            self.ledger.run(),
             self.planner.run(),
             self.job_cache.run(),
             self.job_runner.run(),
--- a/libs/scenarios/burdockthread_scenarios/cluster.py
+++ b/libs/scenarios/burdockthread_scenarios/cluster.py
@@ -76,11 +76,14 @@
         """Starts the process and waits until it is ready."""
         path = self.folder / f"{self.name}.json"
         path.write_text(json.dumps(self.settings))
-        arguments = command("entry", "--settings", str(path))
         log = self.folder / f"{self.name}.log"
-        self.process = await start_process(arguments, log)
+        self.process = await start_process(self.command(path), log)
         await wait_ready(self.process, log, f"{self.callers_url}/readyz")
 
+    def command(self, settings: Path) -> list[str]:
+        """Returns the command line of the process."""
+        return command("entry", "--settings", str(settings))
+
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
         if self.process is not None and self.process.returncode is None:
--- a/libs/scenarios/burdockthread_scenarios/forwarder.py
+++ b/libs/scenarios/burdockthread_scenarios/forwarder.py
@@ -1,7 +1,7 @@
 """Forwards TCP connections on loopback; a link that a scenario can cut."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 
 CHUNK_BYTES = 65_536
@@ -15,6 +15,8 @@
         target_port: Port that connections are forwarded to.
         port: Port that it listens on.
         is_cut: Whether new connections are refused.
+        sent_bytes: Bytes forwarded to the target.
+        received_bytes: Bytes forwarded from the target.
     """
 
     def __init__(self, host: str, target_port: int) -> None:
@@ -22,6 +24,8 @@
         self.target_port = target_port
         self.port = 0
         self.is_cut = False
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self.writers: set[asyncio.StreamWriter] = set()
 
     @asynccontextmanager
@@ -70,8 +74,8 @@
         pair = {writer, target_writer}
         self.writers |= pair
         copies = (
-            asyncio.create_task(copy(reader, target_writer)),
-            asyncio.create_task(copy(target_reader, writer)),
+            asyncio.create_task(copy(reader, target_writer, self.count_sent)),
+            asyncio.create_task(copy(target_reader, writer, self.count_received)),
         )
         try:
             await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
@@ -82,10 +86,29 @@
             for item in pair:
                 item.close()
 
+    def count_sent(self, size: int) -> None:
+        """Counts bytes on their way to the target."""
+        self.sent_bytes += size
 
-async def copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Copies bytes until the reader ends."""
+    def count_received(self, size: int) -> None:
+        """Counts bytes on their way from the target."""
+        self.received_bytes += size
+
+
+async def copy(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    count: Callable[[int], None],
+) -> None:
+    """Copies bytes until the reader ends.
+
+    Args:
+        reader: Where they come from.
+        writer: Where they go.
+        count: Called with the bytes of each chunk.
+    """
     with suppress(OSError):
         while data := await reader.read(CHUNK_BYTES):
+            count(len(data))
             writer.write(data)
             await writer.drain()
