Deliver a quiet prefix again once instead of at every opening of its watch

Ruled out: the list of VMs, which answers 304, and the streams between entries. Change: what a watch has delivered again up to the last known revision, before it fell silent, is not asked for again. A watch that lags or breaks does not count, and a restored store starts anew. Tests: quiet_prefix_is_delivered_again_once failed before (the 50 events came at every opening); the others hold the lagging watch and the restored store.

--- a/libs/store/burdockthread_store/prefix_cache.py
+++ b/libs/store/burdockthread_store/prefix_cache.py
@@ -37,7 +37,8 @@
     A watch that broke is resumed where it stood. One that is silent is opened
     again after some seconds, because a dead stream looks like a quiet one; the
     seconds vary, so that a watch that lags still delivers. A watch goes back
-    by some revisions, so that an event that overtook another loses nothing.
+    by some revisions, so that an event that overtook another loses nothing, but
+    not behind what a watch has already delivered again before it fell silent.
     While the store moves and the watch brings nothing, the prefix is listed
     now and then, more often once that brought something new.
 
@@ -46,6 +47,7 @@
         tombstones: Revisions of keys deleted lately, oldest first.
         revision: Store-wide revision up to which `values` is complete.
         listed_revision: Revision of the last listing.
+        covered_revision: Revision up to which a watch delivered everything again.
         listed: Whether the next watch may start without a listing.
         synced: Whether the prefix has been listed at least once.
         contact_s: Clock time of the last word from the store.
@@ -62,6 +64,7 @@
         self.tombstones: OrderedDict[str, int] = OrderedDict()
         self.revision = 0
         self.listed_revision = 0
+        self.covered_revision = 0
         self.listed = False
         self.synced = False
         self.contact_s = float("-inf")
@@ -145,6 +148,7 @@
         self.rollbacks += 1
         self.behind_since_s = None
         self.revision = 0
+        self.covered_revision = 0
         self.tombstones.clear()
         for key, item in self.values.items():
             self.values[key] = item._replace(revision=0)
@@ -163,16 +167,27 @@
 
     async def follow(self) -> None:
         """Applies the events of one watch until it breaks or stays silent."""
-        start = max(self.listed_revision, self.revision - OVERLAP_REVISIONS)
+        known_revision = self.revision
+        delivered_revision = 0
+        start = self.watch_start()
         async with closing_watch(self.store.watch(self.prefix, start)) as batches:
             while True:
                 try:
                     async with self.clock.timeout(next(self.silences)):
                         events = await anext(batches)
                 except TimeoutError:
-                    self.retry_s = RETRY_FIRST_S
-                    return
+                    break
                 self.apply_batch(events)
+                newest = max((event.revision for event in events), default=0)
+                delivered_revision = max(delivered_revision, newest)
+        self.retry_s = RETRY_FIRST_S
+        if delivered_revision >= known_revision:
+            self.covered_revision = known_revision
+
+    def watch_start(self) -> int:
+        """Returns the revision after which the next watch starts."""
+        overlapping = self.revision - OVERLAP_REVISIONS
+        return max(self.listed_revision, self.covered_revision, overlapping)
 
     def apply_batch(self, events: tuple[WatchEvent, ...]) -> None:
         """Applies what a watch delivered at once."""
--- a/libs/store/tests/test_prefix_cache.py
+++ b/libs/store/tests/test_prefix_cache.py
@@ -140,6 +140,42 @@
     assert contents(cache) == {"p/a": b"1", "p/b": b"1"}
 
 
+async def test_quiet_prefix_is_delivered_again_once(cache, faulty, store, clock):
+    delivered = []
+    disturb = faulty.disturb
+    faulty.disturb = lambda events: delivered.extend(events) or disturb(events)
+    for number in range(50):
+        await put(store, f"p/{number}", b"1")
+    await clock.advance(600.0)
+    assert len(contents(cache)) == 50
+    assert len(delivered) == 100
+
+
+async def test_lagging_watch_does_not_count_as_delivered(cache, faulty, store, clock):
+    await put(store, "p/a", b"1")
+    await clock.advance(0.1)
+    faulty.faults.lag_s = 15.0
+    await clock.advance(60.0)
+    assert cache.covered_revision == 0
+    faulty.faults.lag_s = 0.0
+    await clock.advance(60.0)
+    assert cache.covered_revision == cache.revision
+
+
+async def test_restored_store_is_followed_from_its_own_revisions(
+    cache, faulty, store, clock
+):
+    for number in range(10):
+        await put(store, "p/a", b"%d" % number)
+    await clock.advance(60.0)
+    faulty.store = MemoryStore(clock)
+    faulty.faults.close_watches()
+    await clock.advance(60.0)
+    await put(faulty.store, "p/a", b"new")
+    await clock.advance(15.0)
+    assert contents(cache) == {"p/a": b"new"}
+
+
 async def test_store_that_is_behind_for_a_moment_changes_nothing(
     cache, faulty, store, clock
 ):
