Count VMs that fail without leaving the list as unavailable

Cause: a VM that fails while the platform still lists it as live was known only to the outlier ejection of each entry. The planner counted it as available, so a wave could take out another VM of its pool, and it was never replaced.

Change: entries answer the planner, over the mesh, which endpoints they have ejected and what they saw of those that others have (ListFailures, Failures). A VM counts as unavailable when for 20 s more entries have had it ejected than had a success since; it is replaced after 300 s, or 30 s below the minimum, and two such VMs after maintenance stop a wave. Bounded to a third of a pool or its failure domain up to a half; beyond it none is replaced. Nothing is taken out on purpose before the entries were asked. Failures of an earlier boot are forgotten, which also gives a rebooted endpoint its first attempts at once. No writes to the store.

Ruled out: 'has sent work lately' by a fixed time alone. An entry ejects for up to 60 s, so the time must exceed it, and then a success from before the failure would outvote it for two minutes; successes count only if newer than the failure.

The bench of the planner's cost now asks the entries too, outside the timed part; without it the planner would start nothing there.

--- a/libs/burdockthread/burdockthread/bench_planner_cost.py
+++ b/libs/burdockthread/burdockthread/bench_planner_cost.py
@@ -98,6 +98,7 @@
         await fleet.tick()
         node.paused = False
         await node.look()
+        await node.failures.tick()
         started_s = time.process_time()
         await node.planner.tick()
         spent_s += time.process_time() - started_s
--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -5,6 +5,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 
 from aiohttp import web
+from burdockthread_fleet.failure_watch import FailureWatch
 from burdockthread_fleet.feasibility import check_feasible
 from burdockthread_fleet.job_directory import (
     JobDirectory,
@@ -34,6 +35,7 @@
 from burdockthread_routing.callers_api import MAX_HEADER_BYTES, CallersApi
 from burdockthread_routing.callers_port import PortLimits, callers_port
 from burdockthread_routing.endpoint_choice import EndpointChooser
+from burdockthread_routing.failure_reports import FailureReporter
 from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
 from burdockthread_routing.job_ledger import JOB_PREFIX, JobLedger
 from burdockthread_routing.jobs_api import JobAccess
@@ -131,6 +133,7 @@
             self.log,
             self.steps,
         )
+        self.failure_reporter = FailureReporter(self.mesh, chooser.outliers)
         self.ledger = JobLedger(self.store, self.clock, self.steps)
         self.callers_api = CallersApi(
             self.name, self.router, self.ledger, self.clock, self.metrics, self.log
@@ -156,6 +159,7 @@
     def build_fleet(self) -> None:
         """Builds the planner."""
         self.leadership = Leadership(self.name, self.store, self.clock)
+        self.failures = FailureWatch(self.mesh, self.leadership, self.clock)
         self.planner = Planner(
             self.leadership,
             self.store,
@@ -163,6 +167,7 @@
             self.vm_cache,
             self.pool_cache,
             self.edges.control,
+            self.failures,
             self.clock,
             self.metrics,
             self.log,
@@ -255,6 +260,7 @@
             self.view.run(self.limits.directory_interval_s),
             self.router.run(),
             self.ledger.run(),
+            self.failures.run(),
             self.planner.run(),
             self.job_cache.run(),
             self.job_runner.run(),
--- /dev/null
+++ b/libs/fleet/burdockthread_fleet/failed_vms.py
@@ -0,0 +1,137 @@
+"""VMs that are listed as live but fail for the entries that use them."""
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from burdockthread_model.events import EventLog
+from burdockthread_model.intended import PoolSpec
+from burdockthread_model.metrics import Metrics
+from burdockthread_model.vm import VmListing
+from burdockthread_routing.fleet_view import FleetView
+
+from burdockthread_fleet.absence import LOST_AFTER_S
+from burdockthread_fleet.budget import worst_loss
+from burdockthread_fleet.failure_watch import FailureWatch
+from burdockthread_fleet.fleet_state import is_available
+
+FAILED_AFTER_S = 20.0
+
+
+class PoolFailures(NamedTuple):
+    """Failing VMs of one pool.
+
+    Attributes:
+        seconds: Seconds for which each VM that counts as unavailable has failed.
+        failing: VMs that fail, those beyond the bound included.
+    """
+
+    seconds: Mapping[str, float]
+    failing: int
+
+    @property
+    def believed(self) -> bool:
+        """Whether the fault is one of single VMs, so that others may help."""
+        return len(self.seconds) == self.failing
+
+
+class FailedVms:
+    """Decides which failing VMs count as unavailable and which are replaced.
+
+    Attributes:
+        pools: Failing VMs by pool.
+    """
+
+    def __init__(self, watch: FailureWatch, metrics: Metrics, log: EventLog) -> None:
+        self.watch = watch
+        self.metrics = metrics
+        self.log = log
+        self.pools: Mapping[str, PoolFailures] = {}
+
+    def update(self, view: FleetView) -> None:
+        """Takes in what the entries said last; nothing while that is old."""
+        before, self.pools = self.pools, {}
+        if self.watch.fresh():
+            self.pools = self.find(view)
+            self.note(before)
+
+    def find(self, view: FleetView) -> dict[str, PoolFailures]:
+        """Returns the failing VMs of the pools that have some."""
+        seconds = self.watch.failing(view.listings)
+        failed = {vm: s for vm, s in seconds.items() if s >= FAILED_AFTER_S}
+        names = {view.records[vm].pool for vm in failed if vm in view.records}
+        serving: dict[str, list[VmListing]] = {name: [] for name in names}
+        for record in view.records.values() if names else ():
+            listing = view.listings.get(record.name)
+            if record.pool in names and is_available(view, record, listing):
+                serving[record.pool] += [listing] if listing else []
+        return {
+            name: pool_failures(view.pools[name], found, failed)
+            for name, found in serving.items()
+            if name in view.pools and any(v.name in failed for v in found)
+        }
+
+    def out(self) -> frozenset[str]:
+        """Returns the VMs that count as unavailable."""
+        return frozenset(vm for pool in self.pools.values() for vm in pool.seconds)
+
+    def failing_for(self, seconds: float) -> frozenset[str]:
+        """Returns the VMs to replace that have failed for at least a time."""
+        return frozenset(
+            vm
+            for pool in self.pools.values()
+            for vm, failing_s in pool.seconds.items()
+            if pool.believed and failing_s >= seconds
+        )
+
+    def note(self, before: Mapping[str, PoolFailures]) -> None:
+        """Logs and counts what has changed."""
+        old = {vm: s for pool in before.values() for vm, s in pool.seconds.items()}
+        for name, pool in self.pools.items():
+            for vm, failing_s in pool.seconds.items():
+                self.note_vm(name, vm, failing_s, old.pop(vm, 0.0), pool.believed)
+            doubted = name in before and not before[name].believed
+            if not pool.believed and not doubted:
+                self.metrics.count("planner.failures_not_believed")
+                self.log.warning(
+                    "vm_failures_not_believed", pool=name, failing=pool.failing
+                )
+        for vm in old:
+            self.log.info("vm_failure_over", vm=vm)
+        self.metrics.gauge("planner.vms_failing", len(self.out()))
+
+    def note_vm(
+        self, pool: str, vm: str, failing_s: float, before_s: float, believed: bool
+    ) -> None:
+        """Logs and counts a VM that newly fails, or that is to be replaced now."""
+        if not before_s:
+            self.metrics.count("planner.failing")
+            self.log.warning("vm_failing", vm=vm, pool=pool, seconds=round(failing_s))
+        if believed and before_s < LOST_AFTER_S <= failing_s:
+            self.metrics.count("planner.given_up")
+            self.log.warning("vm_given_up", vm=vm, pool=pool)
+
+
+def pool_failures(
+    spec: PoolSpec, serving: Sequence[VmListing], failed: Mapping[str, float]
+) -> PoolFailures:
+    """Returns the failing VMs of a pool, the longest failing up to a bound.
+
+    Args:
+        spec: Pool as intended.
+        serving: VMs that serve it, the failing ones included.
+        failed: Seconds for which VMs have failed.
+    """
+    found = [v.name for v in serving if v.name in failed]
+    longest_first = sorted(found, key=lambda vm: (-failed[vm], vm))
+    counted = longest_first[: most_failing(spec, serving)]
+    return PoolFailures({vm: failed[vm] for vm in counted}, len(found))
+
+
+def most_failing(spec: PoolSpec, serving: Sequence[VmListing]) -> int:
+    """Returns how many VMs of a pool may count as failing at once.
+
+    That is a third, or the failure domain that the pool survives up to a half:
+    with more the fault is not one of single VMs, and others would fail as well.
+    """
+    domain = min(worst_loss(serving, spec.survives), spec.vms // 2)
+    return max(1, spec.vms // 3, domain)
--- a/libs/fleet/burdockthread_fleet/fleet_state.py
+++ b/libs/fleet/burdockthread_fleet/fleet_state.py
@@ -79,18 +79,23 @@
     free: Mapping[str, VmListing]
 
     @classmethod
-    def from_view(cls, view: FleetView, lost: Set[str]) -> "FleetState":
+    def from_view(
+        cls, view: FleetView, lost: Set[str], failed: Set[str] = frozenset()
+    ) -> "FleetState":
         """Groups what an entry knows.
 
         Args:
             view: The entry's view.
             lost: VMs that have to be replaced.
+            failed: VMs that serve but fail, and so are not available.
         """
         by_pool: dict[str, list[Member]] = {name: [] for name in view.pools}
         incoming = dict.fromkeys(view.pools, 0)
         orphans: list[Member] = []
         for name, record in view.records.items():
             member = member_of(view, record, name in lost)
+            if name in failed:
+                member = member._replace(available=False)
             by_pool.get(record.pool, orphans).append(member)
             if member.leaves_pool and record.target_pool in incoming:
                 incoming[record.target_pool] += not member.lost
@@ -120,12 +125,19 @@
         """Notes a change of a VM record."""
         self.changes += 1
 
-    def get(self, lost: frozenset[str]) -> FleetState:
-        """Returns the fleet with some VMs taken as lost."""
+    def get(self, lost: frozenset[str], failed: frozenset[str]) -> FleetState:
+        """Returns the fleet with some VMs taken as lost and some as failed."""
         view = self.view
-        known_by = (self.changes, lost, view.pools, view.leaving.copy(), view.listings)
+        known_by = (
+            self.changes,
+            lost,
+            failed,
+            view.pools,
+            view.leaving.copy(),
+            view.listings,
+        )
         if self.known is None or known_by != self.known_by:
-            self.known = FleetState.from_view(view, lost)
+            self.known = FleetState.from_view(view, lost, failed)
             self.known_by = known_by
         return self.known
 
--- a/libs/fleet/burdockthread_fleet/memory_fleet.py
+++ b/libs/fleet/burdockthread_fleet/memory_fleet.py
@@ -13,13 +13,17 @@
 from burdockthread_model.rendering import content_hash
 from burdockthread_model.steps import MemorySteps
 from burdockthread_model.vm import VmListing, VmRecord, VmState, VmStatus
+from burdockthread_peers.memory_mesh import MemoryNetwork
+from burdockthread_routing.failure_reports import FailureReporter
 from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
+from burdockthread_routing.outliers import OutlierDetector
 from burdockthread_routing.vm_directory import MemoryVmDirectory
 from burdockthread_store.applied import AppliedConfiguration
 from burdockthread_store.memory_store import MemoryStore
 from burdockthread_store.prefix_cache import PrefixCache
 
 from burdockthread_fleet.budget import POOL_PREFIX
+from burdockthread_fleet.failure_watch import FailureWatch
 from burdockthread_fleet.leadership import Leadership
 from burdockthread_fleet.planner import STEP_INTERVAL_S, Planner
 from burdockthread_fleet.vm_control import MemoryVmControl
@@ -65,6 +69,7 @@
 
     Attributes:
         paused: Whether the process neither plans nor refreshes its view.
+        outliers: Endpoints that fail for the process.
     """
 
     def __init__(self, name: str, fleet: "MemoryFleet", clock: MemoryClock) -> None:
@@ -81,6 +86,10 @@
             self.applied, self.vm_cache, fleet.directory, clock, self.log
         )
         self.leadership = Leadership(name, fleet.store, clock)
+        mesh = fleet.network.join(name)
+        self.outliers = OutlierDetector(clock)
+        self.reporter = FailureReporter(mesh, self.outliers)
+        self.failures = FailureWatch(mesh, self.leadership, clock)
         self.planner = Planner(
             self.leadership,
             fleet.store,
@@ -88,6 +97,7 @@
             self.vm_cache,
             self.pool_cache,
             fleet.control,
+            self.failures,
             clock,
             self.metrics,
             self.log,
@@ -101,6 +111,7 @@
             await self.refresh(self.pool_cache)
         if not self.fleet.directory.down:
             self.view.listings = dict(self.fleet.directory.listings)
+        self.outliers.take_listings(self.view.listings)
 
     async def refresh(self, cache: PrefixCache) -> None:
         """Brings one copy up to date; asks nothing if nothing was written."""
@@ -116,6 +127,7 @@
         if self.clock is not self.fleet.clock:
             await self.clock.advance(STEP_INTERVAL_S)
         await self.look()
+        await self.failures.tick()
         await self.planner.tick()
 
 
@@ -124,6 +136,7 @@
 
     Attributes:
         nodes: Planners, each with its own view.
+        network: Streams between the processes of the planners.
     """
 
     def __init__(self, listings: tuple[VmListing, ...], reboot_s: float = 1.0) -> None:
@@ -133,6 +146,7 @@
         self.control = MemoryVmControl(self.directory, self.clock, reboot_s)
         self.template: AcceptedTemplate | None = None
         self.nodes: list[PlannerNode] = []
+        self.network = MemoryNetwork()
 
     def add_node(self, name: str, clock: MemoryClock | None = None) -> PlannerNode:
         """Adds a planner, by its own clock if one is given."""
--- a/libs/fleet/burdockthread_fleet/planner.py
+++ b/libs/fleet/burdockthread_fleet/planner.py
@@ -28,6 +28,8 @@
 )
 from burdockthread_fleet.assignment import assign_free_vms
 from burdockthread_fleet.buffer import DEFAULT_POLICY
+from burdockthread_fleet.failed_vms import FailedVms
+from burdockthread_fleet.failure_watch import FailureWatch
 from burdockthread_fleet.fleet_state import FleetState, Member, StateCache
 from burdockthread_fleet.leadership import Leadership
 from burdockthread_fleet.lifecycle import VmLifecycle
@@ -96,6 +98,7 @@
 
     Attributes:
         absence: How long VMs have been missing.
+        failed: VMs that are listed as live but fail.
         policy: Who gives VMs to a pool that lacks some.
         recent_moves: Last moves that this process started.
     """
@@ -108,6 +111,7 @@
         vm_cache: PrefixCache,
         pool_cache: PrefixCache,
         control: VmControl,
+        failures: FailureWatch,
         clock: Clock,
         metrics: Metrics,
         log: EventLog,
@@ -130,6 +134,7 @@
         self.states = StateCache(view, vm_cache)
         self.urgent_states = StateCache(view, vm_cache)
         self.absence = Absence(clock)
+        self.failed = FailedVms(failures, metrics, log)
         self.surplus = Pacing(clock)
         self.recovery = Pacing(clock)
         self.recent_moves: deque[RecentMove] = deque(maxlen=RECENT_MOVES)
@@ -141,8 +146,9 @@
             await self.clock.sleep(STEP_INTERVAL_S)
 
     async def tick(self) -> None:
-        """Notes which VMs are missing, and plans while the lease is held."""
+        """Notes which VMs are out, and plans while the lease is held."""
         self.absence.update(self.view.listings, self.view.records)
+        self.failed.update(self.view)
         if await self.leadership.keep():
             await self.step()
 
@@ -186,9 +192,10 @@
 
     def state(self) -> FleetState:
         """Returns the fleet as known now."""
-        lost = self.absence.missing_for(LOST_AFTER_S) | self.overdue()
-        state = self.states.get(lost)
-        needed = self.absence.missing_for(NEEDED_LOST_AFTER_S) - lost
+        failed = self.failed.out()
+        lost = self.gone_for(LOST_AFTER_S) | self.overdue()
+        state = self.states.get(lost, failed)
+        needed = self.gone_for(NEEDED_LOST_AFTER_S) - lost
         if not needed:
             return state
         short = {
@@ -198,7 +205,11 @@
         }
         records = self.view.records
         urgent = {vm for vm in needed if vm in records and records[vm].pool in short}
-        return self.urgent_states.get(lost | urgent) if urgent else state
+        return self.urgent_states.get(lost | urgent, failed) if urgent else state
+
+    def gone_for(self, seconds: float) -> frozenset[str]:
+        """Returns the VMs that have been missing or failing for at least a time."""
+        return self.absence.missing_for(seconds) | self.failed.failing_for(seconds)
 
     def overdue(self) -> frozenset[str]:
         """Returns the VMs that did not come back from a reboot in time."""
@@ -285,9 +296,11 @@
     async def disrupt(self) -> None:
         """Starts the moves and maintenance that are due and that budgets allow.
 
-        Nothing is started by a list of VMs or records that may be out of date.
+        Nothing is started by a list of VMs or records that may be out of date,
+        nor before the entries were asked which VMs fail.
         """
-        if not self.absence.fresh() or self.plan().empty():
+        fresh = self.absence.fresh() and self.failed.watch.fresh()
+        if not fresh or self.plan().empty():
             return
         if not self.view_recent():
             await self.refresh()
@@ -342,8 +355,8 @@
         names = [pool.name for pool in spec.pools]
         pools = {name: state.pools[name] for name in names if name in state.pools}
         wave = read_wave(self.pool_cache, spec)
-        missing = self.absence.missing_for(NEEDED_LOST_AFTER_S)
-        return WaveScope(spec, pools, wave, missing, self.clock.wall())
+        gone = self.gone_for(NEEDED_LOST_AFTER_S)
+        return WaveScope(spec, pools, wave, gone, self.clock.wall())
 
     def move_update(self, move: Move) -> VmUpdate:
         """Returns the update that starts a move."""
--- a/libs/fleet/burdockthread_fleet/planner_report.py
+++ b/libs/fleet/burdockthread_fleet/planner_report.py
@@ -73,6 +73,9 @@
         free_vms: Live VMs without a pool.
         quarantined: VMs kept from work because they fail.
         missing: Seconds for which VMs have been missing, by VM.
+        failing: Seconds for which VMs that count as unavailable have failed for
+            most entries that use them; known to the planner only.
+        failures_not_believed: Pools of which more VMs fail than may count.
         moves: Recent moves that this process started, with their reasons.
     """
 
@@ -83,6 +86,8 @@
     free_vms: int
     quarantined: tuple[str, ...]
     missing: dict[str, float]
+    failing: dict[str, float]
+    failures_not_believed: tuple[str, ...]
     moves: tuple[RecentMove, ...]
 
 
@@ -93,6 +98,7 @@
     records = planner.view.records.values()
     quarantined = [r.name for r in records if r.state is VmState.QUARANTINED]
     specs = planner.view.organisations.values()
+    failures = planner.failed.pools
     return PlannerReport(
         planner=planner.leadership.held(),
         view_fresh=planner.absence.fresh(),
@@ -103,6 +109,8 @@
         free_vms=len(state.free),
         quarantined=tuple(sorted(quarantined)),
         missing={vm: now - since for vm, since in planner.absence.since_s.items()},
+        failing={v: s for pool in failures.values() for v, s in pool.seconds.items()},
+        failures_not_believed=tuple(n for n, p in failures.items() if not p.believed),
         moves=tuple(planner.recent_moves),
     )
 
@@ -149,6 +157,8 @@
         return ""
     if not planner.absence.fresh():
         return "the list of VMs is out of date"
+    if not planner.failed.watch.fresh():
+        return "the entries were not asked which VMs fail"
     if wave.canary and wave.phase is WavePhase.CANARY:
         return f"canary {wave.canary} has to serve for a while"
     blocked = scope.candidates() and not choose_vms(scope)
--- a/libs/fleet/burdockthread_fleet/waves.py
+++ b/libs/fleet/burdockthread_fleet/waves.py
@@ -65,14 +65,14 @@
         spec: The organisation as intended.
         pools: Its pools by name.
         wave: Its wave as last recorded.
-        missing: VMs that have been missing from the list for a while.
+        gone: VMs that have been missing or failing for a while.
         now_s: Unix time.
     """
 
     spec: OrganisationSpec
     pools: Mapping[str, PoolState]
     wave: Wave
-    missing: Set[str]
+    gone: Set[str]
     now_s: float
 
     @property
@@ -189,10 +189,10 @@
 
 
 def failed_after(scope: WaveScope, member: Member) -> bool:
-    """Returns whether a VM is missing that this wave has maintained."""
+    """Returns whether a VM is gone that this wave has maintained."""
     record = member.record
     maintained = record.maintained_s >= scope.wave.started_s
-    return maintained and not record.wave and record.name in scope.missing
+    return maintained and not record.wave and record.name in scope.gone
 
 
 def late(record: VmRecord, maintenance: MaintenanceSpec, now_s: float) -> str:
--- a/libs/routing/burdockthread_routing/outliers.py
+++ b/libs/routing/burdockthread_routing/outliers.py
@@ -1,8 +1,10 @@
 """Ejection of endpoints that fail, with probation."""
 
-from collections.abc import Container, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
 
 from burdockthread_model.clock import Clock
+from burdockthread_model.vm import VmListing
 
 from burdockthread_routing.endpoint_client import Endpoint
 
@@ -19,6 +21,7 @@
     Attributes:
         failures: Failed attempts since the last success.
         ejections: Ejections since the last success.
+        failing_since_s: Clock time of the first of these ejections.
         ejected_until_s: Clock time of the end of the ejection; after it the
             endpoint is on probation until an attempt succeeds.
         next_probe_s: Clock time from which it may get one attempt again.
@@ -27,23 +30,45 @@
     def __init__(self) -> None:
         self.failures = 0
         self.ejections = 0
+        self.failing_since_s = 0.0
         self.ejected_until_s = 0.0
         self.next_probe_s = 0.0
 
 
+class EndpointReport(NamedTuple):
+    """What one entry saw of the endpoint of a VM.
+
+    Attributes:
+        vm: Name of the VM.
+        boot_id: Boot of the VM that was seen.
+        failing_s: Seconds since its ejection; zero if the last attempt succeeded.
+        age_s: Seconds since the last attempt ended.
+    """
+
+    vm: str
+    boot_id: str
+    failing_s: float
+    age_s: float
+
+
 class OutlierDetector:
     """Leaves endpoints out that fail again and again.
 
     Attributes:
         health: Endpoints with failures since their last success, by VM.
+        last_attempt_s: Clock time at which the last attempt ended, by VM.
+        listings: VMs as last listed.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.health: dict[str, EndpointHealth] = {}
+        self.last_attempt_s: dict[str, float] = {}
+        self.listings: Mapping[str, VmListing] = {}
 
     def succeeded(self, vm: str) -> None:
         """Notes a successful attempt, which ends ejection and probation."""
+        self.last_attempt_s[vm] = self.clock.now()
         self.health.pop(vm, None)
 
     def failed(self, vm: str) -> bool:
@@ -52,12 +77,15 @@
         Returns:
             Whether the endpoint is ejected because of it.
         """
+        self.last_attempt_s[vm] = self.clock.now()
         health = self.health.setdefault(vm, EndpointHealth())
         health.failures += 1
         if health.ejected_until_s > self.clock.now():
             return False
         if health.failures < FAILURES_TO_EJECT and not health.ejections:
             return False
+        if not health.ejections:
+            health.failing_since_s = self.clock.now()
         length_s = min(EJECTION_FIRST_S * 2.0**health.ejections, EJECTION_MAX_S)
         health.ejections += 1
         health.ejected_until_s = self.clock.now() + length_s
@@ -107,7 +135,48 @@
         health = self.health.get(vm)
         return health is not None and health.ejected_until_s > self.clock.now()
 
-    def forget(self, known: Container[str]) -> None:
-        """Drops all VMs but the known ones."""
-        for vm in [vm for vm in self.health if vm not in known]:
-            del self.health[vm]
+    def take_listings(self, listings: Mapping[str, VmListing]) -> None:
+        """Forgets the VMs that are gone or that have booted again.
+
+        Args:
+            listings: VMs as listed now; every reading is a new mapping.
+        """
+        if listings is self.listings:
+            return
+        before, self.listings = self.listings, listings
+        for vm in list(self.last_attempt_s):
+            known = before.get(vm)
+            if vm not in listings or (known and known.boot_id != self.boot_of(vm)):
+                self.health.pop(vm, None)
+                del self.last_attempt_s[vm]
+
+    def boot_of(self, vm: str) -> str:
+        """Returns the boot that is listed of a VM, or an empty text."""
+        listing = self.listings.get(vm)
+        return "" if listing is None else listing.boot_id
+
+    def failing(self) -> list[str]:
+        """Returns the VMs that are ejected or on probation."""
+        return [vm for vm in self.health if self.is_failing(vm)]
+
+    def reports(self, vms: Iterable[str]) -> list[EndpointReport]:
+        """Returns what was seen of the given VMs.
+
+        Those are left out that got no attempt, and those that have failed too
+        seldom to be ejected.
+        """
+        seen = [vm for vm in vms if vm in self.last_attempt_s]
+        return [self.report(vm) for vm in seen if self.is_decided(vm)]
+
+    def is_decided(self, vm: str) -> bool:
+        """Returns whether an endpoint either works or is ejected."""
+        return vm not in self.health or self.is_failing(vm)
+
+    def report(self, vm: str) -> EndpointReport:
+        """Returns what was seen of one VM."""
+        now = self.clock.now()
+        failing_s = 0.0
+        if self.is_failing(vm):
+            failing_s = now - self.health[vm].failing_since_s
+        age_s = now - self.last_attempt_s[vm]
+        return EndpointReport(vm, self.boot_of(vm), failing_s, age_s)
