Bound the operators' connections and give malformed HTTP a verdict

Cause: limits.operator_connections bounded only the operators' requests under way; connections that bring none were not bounded and never closed. HTTP that the library cannot read got its 400 without the verdict header.

Change: the listening side of the callers' port is now http_port, which both ports use: bounded connections, idle ones closed after 15 s, requests under way marked by BusyConnections. Its connections are a subclass of aiohttp's public RequestHandler whose handle_error adds Burdockthread-Verdict: not_run to a 400. PortLimits loses body_bytes, which bounds the application and not the port; callers_port takes it as an argument. The tests of both ports follow.

Proof: with the mechanism off on a scratch copy the new tests fail (verdict of malformed HTTP, bound, closing of idle connections, marking at either port; the last had no test at the callers' port before).

Ruled out: the signal on_response_prepare, which aiohttp does not send for a request that it could not read.

--- a/libs/burdockthread/burdockthread/bench_routing.py
+++ b/libs/burdockthread/burdockthread/bench_routing.py
@@ -11,12 +11,13 @@
 import aiohttp
 from burdockthread_model.steps import Steps
 from burdockthread_routing.callers_api import CallersApi
-from burdockthread_routing.callers_port import PortLimits, callers_port
+from burdockthread_routing.callers_port import callers_port
 from burdockthread_routing.endpoint_client import (
     ATTEMPT_HEADER,
     GENERATION_HEADER,
     POOL_HEADER,
 )
+from burdockthread_routing.http_port import PortLimits
 from burdockthread_routing.job_ledger import JobLedger
 from burdockthread_standins.endpoint_faults import Fault, FaultKind
 from burdockthread_store.memory_store import MemoryStore
@@ -34,6 +35,7 @@
 HELD_POLLS = 200
 POLL_S = 0.05
 PORT_CONNECTIONS = 1_024
+PORT_BODY_BYTES = 1_048_576
 HIGHEST_US = 60_000_000
 PAGE_BYTES = resource.getpagesize()
 ENTRY_HEADERS = {
@@ -99,10 +101,9 @@
     """Serves callers of the rig's first entry and yields the port."""
     ledger = JobLedger(MemoryStore(rig.clock), rig.clock, Steps())
     api = CallersApi("entry-0", rig.routers[0], ledger, rig.clock, rig.metrics, rig.log)
-    limits = PortLimits(
-        body_bytes=1_048_576, connections=PORT_CONNECTIONS, stop_timeout_s=1.0
-    )
-    async with callers_port(api, rig.clock, LOOPBACK, 0, limits) as port:
+    limits = PortLimits(connections=PORT_CONNECTIONS, stop_timeout_s=1.0)
+    listening = callers_port(api, rig.clock, LOOPBACK, 0, PORT_BODY_BYTES, limits)
+    async with listening as port:
         yield port
 
 
--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -4,7 +4,6 @@
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import AsyncExitStack, asynccontextmanager
 
-from aiohttp import web
 from burdockthread_fleet.failure_watch import FailureWatch
 from burdockthread_fleet.feasibility import check_feasible
 from burdockthread_fleet.job_directory import (
@@ -18,7 +17,7 @@
 from burdockthread_model.intended import TemplateDocument
 from burdockthread_model.metrics import MemoryMetrics, StatsdMetrics
 from burdockthread_model.rendering import render
-from burdockthread_model.settings import AddressSettings, EntrySettings, Limits
+from burdockthread_model.settings import EntrySettings, Limits
 from burdockthread_model.steps import Steps
 from burdockthread_operators.authentication import Authenticator
 from burdockthread_operators.changes import TemplateChanges
@@ -32,11 +31,12 @@
 from burdockthread_peers.relay import ConfigurationRelay
 from burdockthread_peers.static_permits import StaticPermits
 from burdockthread_peers.stream_mesh import StreamMesh
-from burdockthread_routing.callers_api import MAX_HEADER_BYTES, CallersApi
-from burdockthread_routing.callers_port import PortLimits, callers_port
+from burdockthread_routing.callers_api import CallersApi
+from burdockthread_routing.callers_port import callers_port
 from burdockthread_routing.endpoint_choice import EndpointChooser
 from burdockthread_routing.failure_reports import FailureReporter
 from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
+from burdockthread_routing.http_port import PortLimits, http_port
 from burdockthread_routing.job_ledger import JOB_PREFIX, JobLedger
 from burdockthread_routing.jobs_api import JobAccess
 from burdockthread_routing.router import Router
@@ -52,7 +52,6 @@
 READINESS_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.05
 CLOSE_TIMEOUT_S = 1.0
-BACKLOG = 256
 
 
 class Entry:
@@ -237,7 +236,7 @@
             stack.push_async_callback(self.leadership.resign)
             for work in self.background():
                 stack.push_async_callback(cancel, asyncio.create_task(work))
-            await self.listen(stack, "operators", self.operators_api.application())
+            await self.listen_for_operators(stack)
             await self.listen_for_callers(stack)
             self.callers_api.ready = True
             self.log.info("entry_started", **self.ports)
@@ -266,41 +265,42 @@
             self.job_runner.run(),
         )
 
-    async def listen(
-        self, stack: AsyncExitStack, name: str, app: web.Application
-    ) -> None:
-        """Serves an application on the port of the settings."""
-        address = self.address(name)
-        runner = web.AppRunner(
-            app,
-            access_log=None,
-            shutdown_timeout=self.limits.stop_timeout_s,
-            max_field_size=MAX_HEADER_BYTES,
-            max_line_size=MAX_HEADER_BYTES,
+    async def listen_for_operators(self, stack: AsyncExitStack) -> None:
+        """Serves operators on the port of the settings."""
+        address = self.settings["operators"]
+        limits = PortLimits(
+            connections=self.limits.operator_connections,
+            stop_timeout_s=self.limits.stop_timeout_s,
         )
-        await runner.setup()
-        stack.push_async_callback(runner.cleanup)
-        site = web.TCPSite(runner, address["host"], address["port"], backlog=BACKLOG)
-        await site.start()
-        self.ports[name] = runner.addresses[0][1]
+        listening = http_port(
+            "operators",
+            self.operators_api.application(),
+            self.operators_api.busy,
+            self.clock,
+            self.metrics,
+            address["host"],
+            address["port"],
+            limits,
+        )
+        self.ports["operators"] = await stack.enter_async_context(listening)
 
     async def listen_for_callers(self, stack: AsyncExitStack) -> None:
         """Serves callers on the port of the settings."""
-        address = self.address("callers")
+        address = self.settings["callers"]
         limits = PortLimits(
-            body_bytes=self.limits.body_bytes,
             connections=self.limits.caller_connections,
             stop_timeout_s=CLOSE_TIMEOUT_S,
         )
         listening = callers_port(
-            self.callers_api, self.clock, address["host"], address["port"], limits
+            self.callers_api,
+            self.clock,
+            address["host"],
+            address["port"],
+            self.limits.body_bytes,
+            limits,
         )
         self.ports["callers"] = await stack.enter_async_context(listening)
 
-    def address(self, name: str) -> AddressSettings:
-        """Returns the address of a port by its name."""
-        return self.settings["callers" if name == "callers" else "operators"]
-
     def is_busy(self) -> bool:
         """Returns whether a caller waits or a sent request has no verdict yet."""
         return bool(self.router.in_flight or self.callers_api.busy)
--- a/libs/operators/burdockthread_operators/operators_api.py
+++ b/libs/operators/burdockthread_operators/operators_api.py
@@ -19,6 +19,7 @@
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.rendering import to_plain
 from burdockthread_model.verdict import Verdict
+from burdockthread_routing.http_port import BusyConnections
 
 from burdockthread_operators.authentication import Authenticator, Operator
 from burdockthread_operators.changes import TemplateChanges
@@ -52,6 +53,7 @@
     Attributes:
         reports: Parts of the state dump by name.
         jobs: The jobs, or None if this process keeps none.
+        busy: Connections with a request under way.
         in_flight: Requests under way.
         max_requests: Requests under way at the most; others are refused.
     """
@@ -77,6 +79,7 @@
         self.jobs = jobs
         self.clock = clock or SystemClock()
         self.failed_logins = FailedLogins(self.clock)
+        self.busy = BusyConnections()
         self.in_flight = 0
         self.max_requests = max_requests
 
@@ -105,6 +108,13 @@
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         """Turns errors into answers with one line that names the cause."""
+        with self.busy.marked(request):
+            return await self.answer(request, handler)
+
+    async def answer(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Calls the handler; every error becomes an answer."""
         if self.in_flight >= self.max_requests:
             return self.refuse(503, "too many requests under way", Verdict.NOT_RUN)
         self.in_flight += 1
--- a/libs/operators/tests/test_operators_api.py
+++ b/libs/operators/tests/test_operators_api.py
@@ -3,7 +3,6 @@
 
 import aiohttp
 import pytest
-from aiohttp import web
 from burdockthread_model.errors import (
     BurdockthreadError,
     ConflictError,
@@ -24,7 +23,9 @@
 )
 from burdockthread_operators.operators_api import MAX_BODY_BYTES, OperatorsApi
 from burdockthread_operators.views import Views
+from burdockthread_routing.http_port import PortLimits, http_port
 
+LIMITS = PortLimits(connections=5, stop_timeout_s=1.0)
 RIGHTS = {
     "ann": ["read", "propose", "cancel"],
     "ben": ["read", "review", "accept"],
@@ -97,12 +98,16 @@
 
 
 @pytest.fixture
-async def url(api):
-    runner = web.AppRunner(api.application())
-    await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", 0).start()
-    yield f"http://127.0.0.1:{runner.addresses[0][1]}"
-    await runner.cleanup()
+async def port(api, clock, metrics):
+    app = api.application()
+    at = ("127.0.0.1", 0)
+    async with http_port("operators", app, api.busy, clock, metrics, *at, LIMITS) as n:
+        yield n
+
+
+@pytest.fixture
+def url(port):
+    return f"http://127.0.0.1:{port}"
 
 
 @pytest.fixture
@@ -242,6 +247,33 @@
         await ann.status()
 
 
+async def test_connections_are_bounded_and_idle_ones_closed(port, clock, metrics, ann):
+    streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(5)]
+    with pytest.raises(BurdockthreadError, match="too many connections"):
+        await ann.status()
+    assert metrics.counters["operators.connections_refused"] == 1
+    await clock.advance(LIMITS.idle_timeout_s + 2.0)
+    for reader, _ in streams:
+        assert await asyncio.wait_for(reader.read(), 5.0) == b""
+    assert await ann.status()
+
+
+async def test_long_request_does_not_make_its_connection_idle(api, clock, ann):
+    started, released = asyncio.Event(), asyncio.Event()
+
+    async def hold(state, limit):
+        started.set()
+        await released.wait()
+        return []
+
+    api.jobs.list = hold
+    under_way = asyncio.create_task(ann.jobs())
+    await asyncio.wait_for(started.wait(), 5.0)
+    await clock.advance(LIMITS.idle_timeout_s + 2.0)
+    released.set()
+    assert await under_way == []
+
+
 async def test_answer_that_is_cut_leaves_the_outcome_unknown():
     async def cut(reader, writer):
         await reader.readline()
--- a/libs/routing/burdockthread_routing/callers_api.py
+++ b/libs/routing/burdockthread_routing/callers_api.py
@@ -3,12 +3,9 @@
 import itertools
 import math
 import secrets
-from collections import Counter
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import (
     RequestError,
@@ -32,13 +29,12 @@
     read_path,
 )
 from burdockthread_routing.endpoint_client import DEFAULT_CONTENT_TYPE
+from burdockthread_routing.http_port import VERDICT_HEADER, BusyConnections
 from burdockthread_routing.job_ledger import JobLedger
 from burdockthread_routing.jobs_api import JobsApi
 from burdockthread_routing.router import Router
 
-VERDICT_HEADER = "Burdockthread-Verdict"
 ENDPOINT_HEADER = "Burdockthread-Endpoint"
-MAX_HEADER_BYTES = 8_190
 REQUEST_ID_BYTES = 4
 
 PROBES = frozenset({"/healthz", "/readyz"})
@@ -94,7 +90,7 @@
         self.log = log
         self.ready = False
         self.stopping = False
-        self.busy: Counter[RequestHandler] = Counter()
+        self.busy = BusyConnections()
         # Differs after each start, so that an id is never used twice.
         self.start_id = secrets.token_hex(REQUEST_ID_BYTES)
         self.request_ids = itertools.count(1)
@@ -140,24 +136,12 @@
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         """Turns errors into answers that carry the verdict."""
-        with self.marked_busy(request):
+        with self.busy.marked(request):
             response = await self.answer(request, handler)
         if self.stopping:
             response.force_close()
         return response
 
-    @contextmanager
-    def marked_busy(self, request: web.Request) -> Iterator[None]:
-        """Marks a connection while its request is under way."""
-        connection = request.protocol
-        self.busy[connection] += 1
-        try:
-            yield
-        finally:
-            self.busy[connection] -= 1
-            if not self.busy[connection]:
-                del self.busy[connection]
-
     async def answer(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
--- /dev/null
+++ b/libs/routing/burdockthread_routing/http_port.py
@@ -0,0 +1,185 @@
+"""A listening HTTP port with bounded connections that closes slow ones."""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator, Container, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from typing import Any, NamedTuple
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+from burdockthread_model.clock import Clock
+from burdockthread_model.metrics import Metrics
+from burdockthread_model.verdict import Verdict
+
+VERDICT_HEADER = "Burdockthread-Verdict"
+MAX_HEADER_BYTES = 8_190
+BACKLOG = 1_024
+IDLE_TIMEOUT_S = 15.0
+SWEEP_INTERVAL_S = 1.0
+LINGERING_TIME_S = 0.5
+BAD_REQUEST = 400
+CONNECTION_OPTIONS: dict[str, Any] = {
+    "access_log": None,
+    "lingering_time": LINGERING_TIME_S,
+    "max_field_size": MAX_HEADER_BYTES,
+    "max_line_size": MAX_HEADER_BYTES,
+}
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"Burdockthread-Verdict: not_run\r\n"
+    b"Retry-After: 1\r\n"
+    b"Connection: close\r\n"
+    b"Content-Type: application/json\r\n"
+    b"Content-Length: 55\r\n\r\n"
+    b'{"error": "too many connections", "verdict": "not_run"}'
+)
+
+
+class PortLimits(NamedTuple):
+    """Bounds of a port.
+
+    Attributes:
+        connections: Connections at the most.
+        stop_timeout_s: Longest time that requests in flight may take at the end.
+        idle_timeout_s: Longest time that a connection may take to bring a
+            whole head of a request.
+    """
+
+    connections: int
+    stop_timeout_s: float
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+
+
+class BusyConnections:
+    """Connections with a request under way.
+
+    Attributes:
+        requests: Requests under way by connection.
+    """
+
+    def __init__(self) -> None:
+        self.requests: Counter[RequestHandler] = Counter()
+
+    @contextmanager
+    def marked(self, request: web.Request) -> Iterator[None]:
+        """Marks the connection of a request while that is under way."""
+        connection = request.protocol
+        self.requests[connection] += 1
+        try:
+            yield
+        finally:
+            self.requests[connection] -= 1
+            if not self.requests[connection]:
+                del self.requests[connection]
+
+    def __contains__(self, connection: object) -> bool:
+        """Returns whether a connection has a request under way."""
+        return connection in self.requests
+
+    def __len__(self) -> int:
+        """Returns the number of these connections."""
+        return len(self.requests)
+
+
+class RefusedConnection(asyncio.Protocol):
+    """Answers a connection beyond the bound and closes it."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Writes the refusal."""
+        assert isinstance(transport, asyncio.Transport)
+        transport.write(REFUSAL)
+        transport.close()
+
+
+class Connection(RequestHandler):
+    """A connection whose malformed requests are refused with a verdict."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answers a request that the HTTP library could not read."""
+        response = super().handle_error(request, status, exc, message)
+        if status == BAD_REQUEST:
+            response.headers[VERDICT_HEADER] = Verdict.NOT_RUN.value
+        return response
+
+
+@asynccontextmanager
+async def http_port(
+    name: str,
+    app: web.Application,
+    busy: Container[RequestHandler],
+    clock: Clock,
+    metrics: Metrics,
+    host: str,
+    port: int,
+    limits: PortLimits,
+    *,
+    handler_cancellation: bool = False,
+) -> AsyncIterator[int]:
+    """Serves an application within the block.
+
+    Args:
+        name: Prefix of the metrics.
+        app: What answers.
+        busy: Connections with a request under way.
+        clock: Clock of the timeouts.
+        metrics: Counts the connections that are refused or closed.
+        host: IP address to listen on.
+        port: TCP port; 0 lets the kernel choose.
+        limits: Bounds.
+        handler_cancellation: Whether a client that hangs up cancels the handler
+            of its request.
+
+    Yields:
+        The TCP port.
+    """
+    runner = web.AppRunner(
+        app,
+        handler_cancellation=handler_cancellation,
+        shutdown_timeout=limits.stop_timeout_s,
+    )
+    await runner.setup()
+    server = runner.server
+    assert server is not None
+    loop = asyncio.get_running_loop()
+
+    def accept() -> asyncio.Protocol:
+        if len(server.connections) >= limits.connections:
+            metrics.count(f"{name}.connections_refused")
+            return RefusedConnection()
+        return Connection(
+            server,
+            loop=loop,
+            keepalive_timeout=limits.idle_timeout_s,
+            **CONNECTION_OPTIONS,
+        )
+
+    async def sweep() -> None:
+        """Closes connections that bring no request, until cancelled."""
+        idle_since: dict[RequestHandler, float] = {}
+        while True:
+            await clock.sleep(SWEEP_INTERVAL_S)
+            now = clock.now()
+            idle = [c for c in server.connections if c not in busy]
+            idle_since = {c: idle_since.get(c, now) for c in idle}
+            for connection, since_s in idle_since.items():
+                if now - since_s >= limits.idle_timeout_s:
+                    metrics.count(f"{name}.idle_closed")
+                    connection.force_close()
+
+    listener = await loop.create_server(accept, host, port, backlog=BACKLOG)
+    sweeper = asyncio.create_task(sweep())
+    try:
+        yield listener.sockets[0].getsockname()[1]
+    finally:
+        sweeper.cancel()
+        listener.close()
+        await runner.cleanup()
--- a/libs/routing/tests/test_callers_port.py
+++ b/libs/routing/tests/test_callers_port.py
@@ -7,12 +7,14 @@
 from burdockthread_model.errors import EndpointError
 from burdockthread_model.steps import Steps
 from burdockthread_routing.callers_api import CallersApi
-from burdockthread_routing.callers_port import PortLimits, callers_port
+from burdockthread_routing.callers_port import callers_port
 from burdockthread_routing.endpoint_client import EndpointAnswer
+from burdockthread_routing.http_port import PortLimits
 from burdockthread_routing.job_ledger import JobLedger
 
 HEADERS = {"Burdockthread-Organisation": "org", "Burdockthread-Class": "urgent"}
-LIMITS = PortLimits(body_bytes=1000, connections=5, stop_timeout_s=1.0)
+BODY_BYTES = 1000
+LIMITS = PortLimits(connections=5, stop_timeout_s=1.0)
 
 
 @pytest.fixture
@@ -23,7 +25,7 @@
 
 @pytest.fixture
 async def port(api, clock):
-    async with callers_port(api, clock, "127.0.0.1", 0, LIMITS) as chosen:
+    async with callers_port(api, clock, "127.0.0.1", 0, BODY_BYTES, LIMITS) as chosen:
         yield chosen
 
 
@@ -156,6 +158,17 @@
     assert await asyncio.wait_for(streams[0][0].read(), 5.0) == b""
 
 
+@pytest.mark.parametrize(
+    "data", [b"nonsense\r\n\r\n", b"GET / HTTP/1.1\r\nHost: " + b"x" * 9000]
+)
+async def test_malformed_http_has_not_run(port, data):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    answer = await asyncio.wait_for(reader.read(), 5.0)
+    assert answer.startswith(b"HTTP/1.0 400 ")
+    assert b"Burdockthread-Verdict: not_run\r\n" in answer
+
+
 async def test_connections_are_bounded(port):
     streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(5)]
     reader, _ = await asyncio.open_connection("127.0.0.1", port)
@@ -167,6 +180,24 @@
         writer.close()
 
 
+async def test_a_long_request_does_not_make_its_connection_idle(
+    call, add_vm, script, router, clock
+):
+    add_vm("vm-0")
+    released = asyncio.Event()
+
+    async def hold(attempt):
+        await released.wait()
+        return EndpointAnswer(200, b"whole", "text/plain")
+
+    script.by_vm["vm-0"] = hold
+    under_way = asyncio.create_task(call(Burdockthread_Deadline_Ms="60000"))
+    assert await reached(lambda: router.in_flight == 1)
+    await clock.advance(LIMITS.idle_timeout_s + 2.0)
+    released.set()
+    assert (await under_way)[2] == b"whole"
+
+
 async def test_a_graceful_stop_cuts_nothing(api, call, add_vm, script, router):
     add_vm("vm-0")
     released = asyncio.Event()
--- a/libs/routing/tests/test_jobs_api.py
+++ b/libs/routing/tests/test_jobs_api.py
@@ -8,10 +8,12 @@
 from burdockthread_model.job import JobState
 from burdockthread_model.verdict import Verdict
 from burdockthread_routing.callers_api import CallersApi
-from burdockthread_routing.callers_port import PortLimits, callers_port
+from burdockthread_routing.callers_port import callers_port
+from burdockthread_routing.http_port import PortLimits
 from burdockthread_routing.jobs_api import JobAccess
 
-LIMITS = PortLimits(body_bytes=10_000, connections=50, stop_timeout_s=1.0)
+BODY_BYTES = 10_000
+LIMITS = PortLimits(connections=50, stop_timeout_s=1.0)
 
 
 @pytest.fixture
@@ -25,7 +27,7 @@
 @pytest.fixture
 async def call(api, clock):
     async with (
-        callers_port(api, clock, "127.0.0.1", 0, LIMITS) as port,
+        callers_port(api, clock, "127.0.0.1", 0, BODY_BYTES, LIMITS) as port,
         aiohttp.ClientSession(f"http://127.0.0.1:{port}") as session,
     ):
 
