Interface: a mesh can shut out a replaced process

Two processes of one name fight for the stream of that name: each new stream closes the other's. The member list says which of them was replaced, so the mesh has to be told. Not abstract: a mesh without streams does nothing.

--- a/libs/peers/burdockthread_peers/mesh.py
+++ b/libs/peers/burdockthread_peers/mesh.py
@@ -118,6 +118,17 @@
         """
         return
 
+    def shut_out(self, name: str, incarnation: str) -> None:
+        """Refuses streams with a process that another of its name has replaced.
+
+        A mesh without streams of its own does nothing.
+
+        Args:
+            name: Name of the entry.
+            incarnation: Incarnation of the process that was replaced.
+        """
+        return
+
     @abstractmethod
     def running(self) -> AbstractAsyncContextManager[None]:
         """Keeps the streams within the block."""
