Order two processes of one entry's name for good

Cause: a process that woke after its successor had joined adopted the new list first, was then no member, and wrote its registration over the successor's; the two took the name from each other by turns. A superseded process went on sending reports, so others took turns in hearing either.

Now the last process to register keeps the name. Its predecessor stops when it sees the registration or a list with the other incarnation; entries that adopt such a list take no report of the predecessor and shut its streams out. A registered address goes before that of an older list.

Ruled out: refusing every unlisted incarnation of a listed name (a restarted entry must be heard before it is listed).

--- a/libs/peers/burdockthread_peers/link.py
+++ b/libs/peers/burdockthread_peers/link.py
@@ -52,12 +52,14 @@
 
     Attributes:
         peer: Settings of the entry.
+        incarnation: Process that the last stream reached; empty before.
         writer: Outgoing side, or None while there is no stream.
         pending: Calls that wait for an answer.
     """
 
     def __init__(self, peer: PeerSettings, clock: Clock, traffic: Traffic) -> None:
         self.peer = peer
+        self.incarnation = ""
         self.clock = clock
         self.traffic = traffic
         self.writer: asyncio.StreamWriter | None = None
--- a/libs/peers/burdockthread_peers/membership.py
+++ b/libs/peers/burdockthread_peers/membership.py
@@ -25,7 +25,7 @@
 )
 
 from burdockthread_peers.mesh import PeerMesh
-from burdockthread_peers.view import CLOCK_SKEW_S, MembersView, ViewMember
+from burdockthread_peers.view import CLOCK_SKEW_S, Identity, MembersView, ViewMember
 
 ENTRY_PREFIX = "entry/"
 VIEW_KEY = "members/view"
@@ -39,6 +39,7 @@
 TURN_S = 1.0
 FETCH_TIMEOUT_S = 1.0
 SETTLE_S = 3.0
+MAX_ENDED = 1_000
 
 
 class ViewReport(NamedTuple):
@@ -97,6 +98,8 @@
         adopted_wall_s: Wall-clock time at which `view` became known.
         confirmed_until_s: Clock time up to which the store's last word holds.
         superseded: Whether another process has taken this entry's name.
+        ended: Processes that another of their name has replaced, oldest first.
+        registered_revision: Revision of this process's registration, or 0.
         listeners: Called after a newer member list has been taken over.
         settled: Whether the records of the list before have been handed on;
             only then is the list replaced again, within `SETTLE_S`.
@@ -127,6 +130,8 @@
         self.differs_since_s: float | None = None
         self.lease: Lease | None = None
         self.superseded = False
+        self.ended: dict[Identity, None] = {}
+        self.registered_revision = 0
         self.leaving = False
         self.listeners: list[Callable[[], None]] = []
         self.settled: Callable[[], bool] = lambda: True
@@ -234,8 +239,18 @@
     def on_registration(self, key: str, item: KeyValue | None) -> None:
         """Dials an entry that has registered itself."""
         member = None if item is None else decode_registration(item)
-        if member is not None and member.name != self.me.name:
+        if item is None or member is None or member.identity in self.ended:
+            return
+        if member.name != self.me.name:
             self.mesh.learn(member.peer_settings())
+        elif member != self.me and 0 < self.registered_revision < item.revision:
+            self.supersede(member.incarnation)
+
+    def supersede(self, incarnation: str) -> None:
+        """Stops for good: another process has taken this entry's name."""
+        if not self.superseded:
+            self.superseded = True
+            self.log.error("entry_superseded", by=incarnation)
 
     async def run(self) -> None:
         """Keeps the registration and the member list current until cancelled."""
@@ -249,8 +264,10 @@
 
     async def round(self) -> None:
         """Reports, confirms and, in its turn, replaces the member list."""
+        if self.superseded:
+            return
         self.broadcast_report()
-        if self.leaving or self.superseded:
+        if self.leaving:
             return
         try:
             if self.clock.now() >= self.confirm_at_s:
@@ -311,34 +328,55 @@
         """
         key = ENTRY_PREFIX + self.me.name
         found = await self.store.get(key)
-        if found is not None and self.is_member():
+        if found is not None and self.registered_revision:
             other = decode_registration(found)
             if other is not None and other.identity != self.me.identity:
-                self.superseded = True
-                self.log.error("entry_superseded", by=other.incarnation)
+                self.supersede(other.incarnation)
                 return
         lease = await self.store.grant_lease(REGISTRATION_TTL_S)
         revision = 0 if found is None else found.revision
         change = Change(key, encode_record(self.me), revision, lease.lease_id)
-        await self.store.write([change])
+        self.registered_revision = await self.store.write([change])
         self.lease = lease
 
     def adopt(self, view: MembersView) -> None:
         """Takes a newer member list over; an older one is left aside."""
         if view.version <= self.view.version:
             return
+        self.note_ended(view)
         self.view = view
         self.adopted_wall_s = self.clock.wall()
         self.differs_since_s = None
         for member in view.members:
             if member.name != self.me.name:
-                self.mesh.learn(member.peer_settings())
+                self.mesh.learn(self.newest(member).peer_settings())
         self.log.info(
             "members_adopted", version=view.version, members=",".join(view.names())
         )
         for listener in self.listeners:
             listener()
-        self.broadcast_report()
+        if not self.superseded:
+            self.broadcast_report()
+
+    def note_ended(self, view: MembersView) -> None:
+        """Shuts out the processes that a newer member list has replaced."""
+        known = dict.fromkeys(self.view.identities())
+        for item in view.history:
+            known.update(dict.fromkeys(item.members))
+        for identity in known.keys() - set(view.identities()) - self.ended.keys():
+            if identity.name not in view.names():
+                continue
+            self.ended[identity] = None
+            self.mesh.shut_out(identity.name, identity.incarnation)
+        while len(self.ended) > MAX_ENDED:
+            del self.ended[next(iter(self.ended))]
+        if self.me.identity in self.ended:
+            self.supersede("member list")
+
+    def newest(self, member: ViewMember) -> ViewMember:
+        """Returns the successor of a member if one is registered."""
+        successor = self.registered().get(member.name, member)
+        return member if successor.identity in self.ended else successor
 
     async def propose(self) -> None:
         """Replaces the member list if it is wrong and it is this entry's turn.
@@ -377,7 +415,7 @@
 
     def may_join(self, member: ViewMember) -> bool:
         """Returns whether a registered entry can be reached from here."""
-        return self.heard(member)
+        return member.identity not in self.ended and self.heard(member)
 
     def may_stay(self, member: ViewMember, registered: dict[str, ViewMember]) -> bool:
         """Returns whether a member is registered, or heard by anybody."""
@@ -468,6 +506,8 @@
 
     async def on_report(self, sender: str, message: ViewReport) -> ReportNoted:
         """Notes a report and catches up with a newer list."""
+        if Identity(sender, message.incarnation) in self.ended:
+            return ReportNoted()
         now_s, wall_s = self.clock.now(), self.clock.wall()
         self.reports[sender] = Report(message, now_s, wall_s)
         if message.version > self.view.version:
--- a/libs/peers/burdockthread_peers/stream_mesh.py
+++ b/libs/peers/burdockthread_peers/stream_mesh.py
@@ -22,6 +22,7 @@
     HANDSHAKE_TIMEOUT_S,
     REPLY,
     Frame,
+    Hello,
     encode_frame,
     handshake,
     new_hello,
@@ -48,6 +49,7 @@
 MAX_LINKS = 64
 MAX_STRANGERS = 16
 MAX_HANDLERS = 256
+MAX_SHUT_OUT = 1_000
 
 
 class Heartbeat(NamedTuple):
@@ -94,6 +96,8 @@
         }
         self.sightings: dict[str, Sighting] = {}
         self.incoming: dict[str, asyncio.StreamWriter] = {}
+        self.incoming_processes: dict[str, str] = {}
+        self.shut_out_processes: dict[tuple[str, str], None] = {}
         self.strangers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.register(Heartbeat, HeartbeatReply, self.on_heartbeat)
@@ -121,6 +125,26 @@
             link.peer = peer
             link.close()
 
+    def shut_out(self, name: str, incarnation: str) -> None:
+        """Ends the streams of a replaced process and refuses further ones."""
+        self.shut_out_processes[name, incarnation] = None
+        if len(self.shut_out_processes) > MAX_SHUT_OUT:
+            del self.shut_out_processes[next(iter(self.shut_out_processes))]
+        if self.incoming_processes.get(name) == incarnation and name in self.incoming:
+            self.incoming[name].transport.abort()
+        link = self.links.get(name)
+        if link is not None and link.incarnation == incarnation:
+            link.close()
+
+    def check_allowed(self, hello: Hello) -> None:
+        """Refuses a process that was replaced.
+
+        Raises:
+            PeerProtocolError: Another process of its name has taken its place.
+        """
+        if (hello.name, hello.incarnation) in self.shut_out_processes:
+            raise PeerProtocolError(f"{hello.name} {hello.incarnation} was replaced")
+
     def member(self, peer: PeerSettings) -> Member:
         """Returns one entry with the state that this entry sees."""
         name = peer["name"]
@@ -243,6 +267,8 @@
                 other = await handshake(reader, writer, hello, self.key, dialled=True)
             if other.name != peer["name"]:
                 raise PeerProtocolError(f"{peer['name']} calls itself {other.name}")
+            self.check_allowed(other)
+            link.incarnation = other.incarnation
             link.writer = writer
             self.log.info("peer_link_up", peer=peer["name"])
             await link.read_answers(reader)
@@ -260,8 +286,8 @@
             return
         self.strangers.add(writer)
         try:
-            name = await self.authenticate(reader, writer)
-            await self.serve_peer(name, reader, writer)
+            hello = await self.authenticate(reader, writer)
+            await self.serve_peer(hello, reader, writer)
         except (OSError, EOFError, TimeoutError):
             pass
         except PeerProtocolError as error:
@@ -272,29 +298,33 @@
 
     async def authenticate(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> str:
-        """Returns the name of the entry at the other side of a stream.
+    ) -> Hello:
+        """Returns the greeting of the entry at the other side of a stream.
 
         Raises:
-            PeerProtocolError: It does not know the key, or takes our name.
+            PeerProtocolError: It does not know the key, takes our name or was
+                replaced.
         """
         hello = new_hello(self.name, self.incarnation)
         async with self.clock.timeout(HANDSHAKE_TIMEOUT_S):
             other = await handshake(reader, writer, hello, self.key, dialled=False)
         if other.name == self.name:
             raise PeerProtocolError("the peer has the name of this entry")
+        self.check_allowed(other)
         if other.name not in self.incoming and len(self.incoming) >= MAX_LINKS:
             raise PeerProtocolError("too many peers")
-        return other.name
+        return other
 
     async def serve_peer(
-        self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, hello: Hello, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Handles messages; the stream replaces an older one of the same name."""
+        name = hello.name
         older = self.incoming.pop(name, None)
         if older is not None:
             older.transport.abort()
         self.incoming[name] = writer
+        self.incoming_processes[name] = hello.incarnation
         self.strangers.discard(writer)
         limit = asyncio.Semaphore(MAX_HANDLERS)
         try:
@@ -306,6 +336,7 @@
         finally:
             if self.incoming.get(name) is writer:
                 del self.incoming[name]
+                del self.incoming_processes[name]
 
     async def answer(
         self,
--- a/libs/peers/tests/conftest.py
+++ b/libs/peers/tests/conftest.py
@@ -88,11 +88,11 @@
         self.nodes: dict[str, Node] = {}
         self.starts = 0
 
-    def start(self, name: str, keys: int = KEYS_PER_ENTRY) -> Node:
+    def start(self, name: str, keys: int = KEYS_PER_ENTRY, host: str = "") -> Node:
         """Starts an entry, in place of an older process of its name."""
         self.starts += 1
         mesh = self.network.join(name, incarnation=f"i{self.starts}")
-        me = ViewMember(name, f"i{self.starts}", name, 1, "zone", "region")
+        me = ViewMember(name, f"i{self.starts}", host or name, 1, "zone", "region")
         log = EventLog(name)
         store = CutStore(self.store)
         membership = Membership(me, mesh, store, self.clock, log)
