Let one process of a name at a time use its share of the slots

Cause: shares went by the name in the settings alone, so a process that was cut off or paused and its replacement at a new address both used the share.

A process now holds its share while the store confirms the member list; with the store out, while most members report its list, or a few of them for 10 minutes less the margin; alone, not at all. The list names the members taken out without their word. A replacement at a new address waits until its predecessor must have stopped: 8 s plus 2 s of clock skew after it was taken out, or 10 minutes if several that can hear each other were taken out within those 10 s, and until every member reports the same list. One at the predecessor's address takes over at once; one whose predecessor left takes over when it has joined.

Ruled out: stopping at each loss of the store (an outage would stop routing); going by the member list as keys do (a death in an outage would stop all). Not covered: a majority that lives, cut off from the store for over 10 minutes, while others are started under its names; a member cut off in one direction only that is taken out more than 10 s after the one it still hears; requests that the old process had already sent.

Checks: each of the three rules switched off made test_share_tenure fail.

--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -29,6 +29,7 @@
 from burdockthread_peers.mesh import PeerMesh
 from burdockthread_peers.owned_keys import OwnedKeys
 from burdockthread_peers.relay import ConfigurationRelay
+from burdockthread_peers.share_tenure import ShareTenure
 from burdockthread_peers.static_permits import StaticPermits
 from burdockthread_peers.stream_mesh import StreamMesh
 from burdockthread_routing.callers_api import MAX_HEADER_BYTES, CallersApi
@@ -109,6 +110,7 @@
             self.endpoints_of,
             self.membership.me.incarnation,
             self.clock,
+            may_use=ShareTenure(self.membership).holds,
         )
         chooser = EndpointChooser(
             self.settings["availability_zone"],
--- a/libs/peers/burdockthread_peers/lent_permits.py
+++ b/libs/peers/burdockthread_peers/lent_permits.py
@@ -34,6 +34,11 @@
 EndpointNames = Callable[[str], Sequence[str]]
 
 
+def always() -> bool:
+    """Returns that the share may be used."""
+    return True
+
+
 class LentPermits(SlotPermits):
     """Lends idle slots of this entry's share, and borrows from other shares.
 
@@ -49,6 +54,8 @@
         book: What was lent.
         unanswered: Entries that have not said yet what they borrowed before
             this process started; nothing that may be lent is used meanwhile.
+        may_use: Returns whether this process holds the share of its name now;
+            without it, it takes no slot, lends none and asks for none.
         refusals: Slots refused in a row, by service.
         refused_s: Clock time when all endpoints last refused, by service.
     """
@@ -61,8 +68,10 @@
         incarnation: str,
         clock: Clock,
         longest_exchange_s: float = LONGEST_EXCHANGE_S,
+        may_use: Callable[[], bool] = always,
     ) -> None:
         self.mesh = mesh
+        self.may_use = may_use
         self.static = static
         self.endpoints = endpoints
         self.incarnation = incarnation
@@ -103,12 +112,16 @@
 
     def limit(self, service: str, endpoint: str) -> int:
         """Returns how many slots this entry may use now."""
+        if not self.may_use():
+            return 0
         slot = (service, endpoint)
         borrowed = sum(book.usable(slot) for book in self.borrowed.values())
         return max(self.own_limit(slot), 0) + borrowed
 
     def try_acquire(self, service: str, endpoint: str) -> bool:
         """Takes a slot of the own share, or one that was borrowed."""
+        if not self.may_use():
+            return False
         slot = (service, endpoint)
         if self.own_in_use[slot] < self.own_limit(slot):
             self.own_in_use[slot] += 1
@@ -158,9 +171,9 @@
         """Recovers what was lent to one entry, then borrows from it."""
         while True:
             try:
-                if lender in self.unanswered:
+                if self.may_use():
                     await self.recover(lender)
-                await self.ask(lender)
+                    await self.ask(lender)
             except PeerError:
                 pass
             await self.clock.sleep(ASK_S)
@@ -171,6 +184,8 @@
         Raises:
             PeerError: No answer.
         """
+        if borrower not in self.unanswered:
+            return
         message = ListLoans(self.incarnation)
         reply = await self.mesh.call(borrower, message, Loans, CALL_TIMEOUT_S)
         for grant in reply.grants:
@@ -247,7 +262,9 @@
     async def on_ask(self, sender: str, message: AskSlots) -> LentSlots:
         """Lends what is idle and takes back what is not kept."""
         known = sender in self.borrowed and sender not in self.unanswered
-        if not known or not self.book.accept_message(sender, message):
+        if not (known and self.may_use()) or not self.book.accept_message(
+            sender, message
+        ):
             return LentSlots(())
         grants = tuple(self.lend(sender, row) for row in message.rows)
         return LentSlots(grants)
--- a/libs/peers/burdockthread_peers/membership.py
+++ b/libs/peers/burdockthread_peers/membership.py
@@ -173,12 +173,12 @@
         """
         if not self.is_member() or self.superseded:
             return False
-        if (
-            self.clock.now() < self.confirmed_until_s
-            and self.clock.wall() < self.confirmed_until_wall_s
-        ):
-            return True
-        return self.acting_in_outage()
+        return self.confirmed() or self.acting_in_outage()
+
+    def confirmed(self) -> bool:
+        """Returns whether the store has confirmed the list lately."""
+        by_clock = self.clock.now() < self.confirmed_until_s
+        return by_clock and self.clock.wall() < self.confirmed_until_wall_s
 
     def acting_in_outage(self) -> bool:
         """Returns whether every other member goes by the same list.
@@ -473,7 +473,9 @@
             StoreError: The list could not be written.
         """
         wall_s = self.clock.wall()
-        view = self.view.successor(members, wall_s, wall_s + self.tenure_s())
+        view = self.view.successor(
+            members, wall_s, wall_s + self.tenure_s(), self.left()
+        )
         self.differs_since_s = None
         try:
             change = Change(VIEW_KEY, view.to_bytes(), self.view_revision)
@@ -483,6 +485,16 @@
             return
         self.adopt(view)
 
+    def left(self) -> set[Identity]:
+        """Returns the members that have said that they end."""
+        reports = self.reports.items()
+        left = {
+            Identity(name, found.report.incarnation)
+            for name, found in reports
+            if found.report.leaving
+        }
+        return left | {self.me.identity} if self.leaving else left
+
     async def leave(self) -> None:
         """Ends the registration and takes this entry out of the member list."""
         await self.wait_settled()
--- a/libs/peers/burdockthread_peers/view.py
+++ b/libs/peers/burdockthread_peers/view.py
@@ -1,6 +1,6 @@
 """The member list that all entries agree on, kept as one record in the store."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from functools import lru_cache
 from typing import NamedTuple
 
@@ -14,6 +14,8 @@
 REMEMBERED_S = 900.0
 CLOCK_SKEW_S = 2.0
 MAX_HISTORY = 64
+SILENT_S = 8.0
+PARTITION_S = 600.0
 
 
 class Identity(NamedTuple):
@@ -47,6 +49,11 @@
         """Returns which process this is."""
         return Identity(self.name, self.incarnation)
 
+    @property
+    def seat(self) -> tuple[str, str, int]:
+        """Returns name and address, which only one process has at a time."""
+        return (self.name, self.host, self.port)
+
     def peer_settings(self) -> PeerSettings:
         """Returns where the entry is reached."""
         return PeerSettings(
@@ -73,6 +80,19 @@
     stopped_s: float
 
 
+class SilentMember(NamedTuple):
+    """A member taken out without its word, which may still run somewhere.
+
+    Attributes:
+        member: The member.
+        stopped_s: Wall-clock time by which it has surely stopped using its
+            share of the slots.
+    """
+
+    member: ViewMember
+    stopped_s: float
+
+
 class MembersView(NamedTuple):
     """The agreed member list; a higher version replaces a lower one.
 
@@ -82,12 +102,14 @@
         history: The lists replaced lately, oldest first.
         forgotten_s: Wall-clock time by which the members of all lists older
             than `history` have surely stopped to decide by them.
+        silent: Members taken out lately without their word.
     """
 
     version: int = 0
     members: tuple[ViewMember, ...] = ()
     history: tuple[EndedView, ...] = ()
     forgotten_s: float = 0.0
+    silent: tuple[SilentMember, ...] = ()
 
     @classmethod
     def from_bytes(cls, data: bytes) -> "MembersView":
@@ -102,8 +124,11 @@
             raise PeerProtocolError(f"member list is malformed: {error}") from error
 
     def to_bytes(self) -> bytes:
-        """Returns the record for the store."""
-        return msgspec.json.encode(self)
+        """Returns the record for the store.
+
+        Without silent members, programs that do not know of them can read it.
+        """
+        return msgspec.json.encode(self if self.silent else tuple(self[:-1]))
 
     def identities(self) -> tuple[Identity, ...]:
         """Returns which processes are members."""
@@ -118,7 +143,11 @@
         return holders_of(self.identities(), key)
 
     def successor(
-        self, members: Iterable[ViewMember], wall_s: float, stopped_s: float
+        self,
+        members: Iterable[ViewMember],
+        wall_s: float,
+        stopped_s: float,
+        left: Collection[Identity] = (),
     ) -> "MembersView":
         """Returns the list that replaces this one.
 
@@ -127,7 +156,9 @@
             wall_s: Wall-clock time now.
             stopped_s: Wall-clock time by which the members of this list have
                 surely stopped to decide by it.
+            left: Members that have said that they end.
         """
+        members = tuple(sorted(members))
         ended = EndedView(self.version, self.identities(), stopped_s)
         history = (*self.history, ended) if self.members else self.history
         keep_from_s = wall_s - REMEMBERED_S
@@ -136,11 +167,49 @@
         dropped = [item.stopped_s for item in history if item not in kept]
         return MembersView(
             self.version + 1,
-            tuple(sorted(members)),
+            members,
             kept,
             max([self.forgotten_s, *dropped]),
+            self.silent_after(members, wall_s, left),
         )
 
+    def silent_after(
+        self,
+        members: tuple[ViewMember, ...],
+        wall_s: float,
+        left: Collection[Identity],
+    ) -> tuple[SilentMember, ...]:
+        """Returns the silent members beside the next list.
+
+        One that is cut off alone stops within `SILENT_S`. Several may hear each
+        other, and then go on for up to `PARTITION_S`. A process whose address
+        another of its name has taken has ended.
+        """
+        added = [
+            SilentMember(member, wall_s + SILENT_S)
+            for member in self.members
+            if member not in members and member.identity not in left
+        ]
+        seats = {member.seat for member in members}
+        known = [
+            item
+            for item in (*self.silent, *added)
+            if item.stopped_s + PARTITION_S > wall_s and item.member.seat not in seats
+        ]
+        running = [i for i in known if i.stopped_s + CLOCK_SKEW_S > wall_s]
+        if not added or len(running) < 2:
+            return tuple(known[-MAX_HISTORY:])
+        until_s = wall_s + PARTITION_S
+        return tuple(
+            item._replace(stopped_s=until_s) if item in running else item
+            for item in known[-MAX_HISTORY:]
+        )
+
+    def predecessors(self, me: ViewMember) -> tuple[SilentMember, ...]:
+        """Returns the other processes of a member's name that may still run."""
+        named = (item for item in self.silent if item.member.name == me.name)
+        return tuple(item for item in named if item.member != me)
+
     def records_lost_until_s(self, key: str, last_stopped_s: float) -> float:
         """Returns up to when a key may have run with its records lost since.
 
