Split membership by concept

registration (lease, the last process of a name), entry_reports (what others said lately), member_selection (which entries belong on the list); membership keeps the list and its confirmation. Constants of the list stand in view. Behaviour unchanged.

--- a/libs/burdockthread/burdockthread/bench_peers.py
+++ b/libs/burdockthread/burdockthread/bench_peers.py
@@ -281,7 +281,7 @@
     for entry in entries:
         port = entry.mesh.port
         me: ViewMember = entry.membership.me
-        entry.membership.me = me._replace(port=port)
+        entry.membership.registration.me = me._replace(port=port)
         for other in entries:
             other.mesh.learn(peer_settings(me.name, port))
 
--- a/libs/peers/burdockthread_peers/owned_keys.py
+++ b/libs/peers/burdockthread_peers/owned_keys.py
@@ -26,9 +26,14 @@
     KeyRecords,
     born_s,
 )
-from burdockthread_peers.membership import TENURE_S, Membership
+from burdockthread_peers.membership import Membership
 from burdockthread_peers.mesh import PeerMesh
-from burdockthread_peers.view import CLOCK_SKEW_S, REMEMBERED_S, Identity
+from burdockthread_peers.view import (
+    CLOCK_SKEW_S,
+    REMEMBERED_S,
+    TENURE_S,
+    Identity,
+)
 
 CALL_TIMEOUT_S = 1.0
 RECORD_TIMEOUT_S = 0.5
--- a/libs/peers/burdockthread_peers/share_tenure.py
+++ b/libs/peers/burdockthread_peers/share_tenure.py
@@ -72,7 +72,7 @@
         membership = self.membership
         view = membership.view
         others = [m for m in view.members if m.name != membership.me.name]
-        return 1 + sum(membership.reports_version(m, view.version) for m in others)
+        return 1 + sum(membership.reports.goes_by(m, view.version) for m in others)
 
     def holds_in_outage(self, wall_s: float) -> bool:
         """Returns whether enough members go by the same list."""
--- a/libs/peers/tests/test_membership.py
+++ b/libs/peers/tests/test_membership.py
@@ -1,4 +1,5 @@
-from burdockthread_peers.membership import CONFIRM_S, ENTRY_PREFIX, VIEW_KEY
+from burdockthread_peers.membership import CONFIRM_S, VIEW_KEY
+from burdockthread_peers.registration import ENTRY_PREFIX
 from burdockthread_peers.view import MembersView
 from burdockthread_store.prefix_cache import RELIST_MIN_S, SILENCES_S
 
@@ -122,7 +123,7 @@
 async def test_a_report_from_a_buffer_does_not_confirm(cluster, clock, store):
     await cluster.started(*NAMES)
     paused = cluster.nodes["a"].membership
-    queued = {name: found.report for name, found in paused.reports.items()}
+    queued = {name: found.report for name, found in paused.reports.last.items()}
     clock.time_s += 30.0
     for name, report in queued.items():
         await paused.on_report(name, report)
@@ -172,7 +173,7 @@
     good = await store.get(VIEW_KEY)
     broken = await store.write([Change(VIEW_KEY, b"{", good.revision)])
     for node in cluster.nodes.values():
-        node.membership.reports.clear()
+        node.membership.reports.last.clear()
     cluster.network.partition({"a"}, {"b", "c"})
     await clock.advance(8.0)
     assert not cluster.nodes["a"].membership.acting()
--- a/libs/peers/tests/test_replacement.py
+++ b/libs/peers/tests/test_replacement.py
@@ -1,6 +1,6 @@
 import asyncio
 
-from burdockthread_peers.membership import ENTRY_PREFIX
+from burdockthread_peers.registration import ENTRY_PREFIX
 
 NAMES = ("a", "b", "c")
 REACHED_S = 4.0
--- a/libs/peers/tests/test_replacement_streams.py
+++ b/libs/peers/tests/test_replacement_streams.py
@@ -53,7 +53,7 @@
             process = Process(name, addresses, clock, store)
             await stack.enter_async_context(process.mesh.running())
             me = process.membership.me._replace(port=process.mesh.port)
-            process.membership.me = me
+            process.membership.registration.me = me
             task = asyncio.create_task(process.membership.run())
             stack.callback(task.cancel)
             return process
