Keep a superseded process from replacing the member list

A woken process whose lease had lapsed learned only 2 s later, at the next try, that its name was taken, and proposed a list in between; the compare-and-swap refused an old revision, but not one read a moment before. It now registers anew in the same round and proposes nothing once superseded.

--- a/libs/peers/burdockthread_peers/membership.py
+++ b/libs/peers/burdockthread_peers/membership.py
@@ -201,7 +201,8 @@
         try:
             if self.clock.now() >= self.confirm_at_s:
                 await self.confirm()
-            await self.propose()
+            if not self.superseded:
+                await self.propose()
         except (StoreError, PeerProtocolError) as error:
             self.log.info("membership_waits", reason=type(error).__name__)
 
--- a/libs/peers/burdockthread_peers/registration.py
+++ b/libs/peers/burdockthread_peers/registration.py
@@ -67,13 +67,21 @@
     async def keep(self) -> None:
         """Registers this entry, or renews the lease of its registration."""
         try:
+            await self.renew()
             if self.lease is None:
                 await self.register()
-            else:
-                self.lease = await self.store.renew_lease(self.lease)
         except (LeaseLostError, ConflictError):
             self.lease = None
 
+    async def renew(self) -> None:
+        """Renews the lease; one that has ended is given up."""
+        if self.lease is None:
+            return
+        try:
+            self.lease = await self.store.renew_lease(self.lease)
+        except LeaseLostError:
+            self.lease = None
+
     async def register(self) -> None:
         """Writes this entry's registration over that of its predecessor.
 
--- a/libs/peers/tests/test_replacement.py
+++ b/libs/peers/tests/test_replacement.py
@@ -23,6 +23,29 @@
     assert len(cluster.views()) == 1
 
 
+async def test_a_superseded_process_replaces_no_list(cluster, clock):
+    await cluster.started(*NAMES)
+    old = cluster.nodes.pop("b")
+    for task in old.tasks:
+        task.cancel()
+    cluster.start("b", host="new-address")
+    await clock.advance(0.4)
+    proposed = []
+
+    async def propose():
+        proposed.append(old.membership.view)
+
+    old.membership.propose = propose
+    await old.membership.registration.store.revoke_lease(
+        old.membership.registration.lease
+    )
+    await cluster.nodes["b"].membership.registration.register()
+    old.membership.confirm_at_s = 0.0
+    await old.membership.round()
+    assert old.membership.superseded
+    assert not proposed
+
+
 async def test_a_superseded_process_sends_no_reports(cluster, clock):
     await cluster.started(*NAMES)
     old = cluster.nodes["b"]
