Keep calls and handlers of both meshes in one place

register and call stood in the memory mesh and in the stream mesh alike. Both now derive from HandlingMesh; each states only how fields travel.

--- a/libs/peers/burdockthread_peers/memory_mesh.py
+++ b/libs/peers/burdockthread_peers/memory_mesh.py
@@ -6,15 +6,9 @@
 
 from burdockthread_model.errors import PeerTimeoutError, PeerUnavailableError
 
-from burdockthread_peers.handlers import HandlerTable, decode_fields, encode_fields
-from burdockthread_peers.mesh import (
-    Handler,
-    Member,
-    MemberState,
-    Message,
-    PeerMesh,
-    Reply,
-)
+from burdockthread_peers.handlers import encode_fields
+from burdockthread_peers.handling_mesh import HandlingMesh
+from burdockthread_peers.mesh import Member, MemberState
 
 
 class MemoryNetwork:
@@ -56,14 +50,13 @@
         self.lost_replies.clear()
 
 
-class MemoryMesh(PeerMesh):
+class MemoryMesh(HandlingMesh):
     """One entry's side of a `MemoryNetwork`."""
 
     def __init__(self, network: MemoryNetwork, member: Member) -> None:
-        self.name = member.name
+        super().__init__(member.name)
         self.member = member
         self.network = network
-        self.table = HandlerTable()
         self.tasks: set[asyncio.Task[None]] = set()
 
     def members(self) -> tuple[Member, ...]:
@@ -78,31 +71,17 @@
             return member._replace(state=MemberState.DOWN)
         return member
 
-    def register(
-        self,
-        message: type[Message],
-        reply: type[Reply],
-        handler: Handler[Message, Reply],
-    ) -> None:
-        """Sets the handler of a kind of message."""
-        self.table.register(message, reply, handler)
-
-    async def call(
-        self,
-        peer: str,
-        message: tuple[object, ...],
-        reply: type[Reply],
-        timeout_s: float,
-    ) -> Reply:
+    async def exchange(
+        self, peer: str, kind: str, fields: list[object], timeout_s: float
+    ) -> list[object]:
         """Calls the handler of the other entry."""
         mesh = self.network.meshes.get(peer)
         if mesh is None or not self.reaches(peer):
             raise PeerUnavailableError(f"no stream to {peer}")
-        kind = type(message).__name__
-        answer = await mesh.table.handle(self.name, kind, encode_fields(message))
+        answer = await mesh.handle(self.name, kind, fields)
         if (self.name, peer) in self.network.lost_replies or not self.reaches(peer):
             raise PeerTimeoutError(f"no answer from {peer}")
-        return decode_fields(encode_fields(answer), reply)
+        return answer
 
     def reaches(self, peer: str) -> bool:
         """Returns whether this process still runs and its link is not cut."""
@@ -135,4 +114,4 @@
         mesh = self.network.meshes.get(peer)
         if mesh is not None:
             kind = type(message).__name__
-            await mesh.table.handle(self.name, kind, encode_fields(message))
+            await mesh.handle(self.name, kind, encode_fields(message))
--- a/libs/peers/burdockthread_peers/stream_mesh.py
+++ b/libs/peers/burdockthread_peers/stream_mesh.py
@@ -28,16 +28,10 @@
     new_hello,
     read_frame,
 )
-from burdockthread_peers.handlers import HandlerTable, decode_fields, encode_fields
+from burdockthread_peers.handlers import encode_fields
+from burdockthread_peers.handling_mesh import HandlingMesh
 from burdockthread_peers.link import Link, Traffic, has_room
-from burdockthread_peers.mesh import (
-    Handler,
-    Member,
-    MemberState,
-    Message,
-    PeerMesh,
-    Reply,
-)
+from burdockthread_peers.mesh import Member, MemberState
 
 HEARTBEAT_S = 1.0
 SUSPECT_AFTER_S = 3.0
@@ -74,11 +68,11 @@
     heard_s: float
 
 
-class StreamMesh(PeerMesh):
+class StreamMesh(HandlingMesh):
     """Authenticated msgpack streams to all entries of the settings."""
 
     def __init__(self, settings: EntrySettings, clock: Clock, log: EventLog) -> None:
-        self.name = settings["name"]
+        super().__init__(settings["name"])
         self.settings = settings
         self.key = settings["peer_key"].encode()
         self.clock = clock
@@ -87,7 +81,6 @@
         self.leaving = False
         self.is_running = False
         self.port = settings["peers"]["port"]
-        self.table = HandlerTable()
         self.traffic = Traffic()
         self.links = {
             peer["name"]: Link(peer, clock, self.traffic)
@@ -176,32 +169,16 @@
             return MemberState.SUSPECT
         return MemberState.UP
 
-    def register(
-        self,
-        message: type[Message],
-        reply: type[Reply],
-        handler: Handler[Message, Reply],
-    ) -> None:
-        """Sets the handler of a kind of message."""
-        self.table.register(message, reply, handler)
-
-    async def call(
-        self,
-        peer: str,
-        message: tuple[object, ...],
-        reply: type[Reply],
-        timeout_s: float,
-    ) -> Reply:
-        """Sends a message and waits for its answer."""
-        kind = type(message).__name__
+    async def exchange(
+        self, peer: str, kind: str, fields: list[object], timeout_s: float
+    ) -> list[object]:
+        """Sends a message on the dialled stream and waits for its answer."""
         if peer == self.name:
-            answer = await self.table.handle(peer, kind, encode_fields(message))
-            return decode_fields(encode_fields(answer), reply)
+            return await self.handle(peer, kind, fields)
         link = self.links.get(peer)
         if link is None:
             raise PeerUnavailableError(f"no entry {peer}")
-        fields = await link.call(kind, encode_fields(message), timeout_s)
-        return decode_fields(fields, reply)
+        return await link.call(kind, fields, timeout_s)
 
     def broadcast(self, message: tuple[object, ...]) -> None:
         """Sends a message to every other entry without waiting."""
@@ -356,11 +333,11 @@
     async def result(self, sender: str, frame: Frame) -> Frame:
         """Returns the answer to a message."""
         try:
-            reply = await self.table.handle(sender, frame.kind, frame.fields)
+            fields = await self.handle(sender, frame.kind, frame.fields)
         except BurdockthreadError as error:
             self.log.warning("peer_message_refused", peer=sender, reason=error)
             return Frame(frame.call_id, FAILURE, [str(error)])
-        return Frame(frame.call_id, REPLY, encode_fields(reply))
+        return Frame(frame.call_id, REPLY, fields)
 
     async def send_heartbeats(self, link: Link) -> None:
         """Sends heartbeats to one entry and notes its answers."""
