--- a/libs/burdockthread/burdockthread/bench_peers.py
+++ b/libs/burdockthread/burdockthread/bench_peers.py
@@ -19,6 +19,7 @@
 from burdockthread_peers.membership import Membership
 from burdockthread_peers.owned_keys import OwnedKeys
 from burdockthread_peers.relay import ConfigurationRelay
+from burdockthread_peers.share_tenure import ShareTenure
 from burdockthread_peers.static_permits import StaticPermits
 from burdockthread_peers.stream_mesh import StreamMesh
 from burdockthread_peers.view import ViewMember
@@ -245,6 +246,7 @@
         endpoints_of,
         mesh.incarnation,
         clock,
+        may_use=ShareTenure(membership).holds,
     )
     keys = OwnedKeys(mesh, membership, clock, REMEMBERED_KEYS)
     return BenchEntry(mesh, membership, keys, permits)
@@ -279,7 +281,7 @@
     for entry in entries:
         port = entry.mesh.port
         me: ViewMember = entry.membership.me
-        entry.membership.me = me._replace(port=port)
+        entry.membership.registration.me = me._replace(port=port)
         for other in entries:
             other.mesh.learn(peer_settings(me.name, port))
 
--- a/libs/peers/burdockthread_peers/stream_mesh.py
+++ b/libs/peers/burdockthread_peers/stream_mesh.py
@@ -22,21 +22,16 @@
     HANDSHAKE_TIMEOUT_S,
     REPLY,
     Frame,
+    Hello,
     encode_frame,
     handshake,
     new_hello,
     read_frame,
 )
-from burdockthread_peers.handlers import HandlerTable, decode_fields, encode_fields
+from burdockthread_peers.handlers import encode_fields
+from burdockthread_peers.handling_mesh import HandlingMesh
 from burdockthread_peers.link import Link, Traffic, has_room
-from burdockthread_peers.mesh import (
-    Handler,
-    Member,
-    MemberState,
-    Message,
-    PeerMesh,
-    Reply,
-)
+from burdockthread_peers.mesh import Member, MemberState
 
 HEARTBEAT_S = 1.0
 SUSPECT_AFTER_S = 3.0
@@ -48,6 +43,7 @@
 MAX_LINKS = 64
 MAX_STRANGERS = 16
 MAX_HANDLERS = 256
+MAX_SHUT_OUT = 1_000
 
 
 class Heartbeat(NamedTuple):
@@ -72,11 +68,11 @@
     heard_s: float
 
 
-class StreamMesh(PeerMesh):
+class StreamMesh(HandlingMesh):
     """Authenticated msgpack streams to all entries of the settings."""
 
     def __init__(self, settings: EntrySettings, clock: Clock, log: EventLog) -> None:
-        self.name = settings["name"]
+        super().__init__(settings["name"])
         self.settings = settings
         self.key = settings["peer_key"].encode()
         self.clock = clock
@@ -85,7 +81,6 @@
         self.leaving = False
         self.is_running = False
         self.port = settings["peers"]["port"]
-        self.table = HandlerTable()
         self.traffic = Traffic()
         self.links = {
             peer["name"]: Link(peer, clock, self.traffic)
@@ -94,6 +89,8 @@
         }
         self.sightings: dict[str, Sighting] = {}
         self.incoming: dict[str, asyncio.StreamWriter] = {}
+        self.incoming_processes: dict[str, str] = {}
+        self.shut_out_processes: dict[tuple[str, str], None] = {}
         self.strangers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.register(Heartbeat, HeartbeatReply, self.on_heartbeat)
@@ -121,6 +118,26 @@
             link.peer = peer
             link.close()
 
+    def shut_out(self, name: str, incarnation: str) -> None:
+        """Ends the streams of a replaced process and refuses further ones."""
+        self.shut_out_processes[name, incarnation] = None
+        if len(self.shut_out_processes) > MAX_SHUT_OUT:
+            del self.shut_out_processes[next(iter(self.shut_out_processes))]
+        if self.incoming_processes.get(name) == incarnation and name in self.incoming:
+            self.incoming[name].transport.abort()
+        link = self.links.get(name)
+        if link is not None and link.incarnation == incarnation:
+            link.close()
+
+    def check_allowed(self, hello: Hello) -> None:
+        """Refuses a process that was replaced.
+
+        Raises:
+            PeerProtocolError: Another process of its name has taken its place.
+        """
+        if (hello.name, hello.incarnation) in self.shut_out_processes:
+            raise PeerProtocolError(f"{hello.name} {hello.incarnation} was replaced")
+
     def member(self, peer: PeerSettings) -> Member:
         """Returns one entry with the state that this entry sees."""
         name = peer["name"]
@@ -152,32 +169,16 @@
             return MemberState.SUSPECT
         return MemberState.UP
 
-    def register(
-        self,
-        message: type[Message],
-        reply: type[Reply],
-        handler: Handler[Message, Reply],
-    ) -> None:
-        """Sets the handler of a kind of message."""
-        self.table.register(message, reply, handler)
-
-    async def call(
-        self,
-        peer: str,
-        message: tuple[object, ...],
-        reply: type[Reply],
-        timeout_s: float,
-    ) -> Reply:
-        """Sends a message and waits for its answer."""
-        kind = type(message).__name__
+    async def exchange(
+        self, peer: str, kind: str, fields: list[object], timeout_s: float
+    ) -> list[object]:
+        """Sends a message on the dialled stream and waits for its answer."""
         if peer == self.name:
-            answer = await self.table.handle(peer, kind, encode_fields(message))
-            return decode_fields(encode_fields(answer), reply)
+            return await self.handle(peer, kind, fields)
         link = self.links.get(peer)
         if link is None:
             raise PeerUnavailableError(f"no entry {peer}")
-        fields = await link.call(kind, encode_fields(message), timeout_s)
-        return decode_fields(fields, reply)
+        return await link.call(kind, fields, timeout_s)
 
     def broadcast(self, message: tuple[object, ...]) -> None:
         """Sends a message to every other entry without waiting."""
@@ -243,6 +244,8 @@
                 other = await handshake(reader, writer, hello, self.key, dialled=True)
             if other.name != peer["name"]:
                 raise PeerProtocolError(f"{peer['name']} calls itself {other.name}")
+            self.check_allowed(other)
+            link.incarnation = other.incarnation
             link.writer = writer
             self.log.info("peer_link_up", peer=peer["name"])
             await link.read_answers(reader)
@@ -260,8 +263,8 @@
             return
         self.strangers.add(writer)
         try:
-            name = await self.authenticate(reader, writer)
-            await self.serve_peer(name, reader, writer)
+            hello = await self.authenticate(reader, writer)
+            await self.serve_peer(hello, reader, writer)
         except (OSError, EOFError, TimeoutError):
             pass
         except PeerProtocolError as error:
@@ -272,29 +275,33 @@
 
     async def authenticate(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> str:
-        """Returns the name of the entry at the other side of a stream.
+    ) -> Hello:
+        """Returns the greeting of the entry at the other side of a stream.
 
         Raises:
-            PeerProtocolError: It does not know the key, or takes our name.
+            PeerProtocolError: It does not know the key, takes our name or was
+                replaced.
         """
         hello = new_hello(self.name, self.incarnation)
         async with self.clock.timeout(HANDSHAKE_TIMEOUT_S):
             other = await handshake(reader, writer, hello, self.key, dialled=False)
         if other.name == self.name:
             raise PeerProtocolError("the peer has the name of this entry")
+        self.check_allowed(other)
         if other.name not in self.incoming and len(self.incoming) >= MAX_LINKS:
             raise PeerProtocolError("too many peers")
-        return other.name
+        return other
 
     async def serve_peer(
-        self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, hello: Hello, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Handles messages; the stream replaces an older one of the same name."""
+        name = hello.name
         older = self.incoming.pop(name, None)
         if older is not None:
             older.transport.abort()
         self.incoming[name] = writer
+        self.incoming_processes[name] = hello.incarnation
         self.strangers.discard(writer)
         limit = asyncio.Semaphore(MAX_HANDLERS)
         try:
@@ -306,6 +313,7 @@
         finally:
             if self.incoming.get(name) is writer:
                 del self.incoming[name]
+                del self.incoming_processes[name]
 
     async def answer(
         self,
@@ -325,11 +333,11 @@
     async def result(self, sender: str, frame: Frame) -> Frame:
         """Returns the answer to a message."""
         try:
-            reply = await self.table.handle(sender, frame.kind, frame.fields)
+            fields = await self.handle(sender, frame.kind, frame.fields)
         except BurdockthreadError as error:
             self.log.warning("peer_message_refused", peer=sender, reason=error)
             return Frame(frame.call_id, FAILURE, [str(error)])
-        return Frame(frame.call_id, REPLY, encode_fields(reply))
+        return Frame(frame.call_id, REPLY, fields)
 
     async def send_heartbeats(self, link: Link) -> None:
         """Sends heartbeats to one entry and notes its answers."""
