Bound every wait of the scenarios and end the tasks of killed entries

Cause: the fault matrix printed 'coroutine ignored GeneratorExit' of Router.answer and Router.finish_late. Killing an entry cancelled the tasks that the world had started, but not those of its router and its keys, which outlive a caller; they were collected while they waited, and their clean-up waits.

The process driver waited without a bound, or with one that named nothing, for the end of an entry, for orders to stand-ins, for operators and for the first template, and neither cancelled its tasks after a failure nor awaited them. Each wait now ends with an error that names it. The wait for answers is bounded by the clock, not by rounds, and counts what is outstanding.

--- a/libs/scenarios/burdockthread_scenarios/driver.py
+++ b/libs/scenarios/burdockthread_scenarios/driver.py
@@ -77,6 +77,10 @@
     async def submit(self, amount: int, entry: str) -> None:
         """Submits deferred jobs without waiting for answers."""
 
+    @abstractmethod
+    def now(self) -> float:
+        """Returns seconds of the clock by which time passes."""
+
     @abstractmethod
     async def advance(self, seconds: float) -> None:
         """Lets time pass."""
--- a/libs/scenarios/burdockthread_scenarios/forwarder.py
+++ b/libs/scenarios/burdockthread_scenarios/forwarder.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager, suppress
 
 CHUNK_BYTES = 65_536
+CONNECT_TIMEOUT_S = 5.0
 
 
 class Forwarder:
@@ -53,7 +54,8 @@
             writer.transport.abort()
             return
         try:
-            onward = await asyncio.open_connection(self.host, self.target_port)
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                onward = await asyncio.open_connection(self.host, self.target_port)
         except OSError:
             writer.transport.abort()
             return
--- a/libs/scenarios/burdockthread_scenarios/memory_driver.py
+++ b/libs/scenarios/burdockthread_scenarios/memory_driver.py
@@ -107,6 +107,10 @@
         """Submits jobs."""
         self.world.submit(amount, entry)
 
+    def now(self) -> float:
+        """Returns seconds of the test clock."""
+        return self.world.clock.now()
+
     async def advance(self, seconds: float) -> None:
         """Lets time pass."""
         await self.world.advance(seconds)
--- a/libs/scenarios/burdockthread_scenarios/process_driver.py
+++ b/libs/scenarios/burdockthread_scenarios/process_driver.py
@@ -14,6 +14,7 @@
 
 from burdockthread_scenarios.cluster import (
     LOOPBACK,
+    STOP_TIMEOUT_S,
     Cluster,
     EntryProcess,
     Site,
@@ -21,6 +22,7 @@
     token,
 )
 from burdockthread_scenarios.driver import ALL_VMS, Driver, NamedChange, ScenarioError
+from burdockthread_scenarios.endings import end_tasks, within
 from burdockthread_scenarios.faults import store_fault
 from burdockthread_scenarios.forwarder import Forwarder
 from burdockthread_scenarios.ledger import Outcome, RequestLedger, new_key
@@ -37,6 +39,8 @@
 
 POLL_S = 0.2
 SETTLE_TIMEOUT_S = 20.0
+ORDER_TIMEOUT_S = 10.0
+OPERATOR_TIMEOUT_S = 20.0
 REQUEST_TIMEOUT_S = 2 * DEADLINE_S
 POOL = f"{ORGANISATION}/{SERVICE}"
 
@@ -98,7 +102,8 @@
         """Stops an entry gracefully."""
         process = self.cluster.entries[entry]
         process.send_signal(signal.SIGTERM)
-        code = await process.wait()
+        async with within(STOP_TIMEOUT_S, f"the end of {entry}"):
+            code = await process.wait()
         if code != 0:
             raise ScenarioError(f"{entry} ended with exit code {code}")
 
@@ -106,7 +111,8 @@
         """Ends an entry at once."""
         process = self.cluster.entries[entry]
         process.send_signal(signal.SIGKILL)
-        await process.wait()
+        async with within(STOP_TIMEOUT_S, f"the end of {entry}"):
+            await process.wait()
 
     async def freeze(self, entry: str) -> None:
         """Stops the process without ending it."""
@@ -141,7 +147,10 @@
         """Clears faults over HTTP."""
         platform = self.cluster.platform_url
         if target == "store":
-            async with self.session.delete(f"{platform}/faults") as answer:
+            async with (
+                within(ORDER_TIMEOUT_S, "clearing the faults of the store"),
+                self.session.delete(f"{platform}/faults") as answer,
+            ):
                 answer.raise_for_status()
         else:
             for vm in await self.vms(target):
@@ -153,7 +162,10 @@
 
     async def post(self, url: str, body: object) -> None:
         """Posts an order to a stand-in."""
-        async with self.session.post(url, json=body) as answer:
+        async with (
+            within(ORDER_TIMEOUT_S, f"an answer of {url}"),
+            self.session.post(url, json=body) as answer,
+        ):
             answer.raise_for_status()
 
     async def send(
@@ -217,6 +229,10 @@
         except (aiohttp.ClientError, TimeoutError):
             return
 
+    def now(self) -> float:
+        """Returns seconds of the machine's clock."""
+        return time.monotonic()
+
     async def advance(self, seconds: float) -> None:
         """Waits, watching the invariants."""
         end_s = time.monotonic() + seconds
@@ -250,7 +266,10 @@
     async def operator(self, name: str) -> AsyncIterator[OperatorsClient]:
         """Connects an operator to a running entry within the block."""
         url = self.running_entries()[0].operators_url
-        async with operators_client(url, token(name)) as client:
+        async with (
+            within(OPERATOR_TIMEOUT_S, f"an answer of {url} to {name}"),
+            operators_client(url, token(name)) as client,
+        ):
             yield client
 
     async def propose(
@@ -291,9 +310,7 @@
         highest = 0
         late = 0
         for vm in await self.vm_names():
-            url = f"{self.cluster.platform_url}/vms/{vm}/runs"
-            async with self.session.get(url) as answer:
-                fields = await answer.json()
+            fields = await self.read(f"{self.cluster.platform_url}/vms/{vm}/runs")
             runs += [run["body"] for run in fields["runs"]]
             highest = max(highest, fields["highest_in_flight"])
             if fields["draining_since_s"]:
@@ -310,12 +327,20 @@
 
     async def vm_names(self) -> list[str]:
         """Returns the names of all VMs."""
-        async with self.session.get(f"{self.cluster.platform_url}/vms") as answer:
-            return [vm["name"] for vm in await answer.json()]
+        vms = await self.read(f"{self.cluster.platform_url}/vms")
+        return [vm["name"] for vm in vms]
+
+    async def read(self, url: str) -> Any:
+        """Reads what a stand-in knows."""
+        async with (
+            within(ORDER_TIMEOUT_S, f"an answer of {url}"),
+            self.session.get(url) as answer,
+        ):
+            return await answer.json()
 
     async def wait_settled(self) -> None:
         """Waits until the first template is in force and every pool has its VMs."""
-        async with asyncio.timeout(SETTLE_TIMEOUT_S):
+        async with within(SETTLE_TIMEOUT_S, "the first template in force"):
             while True:
                 statuses = (await self.statuses()).values()
                 if all(is_settled(status) for status in statuses):
@@ -368,10 +393,11 @@
         values = parameters or {}
         pool_vms = int(values.get("vms", POOL_VMS))
         driver = ProcessDriver(cluster, session, links, pool_vms)
-        await driver.propose("first", 0, values)
-        await driver.review("first")
-        await driver.accept("first")
-        await driver.wait_settled()
-        yield driver
-        for task in list(driver.tasks):
-            task.cancel()
+        try:
+            await driver.propose("first", 0, values)
+            await driver.review("first")
+            await driver.accept("first")
+            await driver.wait_settled()
+            yield driver
+        finally:
+            await end_tasks(driver.tasks)
--- a/libs/scenarios/burdockthread_scenarios/runner.py
+++ b/libs/scenarios/burdockthread_scenarios/runner.py
@@ -100,12 +100,18 @@
 
     async def await_answers(self) -> None:
         """Waits until every request sent has ended."""
-        for _ in range(int(ANSWER_TIMEOUT_S / POLL_S)):
+        deadline_s = self.driver.now() + ANSWER_TIMEOUT_S
+        while True:
             counts = await self.driver.counts()
-            if counts["ended"] >= counts["sent"]:
+            left = counts["sent"] - counts["ended"]
+            if left <= 0:
                 return
+            if self.driver.now() >= deadline_s:
+                raise ExpectationError(
+                    f"{left} requests without an end after {ANSWER_TIMEOUT_S:g} s:"
+                    f" {counts}"
+                )
             await self.driver.advance(POLL_S)
-        raise ExpectationError("requests without an end")
 
     async def expect(self, statement: lang.Expect) -> None:
         """Checks a count, at once or until a time has passed."""
--- a/libs/scenarios/burdockthread_scenarios/world.py
+++ b/libs/scenarios/burdockthread_scenarios/world.py
@@ -26,6 +26,7 @@
 from burdockthread_store.memory_store import MemoryStore
 from burdockthread_store.store import ConfigurationStore
 
+from burdockthread_scenarios.endings import end_tasks
 from burdockthread_scenarios.gate import Gate, GatedClock, GatedMesh, GatedStore
 from burdockthread_scenarios.ledger import Outcome, RequestLedger, new_key
 from burdockthread_scenarios.memory_vms import MemoryVms
@@ -145,11 +146,13 @@
         task.add_done_callback(self.tasks.discard)
 
     async def cancel_tasks(self) -> None:
-        """Ends all tasks of the entry."""
-        tasks = list(self.tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        """Ends all tasks of the entry, those that outlive a caller included.
+
+        Raises:
+            ScenarioError: A task does not end.
+        """
+        tasks = {*self.tasks, *self.entry.router.tasks, *self.entry.keys.tasks}
+        await end_tasks(tasks)
 
 
 class World:
@@ -450,6 +453,7 @@
     """Runs a world within the block; its first template is in force."""
     values = parameters or {}
     world = World(entries, vms, int(values.get("vms", POOL_VMS)))
+    others = asyncio.all_tasks()
     try:
         for name in world.names:
             world.start(name)
@@ -458,10 +462,9 @@
         await world.advance(START_S)
         yield world
     finally:
-        for running in list(world.entries.values()):
-            await running.cancel_tasks()
-        for task in list(world.vms.tasks):
-            task.cancel()
+        for running in world.entries.values():
+            running.gate.kill()
+        await end_tasks(asyncio.all_tasks() - others)
 
 
 async def accept_template(
