Scale the cost of a wave to the target's pace

The stand-in reboots in half a second, so that the measured wave maintained 52 VMs in 20 s, about a hundred times the target's pace (610 VMs in 0.26 days). The figures at the stand-in's pace stay with their targets; a scene wave_at_pace is added, scaled linearly between idle and the wave. What a step costs merely because a wave runs, at any pace, is scaled too, so its processor time is a lower bound and that of the wave an upper one.

--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -38,6 +38,7 @@
 CHANGES_PER_DAY = 2_300
 SECONDS_PER_DAY = 86_400.0
 CHANGE_INTERVAL_S = 1.0
+FLEET_WAVE_DAYS = 0.26
 SETTLE_TIMEOUT_S = 90.0
 SETTLE_S = 5.0
 SAMPLE_S = 20.0
@@ -407,12 +408,12 @@
     ]
 
 
-def at_daily_rate(idle: Usage, busy: Usage, share: float) -> Usage:
-    """Returns the usage at the target's rate of changes.
+def at_rate(idle: Usage, busy: Usage, share: float) -> Usage:
+    """Returns the usage at the target's rate, scaled linearly.
 
     Args:
-        idle: Usage without changes.
-        busy: Usage with changes at a faster rate.
+        idle: Usage while nothing happens.
+        busy: Usage at a faster rate than the target's.
         share: The target's rate as a share of that rate.
     """
 
@@ -441,10 +442,16 @@
             await changing
         share = CHANGES_PER_DAY / SECONDS_PER_DAY / rate
         found["changes"] = {
-            name: at_daily_rate(found["idle"][name], used, share)
+            name: at_rate(found["idle"][name], used, share)
             for name, used in fast.items()
         }
         maintained, answered = await wave(trial, found)
+    pace = vms / (FLEET_WAVE_DAYS * SECONDS_PER_DAY)
+    share = pace * SAMPLE_S / max(maintained, 1)
+    found["wave_at_pace"] = {
+        name: at_rate(found["idle"][name], used, share)
+        for name, used in found["wave"].items()
+    }
     for scene, usages in found.items():
         print_all(scene_measures(scene, where, usages))
     print_all(
