Make placement rounds and their writes cheaper

Causes, by profile of rounds at 610 workers of one organisation: - the text of every job of a segment was dropped from the cache by the entry's own write, so each write encoded the whole segment again: 29,872 encodings in 20 rounds, 9,632 now; - every waiting job was sized, and checked for whether it can ever run, each round; jobs that are alike now share one check of the largest of them; - what is expected of a team's jobs was worked out for each job; now once until more is learned; - every job without room searched its pool; one that is no smaller and no more urgent than a miss of the same round now needs no search; - sums were added job by job, and shares of all teams and classes worked out for each choice.

What remains is in proportion to claimed and waiting jobs: sizing 3,500 claimed jobs anew from their reports, and putting 3,000 waiting ones into queues. Garbage collection was ruled out as the main cost (runs without it gained no more than the noise).

--- a/libs/burdockthread/burdockthread/bench_jobs.py
+++ b/libs/burdockthread/burdockthread/bench_jobs.py
@@ -19,7 +19,8 @@
 FAILING_WORKER_JOBS_TARGET = 4
 ROUND_TARGET_S = 0.5
 WRITES_TARGET_PER_S = 3.0
-WORKERS = (61, 305, 610)
+WORKERS_AND_TEAMS = ((61, 0), (305, 0), (610, 0), (610, 47))
+TEAM_QUOTA_FACTOR = 2.0
 MEAN_LOAD = 0.3
 BURST_FACTOR = 5.0
 IDLE_FACTOR = 0.05
@@ -273,12 +274,15 @@
 
 
 async def measure_rounds(seed: int) -> list[Measure]:
-    """Measures the time of one placement round over the number of workers."""
+    """Measures the time of one placement round over the workers and teams."""
     found = []
-    for workers in WORKERS:
+    for workers, teams in WORKERS_AND_TEAMS:
         pools = tuple(f"pool-{n}" for n in range(max(workers * 44 // 610, 1)))
         site = SiteSize("target", pools, workers // len(pools), 64, 128)
         trial = JobTrial(site, seed)
+        if teams:
+            names = tuple(f"team-{n}" for n in range(teams))
+            trial.set_quotas(names, TEAM_QUOTA_FACTOR / teams)
         for pool in pools:
             jobs = [
                 trial.new_job(pool, trial.random.choice(tuple(RequestClass)), 600.0)
@@ -294,6 +298,8 @@
         await trial.rounds.placements(rooms)
         value = time.perf_counter() - started_s
         name = f"jobs.placement_round.{workers}_workers"
+        if teams:
+            name += f".{teams}_teams"
         found.append(at_most(name, "target", value, "s", ROUND_TARGET_S, None))
     return found
 
--- a/libs/burdockthread/burdockthread/job_trial.py
+++ b/libs/burdockthread/burdockthread/job_trial.py
@@ -22,7 +22,14 @@
 from burdockthread_fleet.worker_client import Task
 from burdockthread_model.clock import MemoryClock
 from burdockthread_model.events import EventLog
-from burdockthread_model.intended import PoolSpec, ServiceSpec
+from burdockthread_model.intended import (
+    MaintenanceSpec,
+    OrganisationSpec,
+    PoolSpec,
+    ServiceSpec,
+    TeamSpec,
+    WeightsSpec,
+)
 from burdockthread_model.job import Job, JobState
 from burdockthread_model.metrics import MemoryMetrics
 from burdockthread_model.request import RequestClass
@@ -128,6 +135,7 @@
     """One organisation with its workers, store and placer.
 
     Attributes:
+        teams: Teams that submit jobs.
         started_s: Clock time of the first start of each job, by id.
         cores_s: Core seconds really worked.
         memory_gb_s: Gigabyte seconds really in use.
@@ -136,6 +144,7 @@
 
     def __init__(self, site: SiteSize, seed: int, *, first_come: bool = False) -> None:
         self.site = site
+        self.teams: tuple[str, ...] = TEAMS
         self.random = random.Random(f"{site.name} {seed}")
         self.clock = MemoryClock()
         self.log = QuietLog("trial")
@@ -191,6 +200,23 @@
                 self.add_vm(view, pool, f"{name}-{index}")
         return view
 
+    def set_quotas(self, teams: tuple[str, ...], share: float) -> None:
+        """Has other teams submit jobs, each with a quota.
+
+        Args:
+            teams: Names of the teams.
+            share: Share of all workers that each team may use.
+        """
+        self.teams = teams
+        workers = len(self.workers.workers) * share
+        cores = int(workers * self.site.cores)
+        memory_gb = int(workers * self.site.memory_gb)
+        name = self.site.name
+        specs = tuple(TeamSpec(team, name, 1.0, cores, memory_gb) for team in teams)
+        self.view.organisations["trial", name] = OrganisationSpec(
+            name, "trial", 1, (), (), specs, WeightsSpec(), MaintenanceSpec()
+        )
+
     def add_vm(self, view: FleetView, pool: str, vm: str) -> None:
         """Adds a VM with its worker."""
         view.records[vm] = VmRecord(vm, pool, VmState.SERVING, 1)
@@ -215,17 +241,18 @@
     def new_job(self, pool: str, request_class: RequestClass, run_time_s: float) -> Job:
         """Returns a job whose declared size is wrong as its team always is."""
         self.numbers += 1
-        team_number = self.random.randrange(len(TEAMS))
+        team_number = self.random.randrange(len(self.teams))
         cores = self.random.uniform(0.05, 0.25) * self.site.cores
         memory_gb = cores * self.random.uniform(0.5, 3.0)
         actual = ActualSize(cores, memory_gb, run_time_s)
-        wrong = DECLARED_FACTORS[team_number] * self.random.uniform(0.8, 1.25)
+        factor = DECLARED_FACTORS[team_number % len(DECLARED_FACTORS)]
+        wrong = factor * self.random.uniform(0.8, 1.25)
         largest = MAX_DECLARED_SHARE
         return Job(
             job_id=f"job-{self.numbers}",
             service=f"{self.site.name}/{pool}",
             organisation=self.site.name,
-            team=TEAMS[team_number],
+            team=self.teams[team_number],
             request_class=request_class,
             cores=min(cores * wrong, self.site.cores * largest),
             memory_gb=min(memory_gb * wrong, self.site.memory_gb * largest),
--- a/libs/fleet/burdockthread_fleet/job_placer.py
+++ b/libs/fleet/burdockthread_fleet/job_placer.py
@@ -1,7 +1,7 @@
 """Decides each round which waiting jobs start, and where."""
 
 from collections import defaultdict, deque
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from burdockthread_model.clock import Clock
@@ -17,11 +17,11 @@
     choose_victims,
 )
 from burdockthread_fleet.job_segments import JobUpdate
-from burdockthread_fleet.placement import PlacementPolicy, Room
+from burdockthread_fleet.placement import NOT_RESERVED, PlacementPolicy, Room
 from burdockthread_fleet.quarantine import WorkerQuarantine
 from burdockthread_fleet.quotas import URGENCY, TeamAccounts, class_minima, next_class
 from burdockthread_fleet.settlement import waiting
-from burdockthread_fleet.usage import Size
+from burdockthread_fleet.usage import Size, sum_sizes
 
 MAX_CLAIMS_PER_ROUND = 200
 MAX_UNPROVEN_CLAIMS = 4
@@ -29,6 +29,7 @@
 MAX_DISPLACEMENTS_PER_ROUND = 32
 RESERVE_AFTER_S = 10.0
 MAX_RESERVED_SHARE = 0.5
+BORROWER_RANK = -1
 AVOID_S = 5.0
 DISPLACE_AFTER_S = {
     RequestClass.URGENT: 0.0,
@@ -57,28 +58,28 @@
     """Waiting jobs of one pool by class and team, the oldest first."""
 
     def __init__(self) -> None:
-        self.jobs: dict[tuple[RequestClass, str], deque[Job]] = {}
+        self.jobs: dict[RequestClass, dict[str, deque[Job]]] = {}
         self.misses: defaultdict[tuple[RequestClass, str], int] = defaultdict(int)
 
     def put(self, job: Job) -> None:
         """Adds a job; jobs are to be added oldest first."""
-        key = (job.request_class, job.team)
-        self.jobs.setdefault(key, deque()).append(job)
+        by_team = self.jobs.setdefault(job.request_class, {})
+        by_team.setdefault(job.team, deque()).append(job)
 
-    def classes(self) -> set[RequestClass]:
+    def classes(self) -> Collection[RequestClass]:
         """Returns the classes that have jobs."""
-        return {request_class for request_class, _ in self.jobs}
+        return self.jobs.keys()
 
-    def teams(self, request_class: RequestClass) -> list[str]:
+    def teams(self, request_class: RequestClass) -> Collection[str]:
         """Returns the teams that have jobs of a class."""
-        return [team for c, team in self.jobs if c is request_class]
+        return self.jobs[request_class].keys()
 
     def take(self, request_class: RequestClass, team: str) -> Job:
         """Removes and returns the oldest job of a class and team."""
-        key = (request_class, team)
-        job = self.jobs[key].popleft()
-        if not self.jobs[key]:
-            del self.jobs[key]
+        jobs = self.jobs[request_class][team]
+        job = jobs.popleft()
+        if not jobs:
+            self.drop(request_class, team)
         return job
 
     def miss(self, job: Job) -> None:
@@ -86,7 +87,38 @@
         key = (job.request_class, job.team)
         self.misses[key] += 1
         if self.misses[key] >= MAX_MISSES_PER_QUEUE:
-            self.jobs.pop(key, None)
+            self.drop(*key)
+
+    def drop(self, request_class: RequestClass, team: str) -> None:
+        """Leaves out a class and team."""
+        by_team = self.jobs.get(request_class, {})
+        by_team.pop(team, None)
+        if not by_team:
+            self.jobs.pop(request_class, None)
+
+
+class KnownMisses:
+    """Sizes that have found no room in one pool within a round.
+
+    VMs only get fuller within a round, unless jobs are displaced: what is no
+    smaller, and no more urgent, needs no search of its own.
+    """
+
+    def __init__(self) -> None:
+        self.sizes: dict[int, list[Size]] = {}
+
+    def note(self, rank: int, size: Size) -> None:
+        """Notes a size that a job of some urgency found no room for."""
+        known = self.sizes.setdefault(rank, [])
+        known[:] = [other for other in known if not size.fits(other)]
+        known.append(size)
+
+    def covers(self, rank: int, size: Size) -> bool:
+        """Returns whether a job certainly finds no room."""
+        for known_rank, sizes in self.sizes.items():
+            if known_rank <= rank and any(known.fits(size) for known in sizes):
+                return True
+        return False
 
 
 class JobPlacer:
@@ -171,41 +203,44 @@
         for room in rooms.values():
             self.members.setdefault(room.pool, []).append(room)
         self.capacities = {
-            name: {room.capacity for room in members}
+            name: frozenset(room.capacity for room in members)
             for name, members in self.members.items()
         }
         self.usage = {name: self.class_usage(name) for name in self.members}
         self.accounts = self.team_accounts(rooms.values())
+        self.charge_running(rooms.values())
+        self.sizes: dict[str, Size] = {}
+        self.misses: defaultdict[str, KnownMisses] = defaultdict(KnownMisses)
         self.open = {name: self.open_rooms(name) for name in self.members}
         self.updates: list[JobUpdate] = []
         self.displacements: list[Displacement] = []
         self.claims = 0
 
     def class_usage(self, pool: str) -> ClassUsage:
-        """Returns what each class uses of a pool."""
-        total = Size()
-        for room in self.members[pool]:
-            total = total.plus(room.capacity)
+        """Returns the use of a pool by class, with nothing counted."""
+        total = sum_sizes(room.capacity for room in self.members[pool])
         services = self.placer.view.services.values()
         service = next((s for s in services if s.pool == pool), None)
-        usage = ClassUsage(total, class_minima(service))
-        for room in self.members[pool]:
-            for job_id, job in room.tasks.items():
-                usage.add(job, room.sizes[job_id])
-        return usage
+        return ClassUsage(total, class_minima(service))
 
     def team_accounts(self, rooms: Iterable[Room]) -> TeamAccounts:
-        """Returns the accounts of the teams, charged with what runs."""
-        total = Size()
+        """Returns the accounts of the teams."""
         spec = self.placer.spec()
-        rooms = list(rooms)
-        for room in rooms:
-            total = total.plus(room.capacity)
-        accounts = TeamAccounts(spec.teams if spec else (), total)
+        total = sum_sizes(room.capacity for room in rooms)
+        return TeamAccounts(spec.teams if spec else (), total)
+
+    def charge_running(self, rooms: Iterable[Room]) -> None:
+        """Counts what runs, by pool and class and by team."""
+        by_class: defaultdict[tuple[str, RequestClass], list[Size]] = defaultdict(list)
+        by_team: defaultdict[str, list[Size]] = defaultdict(list)
         for room in rooms:
-            for job_id, job in room.tasks.items():
-                accounts.charge(job.team, room.sizes[job_id])
-        return accounts
+            for job, size in zip(room.tasks.values(), room.sizes.values(), strict=True):
+                by_class[room.pool, job.request_class].append(size)
+                by_team[job.team].append(size)
+        for (pool, request_class), sizes in by_class.items():
+            self.usage[pool].used[request_class] = sum_sizes(sizes)
+        for team, sizes in by_team.items():
+            self.accounts.charge(team, sum_sizes(sizes))
 
     def open_rooms(self, pool: str) -> list[Room]:
         """Returns the VMs of a pool that may get jobs."""
@@ -241,13 +276,26 @@
 
     def park(self, jobs: Sequence[Job]) -> list[Job]:
         """Parks the jobs that can never run; returns the others."""
+        alike: defaultdict[tuple[str, str, RequestClass], list[Job]] = defaultdict(list)
+        for job in jobs:
+            alike[job.service, job.team, job.request_class].append(job)
+        runnable = []
+        for (service, _, _), group in alike.items():
+            suspect = bool(self.obstacle(envelope(group)))
+            left = self.park_each(group) if suspect else group
+            if service in self.placer.view.services:
+                runnable.extend(left)
+        return runnable
+
+    def park_each(self, jobs: Sequence[Job]) -> list[Job]:
+        """Parks those of some jobs that can never run; returns the others."""
         runnable = []
         for job in jobs:
             reason = self.obstacle(job)
             if reason:
                 parked = waiting(job, JobState.PARKED, reason)
                 self.updates.append(JobUpdate(job, parked))
-            elif job.service in self.placer.view.services:
+            else:
                 runnable.append(job)
         return runnable
 
@@ -266,20 +314,33 @@
         size = self.policy.size(job)
         if not size.fits(self.accounts.account(job.team).limit):
             return f"{OVER_QUOTA_REASON} of team {job.team or '-'}: {describe(size)}"
-        shapes = self.shapes(job, service)
-        if shapes and not any(size.fits(shape) for shape in shapes):
+        if not self.fits_a_shape(size, job, service):
             return f"{TOO_LARGE_REASON} of {service.pool}: {describe(size)}"
         return ""
 
-    def shapes(self, job: Job, service: ServiceSpec) -> set[Size]:
-        """Returns the distinct capacities of the VMs that a job may get."""
-        shapes = self.capacities.get(service.pool, set())
+    def size(self, job: Job) -> Size:
+        """Returns the size that a job is counted with in this round."""
+        size = self.sizes.get(job.job_id)
+        if size is None:
+            size = self.policy.size(job)
+            self.sizes[job.job_id] = size
+        return size
+
+    def fits_a_shape(self, size: Size, job: Job, service: ServiceSpec) -> bool:
+        """Returns whether a job fits a VM that it may get, if there is any."""
+        shapes = self.capacities.get(service.pool, frozenset())
+        for shape in shapes:
+            if size.fits(shape):
+                return True
         if job.request_class is RequestClass.URGENT:
-            shapes = shapes | self.capacities.get(self.spare, set())
-        return shapes
+            spare_shapes = self.capacities.get(self.spare, frozenset())
+            return not (shapes or spare_shapes) or any(map(size.fits, spare_shapes))
+        return not shapes
 
     def finish_displacements(self, jobs: Sequence[Job]) -> list[Job]:
         """Claims the room that was made; holds the room that is being made."""
+        if not self.placer.pending:
+            return list(jobs)
         by_id = {job.job_id: job for job in jobs}
         pending, self.placer.pending = self.placer.pending, {}
         for made in pending.values():
@@ -307,31 +368,32 @@
                 self.usage[room.pool].remove(victim, freed)
                 room.remove(victim)
         room.add(job, made.size)
+        self.misses.pop(room.pool, None)
         self.placer.pending[job.job_id] = made
         self.displacements.append(made)
 
     def fill(self, pool: str, queue: PoolQueue) -> None:
         """Places the waiting jobs of one pool."""
         usage = self.usage[pool]
+        shares = usage.shares()
         while queue.jobs and self.claims < MAX_CLAIMS_PER_ROUND:
-            chosen = next_class(queue.classes(), usage.shares(), usage.minima)
+            chosen = next_class(queue.classes(), shares, usage.minima)
             team = self.accounts.next_team(queue.teams(chosen))
             job = queue.take(chosen, team)
-            if not self.place(job, pool):
+            if self.place(job, pool):
+                shares = usage.shares()
+            else:
                 queue.miss(job)
                 self.reserve(job, pool)
 
     def place(self, job: Job, pool: str) -> bool:
         """Claims a VM for a job if there is room within the team's quota."""
-        size = self.policy.size(job)
+        size = self.size(job)
         if not self.accounts.account(job.team).allows(size):
             return False
-        avoided = self.placer.quarantine.failed_on.get(job.job_id, ())
-        rank = URGENCY[job.request_class]
-        rooms = [room for room in self.open[pool] if rank <= room.reserved]
-        room = self.policy.choose(job, rooms, avoided)
+        room = self.find_room(job, pool, URGENCY[job.request_class])
         if room is None and self.may_borrow(job, pool):
-            room = self.policy.choose(job, self.open[self.spare], avoided)
+            room = self.find_room(job, self.spare, BORROWER_RANK)
         if room is not None:
             self.claim(job, room, size)
             return True
@@ -340,6 +402,18 @@
             return False
         return self.displace(job, pool, size)
 
+    def find_room(self, job: Job, pool: str, rank: int) -> Room | None:
+        """Returns the VM of a pool for a job, unless another search tells."""
+        size = self.size(job)
+        if self.misses[pool].covers(rank, size):
+            return None
+        avoided = self.placer.quarantine.failed_on.get(job.job_id, ())
+        rooms = [room for room in self.open[pool] if rank <= room.reserved]
+        room = self.policy.choose(job, rooms, avoided)
+        if room is None and not avoided:
+            self.misses[pool].note(rank, size)
+        return room
+
     def may_borrow(self, job: Job, pool: str) -> bool:
         """Returns whether a job may take room in the spare pool."""
         urgent = job.request_class is RequestClass.URGENT
@@ -347,7 +421,7 @@
 
     def try_claim(self, job: Job, room: Room) -> bool:
         """Claims one VM for a job if it fits there."""
-        size = self.policy.size(job)
+        size = self.size(job)
         if self.policy.choose(job, [room]) is None:
             return False
         self.claim(job, room, size)
@@ -400,10 +474,12 @@
         long; at most half of a pool's VMs are kept.
         """
         rooms = self.open[pool]
-        kept = sum(room.reserved < float("inf") for room in rooms)
-        size = self.policy.size(job)
+        kept = sum([room.reserved < NOT_RESERVED for room in rooms])
+        if kept + 1 > len(rooms) * MAX_RESERVED_SHARE:
+            return
+        size = self.size(job)
         fitting = [r for r in rooms if r.claims > 0 and size.fits(r.limit)]
-        if not fitting or kept + 1 > len(rooms) * MAX_RESERVED_SHARE:
+        if not fitting:
             return
         emptiest = min(fitting, key=lambda room: room.used.share_of(room.capacity))
         emptiest.reserved = min(emptiest.reserved, URGENCY[job.request_class])
@@ -411,6 +487,15 @@
             emptiest.claims = 0
 
 
+def envelope(jobs: Sequence[Job]) -> Job:
+    """Returns a job that declares at least as much as each of some that are alike."""
+    return jobs[0]._replace(
+        cores=max([job.cores for job in jobs]),
+        memory_gb=max([job.memory_gb for job in jobs]),
+        accelerators=max([job.accelerators for job in jobs]),
+    )
+
+
 def describe(size: Size) -> str:
     """Returns a size as text with its units."""
     accelerators = f", {size.accelerators:g} accelerators" if size.accelerators else ""
--- a/libs/fleet/burdockthread_fleet/job_rounds.py
+++ b/libs/fleet/burdockthread_fleet/job_rounds.py
@@ -120,13 +120,15 @@
         if not self.segments.cache.synced:
             return
         await self.read_reports()
-        settled = self.settlements()
-        rooms = self.builder.build(self.claimed_jobs(), self.clock.wall())
+        claimed = self.claimed_jobs()
+        settled = self.settlements(claimed)
+        rooms = self.builder.build(claimed, self.clock.wall())
         self.relieve(rooms)
         claims = await self.placements(rooms) if await self.sees_all_claims() else []
         await self.commit([*settled, *claims])
-        self.send_orders()
-        self.prune()
+        claimed = self.claimed_jobs()
+        self.send_orders(claimed)
+        self.prune(claimed)
         await self.compact()
         self.round_s = self.clock.now()
 
@@ -176,10 +178,10 @@
             else:
                 self.estimates.learn(job, report)
 
-    def settlements(self) -> list[JobUpdate]:
+    def settlements(self, claimed: Iterable[Job]) -> list[JobUpdate]:
         """Returns what has become of the claimed jobs."""
         updates = []
-        for job in self.claimed_jobs():
+        for job in claimed:
             after = self.settle(job)
             if after != job:
                 updates.append(JobUpdate(job, after))
@@ -413,11 +415,11 @@
             boot_id=job.boot_id,
         )
 
-    def send_orders(self) -> None:
+    def send_orders(self, claimed: Iterable[Job]) -> None:
         """Renews the leases of all tasks that are not given up."""
         now = self.clock.now()
         alive = []
-        for job in self.claimed_jobs():
+        for job in claimed:
             task_id = task_id_of(job)
             self.table.adopt(task_id, now)
             if self.builder.is_draining(job):
@@ -432,9 +434,9 @@
             self.metrics.count("jobs.moved_for_drain")
             self.log.info("job_moved_for_drain", job=job.job_id, vm=job.vm)
 
-    def prune(self) -> None:
+    def prune(self, claimed: Iterable[Job]) -> None:
         """Forgets the tasks of jobs that have ended or wait again."""
-        kept = {task_id_of(job) for job in self.claimed_jobs()}
+        kept = {task_id_of(job) for job in claimed}
         for task_id in self.table.prune(kept):
             self.orders.forget(task_id)
             self.estimates.forget(task_id)
--- a/libs/fleet/burdockthread_fleet/job_segments.py
+++ b/libs/fleet/burdockthread_fleet/job_segments.py
@@ -69,13 +69,20 @@
 
     def on_item(self, key: str, item: KeyValue | None) -> None:
         """Takes a change of a segment in."""
+        gone = set()
         for job in self.segments.pop(key, ()):
             if self.keys.get(job.job_id) == key:
                 self.forget(job)
+                gone.add(job.job_id)
         jobs = self.read(key, item)
-        if jobs is None:
-            return
-        self.segments[key] = jobs
+        if jobs is not None:
+            self.segments[key] = jobs
+            self.index(key, jobs)
+        for job_id in gone - self.keys.keys():
+            self.encoded.pop(job_id, None)
+
+    def index(self, key: str, jobs: Sequence[Job]) -> None:
+        """Takes the jobs of a segment into the index."""
         for job in jobs:
             self.keys[job.job_id] = key
             self.jobs[job.job_id] = job
@@ -101,7 +108,6 @@
         """Drops a job from the index."""
         del self.keys[job.job_id]
         del self.jobs[job.job_id]
-        self.encoded.pop(job.job_id, None)
         self.open[job.organisation].pop(job.job_id, None)
 
     def batches(self, updates: Sequence[JobUpdate]) -> list[Batch]:
--- a/libs/fleet/burdockthread_fleet/placement.py
+++ b/libs/fleet/burdockthread_fleet/placement.py
@@ -6,10 +6,11 @@
 from burdockthread_model.job import Job
 from burdockthread_model.vm import VmListing, VmRecord
 
-from burdockthread_fleet.usage import Size, UsageEstimates, declared_size
+from burdockthread_fleet.usage import Size, UsageEstimates, declared_size, sum_sizes
 
 TARGET_SHARE = 0.95
 MAX_CLAIMS_PER_VM = 32
+NOT_RESERVED = float("inf")
 
 
 class Room:
@@ -22,8 +23,8 @@
         boot_id: Its boot.
         capacity: What it has.
         limit: What may be filled of it.
-        declared: Sum of what its jobs declare.
         used: Sum of what its jobs are taken to use.
+        free_size: What may still be filled, once asked for.
         tasks: Jobs placed on it, by id.
         sizes: What each of its jobs is taken to use, by id.
         in_service: Whether it may get jobs.
@@ -43,31 +44,59 @@
             listing.memory_gb * TARGET_SHARE,
             listing.accelerators,
         )
-        self.declared = Size()
         self.used = Size()
+        self.free_size: Size | None = None
         self.tasks: dict[str, Job] = {}
         self.sizes: dict[str, Size] = {}
         self.in_service = True
         self.unconfirmed = 0
         self.claims = MAX_CLAIMS_PER_VM
-        self.reserved = float("inf")
+        self.reserved = NOT_RESERVED
 
     def add(self, job: Job, used: Size) -> None:
         """Counts a job."""
         self.tasks[job.job_id] = job
         self.sizes[job.job_id] = used
-        self.declared = self.declared.plus(declared_size(job))
         self.used = self.used.plus(used)
+        self.free_size = None
+
+    def fill(self, tasks: dict[str, Job], sizes: dict[str, Size]) -> None:
+        """Counts the jobs of an empty VM.
+
+        Args:
+            tasks: Jobs by id.
+            sizes: What each of them is taken to use, in the same order.
+        """
+        self.tasks = tasks
+        self.sizes = sizes
+        self.used = sum_sizes(sizes.values())
 
     def remove(self, job: Job) -> None:
         """Counts a job no longer."""
         if self.tasks.pop(job.job_id, None) is not None:
-            self.declared = self.declared.minus(declared_size(job))
             self.used = self.used.minus(self.sizes.pop(job.job_id))
+            self.free_size = None
+
+    def declared(self) -> Size:
+        """Returns the sum of what its jobs declare."""
+        return sum_sizes(declared_size(job) for job in self.tasks.values())
+
+    def share_with(self, size: Size) -> float:
+        """Returns the largest share of any resource in use with one job more."""
+        used, whole = self.used, self.capacity
+        share = (used.cores + size.cores) / whole.cores if whole.cores > 0 else 0.0
+        if whole.memory_gb > 0:
+            share = max(share, (used.memory_gb + size.memory_gb) / whole.memory_gb)
+        if whole.accelerators > 0:
+            accelerators = used.accelerators + size.accelerators
+            share = max(share, accelerators / whole.accelerators)
+        return share
 
     def free(self) -> Size:
         """Returns what may still be filled."""
-        return self.limit.minus(self.used)
+        if self.free_size is None:
+            self.free_size = self.limit.minus(self.used)
+        return self.free_size
 
 
 class PlacementPolicy(ABC):
@@ -108,7 +137,7 @@
         for room in rooms:
             if room.vm in excluded or room.claims <= 0:
                 continue
-            if size.fits(room.capacity.minus(room.declared)):
+            if size.fits(room.capacity.minus(room.declared())):
                 return room
         return None
 
@@ -135,9 +164,9 @@
         best: Room | None = None
         best_share = float("inf")
         for room in rooms:
-            if room.vm in excluded or room.claims <= 0 or not size.fits(room.free()):
+            if room.claims <= 0 or not size.fits(room.free()) or room.vm in excluded:
                 continue
-            share = room.used.plus(size).share_of(room.capacity)
+            share = room.share_with(size)
             if share < best_share:
                 best, best_share = room, share
         return best
--- a/libs/fleet/burdockthread_fleet/quotas.py
+++ b/libs/fleet/burdockthread_fleet/quotas.py
@@ -24,12 +24,14 @@
         weight: Share against the other teams.
         limit: Hard limit of the team.
         used: What its claimed jobs are taken to use.
+        weighted_share: Its largest share of any resource, over its weight.
     """
 
     def __init__(self, weight: float, limit: Size) -> None:
         self.weight = weight
         self.limit = limit
         self.used = Size()
+        self.weighted_share = 0.0
 
     def allows(self, size: Size) -> bool:
         """Returns whether a job of some size stays within the limit."""
@@ -70,15 +72,12 @@
         """Counts what a claimed job of a team is taken to use."""
         account = self.account(team)
         account.used = account.used.plus(size)
+        share = account.used.share_of(self.total)
+        account.weighted_share = share / account.weight
 
     def next_team(self, teams: Iterable[str]) -> str:
         """Returns the team whose turn it is."""
-        return min(teams, key=lambda team: (self.weighted_share(team), team))
-
-    def weighted_share(self, team: str) -> float:
-        """Returns the largest share of a team, over its weight."""
-        account = self.account(team)
-        return account.used.share_of(self.total) / account.weight
+        return min([(self.account(team).weighted_share, team) for team in teams])[1]
 
 
 def class_minima(service: ServiceSpec | None) -> dict[RequestClass, float]:
--- a/libs/fleet/burdockthread_fleet/rooms.py
+++ b/libs/fleet/burdockthread_fleet/rooms.py
@@ -1,5 +1,6 @@
 """What the VMs of an organisation have, and what its jobs use of it."""
 
+from collections import defaultdict
 from collections.abc import Iterable
 
 from burdockthread_model.job import Job
@@ -36,14 +37,27 @@
             wall_s: Unix time.
         """
         rooms = self.empty_rooms()
+        by_vm: defaultdict[str, dict[str, Job]] = defaultdict(dict)
         for job in claimed:
-            room = rooms.get(job.vm)
-            if room is not None:
-                room.add(job, self.used_by(job, wall_s))
-                report = self.table.report(job)
-                room.unconfirmed += report is None or report.state is TaskState.FAILED
+            by_vm[job.vm][job.job_id] = job
+        for vm, jobs in by_vm.items():
+            if vm in rooms:
+                self.fill(rooms[vm], jobs, wall_s)
         return rooms
 
+    def fill(self, room: Room, jobs: dict[str, Job], wall_s: float) -> None:
+        """Counts the jobs of one VM."""
+        sizes = {}
+        for job_id, job in jobs.items():
+            task_id = task_id_of(job)
+            report = self.table.reports.get(task_id)
+            if task_id in self.table.released:
+                sizes[job_id] = Size()
+            else:
+                sizes[job_id] = self.estimates.running(job, report, wall_s)
+            room.unconfirmed += report is None or report.state is TaskState.FAILED
+        room.fill(jobs, sizes)
+
     def empty_rooms(self) -> dict[str, Room]:
         """Returns the VMs without their jobs."""
         rooms = {}
@@ -62,18 +76,12 @@
         """Returns whether a VM is, or is about to be, out of service."""
         return record.state is not VmState.SERVING or self.view.is_leaving(listing)
 
-    def used_by(self, job: Job, wall_s: float) -> Size:
-        """Returns what a claimed job is taken to use now."""
-        if task_id_of(job) in self.table.released:
-            return Size()
-        return self.estimates.running(job, self.table.report(job), wall_s)
-
     def observed(self, room: Room) -> dict[str, Size]:
         """Returns what each task of a VM that still runs was last seen to use."""
         observed = {}
         for job in room.tasks.values():
             report = self.table.report(job)
-            if report is not None and task_id_of(job) not in self.table.released:
+            if report is not None and report.task_id not in self.table.released:
                 used = Size(report.cores_used, report.memory_gb_used)
                 observed[job.job_id] = used
         return observed
--- a/libs/fleet/burdockthread_fleet/usage.py
+++ b/libs/fleet/burdockthread_fleet/usage.py
@@ -1,6 +1,8 @@
 """Estimates of what jobs really use, learned from reports that lag."""
 
 import math
+from collections import defaultdict
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from burdockthread_model.job import Job
@@ -60,6 +62,12 @@
         return share
 
 
+def sum_sizes(sizes: Iterable[Size]) -> Size:
+    """Returns the sum of sizes."""
+    columns = tuple(zip(*sizes, strict=True))
+    return Size(*map(sum, columns)) if columns else Size()
+
+
 def declared_size(job: Job) -> Size:
     """Returns what a job declares."""
     return Size(job.cores, job.memory_gb, job.accelerators)
@@ -112,18 +120,27 @@
         return min(self.cores.samples, self.memory.samples) >= MIN_SAMPLES
 
 
+class Factors(NamedTuple):
+    """Expected usage over what a job declares."""
+
+    cores: float = 1.0
+    memory: float = 1.0
+
+
 class UsageEstimates:
     """Expected sizes of jobs.
 
     Attributes:
         corrections: What was learned, by service and team; under an empty service
             what was learned of a team in all services.
+        factors: What follows from the corrections, by team and service.
         learned: Tasks that have been learned from.
         shares: Share of its processors that a throttled task has, by task id.
     """
 
     def __init__(self) -> None:
         self.corrections: dict[tuple[str, str], Correction] = {}
+        self.factors: defaultdict[str, dict[str, Factors]] = defaultdict(dict)
         self.learned: set[str] = set()
         self.shares: dict[str, float] = {}
 
@@ -139,23 +156,36 @@
         if report.cores_used <= 0 and report.memory_gb_used <= 0:
             return
         self.learned.add(report.task_id)
+        self.factors.pop(job.team, None)
         for key in ((job.service, job.team), ("", job.team)):
             correction = self.corrections.setdefault(key, Correction())
             correction.learn(declared_size(job), report)
 
     def expected(self, job: Job) -> Size:
         """Returns what a job that does not run yet is expected to use."""
-        found = self.corrections.get((job.service, job.team))
-        if found is None or not found.is_known():
-            found = self.corrections.get(("", job.team))
-        if found is None:
-            return declared_size(job)
+        by_service = self.factors[job.team]
+        factors = by_service.get(job.service)
+        if factors is None:
+            factors = self.factors_of(job.service, job.team)
+            by_service[job.service] = factors
         return Size(
-            job.cores * found.cores.factor(CORES_DEVIATIONS),
-            job.memory_gb * found.memory.factor(MEMORY_DEVIATIONS),
+            job.cores * factors.cores,
+            job.memory_gb * factors.memory,
             job.accelerators,
         )
 
+    def factors_of(self, service: str, team: str) -> Factors:
+        """Returns what the corrections say of a service's jobs of a team."""
+        found = self.corrections.get((service, team))
+        if found is None or not found.is_known():
+            found = self.corrections.get(("", team))
+        if found is None:
+            return Factors()
+        return Factors(
+            found.cores.factor(CORES_DEVIATIONS),
+            found.memory.factor(MEMORY_DEVIATIONS),
+        )
+
     def running(self, job: Job, report: TaskReport | None, wall_s: float) -> Size:
         """Returns what a claimed job is taken to use now.
 
@@ -167,10 +197,10 @@
             report: Its newest report, or None.
             wall_s: Unix time.
         """
-        expected = self.expected(job)
         if report is None:
-            return expected
+            return self.expected(job)
         if wall_s - report.observed_s > REPORT_MAX_AGE_S:
+            expected = self.expected(job)
             return Size(
                 max(expected.cores, report.cores_used) * STALE_MARGIN,
                 max(expected.memory_gb, report.memory_gb_used) * STALE_MARGIN,
--- a/libs/fleet/tests/test_usage.py
+++ b/libs/fleet/tests/test_usage.py
@@ -96,3 +96,12 @@
         estimates.learn(elsewhere, report(number, 1.0))
     assert estimates.expected(elsewhere).cores == pytest.approx(2.0)
     assert estimates.expected(JOB).cores == pytest.approx(0.2)
+
+
+def test_what_was_expected_before_is_forgotten_once_more_is_learned():
+    estimates = UsageEstimates()
+    assert estimates.expected(JOB) == (2.0, 4.0, 0)
+    for number in range(3):
+        estimates.learn(JOB, report(number, 10.0))
+    assert estimates.expected(JOB) == pytest.approx((20.0, 40.0, 0))
+    assert estimates.expected(JOB._replace(service="org/new"))[0] > 2.0
