Skip the listing of wanted slots while nothing can be asked

Each entry looks at each other entry five times a second; without loans and before the next question is due it now stops there. Which odd slot may be lent is kept by endpoint.

--- a/libs/peers/burdockthread_peers/lent_permits.py
+++ b/libs/peers/burdockthread_peers/lent_permits.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Sequence
+from functools import lru_cache
 
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import PeerError
@@ -21,7 +22,7 @@
 from burdockthread_peers.mesh import PeerMesh
 from burdockthread_peers.permits import SlotPermits
 from burdockthread_peers.rendezvous import score
-from burdockthread_peers.static_permits import StaticPermits
+from burdockthread_peers.static_permits import MAX_RANKED, StaticPermits
 
 LONGEST_EXCHANGE_S = 600.0
 ASK_S = 0.2
@@ -39,6 +40,12 @@
     return True
 
 
+@lru_cache(maxsize=MAX_RANKED)
+def odd_slot(slot: Slot, lender: str) -> int:
+    """Returns 1 for every second endpoint of a lender, otherwise 0."""
+    return score("/".join(slot), lender) % 2
+
+
 class LentPermits(SlotPermits):
     """Lends idle slots of this entry's share, and borrows from other shares.
 
@@ -108,7 +115,7 @@
         restart.
         """
         half, odd = divmod(self.static.limit(*slot), 2)
-        return half + odd * (score("/".join(slot), self.static.name) % 2)
+        return half + odd * odd_slot(slot, self.static.name)
 
     def limit(self, service: str, endpoint: str) -> int:
         """Returns how many slots this entry may use now."""
@@ -233,15 +240,13 @@
         What is kept or given back comes before what is wanted, and both are
         bounded by `ROWS_PER_S` for all lenders together.
         """
-        wanted = {
-            (service, endpoint)
-            for service in self.refused_s
-            if self.in_demand(service)
-            for endpoint in self.endpoint_names(service)
-        }
+        may_grow = self.clock.now() >= book.grow_at_s
+        if not (book.loans or may_grow):
+            return ()
+        wanted = self.wanted()
         held = [book.row(slot, GROWTH * (slot in wanted)) for slot in book.loans]
         new: list[SlotRow | None] = []
-        if wanted and self.clock.now() >= book.grow_at_s:
+        if wanted and may_grow:
             slots = sorted(wanted - book.loans.keys())
             first = book.number * NEW_ROWS % max(len(slots), 1)
             chosen = (slots[first:] + slots[:first])[:NEW_ROWS]
@@ -249,6 +254,15 @@
         rows = [row for row in held + new if row is not None]
         return tuple(rows[: self.take_row_budget(len(rows))])
 
+    def wanted(self) -> set[Slot]:
+        """Returns the endpoints of all services in demand."""
+        return {
+            (service, endpoint)
+            for service in self.refused_s
+            if self.in_demand(service)
+            for endpoint in self.endpoint_names(service)
+        }
+
     def take_row_budget(self, wanted: int) -> int:
         """Returns how many rows may be sent now, and counts them as sent."""
         now_s = self.clock.now()
