--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -9,6 +9,7 @@
 from burdockthread_fleet.job_directory import (
     JobDirectory,
 )
+from burdockthread_fleet.job_rounds import JobParts
 from burdockthread_fleet.job_runner import JobRunner
 from burdockthread_fleet.job_segments import JobSegments
 from burdockthread_fleet.leadership import Leadership
@@ -174,17 +175,18 @@
         store = self.store
         self.job_cache = PrefixCache(store, JOB_PREFIX, self.clock)
         self.job_segments = JobSegments(store, self.job_cache, self.log)
-        self.job_runner = JobRunner(
-            self.mesh,
-            self.job_segments,
-            store,
-            self.view,
-            self.edges.workers,
-            self.clock,
-            self.metrics,
-            self.log,
-            self.steps,
+        parts = JobParts(
+            name=self.mesh.name,
+            segments=self.job_segments,
+            store=store,
+            view=self.view,
+            workers=self.edges.workers,
+            clock=self.clock,
+            metrics=self.metrics,
+            log=self.log,
+            steps=self.steps,
         )
+        self.job_runner = JobRunner(self.mesh, parts)
         self.job_directory = JobDirectory(
             self.job_segments, self.clock, self.metrics, self.log
         )
--- a/libs/burdockthread/burdockthread/job_trial.py
+++ b/libs/burdockthread/burdockthread/job_trial.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from burdockthread_fleet.job_placer import JobPlacer, Plan
-from burdockthread_fleet.job_rounds import JobRounds
+from burdockthread_fleet.job_rounds import JobParts, JobRounds
 from burdockthread_fleet.job_runner import ROUND_INTERVAL_S
 from burdockthread_fleet.job_segments import JobSegments, JobUpdate
 from burdockthread_fleet.memory_workers import (
@@ -155,18 +155,18 @@
         self.segments = JobSegments(self.store, self.cache, self.log)
         self.workers = MemoryWorkerClient(self.clock)
         self.view = self.build_view()
-        self.rounds = JobRounds(
-            "trial",
-            site.name,
-            self.segments,
-            self.store,
-            self.view,
-            self.workers,
-            self.clock,
-            self.metrics,
-            self.log,
-            Steps(),
+        parts = JobParts(
+            name="trial",
+            segments=self.segments,
+            store=self.store,
+            view=self.view,
+            workers=self.workers,
+            clock=self.clock,
+            metrics=self.metrics,
+            log=self.log,
+            steps=Steps(),
         )
+        self.rounds = JobRounds(site.name, parts)
         if first_come:
             placer = FirstComePlacer(
                 site.name,
--- a/libs/fleet/burdockthread_fleet/job_rounds.py
+++ b/libs/fleet/burdockthread_fleet/job_rounds.py
@@ -53,6 +53,32 @@
     name: str
 
 
+class JobParts(NamedTuple):
+    """What placing jobs works with.
+
+    Attributes:
+        name: Name of the entry.
+        segments: Jobs as the store holds them.
+        store: Where claims are written.
+        view: VMs and services.
+        workers: Orders to workers and their reports.
+        clock: Time.
+        metrics: Counters.
+        log: Events.
+        steps: Steps at which tests may interfere.
+    """
+
+    name: str
+    segments: JobSegments
+    store: ConfigurationStore
+    view: FleetView
+    workers: WorkerClient
+    clock: Clock
+    metrics: Metrics
+    log: EventLog
+    steps: Steps
+
+
 class JobRounds:
     """Settles, places and follows the jobs of one organisation.
 
@@ -61,50 +87,40 @@
     the other, the later one with the earlier one in sight.
     """
 
-    def __init__(
-        self,
-        name: str,
-        organisation: str,
-        segments: JobSegments,
-        store: ConfigurationStore,
-        view: FleetView,
-        workers: WorkerClient,
-        clock: Clock,
-        metrics: Metrics,
-        log: EventLog,
-        steps: Steps,
-    ) -> None:
-        self.name = name
+    def __init__(self, organisation: str, parts: JobParts) -> None:
         self.organisation = organisation
-        self.segments = segments
-        self.store = store
-        self.view = view
-        self.workers = workers
-        self.clock = clock
-        self.metrics = metrics
-        self.log = log
-        self.steps = steps
+        self.name = parts.name
+        self.segments = parts.segments
+        self.store = parts.store
+        self.view = parts.view
+        self.workers = parts.workers
+        self.clock = parts.clock
+        self.metrics = parts.metrics
+        self.log = parts.log
+        self.steps = parts.steps
         self.table = TaskTable()
         self.estimates = UsageEstimates()
-        self.builder = RoomBuilder(organisation, view, self.table, self.estimates)
+        self.builder = RoomBuilder(organisation, self.view, self.table, self.estimates)
         self.quarantine = WorkerQuarantine()
         self.rules = OvercommitRules(self.estimates.shares)
         policy = ObservedFit(self.estimates)
-        self.placer = JobPlacer(organisation, view, policy, self.quarantine, clock)
+        self.placer = JobPlacer(
+            organisation, self.view, policy, self.quarantine, self.clock
+        )
         self.orders = TaskOrders(
-            workers,
+            self.workers,
             self.table,
-            clock,
-            metrics,
-            log,
-            steps,
+            self.clock,
+            self.metrics,
+            self.log,
+            self.steps,
             self.is_current,
             self.placer.avoid,
         )
         self.placer_revision: int | None = None
         self.must_see_revision = 0
-        self.round_s = clock.now()
-        self.compacted_s = clock.now()
+        self.round_s = self.clock.now()
+        self.compacted_s = self.clock.now()
         self.polled_until_s: dict[str, float] = {}
 
     def open_jobs(self) -> list[Job]:
--- a/libs/fleet/burdockthread_fleet/job_runner.py
+++ b/libs/fleet/burdockthread_fleet/job_runner.py
@@ -2,18 +2,10 @@
 
 import asyncio
 
-from burdockthread_model.clock import Clock
-from burdockthread_model.events import EventLog
-from burdockthread_model.metrics import Metrics
-from burdockthread_model.steps import Steps
 from burdockthread_peers.mesh import MemberState, PeerMesh
 from burdockthread_peers.rendezvous import rank
-from burdockthread_routing.fleet_view import FleetView
-from burdockthread_store.store import ConfigurationStore
 
-from burdockthread_fleet.job_rounds import JobRounds
-from burdockthread_fleet.job_segments import JobSegments
-from burdockthread_fleet.worker_client import WorkerClient
+from burdockthread_fleet.job_rounds import JobParts, JobRounds
 
 ROUND_INTERVAL_S = 1.0
 
@@ -28,27 +20,14 @@
         rounds: Rounds of each organisation that this entry places.
     """
 
-    def __init__(
-        self,
-        mesh: PeerMesh,
-        segments: JobSegments,
-        store: ConfigurationStore,
-        view: FleetView,
-        workers: WorkerClient,
-        clock: Clock,
-        metrics: Metrics,
-        log: EventLog,
-        steps: Steps,
-    ) -> None:
+    def __init__(self, mesh: PeerMesh, parts: JobParts) -> None:
         self.mesh = mesh
-        self.segments = segments
-        self.store = store
-        self.view = view
-        self.workers = workers
-        self.clock = clock
-        self.metrics = metrics
-        self.log = log
-        self.steps = steps
+        self.parts = parts
+        self.segments = parts.segments
+        self.view = parts.view
+        self.clock = parts.clock
+        self.metrics = parts.metrics
+        self.log = parts.log
         self.rounds: dict[str, JobRounds] = {}
 
     async def run(self) -> None:
@@ -98,18 +77,7 @@
     def start(self, organisation: str) -> JobRounds:
         """Starts to place the jobs of an organisation."""
         self.log.info("placer_started", organisation=organisation)
-        self.rounds[organisation] = JobRounds(
-            self.mesh.name,
-            organisation,
-            self.segments,
-            self.store,
-            self.view,
-            self.workers,
-            self.clock,
-            self.metrics,
-            self.log,
-            self.steps,
-        )
+        self.rounds[organisation] = JobRounds(organisation, self.parts)
         return self.rounds[organisation]
 
     async def drop(self, organisation: str) -> None:
--- a/libs/fleet/tests/test_job_runner.py
+++ b/libs/fleet/tests/test_job_runner.py
@@ -4,6 +4,7 @@
 from contextlib import suppress
 
 import pytest
+from burdockthread_fleet.job_rounds import JobParts
 from burdockthread_fleet.job_runner import JobRunner
 from burdockthread_fleet.job_segments import JobSegments
 from burdockthread_fleet.memory_workers import MemoryWorkerClient
@@ -68,17 +69,18 @@
         self.view.services = site.services
         self.view.records = site.records
         self.view.listings = site.listings
-        self.runner = JobRunner(
-            self.mesh,
-            self.segments,
-            site.store,
-            self.view,
-            site.workers,
-            site.clock,
-            site.metrics,
-            site.log,
-            self.steps,
+        parts = JobParts(
+            name=name,
+            segments=self.segments,
+            store=site.store,
+            view=self.view,
+            workers=site.workers,
+            clock=site.clock,
+            metrics=site.metrics,
+            log=site.log,
+            steps=self.steps,
         )
+        self.runner = JobRunner(self.mesh, parts)
         self.tasks = []
 
     def start(self):
