Split the tests of the job runner by subject

test_job_runner.py had grown to about 800 lines. It is now test_job_runner, test_job_store, test_job_workers and test_job_room, over one module with the entries and workers in memory (job_site) and the site fixture in conftest.

--- a/libs/fleet/tests/conftest.py
+++ b/libs/fleet/tests/conftest.py
@@ -4,6 +4,8 @@
 from burdockthread_fleet.memory_fleet import MemoryFleet, rack_listings
 from burdockthread_model.vm import VmState
 
+from .job_site import Site
+
 ZONES = ("palermo", "catania", "trapani")
 PERIOD_DAYS = 35.0
 
@@ -55,3 +57,12 @@
     fleet.accept(document)
     await fleet.run(5)
     return fleet
+
+
+@pytest.fixture
+async def site(clock, store, metrics, log):
+    site = Site(clock, store, metrics, log)
+    site.add_pool("ledger", 2)
+    yield site
+    for node in site.nodes:
+        await node.kill()
