Encode jobs of a segment with msgspec

The text is equal byte by byte but for non-ASCII characters, which are written as UTF-8, and numbers in exponent form (1e-7 for 1e-07); both are read by old and new entries alike, and a test compares them with the ledger's.

--- a/libs/fleet/burdockthread_fleet/job_segments.py
+++ b/libs/fleet/burdockthread_fleet/job_segments.py
@@ -7,7 +7,7 @@
 import msgspec
 from burdockthread_model.events import EventLog
 from burdockthread_model.job import FINAL_JOB_STATES, Job, JobState
-from burdockthread_routing.job_ledger import JOB_PREFIX, decode_jobs, encode_jobs
+from burdockthread_routing.job_ledger import JOB_PREFIX, decode_jobs
 from burdockthread_store.prefix_cache import PrefixCache
 from burdockthread_store.store import Change, ConfigurationStore, KeyValue
 
@@ -156,7 +156,7 @@
         known = self.encoded.get(job.job_id)
         if known is not None and known[0] is job:
             return known[1]
-        text = encode_jobs([job])[1:-1]
+        text = msgspec.json.encode(job._asdict(), order="sorted")
         self.encoded[job.job_id] = (job, text)
         return text
 
--- a/libs/fleet/tests/test_job_segments.py
+++ b/libs/fleet/tests/test_job_segments.py
@@ -2,7 +2,7 @@
 from burdockthread_fleet.job_segments import JobSegments, JobUpdate
 from burdockthread_model.job import Job, JobState
 from burdockthread_model.request import RequestClass
-from burdockthread_routing.job_ledger import JOB_PREFIX, encode_jobs
+from burdockthread_routing.job_ledger import JOB_PREFIX, decode_jobs, encode_jobs
 from burdockthread_store.prefix_cache import PrefixCache
 from burdockthread_store.store import Change, KeyValue
 
@@ -53,3 +53,10 @@
     await claim(segments, "a")
     await segments.commit([segments.replacement(KEY, [segments.jobs["b"]])])
     assert segments.jobs.keys() == segments.encoded.keys() == {"b"}
+
+
+async def test_segments_are_written_as_the_ledger_writes_them(segments):
+    jobs = [new_job("a"), new_job('b"\n')._replace(submitted_s=1764838585.123456)]
+    assert segments.encode(jobs) == encode_jobs(jobs)
+    others = [new_job("perché")._replace(run_time_s=1e-7)]
+    assert decode_jobs(segments.encode(others)) == others
