--- a/scripts/measure_rollout.py
+++ b/scripts/measure_rollout.py
@@ -239,14 +239,20 @@
         await trial.driver.set_fault("store", "silence_watches", 0)
         started_s = time.monotonic()
         await trial.accept(change)
-        await trial.driver.set_fault("store", "down", 1)
-        await asyncio.sleep(OUTAGE_S)
-        await trial.driver.clear_faults("store")
+        outage = asyncio.create_task(store_outage(trial))
         await trial.watch.wait(trial.entries(), change)
         trial.note("store_down", started_s)
+        await outage
         await asyncio.sleep(AFTER_S)
 
 
+async def store_outage(trial: Trial) -> None:
+    """Takes the store down for `OUTAGE_S`."""
+    await trial.driver.set_fault("store", "down", 1)
+    await asyncio.sleep(OUTAGE_S)
+    await trial.driver.clear_faults("store")
+
+
 def frozen(name: str) -> Case:
     """Returns the case in which an entry is stopped while changes are accepted."""
 
