Leave endpoints of which nothing is lent out of the answer

While every entry wants slots, lenders answered each of 16 rows with a zero. The borrower now forgets what it does not keep and is not granted.

--- a/libs/peers/burdockthread_peers/lent_permits.py
+++ b/libs/peers/burdockthread_peers/lent_permits.py
@@ -228,6 +228,9 @@
         reply = await self.mesh.call(lender, message, LentSlots, CALL_TIMEOUT_S)
         if book.number != message.number:
             return
+        for row in rows:
+            if not row.keep:
+                book.drop((row.service, row.endpoint))
         for grant in reply.grants:
             book.take(grant, sent_s, sent_wall_s)
         if any(row.want > row.keep for row in rows):
@@ -280,8 +283,8 @@
             sender, message
         ):
             return LentSlots(())
-        grants = tuple(self.lend(sender, row) for row in message.rows)
-        return LentSlots(grants)
+        grants = [(row, self.lend(sender, row)) for row in message.rows]
+        return LentSlots(tuple(g for row, g in grants if g.slots or row.keep))
 
     def lend(self, borrower: str, row: SlotRow) -> SlotGrant:
         """Decides on one endpoint."""
--- a/libs/peers/burdockthread_peers/loans.py
+++ b/libs/peers/burdockthread_peers/loans.py
@@ -52,7 +52,10 @@
 
 
 class LentSlots(NamedTuple):
-    """Answer to `AskSlots`; the slots may be taken for `LOAN_S`."""
+    """Answer to `AskSlots`; the slots may be taken for `LOAN_S`.
+
+    Endpoints of which nothing is kept or lent are left out.
+    """
 
     grants: tuple[SlotGrant, ...]
 
@@ -227,6 +230,10 @@
         if loan is not None and loan.slots > slots:
             self.loans[slot] = loan._replace(slots=slots)
 
+    def drop(self, slot: Slot) -> None:
+        """Forgets a loan."""
+        self.loans.pop(slot, None)
+
     def take(self, grant: SlotGrant, sent_s: float, sent_wall_s: float) -> None:
         """Takes a loan over, counted from when it was asked for."""
         slot = (grant.service, grant.endpoint)
