Read each registration once

The member selection decoded every registration again twice a second and entry, most of what the profile shows of the membership.

--- a/libs/peers/burdockthread_peers/registration.py
+++ b/libs/peers/burdockthread_peers/registration.py
@@ -26,6 +26,7 @@
         cache: Copy of all registrations.
         lease: Lease of the registration, or None while there is none.
         revision: Revision of this process's registration, or 0.
+        read: Each registration with what it says.
         superseded: Whether another process has taken this entry's name.
     """
 
@@ -39,17 +40,27 @@
         self.cache.listeners.append(self.on_item)
         self.lease: Lease | None = None
         self.revision = 0
+        self.read: dict[str, tuple[KeyValue, ViewMember | None]] = {}
         self.superseded = False
 
     def registered(self) -> dict[str, ViewMember]:
         """Returns the registrations by name."""
+        self.read = {k: v for k, v in self.read.items() if k in self.cache.values}
         found = {}
         for item in self.cache.values.values():
-            member = decode_registration(item)
+            member = self.decoded(item)
             if member is not None:
                 found[member.name] = member
         return found
 
+    def decoded(self, item: KeyValue) -> ViewMember | None:
+        """Returns a registration, read once for each value."""
+        known = self.read.get(item.key)
+        if known is None or known[0] != item:
+            known = (item, decode_registration(item))
+            self.read[item.key] = known
+        return known[1]
+
     def on_item(self, key: str, item: KeyValue | None) -> None:
         """Stops if a newer process has registered under this name."""
         member = None if item is None else decode_registration(item)
