Give a worker in doubt one job at a time

Cause: a worker never seen to succeed gets 4 jobs less its failures. Four jobs that had failed elsewhere too weigh less than the 3 that close a worker, so it was neither closed, shown to operators, nor given a job ever again.

It now gets one job while it has none; a success proves it, a failure adds to its score.

--- a/libs/fleet/burdockthread_fleet/job_placer.py
+++ b/libs/fleet/burdockthread_fleet/job_placer.py
@@ -256,7 +256,8 @@
                 room.claims = 0 if room.tasks else 1
             elif room.vm not in quarantine.proven:
                 doubts = room.unconfirmed + len(quarantine.failures.get(room.vm, ()))
-                room.claims = MAX_UNPROVEN_CLAIMS - doubts
+                at_least = 0 if room.tasks else 1
+                room.claims = max(MAX_UNPROVEN_CLAIMS - doubts, at_least)
             found.append(room)
         return found
 
--- a/libs/fleet/tests/test_job_workers.py
+++ b/libs/fleet/tests/test_job_workers.py
@@ -135,6 +135,25 @@
     assert site.metrics.counters["jobs.workers_reinstated"] == 1
 
 
+async def test_a_worker_in_doubt_still_gets_one_job_at_a_time(site):
+    node = site.owner()
+    site.records["ledger-1"] = site.records["ledger-1"]._replace(state=VmState.DRAINING)
+    await site.wait(1)
+    quarantine = node.runner.rounds["org"].quarantine
+    for name in "abcd":
+        quarantine.fail("elsewhere", name, 0.0)
+        quarantine.fail("ledger-0", name, 0.0)
+    quarantine.until_s.clear()
+    for name in "abcd":
+        quarantine.failed_on[name] = {"elsewhere", "ledger-0"}
+    assert quarantine.failures["ledger-0"] == set("abcd")
+    await site.submit(new_job("x"), new_job("y"))
+    await site.wait(5)
+    assert len(site.workers.starts()) == 1
+    await site.wait(60)
+    assert set((await site.states()).values()) == {JobState.DONE}
+
+
 async def test_a_poisonous_job_is_parked_and_quarantines_nobody(site):
     site.add_pool("many", 4)
     for worker in site.workers.workers.values():
