--- a/libs/peers/burdockthread_peers/lent_permits.py
+++ b/libs/peers/burdockthread_peers/lent_permits.py
@@ -1,6 +1,7 @@
 """Slot permits as fixed shares of which idle ones are lent to other entries."""
 
 import asyncio
+import itertools
 from collections import Counter
 from collections.abc import Callable, Sequence
 from functools import lru_cache
@@ -63,6 +64,8 @@
             this process started; nothing that may be lent is used meanwhile.
         may_use: Returns whether this process holds the share of its name now;
             without it, it takes no slot, lends none and asks for none.
+        listed: When the endpoints in demand were listed, of which services, and
+            the endpoints.
         refusals: Slots refused in a row, by service.
         refused_s: Clock time when all endpoints last refused, by service.
     """
@@ -90,6 +93,8 @@
         self.unanswered = set(others)
         self.settled_s = clock.now() + self.book.reserve_s
         self.looked_up: dict[str, tuple[float, tuple[str, ...]]] = {}
+        self.listed: tuple[float, list[str], dict[Slot, None]]
+        self.listed = (float("-inf"), [], {})
         self.row_budget = ROWS_PER_S
         self.row_budget_s = clock.now()
         self.refusals: Counter[str] = Counter()
@@ -250,21 +255,32 @@
         held = [book.row(slot, GROWTH * (slot in wanted)) for slot in book.loans]
         new: list[SlotRow | None] = []
         if wanted and may_grow:
-            slots = sorted(wanted - book.loans.keys())
-            first = book.number * NEW_ROWS % max(len(slots), 1)
-            chosen = (slots[first:] + slots[:first])[:NEW_ROWS]
+            first = book.number * NEW_ROWS % len(wanted)
+            slots = list(wanted)
+            turned = itertools.chain(slots[first:], slots[:first])
+            others = (slot for slot in turned if slot not in book.loans)
+            chosen = itertools.islice(others, NEW_ROWS)
             new = [book.row(slot, GROWTH) for slot in chosen]
         rows = [row for row in held + new if row is not None]
         return tuple(rows[: self.take_row_budget(len(rows))])
 
-    def wanted(self) -> set[Slot]:
-        """Returns the endpoints of all services in demand."""
-        return {
+    def wanted(self) -> dict[Slot, None]:
+        """Returns the endpoints of all services in demand, in order.
+
+        They are listed once in `ASK_S` for all lenders.
+        """
+        services = [name for name in self.refused_s if self.in_demand(name)]
+        listed_s, listed_services, slots = self.listed
+        fresh = self.clock.now() - listed_s < ASK_S
+        if fresh and services == listed_services:
+            return slots
+        slots = dict.fromkeys(
             (service, endpoint)
-            for service in self.refused_s
-            if self.in_demand(service)
-            for endpoint in self.endpoint_names(service)
-        }
+            for service in sorted(services)
+            for endpoint in sorted(self.endpoint_names(service))
+        )
+        self.listed = (self.clock.now(), services, slots)
+        return slots
 
     def take_row_budget(self, wanted: int) -> int:
         """Returns how many rows may be sent now, and counts them as sent."""
