--- a/libs/scenarios/burdockthread_scenarios/gate.py
+++ b/libs/scenarios/burdockthread_scenarios/gate.py
@@ -184,6 +184,10 @@
         """Keeps a stream to an entry."""
         self.mesh.learn(peer)
 
+    def shut_out(self, name: str, incarnation: str) -> None:
+        """Refuses streams of a replaced process."""
+        self.mesh.shut_out(name, incarnation)
+
     def broadcast(self, message: tuple[object, ...]) -> None:
         """Sends a message to every other entry."""
         self.mesh.broadcast(message)
