Add the tests that were missing at the callers' port and the VM list

Each mechanism of the callers' port, the jobs API and the list of VMs was switched off on a scratch copy. Nothing went red for: the VM list kept on an error, an error not ending its reading, an error status of the list, the tag kept only after decoding, a body awaited no longer than the request's own deadline, the connection closed after a slow body. Each has a test now and goes red. Three went red only by hanging (body bound, refusal while stopping, deadline of a job's record); the tests' clients and waits are bounded by 10 s of real time now and fail instead.

Still without a test: a request abandoned between its slot and its dispatch is not sent; the default deadline of a service; the 2 s bound of a reading of the list.

--- a/libs/routing/tests/test_callers_port.py
+++ b/libs/routing/tests/test_callers_port.py
@@ -31,7 +31,9 @@
 
 @pytest.fixture
 async def call(port):
-    async with aiohttp.ClientSession(f"http://127.0.0.1:{port}") as session:
+    async with aiohttp.ClientSession(
+        f"http://127.0.0.1:{port}", timeout=aiohttp.ClientTimeout(total=10.0)
+    ) as session:
 
         async def send(path="/services/svc/order", method="POST", data=b"x", **headers):
             fields = {name.replace("_", "-"): value for name, value in headers.items()}
@@ -154,6 +156,7 @@
     answer = await asyncio.wait_for(streams[1][0].read(), 5.0)
     assert b"408" in answer.split(b"\r\n")[0]
     assert b"not_run" in answer
+    assert b"Connection: close" in answer
     await clock.advance(6.0)
     assert await asyncio.wait_for(streams[0][0].read(), 5.0) == b""
 
@@ -169,6 +172,18 @@
     assert b"Burdockthread-Verdict: not_run\r\n" in answer
 
 
+async def test_a_body_is_awaited_no_longer_than_the_deadline(port, clock):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    fields = HEADERS | {"Burdockthread-Deadline-Ms": "2000"}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    head = "POST /services/svc/order HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n"
+    writer.write(f"{head}{lines}\r\nhalf".encode())
+    await asyncio.sleep(0.05)
+    await clock.advance(2.5)
+    assert b" 408 " in await asyncio.wait_for(reader.readline(), 5.0)
+    writer.close()
+
+
 async def test_connections_are_bounded(port):
     streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(5)]
     reader, _ = await asyncio.open_connection("127.0.0.1", port)
--- a/libs/routing/tests/test_fleet_view.py
+++ b/libs/routing/tests/test_fleet_view.py
@@ -1,5 +1,8 @@
+import asyncio
+
 import pytest
 from burdockthread_model.vm import VmStatus
+from burdockthread_routing.vm_directory import MemoryVmDirectory
 
 
 @pytest.fixture
@@ -48,3 +51,18 @@
 
 def test_a_signal_of_an_unknown_vm_is_ignored(view):
     assert not view.mark_leaving("vm-9")
+
+
+async def test_the_last_list_stands_while_the_platform_is_out(view, add_vm, vms, clock):
+    listing = add_vm("vm-0")
+    view.directory = MemoryVmDirectory((listing,))
+    reading = asyncio.create_task(view.run(1.0))
+    await clock.advance(1.5)
+    view.directory.down = True
+    await clock.advance(5.0)
+    assert vms() == {"vm-0"}
+    view.directory.down = False
+    view.directory.listings.clear()
+    await clock.advance(1.5)
+    assert not vms()
+    reading.cancel()
--- a/libs/routing/tests/test_job_ledger.py
+++ b/libs/routing/tests/test_job_ledger.py
@@ -26,7 +26,8 @@
 
 
 async def ended(tasks):
-    results = await asyncio.gather(*tasks, return_exceptions=True)
+    all_ended = asyncio.gather(*tasks, return_exceptions=True)
+    results = await asyncio.wait_for(all_ended, 10.0)
     return [None if r is None else r.verdict for r in results]
 
 
--- a/libs/routing/tests/test_vm_directory.py
+++ b/libs/routing/tests/test_vm_directory.py
@@ -13,13 +13,15 @@
         self.items = []
         self.tag = ""
         self.answers = []
+        self.status = 200
 
     async def get_list(self, request):
         if self.tag and request.headers.get("If-None-Match") == self.tag:
             self.answers.append(304)
             return web.Response(status=304)
         self.answers.append(200)
-        return web.json_response(self.items, headers={"ETag": self.tag})
+        headers = {"ETag": self.tag}
+        return web.json_response(self.items, status=self.status, headers=headers)
 
 
 @pytest.fixture
@@ -52,8 +54,18 @@
     assert [listing.name for listing in await directory.list()] == ["vm-1"]
 
 
-async def test_a_malformed_list_is_an_error_each_time(directory, platform):
+@pytest.mark.parametrize("tag", ["", '"1"'])
+async def test_a_malformed_list_is_an_error_each_time(directory, platform, tag):
+    platform.tag = tag
     platform.items = [{"name": 7}]
     for _ in range(2):
         with pytest.raises(PlatformError):
             await directory.list()
+
+
+async def test_a_list_with_an_error_status_is_not_taken(directory, platform, add_vm):
+    platform.items = [to_plain(add_vm("vm-0"))]
+    platform.status = 503
+    with pytest.raises(PlatformError):
+        await directory.list()
+    assert directory.listings == ()
