--- a/libs/routing/tests/test_callers_port.py
+++ b/libs/routing/tests/test_callers_port.py
@@ -145,13 +145,13 @@
     return False
 
 
-async def test_slow_callers_are_timed_out(port, clock):
+async def test_slow_callers_are_timed_out(port, api, clock):
     streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(2)]
     streams[0][1].write(b"POST /services/svc/order HTTP/1.1\r\nHost")
     lines = "".join(f"{name}: {value}\r\n" for name, value in HEADERS.items())
     head = "POST /services/svc/order HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n"
     streams[1][1].write(f"{head}{lines}\r\nhalf".encode())
-    await asyncio.sleep(0.05)
+    assert await reached(lambda: len(api.busy))
     await clock.advance(10.5)
     answer = await asyncio.wait_for(streams[1][0].read(), 5.0)
     assert b"408" in answer.split(b"\r\n")[0]
@@ -172,13 +172,13 @@
     assert b"Burdockthread-Verdict: not_run\r\n" in answer
 
 
-async def test_a_body_is_awaited_no_longer_than_the_deadline(port, clock):
+async def test_a_body_is_awaited_no_longer_than_the_deadline(port, api, clock):
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     fields = HEADERS | {"Burdockthread-Deadline-Ms": "2000"}
     lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
     head = "POST /services/svc/order HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n"
     writer.write(f"{head}{lines}\r\nhalf".encode())
-    await asyncio.sleep(0.05)
+    assert await reached(lambda: len(api.busy))
     await clock.advance(2.5)
     assert b" 408 " in await asyncio.wait_for(reader.readline(), 5.0)
     writer.close()
