Look for sources of VMs only for a pool that lacks some

Cause: each step listed and sorted all pools of an organisation for every pool, to offer them as sources to pools that lack nothing (36% of an idle step's profile). Moves are the same: the list was thrown away unless the pool lacks VMs.

--- a/libs/fleet/burdockthread_fleet/moves.py
+++ b/libs/fleet/burdockthread_fleet/moves.py
@@ -95,7 +95,7 @@
     def plan(self) -> list[Move]:
         """Returns the moves, most urgent first."""
         for pool in sorted(self.pools.values(), key=self.urgency):
-            if not pool.spec.spare:
+            if self.wanted[pool.spec.name] > 0 and not pool.spec.spare:
                 self.fill(pool, self.sources())
         for pool in self.spare_pools():
             self.fill(pool, self.settled_pools())
