Spend nothing on placement while an organisation has no jobs

Reports are still read while they linger, tasks pruned and segments compacted. How long VMs were above or below their load is forgotten when no job is left.

--- a/libs/fleet/burdockthread_fleet/job_rounds.py
+++ b/libs/fleet/burdockthread_fleet/job_rounds.py
@@ -136,17 +136,23 @@
         if not self.segments.cache.synced:
             return
         await self.read_reports()
+        if self.segments.open[self.organisation]:
+            await self.follow_jobs()
+        else:
+            self.rules.forget_loads()
+        self.prune(self.claimed_jobs())
+        await self.compact()
+        self.round_s = self.clock.now()
+
+    async def follow_jobs(self) -> None:
+        """Settles and places the jobs that have not ended."""
         claimed = self.claimed_jobs()
         settled = self.settlements(claimed)
         rooms = self.builder.build(claimed, self.clock.wall())
         self.relieve(rooms)
         claims = await self.placements(rooms) if await self.sees_all_claims() else []
         await self.commit([*settled, *claims])
-        claimed = self.claimed_jobs()
-        self.send_orders(claimed)
-        self.prune(claimed)
-        await self.compact()
-        self.round_s = self.clock.now()
+        self.send_orders(self.claimed_jobs())
 
     async def read_reports(self) -> None:
         """Reads the reports of every pool that has tasks."""
--- a/libs/fleet/burdockthread_fleet/relief.py
+++ b/libs/fleet/burdockthread_fleet/relief.py
@@ -79,6 +79,11 @@
             orders = self.free_cores(room, observed, now)
         return orders
 
+    def forget_loads(self) -> None:
+        """Forgets for how long VMs were above or below, when no job is left."""
+        self.hot_since_s.clear()
+        self.cool_since_s.clear()
+
     def free_memory(
         self, room: Room, observed: Mapping[str, Size], now: float
     ) -> list[Relief]:
--- a/libs/fleet/tests/test_job_runner.py
+++ b/libs/fleet/tests/test_job_runner.py
@@ -197,3 +197,15 @@
     await site.wait(20)
     assert not site.workers.starts()
     assert await site.states() == {"a": JobState.CANCELLED}
+
+
+async def test_nothing_is_kept_of_loads_once_no_job_is_left(site):
+    node = site.owner()
+    await site.submit(new_job("a"))
+    await site.wait(1)
+    rounds = node.runner.rounds["org"]
+    rounds.rules.hot_since_s["ledger-0"] = 0.0
+    await site.wait(30)
+    assert (await site.states())["a"] is JobState.DONE
+    assert not rounds.rules.hot_since_s
+    assert not rounds.table.reports
