--- a/libs/operators/tests/test_templates_fuzz.py
+++ b/libs/operators/tests/test_templates_fuzz.py
@@ -1,12 +1,12 @@
 """Any template is proposed whole or refused with a reason."""
 
-import copy
 import json
 from pathlib import Path
 
 import pytest
 from burdockthread_model.errors import TemplateError
 from burdockthread_model.rendering import render
+from burdockthread_scenarios.documents import changed_documents, json_values
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
@@ -15,58 +15,12 @@
     (EXAMPLES / site / "template.json").read_text()
     for site in ("trinacria", "kloofsig")
 ]
-JSON = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.integers(-(2**70), 2**70)
-    | st.floats()
-    | st.text(max_size=9)
-    | st.sampled_from(["$vms", "$none", "$", "/", "a/b"]),
-    lambda inner: (
-        st.lists(inner, max_size=3)
-        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
-    ),
-    max_leaves=6,
-)
+JSON = json_values(["$vms", "$none", "$", "/", "a/b"])
 FUZZ = settings(
     max_examples=200, suppress_health_check=[HealthCheck.function_scoped_fixture]
 )
 
 
-def paths(value, path=()):
-    """Returns the path of every value within a document."""
-    found = [path]
-    items = value.items() if isinstance(value, dict) else ()
-    items = enumerate(value) if isinstance(value, list) else items
-    for key, inner in items:
-        found += paths(inner, (*path, key))
-    return found
-
-
-@st.composite
-def mutated(draw, texts):
-    """Draws a worked example with some values replaced, added or taken away."""
-    document = json.loads(draw(st.sampled_from(texts)))
-    for _ in range(draw(st.integers(1, 3))):
-        choices = [path for path in paths(document) if path]
-        if not choices:
-            break
-        *above, last = draw(st.sampled_from(choices))
-        target = document
-        for key in above:
-            target = target[key]
-        kind = draw(st.sampled_from(["replace", "remove", "add", "rename"]))
-        if kind == "remove":
-            del target[last]
-        elif kind == "add" and isinstance(target, dict):
-            target[draw(st.text(max_size=5))] = draw(JSON)
-        elif kind == "rename" and isinstance(target, dict):
-            target[draw(st.text(max_size=5))] = copy.deepcopy(target[last])
-        else:
-            target[last] = draw(JSON)
-    return document
-
-
 async def check(changes, data):
     reason = None
     try:
@@ -89,7 +43,7 @@
 
 
 @settings(FUZZ, max_examples=500)
-@given(mutated(TEXTS))
+@given(changed_documents(TEXTS, JSON))
 async def test_a_changed_example_is_proposed_or_refused(changes, document):
     await check(changes, json.dumps(document).encode())
 
