--- a/libs/scenarios/burdockthread_scenarios/documents.py
+++ b/libs/scenarios/burdockthread_scenarios/documents.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.strategies import DrawFn, SearchStrategy
 
-Path = tuple[str | int, ...]
+Path = tuple[Any, ...]
 
 MAX_CHANGES = 3
 KINDS = ("replace", "remove", "add", "copy", "rename")
