--- a/libs/fleet/tests/test_job_placer.py
+++ b/libs/fleet/tests/test_pool_queue.py
@@ -1,4 +1,4 @@
-from burdockthread_fleet.job_placer import KnownMisses
+from burdockthread_fleet.pool_queue import KnownMisses
 from burdockthread_fleet.usage import Size
 
 
