--- /dev/null
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -0,0 +1,223 @@
+"""An entry on the users' platform: every part wired together in one process."""
+
+import asyncio
+import os
+import signal
+import sys
+import time
+import traceback
+from collections.abc import AsyncIterator, Coroutine, Mapping
+from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
+from pathlib import Path
+
+import aiohttp
+import uvloop
+from burdockthread_model.clock import SystemClock
+from burdockthread_model.errors import SettingsError
+from burdockthread_model.events import EventLog
+from burdockthread_model.metrics import MemoryMetrics
+from burdockthread_platform.configuration import (
+    OPERATOR_PREFIX,
+    FollowedConfiguration,
+)
+from burdockthread_platform.jobs_http import JobsPort, readiness_handler, serve
+from burdockthread_platform.kv_store import PlatformStore
+from burdockthread_platform.registrations import (
+    REGISTRATION_PREFIX,
+    RegisteredWorkers,
+)
+from burdockthread_platform.settings import SETTINGS_VARIABLE, EntrySettings
+from burdockthread_platform.worker_http import HttpWorkerGateway
+from burdockthread_scheduling.desk import JobDesk
+from burdockthread_scheduling.duties import Duties, DutyFactory, Tenure
+from burdockthread_scheduling.intake import JobIntake
+from burdockthread_scheduling.job_index import JobIndex
+from burdockthread_scheduling.pool_scheduler import PoolParts, PoolScheduler
+from burdockthread_scheduling.records import SHARED_PREFIX
+from burdockthread_scheduling.specs import FleetConfiguration
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.settled_store import SettledStore
+
+EXIT_SETTINGS = 2
+POOL_DUTY = "pool:"
+# Without an answer of the store for this long, callers are better served elsewhere.
+READY_CONTACT_S = 2.5
+CONNECTIONS_PER_HOST = 16
+KEEPALIVE_S = 60.0
+DRAIN_POLL_S = 0.02
+
+
+class SuspendClock(SystemClock):
+    """The machine's clock that also counts the time of a suspension."""
+
+    def now(self) -> float:
+        """Returns seconds since the machine started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class StdoutLog(EventLog):
+    """Writes events to standard output."""
+
+    def info(self, name: str, **fields: object) -> None:
+        """Writes an event of ordinary operation."""
+        print(self.line(name, fields), flush=True)
+
+    warning = info
+    error = info
+
+
+class PlatformEntry:
+    """One entry."""
+
+    def __init__(self, settings: EntrySettings, session: aiohttp.ClientSession) -> None:
+        self.settings = settings
+        self.clock = SuspendClock()
+        self.log = StdoutLog(settings.name)
+        self.metrics = MemoryMetrics()
+        self.platform = PlatformStore(str(settings.store), session, self.clock)
+        self.store = SettledStore(
+            self.platform, settings.name, self.clock, self.metrics
+        )
+        self.shared = PrefixCache(self.store, SHARED_PREFIX, self.clock)
+        self.operator = PrefixCache(self.store, OPERATOR_PREFIX, self.clock)
+        self.registrations = PrefixCache(self.store, REGISTRATION_PREFIX, self.clock)
+        self.configuration = FollowedConfiguration(self.log)
+        self.operator.listeners.append(self.configuration.on_change)
+        self.roster = RegisteredWorkers(self.registrations, self.log)
+        self.index = JobIndex(self.shared, self.store, self.clock, self.log)
+        self.intake = JobIntake(
+            self.store, self.index, self.clock, self.metrics, self.log
+        )
+        self.desk = JobDesk(
+            lambda: self.configuration.current,
+            self.index,
+            self.intake,
+            self.clock,
+            self.metrics,
+            self.log,
+        )
+        self.gateway = HttpWorkerGateway(session)
+        self.duties = Duties(
+            settings.name,
+            settings.availability_zone,
+            settings.cores,
+            self.store,
+            self.shared,
+            self.clock,
+            self.metrics,
+            self.log,
+            self.wanted_duties,
+        )
+        self.port = JobsPort(self.desk, self.clock)
+        self.stopping = False
+
+    def current_configuration(self) -> FleetConfiguration:
+        """Returns the configuration in force, an empty one before the first."""
+        return self.configuration.current or FleetConfiguration(-1, {}, {})
+
+    def wanted_duties(self) -> Mapping[str, DutyFactory]:
+        """Returns the duties that the configuration asks for."""
+        pools = self.current_configuration().worker_pools()
+        return {POOL_DUTY + pool: partial(self.pool_duty, pool) for pool in pools}
+
+    def pool_duty(self, pool: str, tenure: Tenure) -> PoolScheduler:
+        """Returns the work of the holder of a pool."""
+        parts = PoolParts(
+            entry=self.settings.name,
+            store=self.store,
+            jobs=self.index,
+            roster=self.roster,
+            gateway=self.gateway,
+            configuration=self.current_configuration,
+            clock=self.clock,
+            metrics=self.metrics,
+            log=self.log,
+        )
+        return PoolScheduler(pool, tenure, parts)
+
+    def is_ready(self) -> bool:
+        """Returns whether callers are well served here."""
+        contact_age_s = self.clock.now() - self.platform.contact_s
+        return (
+            not self.stopping
+            and self.configuration.current is not None
+            and self.shared.synced
+            and contact_age_s < READY_CONTACT_S
+        )
+
+    def background(self) -> tuple[Coroutine[None, None, None], ...]:
+        """Returns the work that runs for as long as the entry does."""
+        return (
+            self.operator.run(),
+            self.shared.run(),
+            self.registrations.run(),
+            self.duties.run(),
+        )
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Serves within the block and stops gracefully at its end."""
+        async with AsyncExitStack() as stack:
+            tasks = [asyncio.create_task(work) for work in self.background()]
+            for task in tasks:
+                task.add_done_callback(self.on_work_ended)
+            stack.callback(lambda: [task.cancel() for task in tasks])
+            await stack.enter_async_context(
+                serve(readiness_handler(self.is_ready), self.settings.readiness)
+            )
+            await stack.enter_async_context(
+                serve(self.port.handler(), self.settings.callers)
+            )
+            self.log.info("entry_started", callers=self.settings.callers)
+            yield
+            await self.drain()
+
+    def on_work_ended(self, task: asyncio.Task[None]) -> None:
+        """Logs the error of work that should have gone on."""
+        if not task.cancelled():
+            error = task.exception()
+            trace = "".join(traceback.format_exception(error))
+            self.log.error("work_failed", reason=repr(error), trace=trace)
+
+    async def drain(self) -> None:
+        """Hands the duties over and answers what callers have sent."""
+        self.stopping = True
+        self.log.info("entry_stopping", open_requests=self.port.open_requests)
+        give_up_s = self.clock.now() + self.settings.stop_timeout_s * 0.7
+        await self.duties.hand_over()
+        while self.port.open_requests and self.clock.now() < give_up_s:
+            await self.clock.sleep(DRAIN_POLL_S)
+        self.log.info("entry_stopped", open_requests=self.port.open_requests)
+
+
+async def serve_until_stopped(settings: EntrySettings) -> None:
+    """Runs an entry until SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    connector = aiohttp.TCPConnector(
+        limit=0, limit_per_host=CONNECTIONS_PER_HOST, keepalive_timeout=KEEPALIVE_S
+    )
+    async with (
+        aiohttp.ClientSession(connector=connector) as session,
+        PlatformEntry(settings, session).running(),
+    ):
+        await stop.wait()
+
+
+def main() -> int:
+    """Runs an entry with the settings that the environment names."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = EntrySettings.from_path(Path(path))
+    except SettingsError as error:
+        print(f"settings: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
+    uvloop.run(serve_until_stopped(settings))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/libs/platform/burdockthread_platform/__init__.py
@@ -0,0 +1,1 @@
+"""The speech of the users' platform: names, formats and calls."""
--- /dev/null
+++ b/libs/platform/burdockthread_platform/configuration.py
@@ -0,0 +1,120 @@
+"""The operators' configuration as it lies in the platform's store."""
+
+from burdockthread_model.events import EventLog
+from burdockthread_scheduling.specs import (
+    FleetConfiguration,
+    PlacementPolicyTimes,
+    PoolSpec,
+    QueueSpec,
+    RequestLimits,
+)
+from burdockthread_store.store import KeyValue
+
+from burdockthread_platform import wire
+
+CONFIGURATION_KEY = "op/config"
+OPERATOR_PREFIX = "op/"
+
+
+class FollowedConfiguration:
+    """The newest configuration seen; it never goes back.
+
+    Attributes:
+        current: The configuration, or None before the first.
+    """
+
+    def __init__(self, log: EventLog) -> None:
+        self.log = log
+        self.current: FleetConfiguration | None = None
+
+    def on_change(self, key: str, item: KeyValue | None) -> None:
+        """Takes in a version unless it is older than the one known."""
+        if key != CONFIGURATION_KEY or item is None:
+            return
+        try:
+            found = parse_configuration(item.value)
+        except wire.WireError as error:
+            self.log.error("configuration_unreadable", reason=error)
+            return
+        known = -1 if self.current is None else self.current.version
+        if found.version <= known:
+            self.log.info("configuration_old", version=found.version, known=known)
+            return
+        self.current = found
+        self.log.info(
+            "configuration_applied",
+            version=found.version,
+            before=known,
+            revision=item.revision,
+            queues=len(found.queues),
+            pools=len(found.pools),
+        )
+
+
+def parse_configuration(value: bytes) -> FleetConfiguration:
+    """Reads a configuration.
+
+    Raises:
+        WireError: It is malformed.
+    """
+    body = wire.parse_object(value)
+    queues = [parse_queue(route) for route in wire.objects(body, "routes")]
+    pools = [parse_pool(service) for service in wire.objects(body, "services")]
+    return FleetConfiguration(
+        version=wire.integer(body, "version", default=None),
+        queues={queue.name: queue for queue in queues},
+        pools={pool.name: pool for pool in pools},
+        limits=parse_limits(wire.as_object(body.get("limits", {}), "limits")),
+    )
+
+
+def parse_queue(route: wire.JsonObject) -> QueueSpec:
+    """Reads a route, which is a queue of jobs."""
+    path = "routes"
+    return QueueSpec(
+        name=wire.needed_text(route, "name", path),
+        host=wire.needed_text(route, "host", path),
+        path=wire.needed_text(route, "prefix", path),
+        pool=wire.needed_text(route, "service", path),
+        priority=wire.integer(route, "priority", path),
+        max_attempts=wire.integer(route, "maxAttempts", path, default=1),
+        stretch=wire.number(route, "stretch", path, 1.0),
+        latency_target_ms=wire.number(route, "targetLatencyMs", path),
+        answer_timeout_ms=wire.number(route, "timeoutMs", path),
+        placement_policy=parse_policy(route.get("advice")),
+    )
+
+
+def parse_policy(value: object) -> PlacementPolicyTimes | None:
+    """Reads the times of a placement policy, if a queue has one."""
+    if not value:
+        return None
+    body = wire.as_object(value, "routes.advice")
+    return PlacementPolicyTimes(
+        wire.number(body, "decideMs"),
+        wire.number(body, "eachMs"),
+        wire.number(body, "validMs"),
+    )
+
+
+def parse_pool(service: wire.JsonObject) -> PoolSpec:
+    """Reads a service, which is a pool of workers."""
+    path = "services"
+    return PoolSpec(
+        name=wire.needed_text(service, "name", path),
+        refuses_overload=wire.flag(service, "rejectsOverload", path),
+        spare=wire.flag(service, "spare", path),
+        health_path=wire.text(service, "healthPath", path),
+    )
+
+
+def parse_limits(body: wire.JsonObject) -> RequestLimits:
+    """Reads the bounds of a request."""
+    default = RequestLimits()
+    path = "limits"
+    return RequestLimits(
+        wire.integer(body, "maxHeaderBytes", path, default=default.header_bytes),
+        wire.integer(body, "maxBodyBytes", path, default=default.body_bytes),
+        wire.number(body, "headerTimeoutMs", path, default.header_timeout_ms),
+        wire.number(body, "idleTimeoutMs", path, default.idle_timeout_ms),
+    )
--- /dev/null
+++ b/libs/platform/burdockthread_platform/settings.py
@@ -0,0 +1,185 @@
+"""The settings file that the platform writes for a process."""
+
+from pathlib import Path
+from typing import NamedTuple
+
+from burdockthread_model.errors import SettingsError
+
+SETTINGS_VARIABLE = "BURDOCKTHREAD_BOOT"
+MAX_PORT = 65_535
+
+
+class Address(NamedTuple):
+    """An IP address with a TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Returns host and port with a colon between them."""
+        return f"{self.host}:{self.port}"
+
+
+class EntrySettings(NamedTuple):
+    """What a process needs to know of its VM and the platform.
+
+    Attributes:
+        name: Name of the entry.
+        host: IP address of the VM.
+        availability_zone: Availability zone of the VM.
+        callers: Address for callers.
+        readiness: Address at which the platform asks for readiness.
+        first_port: First port for the entries among themselves.
+        cores: Processors, as a share of one core times its speed.
+        memory_mb: Memory in megabytes after which the process is killed.
+        store: Address of the store.
+        store_reads_per_s: Reads a second of all entries together.
+        store_writes_per_s: Writes a second of all entries together.
+        machines: Address of the list and the control of machines.
+        machine_orders_per_s: Orders to machines a second.
+        machine_reads_per_s: Readings of the list a second.
+        policy: Address of the placement policy's service, or None.
+        heartbeat_s: Seconds between the registrations of a worker.
+        stop_timeout_s: Seconds from the signal to stop until the kill.
+        order_spacing_s: Seconds that two holders' orders to machines keep apart.
+        max_lease_s: Longest lease of a run in seconds.
+        absence_notice_s: Seconds for which an absence counts after its cause.
+        move_s: Seconds that a machine takes to change its pool.
+        upkeep_s: Seconds that the upkeep of a machine takes.
+        latency_breach_s: Seconds over its target after which a task is harmed.
+        gang_wait_s: Seconds that members of a gang wait for each other.
+        early_s: Seconds by which a scheduled task may start too early.
+        state_retention_s: Seconds for which an ended job is remembered.
+    """
+
+    name: str
+    host: str
+    availability_zone: str
+    callers: Address
+    readiness: Address
+    first_port: int
+    cores: float
+    memory_mb: int
+    store: Address
+    store_reads_per_s: float
+    store_writes_per_s: float
+    machines: Address | None
+    machine_orders_per_s: float
+    machine_reads_per_s: float
+    policy: Address | None
+    heartbeat_s: float
+    stop_timeout_s: float
+    order_spacing_s: float
+    max_lease_s: float
+    absence_notice_s: float
+    move_s: float
+    upkeep_s: float
+    latency_breach_s: float
+    gang_wait_s: float
+    early_s: float
+    state_retention_s: float
+
+    @classmethod
+    def from_path(cls, path: Path) -> "EntrySettings":
+        """Reads a settings file.
+
+        Raises:
+            SettingsError: It cannot be read, or a field is missing or senseless.
+        """
+        try:
+            content = path.read_text()
+        except (OSError, UnicodeDecodeError) as error:
+            raise SettingsError(str(path), str(error)) from error
+        return cls.from_lines(content)
+
+    @classmethod
+    def from_lines(cls, content: str) -> "EntrySettings":
+        """Reads the lines of a settings file; see `from_path`."""
+        fields = Fields(content)
+        return cls(
+            name=fields.text("node"),
+            host=fields.text("ip"),
+            availability_zone=fields.text("zone"),
+            callers=fields.address("listenAddresses.front"),
+            readiness=fields.address("listenAddresses.ready"),
+            first_port=fields.first_port("internalPorts"),
+            # `cores` tells how fast the share of a core runs, not how many there are.
+            cores=fields.number("limits.cpuShare", 1.0)
+            * fields.number("limits.cores", 1.0),
+            memory_mb=int(fields.number("limits.memoryMb", 0)),
+            store=fields.address("platform.address"),
+            store_reads_per_s=fields.number("platform.readsPerS"),
+            store_writes_per_s=fields.number("platform.writesPerS"),
+            machines=fields.optional_address("cloudApi.address"),
+            machine_orders_per_s=fields.number("cloudApi.dutyPerS", 1.0),
+            machine_reads_per_s=fields.number("cloudApi.ratePerS", 1.0),
+            policy=fields.optional_address("advice"),
+            heartbeat_s=fields.number("heartbeatMs") / 1000,
+            stop_timeout_s=fields.number("bounds.graceS"),
+            order_spacing_s=fields.number("bounds.leaseMs", 3000) / 1000,
+            max_lease_s=fields.number("bounds.holdMaxMs", 6000) / 1000,
+            absence_notice_s=fields.number("bounds.noticeMs", 4500) / 1000,
+            move_s=fields.number("bounds.moveS", 1.5),
+            upkeep_s=fields.number("bounds.upkeepS", 2.0),
+            latency_breach_s=fields.number("bounds.harmMs", 4000) / 1000,
+            gang_wait_s=fields.number("bounds.gangMs", 3000) / 1000,
+            early_s=fields.number("bounds.early_ms", 250) / 1000,
+            state_retention_s=fields.number("bounds.status_s", 120),
+        )
+
+
+class Fields:
+    """The fields of a settings file by name.
+
+    Raises:
+        SettingsError: A line has no equals sign.
+    """
+
+    def __init__(self, content: str) -> None:
+        self.values: dict[str, str] = {}
+        for number, line in enumerate(content.splitlines(), start=1):
+            if not line.strip():
+                continue
+            name, separator, value = line.partition("=")
+            if not separator:
+                raise SettingsError(f"line {number}", "expected name=value")
+            self.values[name.strip()] = value.strip()
+
+    def text(self, name: str) -> str:
+        """Returns a field that may not be empty."""
+        value = self.values.get(name, "")
+        if not value:
+            raise SettingsError(name, "missing")
+        return value
+
+    def number(self, name: str, default: float | None = None) -> float:
+        """Returns a number that is not negative."""
+        if default is not None and not self.values.get(name):
+            return default
+        try:
+            value = float(self.text(name))
+        except ValueError as error:
+            raise SettingsError(name, "expected a number") from error
+        if not 0 <= value < float("inf"):
+            raise SettingsError(name, "out of range")
+        return value
+
+    def address(self, name: str) -> Address:
+        """Returns an address."""
+        host, separator, port = self.text(name).rpartition(":")
+        if not separator or not host or not port.isdecimal():
+            raise SettingsError(name, "expected IP and port")
+        if not 0 < int(port) <= MAX_PORT:
+            raise SettingsError(name, "port out of range")
+        return Address(host, int(port))
+
+    def optional_address(self, name: str) -> Address | None:
+        """Returns an address, or None if the field is absent or empty."""
+        return self.address(name) if self.values.get(name) else None
+
+    def first_port(self, name: str) -> int:
+        """Returns the first of a range of ports."""
+        first, _, _ = self.text(name).partition(",")
+        if not first.isdecimal() or not 0 < int(first) <= MAX_PORT:
+            raise SettingsError(name, "expected two ports")
+        return int(first)
--- /dev/null
+++ b/libs/platform/burdockthread_platform/wire.py
@@ -0,0 +1,131 @@
+"""Reads the JSON of the platform's messages field by field."""
+
+import json
+from typing import Any
+
+from burdockthread_model.errors import BurdockthreadError
+
+JsonObject = dict[str, Any]
+
+MAX_INTEGER = 2**63 - 1
+
+
+class WireError(BurdockthreadError):
+    """A message that does not follow the platform's protocol.
+
+    Attributes:
+        path: Path of the field at fault, such as ``steps[0].count``.
+    """
+
+    def __init__(self, path: str, reason: str) -> None:
+        super().__init__(f"{path or 'body'}: {reason}")
+        self.path = path
+
+
+def parse_object(data: bytes) -> JsonObject:
+    """Returns the JSON object of a message.
+
+    Raises:
+        WireError: The text holds no JSON object.
+    """
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise WireError("", "not JSON") from error
+    return as_object(value, "")
+
+
+def as_object(value: object, path: str) -> JsonObject:
+    """Returns a value that has to be an object."""
+    if not isinstance(value, dict):
+        raise WireError(path, "expected an object")
+    return value
+
+
+def objects(source: JsonObject, name: str, path: str = "") -> list[JsonObject]:
+    """Returns a field with a list of objects; an absent one is empty."""
+    values = source.get(name, [])
+    if not isinstance(values, list):
+        raise WireError(join(path, name), "expected a list")
+    return [
+        as_object(value, f"{join(path, name)}[{number}]")
+        for number, value in enumerate(values)
+    ]
+
+
+def join(path: str, name: str) -> str:
+    """Returns the path of a field."""
+    return f"{path}.{name}" if path else name
+
+
+def text(source: JsonObject, name: str, path: str = "", default: str = "") -> str:
+    """Returns a text field."""
+    value = source.get(name, default)
+    if not isinstance(value, str):
+        raise WireError(join(path, name), "expected text")
+    return value
+
+
+def needed_text(source: JsonObject, name: str, path: str = "") -> str:
+    """Returns a text field that may not be empty."""
+    value = text(source, name, path)
+    if not value:
+        raise WireError(join(path, name), "missing")
+    return value
+
+
+def integer(
+    source: JsonObject,
+    name: str,
+    path: str = "",
+    *,
+    default: int | None = 0,
+    least: int = 0,
+    most: int = MAX_INTEGER,
+) -> int:
+    """Returns a whole number within bounds.
+
+    Args:
+        source: Object with the field.
+        name: Name of the field.
+        path: Path of the object.
+        default: Value of an absent field; None if it must be there.
+        least: Smallest value allowed.
+        most: Largest value allowed.
+    """
+    value = source.get(name, default)
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise WireError(join(path, name), "expected a whole number")
+    if not least <= value <= most:
+        raise WireError(join(path, name), f"not between {least} and {most}")
+    return value
+
+
+def number(
+    source: JsonObject, name: str, path: str = "", default: float = 0.0
+) -> float:
+    """Returns a number that is not negative."""
+    value = source.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise WireError(join(path, name), "expected a number")
+    if not 0 <= value <= MAX_INTEGER:
+        raise WireError(join(path, name), "out of range")
+    return float(value)
+
+
+def flag(source: JsonObject, name: str, path: str = "") -> bool:
+    """Returns a field that is true or false; an absent one is false."""
+    value = source.get(name, False)
+    if not isinstance(value, bool):
+        raise WireError(join(path, name), "expected true or false")
+    return value
+
+
+def texts(source: JsonObject, name: str, path: str = "") -> tuple[str, ...]:
+    """Returns a field with a list of texts; an absent one is empty."""
+    values = source.get(name, [])
+    if not isinstance(values, list) or not all(isinstance(v, str) for v in values):
+        raise WireError(join(path, name), "expected a list of texts")
+    return tuple(values)
--- /dev/null
+++ b/libs/platform/burdockthread_platform/worker_http.py
@@ -0,0 +1,244 @@
+"""Orders to workers over HTTP."""
+
+from typing import NoReturn
+
+import aiohttp
+from burdockthread_model.errors import PlatformError
+from burdockthread_scheduling.specs import TaskId
+from burdockthread_scheduling.workers import (
+    EndKind,
+    EndReport,
+    HoldOrder,
+    HoldReport,
+    OrderAnswer,
+    Refusal,
+    RunReport,
+    StartOrder,
+    WorkerFencedError,
+    WorkerGateway,
+    WorkerListing,
+    WorkerRefusedError,
+    WorkerReplacedError,
+    WorkerSilentError,
+)
+
+from burdockthread_platform import wire
+
+CONNECT_TIMEOUT_S = 0.5
+MISDIRECTED = 421
+CONFLICT = 409
+BAD_REQUEST = 400
+UNHEALTHY = (429, 503)
+TASK_PARTS = 4
+REFUSALS = {
+    "fence": Refusal.FENCED,
+    "old": Refusal.STALE_RUN,
+    "late": Refusal.TOO_LATE,
+    "room": Refusal.NO_ROOM,
+    "ticket": Refusal.NO_TICKET,
+}
+END_KINDS = {
+    "done": EndKind.SUCCEEDED,
+    "failed": EndKind.FAILED,
+    "stopped": EndKind.STOPPED,
+    "lapsed": EndKind.LEASE_LAPSED,
+    "broken": EndKind.GANG_BROKEN,
+    "alone": EndKind.GANG_INCOMPLETE,
+}
+
+
+class HttpWorkerGateway(WorkerGateway):
+    """Orders over connections that stay open."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self.session = session
+
+    async def call(
+        self, worker: WorkerListing, path: str, body: wire.JsonObject, timeout_s: float
+    ) -> tuple[int, wire.JsonObject]:
+        """Makes a call and returns status and body.
+
+        Raises:
+            WorkerReplacedError: Another life answers.
+            WorkerRefusedError: The call never left.
+            WorkerSilentError: No whole answer.
+        """
+        url = f"http://{worker.host}:{worker.port}{path}"
+        headers = {"Expected-Instance": worker.key.worker_id}
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s)
+        )
+        try:
+            async with self.session.post(
+                url, json=body, headers=headers, timeout=timeout
+            ) as answer:
+                data = await answer.read()
+        except aiohttp.ClientConnectorError as error:
+            raise WorkerRefusedError(f"{path}: {error}") from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise WorkerSilentError(f"{path}: {type(error).__name__}") from error
+        if answer.status == MISDIRECTED:
+            raise WorkerReplacedError(f"{path}: not {worker.key.worker_id}")
+        try:
+            return answer.status, wire.parse_object(data) if data else {}
+        except wire.WireError as error:
+            raise WorkerSilentError(f"{path}: {error}") from error
+
+    async def order(
+        self, worker: WorkerListing, path: str, body: wire.JsonObject, timeout_s: float
+    ) -> OrderAnswer:
+        """Makes a call that changes something."""
+        status, answer = await self.call(worker, path, body, timeout_s)
+        clock_ms = answer.get("clockMs")
+        if not isinstance(clock_ms, int):
+            clock_ms = None
+        if status == 200:
+            return OrderAnswer(None, clock_ms)
+        if status == CONFLICT:
+            reason = str(answer.get("reason", ""))
+            return OrderAnswer(REFUSALS.get(reason, Refusal.INVALID), clock_ms)
+        if status in UNHEALTHY:
+            return OrderAnswer(Refusal.UNHEALTHY, clock_ms)
+        if status == BAD_REQUEST:
+            return OrderAnswer(Refusal.INVALID, clock_ms)
+        raise WorkerSilentError(f"{path} answered {status}")
+
+    async def start(
+        self, worker: WorkerListing, order: StartOrder, timeout_s: float
+    ) -> OrderAnswer:
+        """Starts a run."""
+        body: wire.JsonObject = {
+            "task": format_task(order.task),
+            "run": order.run,
+            "specification": order.payload,
+            "deadlineMs": order.lease_until_ms,
+            "fencingToken": order.fence,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return await self.order(worker, "/run-start", body, timeout_s)
+
+    async def stop(
+        self,
+        worker: WorkerListing,
+        task: TaskId,
+        run: int,
+        fence: int,
+        timeout_s: float,
+    ) -> OrderAnswer:
+        """Stops a run."""
+        body = {"task": format_task(task), "run": run, "fencingToken": fence}
+        return await self.order(worker, "/run-stop", body, timeout_s)
+
+    async def pace(
+        self,
+        worker: WorkerListing,
+        task: TaskId,
+        run: int,
+        percent: int,
+        fence: int,
+        timeout_s: float,
+    ) -> OrderAnswer:
+        """Sets the share at which a task may work."""
+        body = {
+            "task": format_task(task),
+            "run": run,
+            "percent": percent,
+            "fencingToken": fence,
+        }
+        return await self.order(worker, "/pace", body, timeout_s)
+
+    async def hold(
+        self, worker: WorkerListing, order: HoldOrder, timeout_s: float
+    ) -> HoldReport:
+        """Prolongs the lease and returns the lists."""
+        path = "/hold"
+        body: wire.JsonObject = {
+            "fencingToken": order.fence,
+            "lastSeen": order.settled_end,
+        }
+        if order.lease_until_ms:
+            body["deadlineMs"] = order.lease_until_ms
+        if order.wait_ms:
+            body["waitMs"] = order.wait_ms
+        status, answer = await self.call(worker, path, body, timeout_s)
+        if status != 200:
+            raise_hold_refusal(worker, status, answer)
+        try:
+            return parse_report(answer)
+        except wire.WireError as error:
+            raise WorkerSilentError(f"{path}: {error}") from error
+
+    async def close(self) -> None:
+        """Does nothing; the owner of the session closes it."""
+
+
+def raise_hold_refusal(
+    worker: WorkerListing, status: int, answer: wire.JsonObject
+) -> NoReturn:
+    """Raises the error for a hold that was refused."""
+    name = worker.key.worker_id
+    if status == CONFLICT and answer.get("reason") == "fence":
+        raise WorkerFencedError(f"{name} obeys a later holder")
+    if status in UNHEALTHY:
+        raise WorkerRefusedError(f"{name} answered {status}")
+    raise PlatformError(f"{name} answered {status} to a hold")
+
+
+def parse_report(body: wire.JsonObject) -> HoldReport:
+    """Returns a worker's lists."""
+    return HoldReport(
+        clock_ms=wire.integer(body, "clockMs", default=None),
+        born_ms=wire.integer(body, "born"),
+        running=tuple(parse_run(row) for row in rows(body, "running")),
+        ended=tuple(parse_end(row) for row in rows(body, "ended")),
+    )
+
+
+def rows(body: wire.JsonObject, name: str) -> list[list[object]]:
+    """Returns a list of rows."""
+    values = body.get(name, [])
+    if not isinstance(values, list):
+        raise wire.WireError(name, "expected a list")
+    if not all(isinstance(row, list) for row in values):
+        raise wire.WireError(name, "expected a list of rows")
+    return values
+
+
+def parse_run(row: list[object]) -> RunReport:
+    """Returns a run from its row: task, run, checkpoint, percent, measure."""
+    match row:
+        case [str(task), int(run), str(saved), int() | float() as percent, *rest]:
+            measure = rest[0] if rest else 0.0
+            if not isinstance(measure, int | float):
+                measure = 0.0
+            return RunReport(parse_task(task), run, saved, int(percent), float(measure))
+    raise wire.WireError("running", "unexpected row")
+
+
+def parse_end(row: list[object]) -> EndReport:
+    """Returns an end from its row: number, task, run, how, checkpoint."""
+    match row:
+        case [int(number), str(task), int(run), str(how), *rest] if how in END_KINDS:
+            saved = rest[0] if rest and isinstance(rest[0], str) else ""
+            return EndReport(number, parse_task(task), run, END_KINDS[how], saved)
+    raise wire.WireError("ended", "unexpected row")
+
+
+def format_task(task: TaskId) -> str:
+    """Returns the name of a task: job, occurrence, step and index."""
+    return str(task)
+
+
+def parse_task(name: str) -> TaskId:
+    """Returns the task of a name.
+
+    Raises:
+        WireError: The name does not have four parts.
+    """
+    parts = name.rsplit(".", TASK_PARTS - 1)
+    if len(parts) != TASK_PARTS or not all(p.isdecimal() for p in parts[1:]):
+        raise wire.WireError("task", f"unexpected name {name[:64]}")
+    return TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of many tasks: acceptance, placement on workers, recovery."""
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/board.py
@@ -0,0 +1,260 @@
+"""The jobs of one pool: their steps, tasks and progress."""
+
+from collections.abc import Iterator
+from enum import Enum, auto
+from typing import TYPE_CHECKING
+
+from burdockthread_scheduling.records import JobProgress
+from burdockthread_scheduling.specs import JobSpec, QueueSpec, StepSpec, TaskId
+from burdockthread_scheduling.workers import Capacity
+
+if TYPE_CHECKING:
+    from burdockthread_scheduling.worker_state import Placement
+
+
+class TaskRun:
+    """A task that has not succeeded yet.
+
+    Attributes:
+        task: Its id.
+        job: Its job.
+        step: Its step.
+        size: What it asks of a worker.
+        placements: Runs that may exist, the newest last.
+        last_run: Highest number given to a run by this holder.
+        checkpoint: Newest saved progress, or empty.
+        failures: Runs that failed.
+        failed_on: Workers on which a run failed.
+        waiting_since_s: Clock time since which it has no run.
+    """
+
+    __slots__ = (
+        "checkpoint",
+        "failed_on",
+        "failures",
+        "job",
+        "last_run",
+        "placements",
+        "size",
+        "step",
+        "task",
+        "waiting_since_s",
+    )
+
+    def __init__(self, task: TaskId, job: "JobRun", step: StepSpec) -> None:
+        self.task = task
+        self.job = job
+        self.step = step
+        self.size = Capacity(step.cpu_milli, step.memory_mb, step.accelerators)
+        self.placements: list[Placement] = []
+        self.last_run = 0
+        self.checkpoint = ""
+        self.failures = 0
+        self.failed_on: set[str] = set()
+        self.waiting_since_s = 0.0
+
+    def name(self) -> str:
+        """Returns its name within the job, as used in the progress."""
+        return f"{self.task.occurrence}.{self.task.step}.{self.task.number}"
+
+
+class StepRun:
+    """One step of one occurrence of a job.
+
+    Attributes:
+        occurrence: The occurrence.
+        number: Number of the step.
+        spec: The step.
+        open_tasks: Tasks that have not succeeded, by index.
+        succeeded: Bits of the indices of the tasks that have.
+    """
+
+    def __init__(self, job: "JobRun", occurrence: int, number: int) -> None:
+        self.occurrence = occurrence
+        self.number = number
+        self.spec = job.spec.steps[number]
+        self.succeeded = 0
+        self.open_tasks = {
+            index: TaskRun(
+                TaskId(job.spec.job_id, occurrence, number, index), job, self.spec
+            )
+            for index in range(self.spec.tasks)
+        }
+
+    def name(self) -> str:
+        """Returns its name within the job, as used in the progress."""
+        return f"{self.occurrence}.{self.number}"
+
+    def succeed(self, index: int) -> TaskRun | None:
+        """Notes a success; returns the task unless it was known."""
+        self.succeeded |= 1 << index
+        return self.open_tasks.pop(index, None)
+
+
+class JobEnd(Enum):
+    """How a job ended."""
+
+    COMPLETED = auto()
+    FAILED = auto()
+    CANCELLED = auto()
+
+
+class JobRun:
+    """A job of the pool.
+
+    Attributes:
+        spec: The job.
+        queue: Its queue.
+        revision: Revision of the key of its state.
+        occurrences: Steps by occurrence, for those that have begun.
+        closed: Occurrences that are complete.
+        begun: Whether a task has started.
+        end: How it ended, or None.
+        adopted: Whether an earlier holder may have started tasks of it.
+        dirty: Whether its progress is not yet stored.
+        has_progress_key: Whether its progress may be in the store.
+    """
+
+    def __init__(
+        self, spec: JobSpec, queue: QueueSpec, revision: int, *, adopted: bool
+    ) -> None:
+        self.spec = spec
+        self.queue = queue
+        self.revision = revision
+        self.occurrences: dict[int, list[StepRun]] = {}
+        self.closed: set[int] = set()
+        self.begun = False
+        self.end: JobEnd | None = None
+        self.adopted = adopted
+        self.dirty = False
+        self.has_progress_key = False
+        if not spec.repetitions:
+            self.open_occurrence(0)
+
+    def open_occurrence(self, occurrence: int) -> None:
+        """Creates the tasks of an occurrence."""
+        self.occurrences[occurrence] = [
+            StepRun(self, occurrence, number) for number in range(len(self.spec.steps))
+        ]
+
+    def open_due(self, wall_ms: float) -> None:
+        """Creates the occurrences whose time has come."""
+        if not self.spec.repetitions:
+            return
+        for occurrence in range(self.spec.repetitions):
+            if self.spec.due_ms(occurrence) > wall_ms:
+                return
+            if occurrence not in self.occurrences and occurrence not in self.closed:
+                self.open_occurrence(occurrence)
+
+    def step_run(self, occurrence: int, number: int) -> StepRun | None:
+        """Returns a step of an open occurrence."""
+        steps = self.occurrences.get(occurrence)
+        if steps is None or number >= len(steps):
+            return None
+        return steps[number]
+
+    def find(self, task: TaskId) -> TaskRun | None:
+        """Returns a task that has not succeeded."""
+        step = self.step_run(task.occurrence, task.step)
+        return None if step is None else step.open_tasks.get(task.number)
+
+    def runnable_steps(self) -> Iterator[StepRun]:
+        """Yields the steps whose predecessors have succeeded, with open tasks."""
+        for steps in self.occurrences.values():
+            for step in steps:
+                if step.open_tasks and self.is_unlocked(steps, step):
+                    yield step
+
+    def is_unlocked(self, steps: list[StepRun], step: StepRun) -> bool:
+        """Returns whether all steps before a step have succeeded."""
+        return all(not steps[number].open_tasks for number in step.spec.after)
+
+    def open_tasks(self) -> Iterator[TaskRun]:
+        """Yields all tasks that have not succeeded."""
+        for steps in self.occurrences.values():
+            for step in steps:
+                yield from step.open_tasks.values()
+
+    def succeed(self, task: TaskId) -> tuple[TaskRun, ...]:
+        """Notes that a task succeeded, and with it all members of a gang.
+
+        Returns:
+            The tasks that were open before.
+        """
+        step = self.step_run(task.occurrence, task.step)
+        if step is None:
+            return ()
+        indices = range(step.spec.tasks) if step.spec.gang else (task.number,)
+        found = [step.succeed(index) for index in indices]
+        self.dirty = True
+        steps = self.occurrences[task.occurrence]
+        if all(not step.open_tasks for step in steps):
+            self.close_occurrence(task.occurrence)
+        return tuple(task for task in found if task is not None)
+
+    def close_occurrence(self, occurrence: int) -> None:
+        """Notes that all tasks of an occurrence have succeeded."""
+        self.closed.add(occurrence)
+        if self.spec.repetitions:
+            del self.occurrences[occurrence]
+        if len(self.closed) == self.spec.occurrences():
+            self.end = JobEnd.COMPLETED
+
+    def progress(self) -> JobProgress:
+        """Returns what is to be stored."""
+        succeeded = {str(occurrence): "" for occurrence in self.closed}
+        failures = {}
+        checkpoints = {}
+        for steps in self.occurrences.values():
+            for step in steps:
+                if step.succeeded:
+                    succeeded[step.name()] = f"{step.succeeded:x}"
+        for task in self.open_tasks():
+            if task.failures:
+                failures[task.name()] = task.failures
+            if task.checkpoint:
+                checkpoints[task.name()] = task.checkpoint
+        return JobProgress(self.begun, succeeded, failures, checkpoints)
+
+    def restore(self, progress: JobProgress) -> None:
+        """Takes over what an earlier holder has stored."""
+        self.begun = progress.begun
+        self.has_progress_key = True
+        for name, bits in progress.succeeded.items():
+            occurrence, _, number = name.partition(".")
+            self.restore_step(int(occurrence), number, bits)
+        for task in self.open_tasks():
+            task.failures = progress.failures.get(task.name(), 0)
+            task.checkpoint = progress.checkpoints.get(task.name(), "")
+
+    def restore_step(self, occurrence: int, number: str, bits: str) -> None:
+        """Takes over the successes of one step, or of a whole occurrence."""
+        if not number:
+            self.occurrences.setdefault(occurrence, [])
+            self.close_occurrence(occurrence)
+            return
+        if occurrence not in self.occurrences:
+            self.open_occurrence(occurrence)
+        mask = int(bits, 16)
+        for index in range(self.spec.steps[int(number)].tasks):
+            if mask >> index & 1:
+                self.succeed(TaskId(self.spec.job_id, occurrence, int(number), index))
+
+
+class Board:
+    """The jobs of one pool that have not been settled.
+
+    Attributes:
+        jobs: Jobs by id.
+    """
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, JobRun] = {}
+
+    def find(self, task: TaskId) -> TaskRun | None:
+        """Returns a task that has not succeeded, of a job that goes on."""
+        job = self.jobs.get(task.job_id)
+        if job is None or job.end is not None:
+            return None
+        return job.find(task)
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/desk.py
@@ -0,0 +1,188 @@
+"""Answers callers who submit, look at and cancel jobs."""
+
+import asyncio
+from collections.abc import Callable
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.errors import (
+    NotFoundError,
+    RequestError,
+    StoreError,
+    StoreUnknownError,
+)
+from burdockthread_model.events import EventLog
+from burdockthread_model.metrics import Metrics
+from burdockthread_model.verdict import Verdict
+
+from burdockthread_scheduling.intake import JobIntake
+from burdockthread_scheduling.job_index import JobIndex, ShownState
+from burdockthread_scheduling.specs import FleetConfiguration, JobSpec, QueueSpec
+
+# An answer is sent this long before the caller gives up.
+ANSWER_MARGIN_S = 0.25
+# A store that is out is asked again by callers after this long.
+RETRY_AFTER_S = 1.0
+
+
+class NotReadyError(RequestError):
+    """No configuration yet, or this entry is stopping."""
+
+    status = 503
+
+
+class NoQueueError(RequestError):
+    """No queue has the host and path of the request."""
+
+    status = 404
+
+
+class NoJobError(RequestError):
+    """No job has the id of the request."""
+
+    status = 410
+
+
+class NotStoredError(RequestError):
+    """The store did not take the job; it never runs on this request."""
+
+    status = 503
+
+
+class UnsettledError(RequestError):
+    """The store may have taken the job; the caller has to ask again."""
+
+    status = 504
+
+
+class JobDesk:
+    """Answers callers from the configuration, the index and the intake."""
+
+    def __init__(
+        self,
+        configuration: Callable[[], FleetConfiguration | None],
+        index: JobIndex,
+        intake: JobIntake,
+        clock: Clock,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        self.configuration = configuration
+        self.index = index
+        self.intake = intake
+        self.clock = clock
+        self.metrics = metrics
+        self.log = log
+        self.busy = 0
+
+    def queue(self, host: str, path: str) -> QueueSpec:
+        """Returns the queue of a request.
+
+        Raises:
+            NotReadyError: There is no configuration yet.
+            NoQueueError: No queue has the host and path.
+        """
+        configuration = self.configuration()
+        if configuration is None:
+            raise NotReadyError("no configuration yet", retry_after_s=RETRY_AFTER_S)
+        queue = configuration.queue_of(host, path)
+        if queue is None:
+            raise NoQueueError(f"no queue at {host}{path[:64]}")
+        return queue
+
+    async def submit(self, queue: QueueSpec, job: JobSpec, wait_s: float) -> None:
+        """Accepts a job.
+
+        Args:
+            queue: Its queue.
+            job: The job.
+            wait_s: Seconds that the caller waits.
+
+        Raises:
+            NotStoredError: It was not accepted.
+            UnsettledError: It may have been accepted.
+        """
+        started_s = self.clock.now()
+        outcome = "accepted"
+        try:
+            async with self.clock.timeout(max(wait_s - ANSWER_MARGIN_S, 0.1)):
+                await self.intake.submit(job, queue.pool)
+        except StoreUnknownError as error:
+            outcome = "unsettled"
+            raise self.unsettled(job.job_id, str(error)) from error
+        except StoreError as error:
+            outcome = "refused"
+            raise NotStoredError(
+                f"job {job.job_id} was not stored: {error}",
+                retry_after_s=RETRY_AFTER_S,
+            ) from error
+        except TimeoutError as error:
+            outcome = "unsettled"
+            raise self.unsettled(job.job_id, "no answer in time") from error
+        finally:
+            elapsed_s = self.clock.now() - started_s
+            self.metrics.timing("desk.submit", elapsed_s)
+            self.metrics.count(f"desk.submit.{outcome}")
+            self.log.info(
+                "job_submitted",
+                job=job.job_id,
+                queue=queue.name,
+                pool=queue.pool,
+                outcome=outcome,
+                elapsed_ms=round(elapsed_s * 1000, 1),
+            )
+
+    def unsettled(self, job_id: str, reason: str) -> UnsettledError:
+        """Returns the error for a job that may or may not be stored."""
+        return UnsettledError(
+            f"job {job_id} may be stored: {reason}",
+            verdict=Verdict.UNKNOWN,
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    async def state(self, job_id: str, wait_s: float) -> ShownState:
+        """Returns the state of a job.
+
+        Raises:
+            NoJobError: There is no such job.
+            NotReadyError: It is not known here and the store is out.
+        """
+        try:
+            async with self.clock.timeout(max(wait_s - ANSWER_MARGIN_S, 0.1)):
+                known = await self.index.find(job_id)
+        except (StoreError, TimeoutError) as error:
+            raise NotReadyError(
+                f"job {job_id}: the store did not answer", retry_after_s=RETRY_AFTER_S
+            ) from error
+        if known is None:
+            raise NoJobError(f"no job {job_id}")
+        return self.index.shown_state(job_id, known)
+
+    async def cancel(self, job_id: str, wait_s: float) -> None:
+        """Cancels a job.
+
+        Raises:
+            NoJobError: There is no such job.
+            NotStoredError: It was not cancelled.
+            UnsettledError: It may have been cancelled.
+        """
+        outcome = "cancelled"
+        try:
+            async with self.clock.timeout(max(wait_s - ANSWER_MARGIN_S, 0.1)):
+                await asyncio.shield(asyncio.ensure_future(self.intake.cancel(job_id)))
+        except NotFoundError as error:
+            outcome = "no job"
+            raise NoJobError(f"no job {job_id}") from error
+        except (StoreUnknownError, TimeoutError) as error:
+            outcome = "unsettled"
+            raise self.unsettled(job_id, "the cancel was not answered") from error
+        except StoreError as error:
+            outcome = "refused"
+            raise NotStoredError(
+                f"job {job_id} was not cancelled: {error}", retry_after_s=RETRY_AFTER_S
+            ) from error
+        finally:
+            self.log.info("job_cancel", job=job_id, outcome=outcome)
+
+    def waiting(self, queue: QueueSpec) -> int:
+        """Returns how many jobs of a queue have no task that has started."""
+        return self.index.waiting(queue.name)
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -0,0 +1,338 @@
+"""Divides the duties among the entries, each held under a lease of the store."""
+
+import asyncio
+import secrets
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from typing import NamedTuple
+
+import xxhash
+from burdockthread_model.clock import Clock
+from burdockthread_model.errors import ConflictError, LeaseLostError, StoreError
+from burdockthread_model.events import EventLog
+from burdockthread_model.metrics import Metrics
+from burdockthread_model.records import RecordError
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.store import Change, ConfigurationStore, Guard, KeyValue, Lease
+
+from burdockthread_scheduling.records import (
+    DUTY_PREFIX,
+    ENTRY_PREFIX,
+    DutyRecord,
+    EntryRecord,
+    decode,
+    duty_key,
+    encode,
+    entry_key,
+)
+
+LEASE_TTL_S = 2.0
+RENEW_INTERVAL_S = 0.5
+RETRY_INTERVAL_S = 0.15
+CHECK_INTERVAL_S = 0.1
+# How long a holder that cannot renew its lease goes on with what it has
+# begun; covers the longest outage of the store that leaves leases in place.
+DOUBT_LIMIT_S = 8.0
+# Head start of an entry over the next in the order of preference.
+CAMPAIGN_STEP_S = 0.12
+MAX_CAMPAIGN_DELAY_S = 0.6
+TERM_BYTES = 8
+
+
+class Tenure(NamedTuple):
+    """A duty as held.
+
+    Attributes:
+        duty: Name of the duty.
+        fence: Fencing token; grows from one holder to the next.
+        guard: Condition that fences a write to the store.
+    """
+
+    duty: str
+    fence: int
+    guard: Guard
+
+
+class Duty(ABC):
+    """Work that one entry does at a time."""
+
+    @abstractmethod
+    async def run(self) -> None:
+        """Works until cancelled."""
+
+    @abstractmethod
+    async def hand_over(self) -> None:
+        """Ends all orders under way, so that a successor may start at once."""
+
+
+DutyFactory = Callable[[Tenure], Duty]
+
+
+class HeldDuty:
+    """A duty that this entry does."""
+
+    def __init__(self, tenure: Tenure, duty: Duty) -> None:
+        self.tenure = tenure
+        self.duty = duty
+        self.work = asyncio.create_task(duty.run())
+
+
+class EntryLease:
+    """The lease to which this entry's record and duties are bound.
+
+    Attributes:
+        lease: The lease, or None.
+        term: Unique for this process.
+    """
+
+    def __init__(self, store: ConfigurationStore, clock: Clock, log: EventLog) -> None:
+        self.store = store
+        self.clock = clock
+        self.log = log
+        self.lease: Lease | None = None
+        self.term = secrets.token_hex(TERM_BYTES)
+
+    def remaining_s(self) -> float:
+        """Returns the seconds for which the lease surely lasts; may be negative."""
+        if self.lease is None:
+            return 0.0
+        return self.lease.expires_s - self.clock.now()
+
+    async def keep(self) -> bool:
+        """Renews the lease or takes a new one.
+
+        Returns:
+            Whether it is the lease of before.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        if self.lease is not None:
+            try:
+                self.lease = await self.store.renew_lease(self.lease)
+                return True
+            except LeaseLostError:
+                self.log.warning("lease_lost", lease=self.lease.lease_id)
+                self.lease = None
+        self.lease = await self.store.grant_lease(LEASE_TTL_S)
+        self.log.info("lease_granted", lease=self.lease.lease_id)
+        return False
+
+    async def end(self) -> None:
+        """Gives the lease up."""
+        lease, self.lease = self.lease, None
+        if lease is not None:
+            await self.store.revoke_lease(lease)
+
+
+class Duties:
+    """Seeks, does and gives up duties.
+
+    Attributes:
+        held: Duties that this entry does, by name.
+        owners: Known holders by duty, with the revision of the record.
+        entries: Live entries by name.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        availability_zone: str,
+        weight: float,
+        store: ConfigurationStore,
+        cache: PrefixCache,
+        clock: Clock,
+        metrics: Metrics,
+        log: EventLog,
+        wanted: Callable[[], Mapping[str, DutyFactory]],
+    ) -> None:
+        self.entry = entry
+        self.availability_zone = availability_zone
+        self.weight = weight
+        self.store = store
+        self.cache = cache
+        self.clock = clock
+        self.metrics = metrics
+        self.log = log
+        self.wanted = wanted
+        self.lease = EntryLease(store, clock, log)
+        self.held: dict[str, HeldDuty] = {}
+        self.owners: dict[str, tuple[DutyRecord, int]] = {}
+        self.entries: dict[str, EntryRecord] = {}
+        self.vacant_since_s: dict[str, float] = {}
+        self.changed = asyncio.Event()
+        self.stopping = False
+        cache.listeners.append(self.on_change)
+
+    def on_change(self, key: str, item: KeyValue | None) -> None:
+        """Takes in one key that changed."""
+        try:
+            if key.startswith(DUTY_PREFIX):
+                self.on_owner(key.removeprefix(DUTY_PREFIX), item)
+            elif key.startswith(ENTRY_PREFIX):
+                self.on_entry(key.removeprefix(ENTRY_PREFIX), item)
+        except RecordError as error:
+            self.log.error("record_unreadable", store_key=key, reason=error)
+
+    def on_owner(self, duty: str, item: KeyValue | None) -> None:
+        """Takes in the holder of a duty."""
+        if item is None:
+            self.owners.pop(duty, None)
+        else:
+            self.owners[duty] = (decode(item.value, DutyRecord), item.revision)
+        self.changed.set()
+
+    def on_entry(self, entry: str, item: KeyValue | None) -> None:
+        """Takes in a live entry."""
+        if item is None:
+            self.entries.pop(entry, None)
+        else:
+            self.entries[entry] = decode(item.value, EntryRecord)
+
+    async def run(self) -> None:
+        """Keeps the lease and the duties until cancelled."""
+        keeper = asyncio.create_task(self.keep_lease())
+        try:
+            while True:
+                self.changed.clear()
+                await self.check()
+                with suppress(TimeoutError):
+                    async with self.clock.timeout(CHECK_INTERVAL_S):
+                        await self.changed.wait()
+        finally:
+            keeper.cancel()
+            for name in tuple(self.held):
+                self.drop(name, "stopped")
+
+    async def keep_lease(self) -> None:
+        """Renews the lease in time until cancelled."""
+        while True:
+            try:
+                if not await self.lease.keep():
+                    await self.register()
+                await self.clock.sleep(RENEW_INTERVAL_S)
+            except (StoreError, ConflictError) as error:
+                self.metrics.count("duties.renewals_failed")
+                self.log.info(
+                    "lease_not_renewed",
+                    remaining_s=round(self.lease.remaining_s(), 3),
+                    reason=error,
+                )
+                await self.clock.sleep(RETRY_INTERVAL_S)
+
+    async def register(self) -> None:
+        """Writes this entry's record, replacing one of an earlier process."""
+        lease = self.lease.lease
+        if lease is None:
+            return
+        record = EntryRecord(self.availability_zone, self.weight, self.lease.term)
+        key = entry_key(self.entry)
+        found = await self.store.get(key)
+        revision = 0 if found is None else found.revision
+        change = Change(key, encode(record), revision, lease.lease_id)
+        await self.store.write([change])
+
+    async def check(self) -> None:
+        """Drops what is lost and seeks what is vacant."""
+        wanted = self.wanted()
+        for name in tuple(self.held):
+            reason = self.reason_to_drop(name, wanted)
+            if reason:
+                self.drop(name, reason)
+        if self.stopping or not self.cache.synced:
+            return
+        now = self.clock.now()
+        for name, factory in wanted.items():
+            if name in self.owners or name in self.held:
+                self.vacant_since_s.pop(name, None)
+                continue
+            since_s = self.vacant_since_s.setdefault(name, now)
+            if now - since_s >= self.campaign_delay_s(name):
+                await self.campaign(name, factory)
+
+    def reason_to_drop(self, name: str, wanted: Mapping[str, DutyFactory]) -> str:
+        """Returns why a held duty is to be dropped, or an empty string."""
+        held = self.held[name]
+        if name not in wanted:
+            return "not wanted"
+        if held.work.done():
+            return "ended"
+        owner = self.owners.get(name)
+        if self.cache.revision >= held.tenure.fence and (
+            owner is None or owner[1] != held.tenure.fence
+        ):
+            return "taken over"
+        if self.lease.remaining_s() < -DOUBT_LIMIT_S:
+            return "lease in doubt"
+        return ""
+
+    def drop(self, name: str, reason: str) -> None:
+        """Stops doing a duty."""
+        held = self.held.pop(name)
+        if held.work.done() and not held.work.cancelled():
+            error = held.work.exception()
+            if error is not None:
+                self.log.error("duty_failed", duty=name, reason=repr(error))
+        held.work.cancel()
+        self.metrics.count("duties.dropped")
+        self.log.info("duty_dropped", duty=name, fence=held.tenure.fence, reason=reason)
+
+    def campaign_delay_s(self, name: str) -> float:
+        """Returns how long this entry leaves a vacant duty to others."""
+        ranked = sorted(
+            self.entries, key=lambda entry: self.preference(name, entry), reverse=True
+        )
+        if self.entry not in ranked:
+            return MAX_CAMPAIGN_DELAY_S
+        delay_s = ranked.index(self.entry) * CAMPAIGN_STEP_S
+        return min(delay_s, MAX_CAMPAIGN_DELAY_S)
+
+    def preference(self, name: str, entry: str) -> float:
+        """Returns the rank of an entry for a duty; the highest goes first."""
+        digest = xxhash.xxh64_intdigest(f"{name}\0{entry}".encode())
+        share = (digest + 1) / 2**64
+        load = sum(1 for record, _ in self.owners.values() if record.entry == entry)
+        return float(share ** (1.0 / self.entries[entry].weight)) - load
+
+    async def campaign(self, name: str, factory: DutyFactory) -> None:
+        """Tries to take a vacant duty."""
+        lease = self.lease.lease
+        if lease is None or self.lease.remaining_s() <= 0:
+            return
+        key = duty_key(name)
+        record = DutyRecord(self.entry, self.lease.term)
+        change = Change(key, encode(record), 0, lease.lease_id)
+        try:
+            fence = await self.store.write([change])
+        except (ConflictError, StoreError) as error:
+            self.log.info("duty_not_taken", duty=name, reason=error)
+            self.vacant_since_s.pop(name, None)
+            return
+        self.owners[name] = (record, fence)
+        tenure = Tenure(name, fence, Guard(key, fence))
+        self.held[name] = HeldDuty(tenure, factory(tenure))
+        self.metrics.count("duties.taken")
+        self.log.info("duty_taken", duty=name, fence=fence)
+
+    async def hand_over(self) -> None:
+        """Gives all duties up, for a planned stop."""
+        self.stopping = True
+        await asyncio.gather(
+            *(self.hand_over_one(name) for name in tuple(self.held)),
+            return_exceptions=True,
+        )
+        try:
+            await self.lease.end()
+        except (StoreError, ConflictError) as error:
+            self.log.info("lease_not_ended", reason=error)
+
+    async def hand_over_one(self, name: str) -> None:
+        """Ends the orders of one duty, then gives it up."""
+        held = self.held[name]
+        await held.duty.hand_over()
+        held.work.cancel()
+        self.held.pop(name, None)
+        guard = held.tenure.guard
+        self.log.info("duty_handed_over", duty=name, fence=held.tenure.fence)
+        await self.store.write([Change(guard.key, None, guard.expected_revision)])
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/intake.py
@@ -0,0 +1,208 @@
+"""Accepts and cancels jobs, many in one write."""
+
+import asyncio
+from collections.abc import Sequence
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.errors import (
+    ConflictError,
+    NotFoundError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+from burdockthread_model.events import EventLog
+from burdockthread_model.metrics import Metrics
+from burdockthread_store.store import ANY_REVISION, Change, ConfigurationStore
+
+from burdockthread_scheduling.job_index import JobIndex, KnownJob
+from burdockthread_scheduling.records import (
+    CANCELLED,
+    JobPhase,
+    JobRecord,
+    encode,
+    job_key,
+    work_prefix,
+)
+from burdockthread_scheduling.specs import JobSpec
+
+# A job takes three of the 32 entries of a write; its marker takes two.
+MAX_JOBS_PER_WRITE = 9
+MAX_WRITES_AT_ONCE = 4
+MAX_CANCEL_TRIES = 5
+
+
+class Submission:
+    """A job that waits for its write."""
+
+    def __init__(self, job: JobSpec, pool: str) -> None:
+        self.job = job
+        self.pool = pool
+        self.stored: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.stored.add_done_callback(consume_error)
+
+    def fail(self, error: Exception) -> None:
+        """Ends the wait with an error."""
+        if not self.stored.done():
+            self.stored.set_exception(error)
+
+    def succeed(self) -> None:
+        """Ends the wait."""
+        if not self.stored.done():
+            self.stored.set_result(None)
+
+
+def consume_error(future: asyncio.Future[None]) -> None:
+    """Marks the error of a future as seen; its caller may have gone."""
+    if not future.cancelled():
+        future.exception()
+
+
+class JobIntake:
+    """Accepts jobs and cancels them.
+
+    Attributes:
+        waiting: Jobs that the next write takes.
+        unsettled: Submissions whose outcome is open, by job.
+    """
+
+    def __init__(
+        self,
+        store: ConfigurationStore,
+        index: JobIndex,
+        clock: Clock,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        self.store = store
+        self.index = index
+        self.clock = clock
+        self.metrics = metrics
+        self.log = log
+        self.waiting: list[Submission] = []
+        self.unsettled: dict[str, Submission] = {}
+        self.writers: set[asyncio.Task[None]] = set()
+
+    async def submit(self, job: JobSpec, pool: str) -> None:
+        """Stores a job; one that is already stored stays as it is.
+
+        Args:
+            job: The job.
+            pool: Pool whose holder is to run it.
+
+        Raises:
+            StoreUnavailableError: It was not stored and never will be.
+            StoreUnknownError: It may be stored.
+        """
+        if job.job_id in self.index.jobs:
+            return
+        submission = self.unsettled.get(job.job_id)
+        if submission is None:
+            submission = self.enqueue(Submission(job, pool))
+        await asyncio.shield(submission.stored)
+
+    def enqueue(self, submission: Submission) -> Submission:
+        """Queues a submission for the next write."""
+        job_id = submission.job.job_id
+        self.unsettled[job_id] = submission
+        submission.stored.add_done_callback(lambda _: self.unsettled.pop(job_id))
+        self.waiting.append(submission)
+        self.start_writers()
+        return submission
+
+    def start_writers(self) -> None:
+        """Starts a write unless enough are under way."""
+        if len(self.writers) >= MAX_WRITES_AT_ONCE:
+            return
+        writer = asyncio.create_task(self.write_waiting())
+        self.writers.add(writer)
+        writer.add_done_callback(self.writers.discard)
+
+    async def write_waiting(self) -> None:
+        """Writes until nothing waits."""
+        while self.waiting:
+            batch = self.waiting[:MAX_JOBS_PER_WRITE]
+            del self.waiting[:MAX_JOBS_PER_WRITE]
+            try:
+                await self.write(batch)
+            except (StoreUnavailableError, StoreUnknownError) as error:
+                self.metrics.count("intake.writes_failed")
+                for submission in batch:
+                    submission.fail(error)
+
+    async def write(self, batch: Sequence[Submission]) -> None:
+        """Writes a batch; jobs that are stored already are left out."""
+        left = list(batch)
+        while left:
+            records = [self.record_of(submission) for submission in left]
+            try:
+                revision = await self.store.write(self.changes(left, records))
+            except ConflictError:
+                left = await self.without_stored(left)
+                continue
+            for submission, record in zip(left, records, strict=True):
+                self.index.note(submission.job.job_id, record, revision)
+                submission.succeed()
+            return
+
+    def record_of(self, submission: Submission) -> JobRecord:
+        """Returns the state of a job that is being accepted."""
+        job = submission.job
+        return JobRecord(submission.pool, job.queue, JobPhase.ACCEPTED, job.accepted_ms)
+
+    def changes(
+        self, batch: Sequence[Submission], records: Sequence[JobRecord]
+    ) -> list[Change]:
+        """Returns the write of a batch."""
+        changes = []
+        for submission, record in zip(batch, records, strict=True):
+            job = submission.job
+            work_key = work_prefix(submission.pool) + job.job_id
+            changes.append(Change(job_key(job.job_id), encode(record), 0))
+            changes.append(Change(work_key, encode(job), ANY_REVISION))
+        return changes
+
+    async def without_stored(self, batch: Sequence[Submission]) -> list[Submission]:
+        """Settles the submissions that are stored; returns the others."""
+        left = []
+        for submission in batch:
+            if await self.index.find(submission.job.job_id) is None:
+                left.append(submission)
+            else:
+                submission.succeed()
+        return left
+
+    async def cancel(self, job_id: str) -> None:
+        """Cancels a job; one that has ended stays as it is.
+
+        Raises:
+            NotFoundError: There is no such job.
+            StoreUnavailableError: It was not cancelled.
+            StoreUnknownError: It may have been cancelled.
+        """
+        for _ in range(MAX_CANCEL_TRIES):
+            known = await self.index.find(job_id)
+            if known is None:
+                raise NotFoundError(f"no job {job_id}")
+            if known.record.phase is not JobPhase.ACCEPTED:
+                return
+            try:
+                await self.write_cancel(job_id, known)
+            except ConflictError:
+                self.index.jobs.pop(job_id, None)
+                continue
+            return
+        raise StoreUnavailableError(f"job {job_id}: other writers were always first")
+
+    async def write_cancel(self, job_id: str, known: KnownJob) -> None:
+        """Records that a job is cancelled."""
+        record = known.record._replace(
+            phase=JobPhase.CANCELLED, changed_ms=int(self.clock.wall() * 1000)
+        )
+        work_key = work_prefix(record.pool) + job_id
+        revision = await self.store.write(
+            [
+                Change(job_key(job_id), encode(record), known.revision),
+                Change(work_key, CANCELLED, ANY_REVISION),
+            ]
+        )
+        self.index.note(job_id, record, revision)
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/job_index.py
@@ -0,0 +1,139 @@
+"""What every entry knows of all jobs, followed from the store."""
+
+from collections.abc import Iterator
+from enum import StrEnum
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.errors import StoreError
+from burdockthread_model.events import EventLog
+from burdockthread_model.records import RecordError
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.store import ConfigurationStore, KeyValue
+
+from burdockthread_scheduling.records import (
+    JOB_PREFIX,
+    POOL_PREFIX,
+    JobPhase,
+    JobRecord,
+    PoolReport,
+    decode,
+    job_key,
+)
+
+
+class ShownState(StrEnum):
+    """State of a job as callers see it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class KnownJob:
+    """A job's record with the revision of its key."""
+
+    __slots__ = ("record", "revision")
+
+    def __init__(self, record: JobRecord, revision: int) -> None:
+        self.record = record
+        self.revision = revision
+
+
+class JobIndex:
+    """The states of all jobs, from the followed copy of the store.
+
+    Attributes:
+        jobs: Known jobs by id.
+        reports: Newest report of each pool.
+    """
+
+    def __init__(
+        self,
+        cache: PrefixCache,
+        store: ConfigurationStore,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self.cache = cache
+        self.store = store
+        self.clock = clock
+        self.log = log
+        self.jobs: dict[str, KnownJob] = {}
+        self.reports: dict[str, PoolReport] = {}
+        cache.listeners.append(self.on_change)
+
+    def on_change(self, key: str, item: KeyValue | None) -> None:
+        """Takes in one key that changed."""
+        try:
+            if key.startswith(JOB_PREFIX):
+                self.on_job(key.removeprefix(JOB_PREFIX), item)
+            elif key.startswith(POOL_PREFIX):
+                self.on_report(key.removeprefix(POOL_PREFIX), item)
+        except RecordError as error:
+            self.log.error("record_unreadable", store_key=key, reason=error)
+
+    def on_job(self, job_id: str, item: KeyValue | None) -> None:
+        """Takes in the state of a job."""
+        if item is None:
+            self.jobs.pop(job_id, None)
+            return
+        self.note(job_id, decode(item.value, JobRecord), item.revision)
+
+    def on_report(self, pool: str, item: KeyValue | None) -> None:
+        """Takes in the report of a pool."""
+        if item is not None:
+            self.reports[pool] = decode(item.value, PoolReport)
+
+    def note(self, job_id: str, record: JobRecord, revision: int) -> None:
+        """Takes in a state unless a newer one is known."""
+        known = self.jobs.get(job_id)
+        if known is None:
+            self.jobs[job_id] = KnownJob(record, revision)
+        elif known.revision < revision:
+            known.record = record
+            known.revision = revision
+
+    async def find(self, job_id: str) -> KnownJob | None:
+        """Returns a job, asking the store if this entry has not heard of it.
+
+        Raises:
+            StoreUnavailableError: It is not known here and the store is out.
+        """
+        known = self.jobs.get(job_id)
+        if known is not None:
+            return known
+        item = await self.store.get(job_key(job_id))
+        if item is None:
+            return None
+        try:
+            record = decode(item.value, JobRecord)
+        except RecordError as error:
+            raise StoreError(f"job {job_id}: {error}") from error
+        self.note(job_id, record, item.revision)
+        return self.jobs[job_id]
+
+    def shown_state(self, job_id: str, known: KnownJob) -> ShownState:
+        """Returns the state of a job as callers see it."""
+        phase = known.record.phase
+        if phase is not JobPhase.ACCEPTED:
+            return ShownState(phase.value)
+        report = self.reports.get(known.record.pool)
+        if report is None or known.record.changed_ms > report.written_ms:
+            return ShownState.QUEUED
+        if job_id in report.unstarted:
+            return ShownState.QUEUED
+        return ShownState.RUNNING
+
+    def waiting(self, queue: str) -> int:
+        """Returns how many jobs of a queue have no task that has started."""
+        return sum(1 for _ in self.waiting_jobs(queue))
+
+    def waiting_jobs(self, queue: str) -> Iterator[str]:
+        """Yields the jobs of a queue of which no task is known to have started."""
+        for job_id, known in self.jobs.items():
+            if known.record.queue != queue:
+                continue
+            if self.shown_state(job_id, known) is ShownState.QUEUED:
+                yield job_id
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/progress_writer.py
@@ -0,0 +1,245 @@
+"""Stores what has ended before the workers may forget it."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.errors import ConflictError, LeaseLostError, StoreError
+from burdockthread_model.events import EventLog
+from burdockthread_model.metrics import Metrics
+from burdockthread_store.store import ANY_REVISION, Change, ConfigurationStore
+
+from burdockthread_scheduling.board import Board, JobEnd, JobRun
+from burdockthread_scheduling.duties import Tenure
+from burdockthread_scheduling.records import (
+    JobPhase,
+    JobRecord,
+    PoolReport,
+    decode,
+    encode,
+    job_key,
+    pool_key,
+    progress_prefix,
+    work_prefix,
+)
+
+# Ends of a short while share a write.
+GROUP_S = 0.02
+RETRY_S = 0.1
+REPORT_INTERVAL_S = 1.0
+MAX_REPORTED_UNSTARTED = 1_000
+# A write has 32 entries, of which the guard and the marker take three.
+MAX_ENTRIES = 29
+PHASES = {
+    JobEnd.COMPLETED: JobPhase.COMPLETED,
+    JobEnd.FAILED: JobPhase.FAILED,
+}
+
+
+class ProgressWriter:
+    """Writes the progress and the end of the jobs of one pool.
+
+    Attributes:
+        tenure: Duty under which it writes.
+        dirty: Jobs with progress that is not stored.
+        clear: Jobs whose keys are no longer needed.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        tenure: Tenure,
+        pool: str,
+        board: Board,
+        store: ConfigurationStore,
+        clock: Clock,
+        metrics: Metrics,
+        log: EventLog,
+        marks: Callable[[], Callable[[], None]],
+    ) -> None:
+        self.entry = entry
+        self.tenure = tenure
+        self.pool = pool
+        self.board = board
+        self.store = store
+        self.clock = clock
+        self.metrics = metrics
+        self.log = log
+        self.marks = marks
+        self.dirty: dict[str, JobRun] = {}
+        self.cleared: dict[str, JobRun] = {}
+        self.work = asyncio.Event()
+        self.reported: PoolReport | None = None
+        self.reported_s = float("-inf")
+
+    def mark(self, job: JobRun) -> None:
+        """Queues the progress of a job for the next write."""
+        self.dirty[job.spec.job_id] = job
+        self.work.set()
+
+    def clear(self, job: JobRun) -> None:
+        """Queues the removal of a job whose end another entry has recorded."""
+        self.cleared[job.spec.job_id] = job
+        self.work.set()
+
+    async def run(self) -> None:
+        """Writes until cancelled.
+
+        Raises:
+            LeaseLostError: Another entry has the duty.
+        """
+        while True:
+            with suppress(TimeoutError):
+                async with self.clock.timeout(REPORT_INTERVAL_S / 2):
+                    await self.work.wait()
+            if self.work.is_set():
+                await self.clock.sleep(GROUP_S)
+            self.work.clear()
+            try:
+                await self.flush()
+                await self.report()
+            except StoreError as error:
+                self.metrics.count("progress.writes_failed")
+                self.log.info("progress_not_stored", pool=self.pool, reason=error)
+                self.work.set()
+                await self.clock.sleep(RETRY_S)
+
+    async def flush(self) -> None:
+        """Writes all that is queued, then lets the workers forget the ends.
+
+        Raises:
+            StoreError: Some of it may not be stored; it stays queued.
+            LeaseLostError: Another entry has the duty.
+        """
+        settle = self.marks()
+        queued = {**self.dirty, **self.cleared}
+        for batch in batches(queued.values(), self.entries_of):
+            await self.write(batch)
+        settle()
+
+    def entries_of(self, job: JobRun) -> int:
+        """Returns how many entries of a write a job takes."""
+        return 4 if job.end is not None else 1
+
+    async def write(self, batch: list[JobRun]) -> None:
+        """Writes some jobs at once."""
+        ends = {job.spec.job_id: job.end for job in batch}
+        changes = [change for job in batch for change in self.changes(job)]
+        for job in batch:
+            job.dirty = False
+        try:
+            revision = await self.store.write(changes, [self.tenure.guard])
+        except ConflictError:
+            await self.explain_conflict(batch)
+            raise StoreError("a job was changed by another entry") from None
+        except StoreError:
+            for job in batch:
+                job.dirty = True
+            raise
+        self.metrics.count("progress.writes")
+        for job in batch:
+            self.settled(job, ends[job.spec.job_id], revision)
+
+    def changes(self, job: JobRun) -> list[Change]:
+        """Returns the write of one job."""
+        job_id = job.spec.job_id
+        progress_key = progress_prefix(self.pool) + job_id
+        if job.end is None:
+            job.has_progress_key = True
+            return [Change(progress_key, encode(job.progress()), ANY_REVISION)]
+        work_key = work_prefix(self.pool) + job_id
+        removed = [Change(work_key, None, ANY_REVISION)]
+        if job.has_progress_key:
+            removed.append(Change(progress_key, None, ANY_REVISION))
+        if job.end is JobEnd.CANCELLED:
+            return removed
+        record = JobRecord(
+            self.pool, job.queue.name, PHASES[job.end], int(self.clock.wall() * 1000)
+        )
+        return [Change(job_key(job_id), encode(record), job.revision), *removed]
+
+    def settled(self, job: JobRun, end: JobEnd | None, revision: int) -> None:
+        """Notes that a job is stored as it was when the write was made."""
+        job_id = job.spec.job_id
+        if end is not None:
+            self.dirty.pop(job_id, None)
+            self.cleared.pop(job_id, None)
+            self.board.jobs.pop(job_id, None)
+            self.metrics.count(f"jobs.{end.name.lower()}")
+            self.log.info(
+                "job_ended",
+                job=job_id,
+                end=end.name.lower(),
+                revision=revision,
+                age_ms=int(self.clock.wall() * 1000) - job.spec.accepted_ms,
+            )
+        elif not job.dirty and job.end is None:
+            self.dirty.pop(job_id, None)
+
+    async def explain_conflict(self, batch: list[JobRun]) -> None:
+        """Finds the job that another entry has changed.
+
+        Raises:
+            LeaseLostError: Another entry has the duty.
+            StoreError: The store did not answer.
+        """
+        for job in batch:
+            job.dirty = True
+        guard = self.tenure.guard
+        found = await self.store.get(guard.key)
+        if found is None or found.revision != guard.expected_revision:
+            raise LeaseLostError(f"the duty {self.tenure.duty} is lost")
+        for job in batch:
+            if job.end not in PHASES:
+                continue
+            item = await self.store.get(job_key(job.spec.job_id))
+            if item is None or item.revision == job.revision:
+                continue
+            if decode(item.value, JobRecord).phase is JobPhase.ACCEPTED:
+                job.revision = item.revision
+            else:
+                job.end = JobEnd.CANCELLED
+                self.log.info("job_end_superseded", job=job.spec.job_id)
+
+    async def report(self) -> None:
+        """Tells the other entries what waits, if that is due and has changed."""
+        now = self.clock.now()
+        if now - self.reported_s < REPORT_INTERVAL_S:
+            return
+        waiting: dict[str, int] = {}
+        unstarted = []
+        for job_id, job in self.board.jobs.items():
+            if job.begun or job.end is not None:
+                continue
+            waiting[job.queue.name] = waiting.get(job.queue.name, 0) + 1
+            unstarted.append(job_id)
+        written_ms = int(self.clock.wall() * 1000)
+        listed = tuple(unstarted[:MAX_REPORTED_UNSTARTED])
+        report = PoolReport(self.entry, written_ms, waiting, listed)
+        if self.reported == report._replace(
+            written_ms=self.reported.written_ms if self.reported else 0
+        ):
+            return
+        change = Change(pool_key(self.pool), encode(report), ANY_REVISION)
+        try:
+            await self.store.write([change], [self.tenure.guard])
+        except ConflictError:
+            raise LeaseLostError(f"the duty {self.tenure.duty} is lost") from None
+        self.reported, self.reported_s = report, now
+
+
+def batches(
+    jobs: Iterable[JobRun], entries_of: Callable[[JobRun], int]
+) -> list[list[JobRun]]:
+    """Divides jobs into groups that fit into one write each."""
+    groups: list[list[JobRun]] = []
+    room = 0
+    for job in jobs:
+        needed = entries_of(job)
+        if needed > room:
+            groups.append([])
+            room = MAX_ENTRIES
+        groups[-1].append(job)
+        room -= needed
+    return groups
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/records.py
@@ -0,0 +1,177 @@
+"""Keys and values of jobs in the store.
+
+``shared/job/<job>``
+    `JobRecord`: pool, queue and state; written by acceptance, cancel and the
+    holder of the pool.
+``shared/pool/<pool>``
+    `PoolReport`: what waits; written by the holder of the pool.
+``shared/duty/<duty>``, ``shared/entry/<entry>``
+    `DutyRecord` and `EntryRecord`, each bound to the lease of its entry.
+``work/<pool>/<job>``
+    `JobSpec`, or `CANCELLED`; written by acceptance and cancel.
+``progress/<pool>/<job>``
+    `JobProgress`; written by the holder of the pool.
+
+All entries follow ``shared/``; only the holder of a pool follows its work.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple, TypeVar
+
+import msgspec
+from burdockthread_model.records import RecordError
+
+from burdockthread_scheduling.specs import JobSpec
+
+SHARED_PREFIX = "shared/"
+JOB_PREFIX = "shared/job/"
+POOL_PREFIX = "shared/pool/"
+DUTY_PREFIX = "shared/duty/"
+ENTRY_PREFIX = "shared/entry/"
+CANCELLED = b"cancelled"
+
+Record = TypeVar("Record")
+
+
+class JobPhase(StrEnum):
+    """Where a job stands, as recorded."""
+
+    ACCEPTED = "accepted"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class JobRecord(NamedTuple):
+    """The state of a job.
+
+    Attributes:
+        pool: Pool whose holder runs it.
+        queue: Name of its queue.
+        phase: Where it stands.
+        changed_ms: Unix time in milliseconds of the last change.
+    """
+
+    pool: str
+    queue: str
+    phase: JobPhase
+    changed_ms: int
+
+
+class PoolReport(NamedTuple):
+    """What the holder of a pool tells the other entries.
+
+    Attributes:
+        entry: The holder.
+        written_ms: Unix time in milliseconds of the report.
+        waiting: Jobs of which no task has started, by queue.
+        unstarted: Ids of these jobs; the first of them if there are many.
+    """
+
+    entry: str
+    written_ms: int
+    waiting: dict[str, int]
+    unstarted: tuple[str, ...]
+
+
+class DutyRecord(NamedTuple):
+    """Who has a duty; the revision of the key is its fencing token."""
+
+    entry: str
+    term: str
+
+
+class EntryRecord(NamedTuple):
+    """An entry that is alive.
+
+    Attributes:
+        availability_zone: Availability zone.
+        weight: Share of the duties that it can carry, relative to others.
+        term: Unique for each process.
+    """
+
+    availability_zone: str
+    weight: float
+    term: str
+
+
+class JobProgress(NamedTuple):
+    """What is settled of a job.
+
+    Attributes:
+        begun: Whether a task has started.
+        succeeded: Tasks that have succeeded, as the hexadecimal bits of their
+            indices, by ``<occurrence>.<step>``.
+        failures: Failed runs by ``<occurrence>.<step>.<index>``.
+        checkpoints: Saved progress by ``<occurrence>.<step>.<index>``.
+    """
+
+    begun: bool
+    succeeded: dict[str, str]
+    failures: dict[str, int]
+    checkpoints: dict[str, str]
+
+
+def job_key(job_id: str) -> str:
+    """Returns the key of a job's state."""
+    return f"{JOB_PREFIX}{job_id}"
+
+
+def pool_key(pool: str) -> str:
+    """Returns the key of a pool's report."""
+    return f"{POOL_PREFIX}{pool}"
+
+
+def duty_key(duty: str) -> str:
+    """Returns the key of a duty."""
+    return f"{DUTY_PREFIX}{duty}"
+
+
+def entry_key(entry: str) -> str:
+    """Returns the key of a live entry."""
+    return f"{ENTRY_PREFIX}{entry}"
+
+
+def work_prefix(pool: str) -> str:
+    """Returns the prefix of the jobs of a pool."""
+    return f"work/{pool}/"
+
+
+def progress_prefix(pool: str) -> str:
+    """Returns the prefix of the progress of a pool's jobs."""
+    return f"progress/{pool}/"
+
+
+def encode(record: tuple[object, ...]) -> bytes:
+    """Returns a record as a JSON array in the order of its fields."""
+    return msgspec.json.encode(record)
+
+
+def decode(data: bytes, kind: type[Record]) -> Record:
+    """Reads a record.
+
+    Args:
+        data: JSON array with the fields in order; missing ones take defaults.
+        kind: NamedTuple class.
+
+    Raises:
+        RecordError: The text is malformed or a field has the wrong type.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise RecordError(f"{kind.__name__}: {error}") from error
+
+
+def decode_job(data: bytes) -> JobSpec | None:
+    """Reads the work of a job.
+
+    Returns:
+        The job, or None if it is cancelled.
+
+    Raises:
+        RecordError: The text is malformed.
+    """
+    if data == CANCELLED:
+        return None
+    return decode(data, JobSpec)
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/specs.py
@@ -0,0 +1,207 @@
+"""What callers submit and operators configure: jobs, steps, queues and pools."""
+
+from typing import NamedTuple
+
+
+class StepSpec(NamedTuple):
+    """One step of a job.
+
+    Attributes:
+        tasks: Number of tasks.
+        cpu_milli: Processor request of each task in thousandths of a core.
+        memory_mb: Memory request of each task in megabytes.
+        accelerators: Accelerators of each task.
+        estimated_ms: Rough duration of a task in milliseconds.
+        after: Earlier steps whose tasks must all have succeeded first.
+        checkpointing: Whether its tasks save their progress.
+        gang: Whether its tasks only work together.
+        same_rack: Whether it runs slower when spread over racks.
+        label: Label that its workers must have, or empty.
+        data_rack: Rack that holds its data, or empty.
+        max_per_worker: Most tasks of the step on one worker; 0 for no bound.
+        duplicates_allowed: Whether copies of a task may run in parallel.
+        lasting: Whether its tasks run until the job is cancelled.
+        image: What its tasks run, or empty.
+        target_ms: Bound of the tail latency that its tasks must keep, or 0.
+        fills: Whether its tasks only use the processors that others leave.
+        max_unavailable: Tasks that planned work may take out at once.
+    """
+
+    tasks: int
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    estimated_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0
+    duplicates_allowed: bool = False
+    lasting: bool = False
+    image: str = ""
+    target_ms: float = 0.0
+    fills: bool = False
+    max_unavailable: int = 0
+
+
+class JobSpec(NamedTuple):
+    """A job as accepted.
+
+    Attributes:
+        job_id: Id chosen by the caller.
+        queue: Name of its queue.
+        payload: Text that its tasks get.
+        steps: Its steps.
+        repetitions: How often the steps run; 0 for once, at once.
+        first_run_ms: Unix time in milliseconds of the first occurrence.
+        interval_ms: Milliseconds from one occurrence to the next.
+        accepted_ms: Unix time in milliseconds at which an entry took it in.
+    """
+
+    job_id: str
+    queue: str
+    payload: str
+    steps: tuple[StepSpec, ...]
+    repetitions: int = 0
+    first_run_ms: int = 0
+    interval_ms: int = 0
+    accepted_ms: int = 0
+
+    def occurrences(self) -> int:
+        """Returns how often the steps run."""
+        return max(self.repetitions, 1)
+
+    def due_ms(self, occurrence: int) -> int:
+        """Returns the Unix time in milliseconds from which an occurrence may run."""
+        if not self.repetitions:
+            return 0
+        return self.first_run_ms + occurrence * self.interval_ms
+
+    def is_lasting(self) -> bool:
+        """Returns whether it runs until it is cancelled."""
+        return any(step.lasting for step in self.steps)
+
+
+class TaskId(NamedTuple):
+    """A task of a job.
+
+    Attributes:
+        job_id: The job.
+        occurrence: Occurrence of the steps, counted from 0.
+        step: Step, counted from 0.
+        number: Task within the step, counted from 0.
+    """
+
+    job_id: str
+    occurrence: int
+    step: int
+    number: int
+
+    def __str__(self) -> str:
+        """Returns the parts with dots between them."""
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.number}"
+
+
+class QueueSpec(NamedTuple):
+    """A queue as configured.
+
+    Attributes:
+        name: Unique name.
+        host: Host name of its requests.
+        path: Prefix of the path of its requests.
+        pool: Pool whose workers run its jobs.
+        priority: Urgency; 0 comes first.
+        max_attempts: Failed runs of a task after which its job has failed.
+        stretch: Allowed ratio of a job's time to its longest chain of work.
+        latency_target_ms: Milliseconds allowed on top of that.
+        answer_timeout_ms: Longest time for an answer to a caller.
+        placement_policy: Times of the placement policy, or None without one.
+    """
+
+    name: str
+    host: str
+    path: str
+    pool: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    latency_target_ms: float = 0.0
+    answer_timeout_ms: float = 0.0
+    placement_policy: "PlacementPolicyTimes | None" = None
+
+
+class PlacementPolicyTimes(NamedTuple):
+    """How long the placement policy of a queue takes to answer.
+
+    Attributes:
+        base_ms: Milliseconds for an answer.
+        per_worker_ms: Milliseconds more for each worker named.
+        valid_ms: Milliseconds for which a ticket holds.
+    """
+
+    base_ms: float
+    per_worker_ms: float
+    valid_ms: float
+
+
+class PoolSpec(NamedTuple):
+    """A pool of workers as configured.
+
+    Attributes:
+        name: Unique name.
+        refuses_overload: Whether its workers refuse what does not fit.
+        spare: Whether its machines are switched off.
+        health_path: Path at which a worker tells whether it is healthy.
+    """
+
+    name: str
+    refuses_overload: bool = True
+    spare: bool = False
+    health_path: str = ""
+
+
+class RequestLimits(NamedTuple):
+    """Bounds of a caller's request; sizes in bytes, times in milliseconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 262_144
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class FleetConfiguration(NamedTuple):
+    """One version of the operators' configuration.
+
+    Attributes:
+        version: Grows with every change.
+        queues: Queues by name.
+        pools: Pools by name.
+        limits: Bounds of a caller's request.
+    """
+
+    version: int
+    queues: dict[str, QueueSpec]
+    pools: dict[str, PoolSpec]
+    limits: RequestLimits = RequestLimits()
+
+    def queue_of(self, host: str, path: str) -> QueueSpec | None:
+        """Returns the queue with the longest prefix of a path, if any.
+
+        Args:
+            host: Host name of the request, without a port.
+            path: Path of the request.
+        """
+        best: QueueSpec | None = None
+        for queue in self.queues.values():
+            if queue.host != host or not path.startswith(queue.path):
+                continue
+            if best is None or len(queue.path) > len(best.path):
+                best = queue
+        return best
+
+    def worker_pools(self) -> tuple[str, ...]:
+        """Returns the pools to which a queue leads."""
+        return tuple(sorted({queue.pool for queue in self.queues.values()}))
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -0,0 +1,186 @@
+"""What the holder of a pool knows of one worker."""
+
+import asyncio
+from collections.abc import Iterator
+from enum import Enum, auto
+
+from burdockthread_scheduling.board import TaskRun
+from burdockthread_scheduling.specs import TaskId
+from burdockthread_scheduling.workers import Capacity, WorkerListing
+
+# Lease of the runs on a worker; a worker that cannot be reached holds up its
+# tasks for as long, and a change of the holder must fit into it.
+RUN_LEASE_MS = 3_000
+# A worker's clock may be slow by two per cent.
+CLOCK_RATE_BOUND = 1.0205
+LAPSE_MARGIN_S = 0.1
+
+
+class PlacementPhase(Enum):
+    """How far the order of a run has come."""
+
+    ORDERED = auto()
+    DOUBTFUL = auto()
+    CONFIRMED = auto()
+    STOPPING = auto()
+
+
+class Placement:
+    """A run that may exist on a worker.
+
+    Attributes:
+        task: Its task, or None if the run is not wanted.
+        task_id: Id of the task.
+        run: Number of the run.
+        worker: The worker.
+        size: What it takes up.
+        phase: How far its order has come.
+        ordered_s: Clock time of the order.
+        certain_s: Clock time since which the worker surely knows of the order
+            in `phase`, or infinity.
+        percent: Share of the work done, or at which it works.
+        measure: Last measure reported.
+    """
+
+    __slots__ = (
+        "certain_s",
+        "measure",
+        "ordered_s",
+        "percent",
+        "phase",
+        "run",
+        "size",
+        "task",
+        "task_id",
+        "worker",
+    )
+
+    def __init__(
+        self,
+        task: TaskRun | None,
+        task_id: TaskId,
+        run: int,
+        worker: "WorkerState",
+        size: Capacity,
+        ordered_s: float,
+    ) -> None:
+        self.task = task
+        self.task_id = task_id
+        self.run = run
+        self.worker = worker
+        self.size = size
+        self.phase = PlacementPhase.ORDERED
+        self.ordered_s = ordered_s
+        self.certain_s = float("inf")
+        self.percent = 0
+        self.measure = 0.0
+
+    def confirm(self, now: float) -> None:
+        """Notes that the worker has the run."""
+        if self.phase is not PlacementPhase.STOPPING:
+            self.phase = PlacementPhase.CONFIRMED
+        self.certain_s = min(self.certain_s, now)
+
+
+class WorkerState:
+    """One life of a worker.
+
+    Attributes:
+        listing: Its registration, the newest seen.
+        listed: Whether it is registered.
+        placements: Runs that may exist on it, by task and run.
+        contacted: Whether it has answered this holder, so that it refuses
+            orders of earlier ones.
+        replaced: Whether another life answers at its address.
+        clock_ms: Its clock at the last answer.
+        clock_read_s: Clock time of that answer.
+        lease_until_ms: Latest end of the lease that any order may have set.
+        contact_s: Clock time of the last answer.
+        failed_calls: Calls in a row without an answer.
+        seen_end: Number of the last end taken in.
+        settled_end: Number up to which ends are stored.
+        wake: Set when there is something to do for the session.
+    """
+
+    def __init__(self, listing: WorkerListing, now: float) -> None:
+        self.listing = listing
+        self.listed = True
+        self.placements: dict[tuple[TaskId, int], Placement] = {}
+        self.contacted = False
+        self.replaced = False
+        self.clock_ms = 0
+        self.clock_read_s = now
+        self.lease_until_ms = 0
+        self.contact_s = now
+        self.failed_calls = 0
+        self.seen_end = 0
+        self.settled_end = 0
+        self.full_until_s = 0.0
+        self.wake = asyncio.Event()
+        self.used_cpu = 0
+        self.used_memory = 0
+        self.used_accelerators = 0
+
+    @property
+    def worker_id(self) -> str:
+        """Returns the id under which it registers."""
+        return self.listing.key.worker_id
+
+    def add(self, placement: Placement) -> None:
+        """Counts a run that may exist."""
+        self.placements[placement.task_id, placement.run] = placement
+        self.count(placement, 1)
+
+    def remove(self, placement: Placement) -> None:
+        """Drops a run that surely does not exist."""
+        if self.placements.pop((placement.task_id, placement.run), None) is None:
+            return
+        self.count(placement, -1)
+        task = placement.task
+        if task is not None and placement in task.placements:
+            task.placements.remove(placement)
+
+    def count(self, placement: Placement, sign: int) -> None:
+        """Adds or subtracts what a run takes up."""
+        task = placement.task
+        if task is None or not task.step.fills:
+            self.used_cpu += sign * placement.size.cpu_milli
+        self.used_memory += sign * placement.size.memory_mb
+        self.used_accelerators += sign * placement.size.accelerators
+
+    def fits(self, size: Capacity, *, fills: bool) -> bool:
+        """Returns whether there is room for a task."""
+        capacity = self.listing.capacity
+        cpu = 0 if fills else size.cpu_milli
+        return (
+            self.used_cpu + cpu <= capacity.cpu_milli
+            and self.used_memory + size.memory_mb <= capacity.memory_mb
+            and self.used_accelerators + size.accelerators <= capacity.accelerators
+        )
+
+    def read_clock(self, clock_ms: int, now: float) -> None:
+        """Notes the worker's clock as told by an answer."""
+        self.clock_ms = clock_ms
+        self.clock_read_s = now
+        self.contact_s = now
+        self.failed_calls = 0
+
+    def next_lease_ms(self, now: float) -> int:
+        """Returns the end of a new lease on the worker's clock, and notes it."""
+        worker_now_ms = self.clock_ms + (now - self.clock_read_s) * 1000
+        until_ms = int(worker_now_ms + RUN_LEASE_MS)
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        return until_ms
+
+    def lapse_s(self) -> float:
+        """Returns the clock time by which all leases have surely lapsed."""
+        left_ms = max(self.lease_until_ms - self.clock_ms, 0)
+        return self.clock_read_s + left_ms / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
+
+    def of_step(self, task: TaskRun) -> Iterator[Placement]:
+        """Yields the runs of the same step and occurrence."""
+        wanted = task.task
+        for placement in self.placements.values():
+            found = placement.task_id
+            if found[:3] == wanted[:3]:
+                yield placement
--- a/libs/store/burdockthread_store/etcd_wire.py
+++ b/libs/store/burdockthread_store/etcd_wire.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from burdockthread_store.store import (
+    ANY_REVISION,
     Change,
     Guard,
     KeyValue,
@@ -157,7 +158,10 @@
 
 def txn_request(changes: Sequence[Change], guards: Sequence[Guard]) -> JsonObject:
     """Returns a transaction that applies all changes if each condition holds."""
-    conditions: list[Guard | Change] = [*guards, *changes]
+    conditions: list[Guard | Change] = [
+        *guards,
+        *(c for c in changes if c.expected_revision != ANY_REVISION),
+    ]
     return {
         "compare": [compare(condition) for condition in conditions],
         "success": [operation(change) for change in changes],
--- a/libs/store/burdockthread_store/memory_store.py
+++ b/libs/store/burdockthread_store/memory_store.py
@@ -15,6 +15,7 @@
 )
 
 from burdockthread_store.store import (
+    ANY_REVISION,
     Change,
     ConfigurationStore,
     Guard,
@@ -94,7 +95,8 @@
 
     def check_change(self, change: Change) -> None:
         """Refuses a change whose condition does not hold."""
-        self.check_revision(change.key, change.expected_revision)
+        if change.expected_revision != ANY_REVISION:
+            self.check_revision(change.key, change.expected_revision)
         if change.value is not None and len(change.value) > MAX_VALUE_BYTES:
             raise ConflictError(f"{change.key} exceeds {MAX_VALUE_BYTES} bytes")
         if change.lease_id and change.lease_id not in self.leases:
--- a/libs/store/burdockthread_store/store.py
+++ b/libs/store/burdockthread_store/store.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator, Sequence
 from typing import NamedTuple
 
+ANY_REVISION = -1
+
 
 class KeyValue(NamedTuple):
     """A key with its value.
@@ -32,7 +34,8 @@
     Attributes:
         key: Key to write.
         value: New value, or None to delete.
-        expected_revision: Revision the key must have; 0 if it must not exist.
+        expected_revision: Revision the key must have; 0 if it must not exist,
+            `ANY_REVISION` if that does not matter.
         lease_id: Lease that the key is bound to, or 0.
     """
 
