Move machines between pools and take them out for upkeep

One planner of machines, under a duty of its own, hears each pool's demand from the pool's holder every 100 ms, asks for machines to be emptied and gives the orders once they are. A store copy that failed was asked again only after up to 3 s; entries on the platform use 0.3 s, so that a configuration is seen in time after a cut.

Ruled out: orders by the holders of the pools, since two holders of one machine may not take turns within the spacing.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -14,7 +14,7 @@
 import aiohttp
 import uvloop
 from burdockthread_model.clock import SystemClock
-from burdockthread_model.errors import SettingsError
+from burdockthread_model.errors import PeerUnavailableError, SettingsError
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import MemoryMetrics
 from burdockthread_platform.configuration import (
@@ -23,17 +23,31 @@
 )
 from burdockthread_platform.jobs_http import JobsPort, readiness_handler, serve
 from burdockthread_platform.kv_store import PlatformStore
+from burdockthread_platform.machines_http import HttpMachineControl
 from burdockthread_platform.registrations import (
     REGISTRATION_PREFIX,
     RegisteredWorkers,
 )
-from burdockthread_platform.settings import SETTINGS_VARIABLE, EntrySettings
+from burdockthread_platform.settings import (
+    SETTINGS_VARIABLE,
+    Address,
+    EntrySettings,
+)
+from burdockthread_platform.waves import FollowedWaves
 from burdockthread_platform.worker_http import HttpWorkerGateway
 from burdockthread_scheduling.desk import JobDesk
 from burdockthread_scheduling.duties import Duties, DutyFactory, Tenure
+from burdockthread_scheduling.entry_link import HttpEntryLink
 from burdockthread_scheduling.intake import JobIntake
 from burdockthread_scheduling.job_index import JobIndex
+from burdockthread_scheduling.machine_planner import (
+    MachinePlanner,
+    MachineTimes,
+    PlannerParts,
+)
+from burdockthread_scheduling.machines import MachineControl
 from burdockthread_scheduling.pool_scheduler import PoolParts, PoolScheduler
+from burdockthread_scheduling.pool_status import PlannerAnswer, PoolStatus
 from burdockthread_scheduling.records import SHARED_PREFIX
 from burdockthread_scheduling.specs import FleetConfiguration
 from burdockthread_store.prefix_cache import PrefixCache
@@ -41,6 +55,8 @@
 
 EXIT_SETTINGS = 2
 POOL_DUTY = "pool:"
+MACHINES_DUTY = "machines"
+STORE_RETRY_MAX_S = 0.3
 # Without an answer of the store for this long, callers are better served elsewhere.
 READY_CONTACT_S = 2.5
 CONNECTIONS_PER_HOST = 16
@@ -79,11 +95,13 @@
         self.store = SettledStore(
             self.platform, settings.name, self.clock, self.metrics
         )
-        self.shared = PrefixCache(self.store, SHARED_PREFIX, self.clock)
-        self.operator = PrefixCache(self.store, OPERATOR_PREFIX, self.clock)
-        self.registrations = PrefixCache(self.store, REGISTRATION_PREFIX, self.clock)
+        self.shared = self.followed(SHARED_PREFIX)
+        self.operator = self.followed(OPERATOR_PREFIX)
+        self.registrations = self.followed(REGISTRATION_PREFIX)
         self.configuration = FollowedConfiguration(self.log)
         self.operator.listeners.append(self.configuration.on_change)
+        self.waves = FollowedWaves(self.store, self.log)
+        self.operator.listeners.append(self.waves.on_change)
         self.roster = RegisteredWorkers(self.registrations, self.log)
         self.index = JobIndex(self.shared, self.store, self.clock, self.log)
         self.intake = JobIntake(
@@ -98,8 +116,16 @@
             self.log,
         )
         self.gateway = HttpWorkerGateway(session)
+        self.link = HttpEntryLink(session)
+        self.link.on_status = self.on_status
+        self.machines = (
+            None
+            if settings.machines is None
+            else HttpMachineControl(settings.machines, session)
+        )
         self.duties = Duties(
             settings.name,
+            str(self.link_address()),
             settings.availability_zone,
             settings.cores,
             self.store,
@@ -112,6 +138,36 @@
         self.port = JobsPort(self.desk, self.clock)
         self.stopping = False
 
+    def followed(self, prefix: str) -> PrefixCache:
+        """Returns a copy of the keys below a prefix."""
+        return PrefixCache(self.store, prefix, self.clock, STORE_RETRY_MAX_S)
+
+    def link_address(self) -> Address:
+        """Returns the address for other entries."""
+        return Address(self.settings.host, self.settings.first_port)
+
+    def on_status(self, status: PoolStatus) -> PlannerAnswer | None:
+        """Passes the status of a pool to the planner, if that works here."""
+        planner = self.duties.held_duty(MACHINES_DUTY)
+        if isinstance(planner, MachinePlanner):
+            return planner.on_status(status)
+        return None
+
+    async def report_status(self, status: PoolStatus) -> PlannerAnswer | None:
+        """Tells the planner of machines the status of a pool held here."""
+        answer = self.on_status(status)
+        if answer is not None:
+            return answer
+        address = self.duties.holder_address(MACHINES_DUTY)
+        if not address or address == str(self.link_address()):
+            return None
+        try:
+            return await self.link.report(address, status)
+        except PeerUnavailableError as error:
+            self.metrics.count("link.reports_failed")
+            self.log.info("planner_not_reached", address=address, reason=error)
+            return None
+
     def current_configuration(self) -> FleetConfiguration:
         """Returns the configuration in force, an empty one before the first."""
         return self.configuration.current or FleetConfiguration(-1, {}, {})
@@ -119,7 +175,30 @@
     def wanted_duties(self) -> Mapping[str, DutyFactory]:
         """Returns the duties that the configuration asks for."""
         pools = self.current_configuration().worker_pools()
-        return {POOL_DUTY + pool: partial(self.pool_duty, pool) for pool in pools}
+        duties: dict[str, DutyFactory] = {
+            POOL_DUTY + pool: partial(self.pool_duty, pool) for pool in pools
+        }
+        if pools and self.machines is not None:
+            duties[MACHINES_DUTY] = partial(self.machines_duty, self.machines)
+        return duties
+
+    def machines_duty(self, control: MachineControl, tenure: Tenure) -> MachinePlanner:
+        """Returns the work of the planner of machines."""
+        settings = self.settings
+        parts = PlannerParts(
+            entry=settings.name,
+            control=control,
+            waves=self.waves,
+            lease=self.duties.lease,
+            configuration=self.current_configuration,
+            times=MachineTimes(
+                settings.move_s, settings.upkeep_s, settings.order_spacing_s
+            ),
+            clock=self.clock,
+            metrics=self.metrics,
+            log=self.log,
+        )
+        return MachinePlanner(tenure, parts)
 
     def pool_duty(self, pool: str, tenure: Tenure) -> PoolScheduler:
         """Returns the work of the holder of a pool."""
@@ -133,6 +212,7 @@
             clock=self.clock,
             metrics=self.metrics,
             log=self.log,
+            report=self.report_status,
         )
         return PoolScheduler(pool, tenure, parts)
 
@@ -163,6 +243,9 @@
             for task in tasks:
                 task.add_done_callback(self.on_work_ended)
             stack.callback(lambda: [task.cancel() for task in tasks])
+            await stack.enter_async_context(
+                serve(self.link.handler(), self.link_address())
+            )
             await stack.enter_async_context(
                 serve(readiness_handler(self.is_ready), self.settings.readiness)
             )
--- /dev/null
+++ b/libs/platform/burdockthread_platform/machines_http.py
@@ -0,0 +1,130 @@
+"""The platform's list and control of machines over HTTP."""
+
+from typing import NoReturn
+
+import aiohttp
+from burdockthread_model.errors import PlatformError
+from burdockthread_scheduling.machines import (
+    Machine,
+    MachineControl,
+    MachineRefusal,
+    MachineRefusedError,
+    MachineState,
+)
+
+from burdockthread_platform import wire
+from burdockthread_platform.registrations import parse_capacity
+from burdockthread_platform.settings import Address
+
+CALL_TIMEOUT_S = 1.0
+MAX_PAGES = 100
+OVER_RATE = 429
+REFUSALS = {
+    "fence": MachineRefusal.FENCED,
+    "busy": MachineRefusal.BUSY,
+    "wave": MachineRefusal.NOT_IN_WAVE,
+}
+
+
+class HttpMachineControl(MachineControl):
+    """Machines at one address."""
+
+    def __init__(self, address: Address, session: aiohttp.ClientSession) -> None:
+        self.base_url = f"http://{address}"
+        self.session = session
+        self.timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: wire.JsonObject | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, wire.JsonObject]:
+        """Makes a call and returns status and body."""
+        try:
+            async with self.session.request(
+                method,
+                self.base_url + path,
+                json=body,
+                headers=headers,
+                timeout=self.timeout,
+            ) as answer:
+                data = await answer.read()
+            return answer.status, wire.parse_object(data) if data else {}
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise PlatformError(f"{path}: {type(error).__name__}") from error
+        except wire.WireError as error:
+            raise PlatformError(f"{path}: {error}") from error
+
+    async def machines(self) -> tuple[Machine, ...]:
+        """Returns all machines."""
+        found: list[Machine] = []
+        path = "/machines"
+        for _ in range(MAX_PAGES):
+            status, body = await self.call("GET", path)
+            if status != 200:
+                raise PlatformError(f"{path} answered {status}")
+            found.extend(parse_machines(body))
+            token = body.get("nextPageToken")
+            if not token:
+                return tuple(found)
+            path = f"/machines?pageToken={token}"
+        raise PlatformError("the list of machines does not end")
+
+    async def order(
+        self, path: str, body: wire.JsonObject, holder: str, fence: int
+    ) -> None:
+        """Gives an order."""
+        headers = {"Duty-Holder": holder, "Fencing-Token": str(fence)}
+        status, answer = await self.call("POST", path, body, headers)
+        if status != 200:
+            raise_refusal(str(body["machine"]), status, answer)
+
+    async def move(self, machine: str, pool: str, holder: str, fence: int) -> None:
+        """Moves a machine to another pool."""
+        body: wire.JsonObject = {"machine": machine, "pool": pool}
+        await self.order("/machine-move", body, holder, fence)
+
+    async def maintain(self, machine: str, wave: int, holder: str, fence: int) -> None:
+        """Takes a machine out for upkeep."""
+        body: wire.JsonObject = {"machine": machine, "wave": wave}
+        await self.order("/machine-upkeep", body, holder, fence)
+
+
+def raise_refusal(machine: str, status: int, answer: wire.JsonObject) -> NoReturn:
+    """Raises the error for an order that was not taken."""
+    if status == 409:
+        reason = str(answer.get("reason", ""))
+        refusal = REFUSALS.get(reason, MachineRefusal.INVALID)
+        raise MachineRefusedError(machine, refusal)
+    if status == 400:
+        raise MachineRefusedError(machine, MachineRefusal.INVALID)
+    if status == OVER_RATE:
+        raise MachineRefusedError(machine, MachineRefusal.OVER_RATE)
+    raise PlatformError(f"machine {machine}: status {status}")
+
+
+def parse_machines(body: wire.JsonObject) -> list[Machine]:
+    """Returns the machines of a page.
+
+    Raises:
+        WireError: The page is malformed.
+    """
+    return [parse_machine(item) for item in wire.objects(body, "machines")]
+
+
+def parse_machine(item: wire.JsonObject) -> Machine:
+    """Returns one machine; an unknown state counts as down."""
+    state = wire.text(item, "state")
+    known = state in set(MachineState)
+    return Machine(
+        name=wire.needed_text(item, "machine", "machines"),
+        pool=wire.needed_text(item, "pool", "machines"),
+        state=MachineState(state) if known else MachineState.DOWN,
+        availability_zone=wire.text(item, "zone", "machines"),
+        labels=wire.texts(item, "labels", "machines"),
+        capacity=parse_capacity(item.get("capacity", {})),
+        # The executor that the machine is now; absent while it is none.
+        worker_id=str(item.get("id") or ""),
+    )
--- /dev/null
+++ b/libs/platform/burdockthread_platform/waves.py
@@ -0,0 +1,77 @@
+"""Waves of upkeep as they lie in the platform's store."""
+
+import json
+
+from burdockthread_model.errors import ConflictError, StoreError
+from burdockthread_model.events import EventLog
+from burdockthread_scheduling.machines import Wave, WaveBoard
+from burdockthread_store.store import (
+    ANY_REVISION,
+    Change,
+    ConfigurationStore,
+    KeyValue,
+)
+
+from burdockthread_platform import wire
+
+WAVE_PREFIX = "op/wave/"
+STATUS_PREFIX = "status/wave/"
+
+
+class FollowedWaves(WaveBoard):
+    """The waves in the operators' part of the store."""
+
+    def __init__(self, store: ConfigurationStore, log: EventLog) -> None:
+        self.store = store
+        self.log = log
+        self.known: dict[str, Wave] = {}
+
+    def on_change(self, key: str, item: KeyValue | None) -> None:
+        """Takes in a wave that was asked for or withdrawn."""
+        if not key.startswith(WAVE_PREFIX):
+            return
+        if item is None:
+            self.known.pop(key, None)
+            return
+        try:
+            wave = parse_wave(item.value)
+        except wire.WireError as error:
+            self.log.error("wave_unreadable", store_key=key, reason=error)
+            return
+        self.known[key] = wave
+        self.log.info(
+            "wave_seen",
+            wave=wave.number,
+            machines=len(wave.machines),
+            duration_s=wave.duration_s,
+            max_at_once=wave.max_at_once,
+        )
+
+    def waves(self) -> tuple[Wave, ...]:
+        """Returns the waves that are asked for."""
+        return tuple(sorted(self.known.values()))
+
+    async def tell(self, wave: int, *, completed: bool) -> None:
+        """Writes the status of a wave."""
+        state = "completed" if completed else "running"
+        value = json.dumps({"state": state}).encode()
+        change = Change(f"{STATUS_PREFIX}{wave}", value, ANY_REVISION)
+        try:
+            await self.store.write([change])
+        except ConflictError as error:
+            raise StoreError(f"wave {wave}: {error}") from error
+
+
+def parse_wave(value: bytes) -> Wave:
+    """Reads a wave.
+
+    Raises:
+        WireError: It is malformed.
+    """
+    body = wire.parse_object(value)
+    return Wave(
+        number=wire.integer(body, "wave", default=None),
+        machines=wire.texts(body, "machines"),
+        duration_s=wire.number(body, "durationS"),
+        max_at_once=wire.integer(body, "maxCount", default=1, least=1),
+    )
--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -138,6 +138,7 @@
     def __init__(
         self,
         entry: str,
+        address: str,
         availability_zone: str,
         weight: float,
         store: ConfigurationStore,
@@ -148,6 +149,7 @@
         wanted: Callable[[], Mapping[str, DutyFactory]],
     ) -> None:
         self.entry = entry
+        self.address = address
         self.availability_zone = availability_zone
         self.weight = weight
         self.store = store
@@ -226,7 +228,9 @@
         lease = self.lease.lease
         if lease is None:
             return
-        record = EntryRecord(self.availability_zone, self.weight, self.lease.term)
+        record = EntryRecord(
+            self.availability_zone, self.weight, self.lease.term, self.address
+        )
         key = entry_key(self.entry)
         found = await self.store.get(key)
         revision = 0 if found is None else found.revision
@@ -244,8 +248,13 @@
             return
         now = self.clock.now()
         for name, factory in wanted.items():
-            if name in self.owners or name in self.held:
+            if name in self.held:
+                continue
+            owner = self.owners.get(name)
+            if owner is not None:
                 self.vacant_since_s.pop(name, None)
+                if owner[0].term == self.lease.term and self.lease.remaining_s() > 0:
+                    self.take(name, factory, owner[1])
                 continue
             since_s = self.vacant_since_s.setdefault(name, now)
             if now - since_s >= self.campaign_delay_s(name):
@@ -310,11 +319,26 @@
             self.vacant_since_s.pop(name, None)
             return
         self.owners[name] = (record, fence)
-        tenure = Tenure(name, fence, Guard(key, fence))
+        self.take(name, factory, fence)
+
+    def take(self, name: str, factory: DutyFactory, fence: int) -> None:
+        """Starts the work of a duty that this entry holds."""
+        tenure = Tenure(name, fence, Guard(duty_key(name), fence))
         self.held[name] = HeldDuty(tenure, factory(tenure))
         self.metrics.count("duties.taken")
         self.log.info("duty_taken", duty=name, fence=fence)
 
+    def held_duty(self, name: str) -> Duty | None:
+        """Returns the work of a duty that this entry does."""
+        held = self.held.get(name)
+        return None if held is None else held.duty
+
+    def holder_address(self, name: str) -> str:
+        """Returns the address of the entry that does a duty, or an empty text."""
+        owner = self.owners.get(name)
+        entry = None if owner is None else self.entries.get(owner[0].entry)
+        return "" if entry is None else entry.address
+
     async def hand_over(self) -> None:
         """Gives all duties up, for a planned stop."""
         self.stopping = True
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -16,8 +16,14 @@
 
 from burdockthread_scheduling.board import Board, JobEnd, JobRun, TaskRun
 from burdockthread_scheduling.duties import DOUBT_LIMIT_S, Duty, Tenure
+from burdockthread_scheduling.estimates import DurationEstimates, Inflow
 from burdockthread_scheduling.job_index import JobIndex
 from burdockthread_scheduling.placement import choose_worker
+from burdockthread_scheduling.pool_status import (
+    PlannerAnswer,
+    PoolStatus,
+    WorkerStatus,
+)
 from burdockthread_scheduling.progress_writer import ProgressWriter
 from burdockthread_scheduling.records import (
     JobPhase,
@@ -66,6 +72,12 @@
 # Runs of one holder are numbered from its fencing token times this.
 RUNS_PER_FENCE = 1_000
 FULL_LIST = 500
+STATUS_INTERVAL_S = 0.1
+# An order to a machine may still be on its way after the planner's last word.
+VACATE_HOLD_S = 3.0
+# Tasks may take this long to end by themselves before they are stopped.
+VACATE_PATIENCE_S = 3.0
+AT_WORK_PERCENT = 100
 
 
 class WorkerRoster(ABC):
@@ -99,6 +111,8 @@
         clock: Source of time.
         metrics: Counters.
         log: Events.
+        report: Tells the planner of machines a status; returns its wishes, or
+            None if it cannot be reached.
     """
 
     entry: str
@@ -110,6 +124,7 @@
     clock: Clock
     metrics: Metrics
     log: EventLog
+    report: Callable[[PoolStatus], Awaitable[PlannerAnswer | None]]
 
 
 class PoolScheduler(Duty, ReportListener):
@@ -139,6 +154,10 @@
         self.progress: dict[str, JobProgress] = {}
         self.wake = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.vacating_until_s: dict[str, float] = {}
+        self.vacating_since_s: dict[str, float] = {}
+        self.estimates = DurationEstimates(self.clock)
+        self.inflow = Inflow()
         self.lost = ""
         self.closing = False
         self.loaded = False
@@ -159,6 +178,7 @@
         try:
             await self.take_over()
             self.spawn(self.cache.run())
+            self.spawn(self.talk_to_planner())
             writer = self.spawn(self.writer.run())
             while not self.lost and not writer.done():
                 self.wake.clear()
@@ -261,6 +281,13 @@
         if progress is not None:
             job.restore(progress)
         self.board.jobs[job.spec.job_id] = job
+        if not job.adopted:
+            work = sum(
+                task.size.cpu_milli * self.estimates.left_s(task)
+                for task in job.open_tasks()
+                if not task.step.lasting
+            )
+            self.inflow.add(work, self.clock.now())
         if job.end is not None:
             self.writer.mark(job)
         self.log.info(
@@ -268,7 +295,7 @@
             job=job.spec.job_id,
             queue=job.spec.queue,
             revision=job.revision,
-            steps=len(job.spec.steps),
+            steps=" ".join(step.summary() for step in job.spec.steps),
             age_ms=int(self.clock.wall() * 1000) - job.spec.accepted_ms,
         )
 
@@ -315,6 +342,11 @@
             else:
                 worker.listing = listing
                 worker.listed = True
+                if listing.draining and worker.draining_since_s is None:
+                    worker.draining_since_s = now
+                    self.log.info("worker_draining", worker=worker.worker_id)
+                if worker.placements:
+                    worker.busy_s = now
         for key, worker in tuple(self.workers.items()):
             if key not in listings:
                 self.on_unlisted(worker)
@@ -468,6 +500,8 @@
             return
         task.waiting_since_s = self.clock.now()
         if end.kind is EndKind.SUCCEEDED:
+            if placement is not None:
+                self.estimates.learn(task, placement)
             self.succeed(job, end.task)
         elif end.kind is EndKind.FAILED:
             self.fail(job, task, worker)
@@ -520,6 +554,101 @@
 
         return settle
 
+    # Machines
+
+    async def talk_to_planner(self) -> None:
+        """Tells the planner of machines the demand, until cancelled."""
+        while True:
+            await self.clock.sleep(STATUS_INTERVAL_S)
+            if not self.loaded:
+                continue
+            answer = await self.parts.report(self.status())
+            if answer is not None:
+                self.take_wishes(answer)
+
+    def take_wishes(self, answer: PlannerAnswer) -> None:
+        """Takes in which workers the planner wants empty."""
+        now = self.clock.now()
+        for worker_id in answer.vacate:
+            if worker_id not in self.vacating_until_s:
+                self.log.info("worker_vacating", worker=worker_id, pool=self.pool)
+            self.vacating_since_s.setdefault(worker_id, now)
+            self.vacating_until_s[worker_id] = now + VACATE_HOLD_S
+        for worker_id, until_s in tuple(self.vacating_until_s.items()):
+            if now >= until_s:
+                del self.vacating_until_s[worker_id]
+                del self.vacating_since_s[worker_id]
+                self.log.info("worker_kept", worker=worker_id, pool=self.pool)
+        self.wake.set()
+
+    def status(self) -> PoolStatus:
+        """Returns the demand and the workers of the pool."""
+        now = self.clock.now()
+        workers = tuple(
+            WorkerStatus(
+                worker_id=worker.worker_id,
+                cpu_milli=worker.listing.capacity.cpu_milli,
+                used_milli=worker.used_cpu,
+                runs=len(worker.placements),
+                vacating=worker.worker_id in self.vacating_until_s,
+                usable=self.is_reachable(worker),
+                idle_s=now - worker.busy_s,
+            )
+            for worker in self.workers.values()
+        )
+        demand = self.demand()
+        return PoolStatus(self.pool, self.tenure.fence, *demand, workers)
+
+    def demand(self) -> tuple[int, int, float, float]:
+        """Returns lasting and running processors, backlog and inflow."""
+        lasting = running = 0
+        backlog = 0.0
+        for job in self.board.jobs.values():
+            if job.end is not None:
+                continue
+            for task in job.open_tasks():
+                if task.step.fills:
+                    continue
+                if task.step.lasting:
+                    lasting += task.size.cpu_milli
+                    continue
+                if task.placements:
+                    running += task.size.cpu_milli
+                backlog += task.size.cpu_milli * self.estimates.left_s(task)
+        return lasting, running, backlog, self.inflow.per_s(self.clock.now())
+
+    def vacate(self) -> None:
+        """Moves tasks off the workers that are to be emptied or are leaving."""
+        now = self.clock.now()
+        for worker in self.workers.values():
+            since_s = self.vacating_since_s.get(worker.worker_id)
+            if worker.listing.draining:
+                since_s = worker.draining_since_s
+            if since_s is None or not worker.placements:
+                continue
+            for placement in tuple(worker.placements.values()):
+                task = placement.task
+                if task is None or placement.phase is not PlacementPhase.CONFIRMED:
+                    continue
+                if task.step.lasting:
+                    self.move_lasting(placement, task)
+                elif now - since_s > VACATE_PATIENCE_S:
+                    self.stop(placement, "worker is to be emptied")
+
+    def move_lasting(self, placement: Placement, task: TaskRun) -> None:
+        """Moves a lasting task if so many of its step may be missing."""
+        step = task.job.step_run(task.task.occurrence, task.task.step)
+        if step is None:
+            return
+        missing = sum(1 for other in step.open_tasks.values() if not is_at_work(other))
+        leaving = placement.worker.listing.draining
+        if missing >= max(task.step.max_unavailable, 1) and not leaving:
+            return
+        ready = [w for w in self.workers.values() if self.is_ready(w)]
+        if choose_worker(task, ready) is None:
+            return
+        self.stop(placement, "worker is to be emptied")
+
     # Decisions
 
     def round(self) -> None:
@@ -527,6 +656,7 @@
         self.sync_workers()
         self.expire_leases()
         self.assign_workers()
+        self.vacate()
         if self.closing or not self.loaded:
             return
         wall_ms = self.clock.wall() * 1000
@@ -541,8 +671,8 @@
             job.open_due(wall_ms)
             self.place_job(job, ready)
 
-    def is_ready(self, worker: WorkerState) -> bool:
-        """Returns whether a worker takes orders now."""
+    def is_reachable(self, worker: WorkerState) -> bool:
+        """Returns whether a worker may get tasks, unless it is full or vacating."""
         return (
             worker.listed
             and worker.contacted
@@ -550,6 +680,13 @@
             and not worker.listing.draining
             and not worker.failed_calls
             and worker.listing.key in self.assigned
+        )
+
+    def is_ready(self, worker: WorkerState) -> bool:
+        """Returns whether a worker takes orders now."""
+        return (
+            self.is_reachable(worker)
+            and worker.worker_id not in self.vacating_until_s
             and self.clock.now() >= worker.full_until_s
         )
 
@@ -726,6 +863,15 @@
                 await self.writer.flush()
 
 
+def is_at_work(task: TaskRun) -> bool:
+    """Returns whether a lasting task works and is not about to be stopped."""
+    return any(
+        placement.phase is PlacementPhase.CONFIRMED
+        and placement.percent >= AT_WORK_PERCENT
+        for placement in task.placements
+    )
+
+
 def rank_of_job(job: JobRun) -> tuple[int, int]:
     """Returns the order in which jobs are served; the lowest goes first."""
     return job.queue.priority, job.spec.accepted_ms
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/pool_status.py
@@ -0,0 +1,57 @@
+"""What the holder of a pool tells the planner of machines, and its answer."""
+
+from typing import NamedTuple
+
+
+class WorkerStatus(NamedTuple):
+    """A worker as the holder of its pool sees it.
+
+    Attributes:
+        worker_id: Id under which it registers.
+        cpu_milli: Processors in thousandths of a core.
+        used_milli: Processors that its runs take up.
+        runs: Runs that may exist on it.
+        vacating: Whether it gets no more tasks at the planner's wish.
+        usable: Whether it takes orders.
+        idle_s: Seconds since it has had nothing to do.
+    """
+
+    worker_id: str
+    cpu_milli: int
+    used_milli: int
+    runs: int
+    vacating: bool
+    usable: bool
+    idle_s: float
+
+
+class PoolStatus(NamedTuple):
+    """The demand of a pool and its workers.
+
+    Attributes:
+        pool: The pool.
+        fence: Fencing token of its holder; a status of an earlier one is void.
+        lasting_milli: Processors that lasting tasks ask for.
+        running_milli: Processors that other runs take up.
+        backlog: Work of all open tasks in thousandths of a core times seconds.
+        inflow_milli: Work that arrives each second.
+        workers: Workers of the pool.
+    """
+
+    pool: str
+    fence: int
+    lasting_milli: int
+    running_milli: int
+    backlog: float
+    inflow_milli: float
+    workers: tuple[WorkerStatus, ...]
+
+
+class PlannerAnswer(NamedTuple):
+    """The planner's wishes.
+
+    Attributes:
+        vacate: Workers that are to be emptied, by id.
+    """
+
+    vacate: tuple[str, ...] = ()
--- a/libs/scheduling/burdockthread_scheduling/records.py
+++ b/libs/scheduling/burdockthread_scheduling/records.py
@@ -88,11 +88,13 @@
         availability_zone: Availability zone.
         weight: Share of the duties that it can carry, relative to others.
         term: Unique for each process.
+        address: IP address and port for other entries.
     """
 
     availability_zone: str
     weight: float
     term: str
+    address: str
 
 
 class JobProgress(NamedTuple):
--- a/libs/scheduling/burdockthread_scheduling/specs.py
+++ b/libs/scheduling/burdockthread_scheduling/specs.py
@@ -46,6 +46,26 @@
     fills: bool = False
     max_unavailable: int = 0
 
+    def summary(self) -> str:
+        """Returns what matters for placement, in short."""
+        flags = {
+            "gang": self.gang,
+            "same-rack": self.same_rack,
+            "copies": self.duplicates_allowed,
+            "lasting": self.lasting,
+            "fills": self.fills,
+            "saves": self.checkpointing,
+            f"label={self.label}": bool(self.label),
+            f"rack={self.data_rack}": bool(self.data_rack),
+            f"apart={self.max_per_worker}": bool(self.max_per_worker),
+            f"target={self.target_ms:g}": bool(self.target_ms),
+            f"miss={self.max_unavailable}": bool(self.max_unavailable),
+            f"image={self.image}": bool(self.image),
+        }
+        named = [name for name, given in flags.items() if given]
+        size = f"{self.tasks}x{self.cpu_milli}m/{self.memory_mb}MB"
+        return ",".join([size, f"{self.estimated_ms}ms", *named])
+
 
 class JobSpec(NamedTuple):
     """A job as accepted.
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -99,6 +99,9 @@
         failed_calls: Calls in a row without an answer.
         seen_end: Number of the last end taken in.
         settled_end: Number up to which ends are stored.
+        full_until_s: Clock time until which it gets no tasks.
+        busy_s: Clock time at which it last had a run.
+        draining_since_s: Clock time at which it was first seen leaving, or None.
         wake: Set when there is something to do for the session.
     """
 
@@ -116,6 +119,8 @@
         self.seen_end = 0
         self.settled_end = 0
         self.full_until_s = 0.0
+        self.busy_s = now
+        self.draining_since_s: float | None = None
         self.wake = asyncio.Event()
         self.used_cpu = 0
         self.used_memory = 0
--- a/libs/store/burdockthread_store/prefix_cache.py
+++ b/libs/store/burdockthread_store/prefix_cache.py
@@ -51,12 +51,20 @@
         listed: Whether the next watch may start without a listing.
         synced: Whether the prefix has been listed at least once.
         contact_s: Clock time of the last word from the store.
+        retry_max_s: Longest pause between two tries to reach the store.
         lists: Listings taken.
         rollbacks: Times that the store went back for good.
         listener_failures: Times that a listener raised an error.
     """
 
-    def __init__(self, store: ConfigurationStore, prefix: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: ConfigurationStore,
+        prefix: str,
+        clock: Clock,
+        retry_max_s: float = RETRY_MAX_S,
+    ) -> None:
+        self.retry_max_s = retry_max_s
         self.store = store
         self.prefix = prefix
         self.clock = clock
@@ -93,7 +101,7 @@
     async def back_off(self) -> None:
         """Waits before the next try, longer each time."""
         await self.clock.sleep(random.uniform(self.retry_s / 2, self.retry_s))
-        self.retry_s = min(self.retry_s * 2, RETRY_MAX_S)
+        self.retry_s = min(self.retry_s * 2, self.retry_max_s)
 
     async def catch_up(self) -> None:
         """Lists the prefix if a watch alone cannot bring the copy up to date."""
