Keep a floor of machines by turns, and let silent workers' leases lapse

Cause: pools without demand gave all machines away and waited for them at the start of their turn; a machine given up below the floor came back at once (264 moves).

The floor of a pool shrinks right after its turn and grows with the time since; tasks fill loaded workers first. The term of a duty is that of one lease, and a worker that does not answer gets no new lease.

Ruled out: releasing by idle time alone.

--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -83,7 +83,7 @@
 
     Attributes:
         lease: The lease, or None.
-        term: Unique for this process.
+        term: Unique for each lease that this process was granted.
     """
 
     def __init__(self, store: ConfigurationStore, clock: Clock, log: EventLog) -> None:
@@ -91,7 +91,7 @@
         self.clock = clock
         self.log = log
         self.lease: Lease | None = None
-        self.term = secrets.token_hex(TERM_BYTES)
+        self.term = ""
 
     def remaining_s(self) -> float:
         """Returns the seconds for which the lease surely lasts; may be negative."""
@@ -116,6 +116,7 @@
                 self.log.warning("lease_lost", lease=self.lease.lease_id)
                 self.lease = None
         self.lease = await self.store.grant_lease(LEASE_TTL_S)
+        self.term = secrets.token_hex(TERM_BYTES)
         self.log.info("lease_granted", lease=self.lease.lease_id)
         return False
 
--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -1,7 +1,7 @@
 """Divides the machines among the pools and takes them out for upkeep."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -10,6 +10,7 @@
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import Metrics
 
+from burdockthread_scheduling.demand_turns import DemandTurns
 from burdockthread_scheduling.duties import Duty, EntryLease, Tenure
 from burdockthread_scheduling.machines import (
     Machine,
@@ -38,6 +39,10 @@
 SURPLUS_FACTOR = 1.3
 # A move costs about as much as a machine that idles for a second.
 IDLE_BEFORE_RELEASE_S = 2.5
+# Part of an even share of the machines that a pool keeps without demand.
+FLOOR_SHARE = 1.0
+# Workers register anew within three heartbeats, and a margin.
+REGISTRATION_LAPSE_S = 8.0
 IDLE_BEFORE_LOAN_S = 0.4
 MIN_WORKERS = 2
 BUSY_PAUSE_S = 1.0
@@ -108,6 +113,9 @@
         ordered: Machines with an order under way, until the clock time given.
         maintained: Machines whose upkeep has begun, by wave.
         statuses: Newest status of each pool.
+        ended: Workers that an order has ended, until the clock time at which
+            their registrations are surely gone.
+        demand: Turns of the pools' demand.
     """
 
     def __init__(self, tenure: Tenure, parts: PlannerParts) -> None:
@@ -123,7 +131,8 @@
         self.maintained: dict[int, set[str]] = {}
         self.told: dict[int, bool] = {}
         self.statuses: dict[str, ReceivedStatus] = {}
-        self.started_s = self.clock.now()
+        self.ended: dict[str, float] = {}
+        self.demand = DemandTurns()
         self.closing = False
 
     async def run(self) -> None:
@@ -146,12 +155,18 @@
         known = self.statuses.get(status.pool)
         if known is None or status.fence >= known.status.fence:
             self.statuses[status.pool] = ReceivedStatus(status, self.clock.now())
-        workers = (
+        now = self.clock.now()
+        self.demand.note(status, now)
+        for worker_id, until_s in tuple(self.ended.items()):
+            if now >= until_s:
+                del self.ended[worker_id]
+        wanted_empty = {
             self.machines[name].worker_id
             for name in self.intents
-            if name in self.machines and self.machines[name].pool == status.pool
-        )
-        return PlannerAnswer(tuple(worker for worker in workers if worker))
+            if name in self.machines
+        }
+        known = {worker.worker_id for worker in status.workers}
+        return PlannerAnswer(tuple((wanted_empty | self.ended.keys()) & known))
 
     async def step(self) -> None:
         """Plans once."""
@@ -303,18 +318,42 @@
             if (status := self.fresh(name)) is not None
         ]
         spare = next((p.name for p in configuration.pools.values() if p.spare), "")
-        for status in sorted(pools, key=self.shortage, reverse=True):
-            missing = self.shortage(status)
-            if missing > 0:
-                self.bring_machines(status, missing, pools, spare)
+        floors = self.floors(pools)
+        lacking = sorted(pools, key=self.shortage, reverse=True)
+        for status in lacking:
+            self.bring_machines(status, self.shortage(status), pools, floors, spare)
+        for status in pools:
+            missing = floors[status.pool] * self.machine_milli()
+            missing -= self.supply_milli(status)
+            self.bring_machines(status, missing, pools, floors, spare)
         if spare:
             for status in pools:
-                self.release_machines(status, spare)
+                self.release_machines(status, floors[status.pool], spare)
+
+    def machine_milli(self) -> float:
+        """Returns the processors of a machine of middle size."""
+        sizes = sorted(m.capacity.cpu_milli for m in self.machines.values())
+        return sizes[len(sizes) // 2] if sizes else 0.0
+
+    def floors(self, pools: list[PoolStatus]) -> dict[str, int]:
+        """Returns how many machines each pool keeps while it asks for less.
+
+        A pool whose turn is just over can do with few; the longer ago it was,
+        the sooner the next one may come.
+        """
+        share = len(self.machines) / (len(pools) + 1) * FLOOR_SHARE
+        ranked = self.demand.by_last_turn([status.pool for status in pools])
+        last = max(len(ranked) - 1, 1)
+        return {
+            pool: max(round(share * rank / last), MIN_WORKERS)
+            for rank, pool in enumerate(ranked)
+        }
 
     def wanted_milli(self, status: PoolStatus) -> float:
         """Returns the processors that a pool should have."""
-        drained = status.backlog / DRAIN_TARGET_S
-        return status.lasting_milli + drained + status.inflow_milli
+        drained = status.waiting / DRAIN_TARGET_S
+        busy = max(status.inflow_milli, status.running_milli)
+        return status.lasting_milli + busy + drained
 
     def supply_milli(self, status: PoolStatus) -> float:
         """Returns the processors that a pool has or is about to get."""
@@ -324,6 +363,7 @@
             if (machine := self.machines.get(name)) is not None
             and intent.purpose is Purpose.MOVE
         }
+        leaving |= self.ended.keys()
         supply = sum(
             worker.cpu_milli
             for worker in status.workers
@@ -331,16 +371,19 @@
         )
         planned = [*self.intents.items()]
         planned += [(name, intent) for name, (intent, _) in self.ordered.items()]
+        present = {worker.worker_id for worker in status.workers if worker.usable}
         for name, intent in planned:
             machine = self.machines.get(name)
             if machine is None:
                 continue
-            if intent.purpose is Purpose.MOVE and intent.pool == status.pool:
+            to_move = intent.purpose is Purpose.MOVE and intent.pool == status.pool
+            returning = (
+                intent.purpose is Purpose.UPKEEP
+                and machine.pool == status.pool
+                and (machine.worker_id not in present or machine.worker_id in leaving)
+            )
+            if to_move or returning:
                 supply += machine.capacity.cpu_milli
-            elif intent.purpose is Purpose.UPKEEP and machine.pool == status.pool:
-                worker = self.worker_of(machine)
-                if worker is None or not worker.usable:
-                    supply += machine.capacity.cpu_milli
         return supply
 
     def shortage(self, status: PoolStatus) -> float:
@@ -352,14 +395,16 @@
         status: PoolStatus,
         missing: float,
         pools: Iterable[PoolStatus],
+        floors: Mapping[str, int],
         spare: str,
     ) -> None:
         """Moves machines to a pool that lacks them."""
-        for machine in self.sources(status.pool, pools, spare):
+        if missing <= 0:
+            return
+        for machine in tuple(self.sources(status.pool, pools, floors, spare)):
             if missing <= 0:
                 return
-            intent = Intent(Purpose.MOVE, pool=status.pool)
-            self.intents[machine.name] = intent
+            self.intents[machine.name] = Intent(Purpose.MOVE, pool=status.pool)
             missing -= machine.capacity.cpu_milli
             self.log.info(
                 "move_chosen",
@@ -368,42 +413,55 @@
                 pool=machine.pool,
                 to=status.pool,
                 missing_milli=int(missing),
-                backlog=int(status.backlog),
+                waiting=int(status.waiting),
                 inflow_milli=int(status.inflow_milli),
             )
 
     def sources(
-        self, pool: str, pools: Iterable[PoolStatus], spare: str
+        self,
+        pool: str,
+        pools: Iterable[PoolStatus],
+        floors: Mapping[str, int],
+        spare: str,
     ) -> Iterator[Machine]:
         """Yields the machines that a pool may get: switched off ones, then idle."""
         for machine in self.machines.values():
             if machine.pool == spare and self.is_free(machine):
                 yield machine
-        for status in pools:
+        for status in sorted(pools, key=lambda status: floors[status.pool]):
             if status.pool != pool:
-                yield from self.idle_machines(status, IDLE_BEFORE_LOAN_S)
+                floor = floors[status.pool]
+                yield from self.idle_machines(status, floor, IDLE_BEFORE_LOAN_S)
 
-    def idle_machines(self, status: PoolStatus, idle_s: float) -> Iterator[Machine]:
+    def idle_machines(
+        self, status: PoolStatus, floor: int, idle_s: float
+    ) -> Iterator[Machine]:
         """Yields the machines that a pool can do without."""
         by_worker = {machine.worker_id: machine for machine in self.machines.values()}
         wanted = self.wanted_milli(status) * SURPLUS_FACTOR
         left = self.supply_milli(status)
-        count = sum(1 for worker in status.workers if worker.usable)
-        for worker in status.workers:
-            machine = by_worker.get(worker.worker_id)
-            if machine is None or worker.runs or not worker.usable:
-                continue
-            if worker.idle_s < idle_s or not self.is_free(machine):
+        staying = [
+            (worker, machine)
+            for worker in status.workers
+            if worker.usable
+            and worker.worker_id not in self.ended
+            and (machine := by_worker.get(worker.worker_id)) is not None
+            and self.is_free(machine)
+        ]
+        count = len(staying)
+        for worker, machine in staying:
+            if worker.runs or worker.idle_s < idle_s:
                 continue
             left -= worker.cpu_milli
             count -= 1
-            if left < wanted or count < MIN_WORKERS:
+            if left < wanted or count < floor:
                 return
             yield machine
 
-    def release_machines(self, status: PoolStatus, spare: str) -> None:
+    def release_machines(self, status: PoolStatus, floor: int, spare: str) -> None:
         """Switches idle machines of a pool off."""
-        for machine in self.idle_machines(status, IDLE_BEFORE_RELEASE_S):
+        idle = tuple(self.idle_machines(status, floor, IDLE_BEFORE_RELEASE_S))
+        for machine in idle:
             self.intents[machine.name] = Intent(Purpose.MOVE, pool=spare)
             self.log.info(
                 "release_chosen",
@@ -453,6 +511,7 @@
                 duration_s = times.move_s
                 await control.move(machine.name, intent.pool, holder, fence)
             self.ordered[machine.name] = (intent, sent_s + duration_s)
+            self.ended[machine.worker_id] = sent_s + REGISTRATION_LAPSE_S
         except MachineRefusedError as error:
             outcome = error.refusal.value
             self.refused[machine.name] = sent_s + BUSY_PAUSE_S
--- a/libs/scheduling/burdockthread_scheduling/placement.py
+++ b/libs/scheduling/burdockthread_scheduling/placement.py
@@ -48,4 +48,5 @@
     rack = task.step.data_rack
     remote = bool(rack) and rack not in worker.listing.labels
     load = worker.used_cpu / max(worker.listing.capacity.cpu_milli, 1)
-    return worker.worker_id in task.failed_on, remote, load
+    # Full workers first, so that others stay empty and can be switched off.
+    return worker.worker_id in task.failed_on, remote, -load
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -600,9 +600,9 @@
         return PoolStatus(self.pool, self.tenure.fence, *demand, workers)
 
     def demand(self) -> tuple[int, int, float, float]:
-        """Returns lasting and running processors, backlog and inflow."""
+        """Returns lasting and running processors, waiting work and inflow."""
         lasting = running = 0
-        backlog = 0.0
+        waiting = 0.0
         for job in self.board.jobs.values():
             if job.end is not None:
                 continue
@@ -614,8 +614,9 @@
                     continue
                 if task.placements:
                     running += task.size.cpu_milli
-                backlog += task.size.cpu_milli * self.estimates.left_s(task)
-        return lasting, running, backlog, self.inflow.per_s(self.clock.now())
+                else:
+                    waiting += task.size.cpu_milli * self.estimates.left_s(task)
+        return lasting, running, waiting, self.inflow.per_s(self.clock.now())
 
     def vacate(self) -> None:
         """Moves tasks off the workers that are to be emptied or are leaving."""
--- a/libs/scheduling/burdockthread_scheduling/pool_status.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_status.py
@@ -33,7 +33,8 @@
         fence: Fencing token of its holder; a status of an earlier one is void.
         lasting_milli: Processors that lasting tasks ask for.
         running_milli: Processors that other runs take up.
-        backlog: Work of all open tasks in thousandths of a core times seconds.
+        waiting: Work of the tasks that wait, in thousandths of a core times
+            seconds.
         inflow_milli: Work that arrives each second.
         workers: Workers of the pool.
     """
@@ -42,7 +43,7 @@
     fence: int
     lasting_milli: int
     running_milli: int
-    backlog: float
+    waiting: float
     inflow_milli: float
     workers: tuple[WorkerStatus, ...]
 
--- a/libs/scheduling/burdockthread_scheduling/sessions.py
+++ b/libs/scheduling/burdockthread_scheduling/sessions.py
@@ -108,7 +108,8 @@
         sent_s = self.clock.now()
         wait_ms = 0
         lease_until_ms = 0
-        if worker.contacted:
+        # A silent worker's lease is left to lapse; its tasks wait for that.
+        if worker.contacted and not worker.failed_calls:
             lease_until_ms = worker.next_lease_ms(sent_s)
             if worker.seen_end <= worker.settled_end and worker.placements:
                 wait_ms = HOLD_WAIT_MS
