Serve on for a while after SIGTERM, log without blocking, show histograms

Events go to standard output through a bounded queue that never blocks; counters and histograms are served on the metrics address.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -15,13 +15,18 @@
 import uvloop
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.errors import PeerUnavailableError, SettingsError
-from burdockthread_model.events import EventLog
-from burdockthread_model.metrics import MemoryMetrics
+from burdockthread_model.histograms import HistogramMetrics
+from burdockthread_model.stdout_log import StdoutLog
 from burdockthread_platform.configuration import (
     OPERATOR_PREFIX,
     FollowedConfiguration,
 )
-from burdockthread_platform.jobs_http import JobsPort, readiness_handler, serve
+from burdockthread_platform.jobs_http import (
+    JobsPort,
+    readiness_handler,
+    serve,
+    text_handler,
+)
 from burdockthread_platform.kv_store import PlatformStore
 from burdockthread_platform.machines_http import HttpMachineControl
 from burdockthread_platform.registrations import (
@@ -54,6 +59,7 @@
 from burdockthread_store.settled_store import SettledStore
 
 EXIT_SETTINGS = 2
+DEFAULT_METRICS_PORT = 9464
 POOL_DUTY = "pool:"
 MACHINES_DUTY = "machines"
 STORE_RETRY_MAX_S = 0.3
@@ -62,6 +68,10 @@
 CONNECTIONS_PER_HOST = 16
 KEEPALIVE_S = 60.0
 DRAIN_POLL_S = 0.02
+# Two readings of the readiness, a second apart, take new callers elsewhere.
+READINESS_NOTICE_S = 2.5
+# Part of the time to stop after which open requests are given up.
+STOP_SHARE = 0.7
 
 
 class SuspendClock(SystemClock):
@@ -72,25 +82,20 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class StdoutLog(EventLog):
-    """Writes events to standard output."""
-
-    def info(self, name: str, **fields: object) -> None:
-        """Writes an event of ordinary operation."""
-        print(self.line(name, fields), flush=True)
-
-    warning = info
-    error = info
-
-
 class PlatformEntry:
     """One entry."""
 
-    def __init__(self, settings: EntrySettings, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        metrics_port: int,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.metrics_port = metrics_port
         self.settings = settings
         self.clock = SuspendClock()
         self.log = StdoutLog(settings.name)
-        self.metrics = MemoryMetrics()
+        self.metrics = HistogramMetrics()
         self.platform = PlatformStore(str(settings.store), session, self.clock)
         self.store = SettledStore(
             self.platform, settings.name, self.clock, self.metrics
@@ -252,7 +257,20 @@
             await stack.enter_async_context(
                 serve(self.port.handler(), self.settings.callers)
             )
-            self.log.info("entry_started", callers=self.settings.callers)
+            metrics_address = Address(self.settings.host, self.metrics_port)
+            await stack.enter_async_context(
+                serve(text_handler(self.metrics.text), metrics_address)
+            )
+            stack.callback(self.log.flush)
+            self.log.info(
+                "entry_started",
+                callers=self.settings.callers,
+                entries=self.link_address(),
+                metrics=metrics_address,
+                store=self.settings.store,
+                memory_mb=self.settings.memory_mb,
+                cores=self.settings.cores,
+            )
             yield
             await self.drain()
 
@@ -267,14 +285,18 @@
         """Hands the duties over and answers what callers have sent."""
         self.stopping = True
         self.log.info("entry_stopping", open_requests=self.port.open_requests)
-        give_up_s = self.clock.now() + self.settings.stop_timeout_s * 0.7
+        self.port.closing = True
+        started_s = self.clock.now()
         await self.duties.hand_over()
+        left_s = started_s + READINESS_NOTICE_S - self.clock.now()
+        await self.clock.sleep(left_s)
+        give_up_s = started_s + self.settings.stop_timeout_s * STOP_SHARE
         while self.port.open_requests and self.clock.now() < give_up_s:
             await self.clock.sleep(DRAIN_POLL_S)
         self.log.info("entry_stopped", open_requests=self.port.open_requests)
 
 
-async def serve_until_stopped(settings: EntrySettings) -> None:
+async def serve_until_stopped(settings: EntrySettings, metrics_port: int) -> None:
     """Runs an entry until SIGTERM or SIGINT."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -285,7 +307,7 @@
     )
     async with (
         aiohttp.ClientSession(connector=connector) as session,
-        PlatformEntry(settings, session).running(),
+        PlatformEntry(settings, metrics_port, session).running(),
     ):
         await stop.wait()
 
@@ -293,12 +315,13 @@
 def main() -> int:
     """Runs an entry with the settings that the environment names."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
+    metrics_port = int(sys.argv[1]) if len(sys.argv) > 1 else DEFAULT_METRICS_PORT
     try:
         settings = EntrySettings.from_path(Path(path))
     except SettingsError as error:
         print(f"settings: {error}", file=sys.stderr)
         return EXIT_SETTINGS
-    uvloop.run(serve_until_stopped(settings))
+    uvloop.run(serve_until_stopped(settings, metrics_port))
     return 0
 
 
--- a/libs/platform/burdockthread_platform/jobs_http.py
+++ b/libs/platform/burdockthread_platform/jobs_http.py
@@ -23,16 +23,22 @@
 MAX_REPETITIONS = 100_000
 MAX_MILLISECONDS = 10**14
 DEFAULT_WAIT_S = 3.0
-STOP_TIMEOUT_S = 0.5
+STOP_TIMEOUT_S = 1.0
 
 
 class JobsPort:
-    """Answers callers' requests; the first of `open_requests` is the oldest."""
+    """Answers callers' requests.
+
+    Attributes:
+        open_requests: Requests that are being answered.
+        closing: Whether each answer asks the caller to connect anew.
+    """
 
     def __init__(self, desk: JobDesk, clock: Clock) -> None:
         self.desk = desk
         self.clock = clock
         self.open_requests = 0
+        self.closing = False
 
     def handler(self) -> web.Server:
         """Returns what serves the connections."""
@@ -42,11 +48,14 @@
         """Answers one request."""
         self.open_requests += 1
         try:
-            return await self.dispatch(request)
+            response = await self.dispatch(request)
         except RequestError as error:
-            return refusal(error)
+            response = refusal(error)
         finally:
             self.open_requests -= 1
+        if self.closing:
+            response.force_close()
+        return response
 
     async def dispatch(self, request: web.BaseRequest) -> web.Response:
         """Passes a request on by method and path."""
@@ -184,3 +193,12 @@
         return web.Response(status=status, text=json.dumps({"ready": status == 200}))
 
     return web.Server(answer, access_log=None)
+
+
+def text_handler(text: Callable[[], str]) -> web.Server:
+    """Returns what answers every request with the same kind of text."""
+
+    async def answer(request: web.BaseRequest) -> web.Response:
+        return web.Response(text=text())
+
+    return web.Server(answer, access_log=None)
--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -165,8 +165,8 @@
             for name in self.intents
             if name in self.machines
         }
-        known = {worker.worker_id for worker in status.workers}
-        return PlannerAnswer(tuple((wanted_empty | self.ended.keys()) & known))
+        present = {worker.worker_id for worker in status.workers}
+        return PlannerAnswer(tuple((wanted_empty | self.ended.keys()) & present))
 
     async def step(self) -> None:
         """Plans once."""
