Hand a pool over with what runs where, and ask the last holder to be silent

The list is pruned, a planned hand-over says that no orders follow and leaves only the workers with runs, and after a loss the last holder's entry is asked: a successor process there proves its end. The turns travel with the statuses.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import secrets
 import signal
 import sys
 import time
@@ -52,7 +53,12 @@
 )
 from burdockthread_scheduling.machines import MachineControl
 from burdockthread_scheduling.pool_scheduler import PoolParts, PoolScheduler
-from burdockthread_scheduling.pool_status import PlannerAnswer, PoolStatus
+from burdockthread_scheduling.pool_status import (
+    PlannerAnswer,
+    PoolStatus,
+    ReleaseAnswer,
+    ReleaseOrder,
+)
 from burdockthread_scheduling.records import SHARED_PREFIX
 from burdockthread_scheduling.specs import FleetConfiguration
 from burdockthread_store.prefix_cache import PrefixCache
@@ -68,6 +74,7 @@
 CONNECTIONS_PER_HOST = 16
 KEEPALIVE_S = 60.0
 DRAIN_POLL_S = 0.02
+PROCESS_ID_BYTES = 8
 # Two readings of the readiness, a second apart, take new callers elsewhere.
 READINESS_NOTICE_S = 2.5
 # Part of the time to stop after which open requests are given up.
@@ -121,8 +128,8 @@
             self.log,
         )
         self.gateway = HttpWorkerGateway(session)
-        self.link = HttpEntryLink(session)
-        self.link.on_status = self.on_status
+        self.process = secrets.token_hex(PROCESS_ID_BYTES)
+        self.link = HttpEntryLink(session, self.on_status, self.on_release)
         self.machines = (
             None
             if settings.machines is None
@@ -158,6 +165,16 @@
             return planner.on_status(status)
         return None
 
+    def on_release(self, order: ReleaseOrder) -> ReleaseAnswer:
+        """Gives up a pool that another entry holds."""
+        self.duties.release(POOL_DUTY + order.pool, order.fence)
+        return ReleaseAnswer(self.process)
+
+    async def ask_release(self, address: str, pool: str, fence: int) -> str:
+        """Asks an earlier holder to give a pool up; returns its process id."""
+        answer = await self.link.release(address, ReleaseOrder(pool, fence))
+        return answer.process
+
     async def report_status(self, status: PoolStatus) -> PlannerAnswer | None:
         """Tells the planner of machines the status of a pool held here."""
         answer = self.on_status(status)
@@ -209,6 +226,8 @@
         """Returns the work of the holder of a pool."""
         parts = PoolParts(
             entry=self.settings.name,
+            address=str(self.link_address()),
+            process=self.process,
             store=self.store,
             jobs=self.index,
             roster=self.roster,
@@ -218,6 +237,7 @@
             metrics=self.metrics,
             log=self.log,
             report=self.report_status,
+            release=self.ask_release,
         )
         return PoolScheduler(pool, tenure, parts)
 
--- a/libs/scheduling/burdockthread_scheduling/board.py
+++ b/libs/scheduling/burdockthread_scheduling/board.py
@@ -23,7 +23,8 @@
         placements: Runs that may exist, the newest last.
         last_run: Highest number given to a run by this holder.
         checkpoint: Newest saved progress, or empty.
-        failures: Runs that failed.
+        failures: Numbers of the runs that failed; a worker lists an end again
+            until it knows that it is stored.
         failed_on: Workers on which a run failed.
         waiting_since_s: Clock time since which it has no run.
     """
@@ -49,7 +50,7 @@
         self.placements: list[Placement] = []
         self.last_run = 0
         self.checkpoint = ""
-        self.failures = 0
+        self.failures: set[int] = set()
         self.failed_on: set[str] = set()
         self.waiting_since_s = 0.0
 
@@ -212,7 +213,7 @@
                     succeeded[step.name()] = f"{step.succeeded:x}"
         for task in self.open_tasks():
             if task.failures:
-                failures[task.name()] = task.failures
+                failures[task.name()] = tuple(sorted(task.failures))
             if task.checkpoint:
                 checkpoints[task.name()] = task.checkpoint
         return JobProgress(self.begun, succeeded, failures, checkpoints)
@@ -225,7 +226,7 @@
             occurrence, _, number = name.partition(".")
             self.restore_step(int(occurrence), number, bits)
         for task in self.open_tasks():
-            task.failures = progress.failures.get(task.name(), 0)
+            task.failures = set(progress.failures.get(task.name(), ()))
             task.checkpoint = progress.checkpoints.get(task.name(), "")
 
     def restore_step(self, occurrence: int, number: str, bits: str) -> None:
--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -166,6 +166,7 @@
         self.vacant_since_s: dict[str, float] = {}
         self.changed = asyncio.Event()
         self.stopping = False
+        self.keeper: asyncio.Task[None] | None = None
         cache.listeners.append(self.on_change)
 
     def on_change(self, key: str, item: KeyValue | None) -> None:
@@ -195,7 +196,7 @@
 
     async def run(self) -> None:
         """Keeps the lease and the duties until cancelled."""
-        keeper = asyncio.create_task(self.keep_lease())
+        self.keeper = asyncio.create_task(self.keep_lease())
         try:
             while True:
                 self.changed.clear()
@@ -204,7 +205,7 @@
                     async with self.clock.timeout(CHECK_INTERVAL_S):
                         await self.changed.wait()
         finally:
-            keeper.cancel()
+            self.keeper.cancel()
             for name in tuple(self.held):
                 self.drop(name, "stopped")
 
@@ -329,6 +330,12 @@
         self.metrics.count("duties.taken")
         self.log.info("duty_taken", duty=name, fence=fence)
 
+    def release(self, name: str, fence: int) -> None:
+        """Gives a duty up that another entry has taken under a later token."""
+        held = self.held.get(name)
+        if held is not None and held.tenure.fence < fence:
+            self.drop(name, "released")
+
     def held_duty(self, name: str) -> Duty | None:
         """Returns the work of a duty that this entry does."""
         held = self.held.get(name)
@@ -343,21 +350,17 @@
     async def hand_over(self) -> None:
         """Gives all duties up, for a planned stop."""
         self.stopping = True
+        if self.keeper is not None:
+            self.keeper.cancel()
+        held = tuple(self.held.items())
         await asyncio.gather(
-            *(self.hand_over_one(name) for name in tuple(self.held)),
-            return_exceptions=True,
+            *(entry.duty.hand_over() for _, entry in held), return_exceptions=True
         )
+        for name, entry in held:
+            entry.work.cancel()
+            self.held.pop(name, None)
+            self.log.info("duty_handed_over", duty=name, fence=entry.tenure.fence)
         try:
             await self.lease.end()
         except (StoreError, ConflictError) as error:
             self.log.info("lease_not_ended", reason=error)
-
-    async def hand_over_one(self, name: str) -> None:
-        """Ends the orders of one duty, then gives it up."""
-        held = self.held[name]
-        await held.duty.hand_over()
-        held.work.cancel()
-        self.held.pop(name, None)
-        guard = held.tenure.guard
-        self.log.info("duty_handed_over", duty=name, fence=held.tenure.fence)
-        await self.store.write([Change(guard.key, None, guard.expected_revision)])
--- a/libs/scheduling/burdockthread_scheduling/entry_link.py
+++ b/libs/scheduling/burdockthread_scheduling/entry_link.py
@@ -2,19 +2,28 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from typing import TypeVar
 
 import aiohttp
 import msgspec
 from aiohttp import web
 from burdockthread_model.errors import PeerUnavailableError
 
-from burdockthread_scheduling.pool_status import PlannerAnswer, PoolStatus
+from burdockthread_scheduling.pool_status import (
+    PlannerAnswer,
+    PoolStatus,
+    ReleaseAnswer,
+    ReleaseOrder,
+)
 
 STATUS_PATH = "/pool-status"
+RELEASE_PATH = "/pool-release"
 CALL_TIMEOUT_S = 0.5
 NOT_PLANNER = 409
 
 StatusHandler = Callable[[PoolStatus], PlannerAnswer | None]
+ReleaseHandler = Callable[[ReleaseOrder], ReleaseAnswer]
+Answer = TypeVar("Answer")
 
 
 class EntryLink(ABC):
@@ -32,23 +41,40 @@
             PeerUnavailableError: No answer, or it is not the planner.
         """
 
+    @abstractmethod
+    async def release(self, address: str, order: ReleaseOrder) -> ReleaseAnswer:
+        """Asks an earlier holder of a pool to give no more orders.
+
+        Raises:
+            PeerUnavailableError: No answer.
+        """
+
 
 class HttpEntryLink(EntryLink):
     """Calls over HTTP, and the server for those of others.
 
     Attributes:
         on_status: Takes in a status; returns None if this is not the planner.
+        on_release: Gives up a pool that another entry holds.
     """
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        on_status: StatusHandler,
+        on_release: ReleaseHandler,
+    ) -> None:
         self.session = session
-        self.on_status: StatusHandler = lambda _: None
+        self.on_status = on_status
+        self.on_release = on_release
         self.timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
 
-    async def report(self, address: str, status: PoolStatus) -> PlannerAnswer:
-        """Tells the planner of machines the status of a pool."""
-        url = f"http://{address}{STATUS_PATH}"
-        body = msgspec.msgpack.encode(status)
+    async def call(
+        self, address: str, path: str, message: object, kind: type[Answer]
+    ) -> Answer:
+        """Sends a message and returns the answer."""
+        url = f"http://{address}{path}"
+        body = msgspec.msgpack.encode(message)
         try:
             async with self.session.post(
                 url, data=body, timeout=self.timeout
@@ -56,26 +82,42 @@
                 data = await answer.read()
             if answer.status != 200:
                 raise PeerUnavailableError(f"{address} answered {answer.status}")
-            return msgspec.msgpack.decode(data, type=PlannerAnswer)
+            return msgspec.msgpack.decode(data, type=kind)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             reason = f"{address}: {type(error).__name__}"
             raise PeerUnavailableError(reason) from error
         except msgspec.MsgspecError as error:
             raise PeerUnavailableError(f"{address}: {error}") from error
 
+    async def report(self, address: str, status: PoolStatus) -> PlannerAnswer:
+        """Tells the planner of machines the status of a pool."""
+        return await self.call(address, STATUS_PATH, status, PlannerAnswer)
+
+    async def release(self, address: str, order: ReleaseOrder) -> ReleaseAnswer:
+        """Asks an earlier holder of a pool to give no more orders."""
+        return await self.call(address, RELEASE_PATH, order, ReleaseAnswer)
+
     async def answer(self, request: web.BaseRequest) -> web.Response:
         """Answers another entry."""
-        if request.path != STATUS_PATH:
-            return web.Response(status=404)
+        body = await request.read()
         try:
-            status = msgspec.msgpack.decode(await request.read(), type=PoolStatus)
+            if request.path == STATUS_PATH:
+                status = msgspec.msgpack.decode(body, type=PoolStatus)
+                return encoded(self.on_status(status))
+            if request.path == RELEASE_PATH:
+                order = msgspec.msgpack.decode(body, type=ReleaseOrder)
+                return encoded(self.on_release(order))
         except msgspec.MsgspecError as error:
             return web.Response(status=400, text=str(error))
-        answer = self.on_status(status)
-        if answer is None:
-            return web.Response(status=NOT_PLANNER)
-        return web.Response(body=msgspec.msgpack.encode(answer))
+        return web.Response(status=404)
 
     def handler(self) -> web.Server:
         """Returns what serves the connections of other entries."""
         return web.Server(self.answer, access_log=None)
+
+
+def encoded(message: object) -> web.Response:
+    """Returns an answer, or a refusal if there is none."""
+    if message is None:
+        return web.Response(status=NOT_PLANNER)
+    return web.Response(body=msgspec.msgpack.encode(message))
--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -37,6 +37,8 @@
 # Work that waits should have run within this time.
 DRAIN_TARGET_S = 1.5
 SURPLUS_FACTOR = 1.3
+# Work that waits longer takes machines that others keep for their next turn.
+LATE_WAIT_S = 1.5
 # A move costs about as much as a machine that idles for a second.
 IDLE_BEFORE_RELEASE_S = 2.5
 # Part of an even share of the machines that a pool keeps without demand.
@@ -46,6 +48,7 @@
 IDLE_BEFORE_LOAN_S = 0.4
 MIN_WORKERS = 2
 BUSY_PAUSE_S = 1.0
+DEMAND_LOG_INTERVAL_S = 1.0
 
 
 class Purpose(StrEnum):
@@ -132,6 +135,7 @@
         self.told: dict[int, bool] = {}
         self.statuses: dict[str, ReceivedStatus] = {}
         self.ended: dict[str, float] = {}
+        self.logged_s = float("-inf")
         self.demand = DemandTurns()
         self.closing = False
 
@@ -166,7 +170,8 @@
             if name in self.machines
         }
         present = {worker.worker_id for worker in status.workers}
-        return PlannerAnswer(tuple((wanted_empty | self.ended.keys()) & present))
+        vacate = tuple((wanted_empty | self.ended.keys()) & present)
+        return PlannerAnswer(vacate, self.demand.ages_s(now))
 
     async def step(self) -> None:
         """Plans once."""
@@ -319,9 +324,13 @@
         ]
         spare = next((p.name for p in configuration.pools.values() if p.spare), "")
         floors = self.floors(pools)
+        self.log_demand(pools, floors)
         lacking = sorted(pools, key=self.shortage, reverse=True)
         for status in lacking:
-            self.bring_machines(status, self.shortage(status), pools, floors, spare)
+            given = (
+                dict.fromkeys(floors, MIN_WORKERS) if self.is_late(status) else floors
+            )
+            self.bring_machines(status, self.shortage(status), pools, given, spare)
         for status in pools:
             missing = floors[status.pool] * self.machine_milli()
             missing -= self.supply_milli(status)
@@ -330,6 +339,26 @@
             for status in pools:
                 self.release_machines(status, floors[status.pool], spare)
 
+    def log_demand(self, pools: list[PoolStatus], floors: Mapping[str, int]) -> None:
+        """Logs what decides the sizes of the pools, once in a while."""
+        now = self.clock.now()
+        if now - self.logged_s < DEMAND_LOG_INTERVAL_S:
+            return
+        self.logged_s = now
+        for status in pools:
+            self.log.info(
+                "pool_demand",
+                pool=status.pool,
+                workers=sum(1 for worker in status.workers if worker.usable),
+                floor=floors[status.pool],
+                lasting_milli=status.lasting_milli,
+                running_milli=status.running_milli,
+                waiting=int(status.waiting),
+                inflow_milli=int(status.inflow_milli),
+                supply_milli=int(self.supply_milli(status)),
+                age_s=round(now - self.statuses[status.pool].received_s, 3),
+            )
+
     def machine_milli(self) -> float:
         """Returns the processors of a machine of middle size."""
         sizes = sorted(m.capacity.cpu_milli for m in self.machines.values())
@@ -342,11 +371,9 @@
         the sooner the next one may come.
         """
         share = len(self.machines) / (len(pools) + 1) * FLOOR_SHARE
-        ranked = self.demand.by_last_turn([status.pool for status in pools])
-        last = max(len(ranked) - 1, 1)
+        ranks = self.demand.ranks([status.pool for status in pools])
         return {
-            pool: max(round(share * rank / last), MIN_WORKERS)
-            for rank, pool in enumerate(ranked)
+            pool: max(round(share * rank), MIN_WORKERS) for pool, rank in ranks.items()
         }
 
     def wanted_milli(self, status: PoolStatus) -> float:
@@ -386,6 +413,11 @@
                 supply += machine.capacity.cpu_milli
         return supply
 
+    def is_late(self, status: PoolStatus) -> bool:
+        """Returns whether work waits longer than the machines on their way help."""
+        supply = max(self.supply_milli(status), 1.0)
+        return status.waiting / supply > LATE_WAIT_S
+
     def shortage(self, status: PoolStatus) -> float:
         """Returns the processors that a pool lacks; negative if it has too many."""
         return self.wanted_milli(status) - self.supply_milli(status)
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -7,7 +7,13 @@
 from typing import NamedTuple
 
 from burdockthread_model.clock import Clock
-from burdockthread_model.errors import PlatformError, StoreError
+from burdockthread_model.errors import (
+    ConflictError,
+    LeaseLostError,
+    PeerUnavailableError,
+    PlatformError,
+    StoreError,
+)
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.records import RecordError
@@ -56,7 +62,6 @@
     Refusal,
     RunReport,
     StartOrder,
-    WorkerFencedError,
     WorkerGateway,
     WorkerKey,
     WorkerListing,
@@ -69,6 +74,9 @@
 FULL_PAUSE_S = 0.3
 REFUSED_PAUSE_S = 0.5
 STARTS_AT_ONCE = 4
+# By then every lease has lapsed that a worker was given before.
+LEASE_BOUND_S = RUN_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
+ASSIGN_INTERVAL_S = 0.5
 # Runs of one holder are numbered from its fencing token times this.
 RUNS_PER_FENCE = 1_000
 FULL_LIST = 500
@@ -78,6 +86,8 @@
 # Tasks may take this long to end by themselves before they are stopped.
 VACATE_PATIENCE_S = 3.0
 AT_WORK_PERCENT = 100
+HAND_OVER_TIMEOUT_S = 0.8
+HAND_OVER_POLL_S = 0.01
 
 
 class WorkerRoster(ABC):
@@ -93,9 +103,19 @@
 
 
 class AssignedWorkers(NamedTuple):
-    """Workers on which runs of a pool may exist, kept at ``assigned/<pool>``."""
+    """Workers on which runs of a pool may exist, kept at ``assigned/<pool>``.
+
+    Attributes:
+        workers: The workers.
+        address: Address of the holder for other entries.
+        process: Id of the holder's process.
+        released: Whether the holder has given its last order.
+    """
 
     workers: tuple[WorkerKey, ...]
+    address: str
+    process: str
+    released: bool
 
 
 class PoolParts(NamedTuple):
@@ -103,6 +123,8 @@
 
     Attributes:
         entry: Name of this entry.
+        address: Address of this entry for others.
+        process: Id of this process.
         store: The store.
         jobs: States of all jobs.
         roster: Registered workers.
@@ -113,9 +135,13 @@
         log: Events.
         report: Tells the planner of machines a status; returns its wishes, or
             None if it cannot be reached.
+        release: Asks the entry at an address to give no more orders for a pool
+            under fencing tokens below one; returns the id of its process.
     """
 
     entry: str
+    address: str
+    process: str
     store: ConfigurationStore
     jobs: JobIndex
     roster: WorkerRoster
@@ -125,6 +151,7 @@
     metrics: Metrics
     log: EventLog
     report: Callable[[PoolStatus], Awaitable[PlannerAnswer | None]]
+    release: Callable[[str, str, int], Awaitable[str]]
 
 
 class PoolScheduler(Duty, ReportListener):
@@ -149,6 +176,10 @@
         self.sessions: dict[WorkerKey, tuple[WorkerSession, asyncio.Task[None]]] = {}
         self.unreached: dict[WorkerKey, float] = {}
         self.assigned: set[WorkerKey] = set()
+        self.assigned_dirty = False
+        self.assigned_s = float("-inf")
+        self.assigning = False
+        self.starting = 0
         self.cache = PrefixCache(parts.store, work_prefix(pool), self.clock)
         self.cache.listeners.append(self.on_work)
         self.progress: dict[str, JobProgress] = {}
@@ -158,6 +189,8 @@
         self.vacating_since_s: dict[str, float] = {}
         self.estimates = DurationEstimates(self.clock)
         self.inflow = Inflow()
+        self.turn_ages_s: dict[str, float] = {}
+        self.turn_ages_read_s = 0.0
         self.lost = ""
         self.closing = False
         self.loaded = False
@@ -230,6 +263,7 @@
         await self.cache.refresh()
         if assigned is not None:
             self.expect_workers(decode(assigned.value, AssignedWorkers))
+        self.assigned_dirty = True
         self.loaded = True
         self.log.info(
             "pool_taken_over",
@@ -239,13 +273,39 @@
             workers_expected=len(self.unreached),
         )
 
-    def expect_workers(self, assigned: AssignedWorkers) -> None:
-        """Notes the workers on which runs of earlier holders may exist."""
-        lease_s = RUN_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
-        lapsed_s = self.clock.now() + DOUBT_LIMIT_S + lease_s
-        for key in assigned.workers:
+    def expect_workers(self, left: AssignedWorkers) -> None:
+        """Notes the workers on which runs of an earlier holder may exist."""
+        silent_s = 0.0 if left.released else DOUBT_LIMIT_S
+        lapsed_s = self.clock.now() + silent_s + LEASE_BOUND_S
+        for key in left.workers:
             self.unreached[WorkerKey(*key)] = lapsed_s
-            self.assigned.add(WorkerKey(*key))
+        if not left.released and self.unreached:
+            self.spawn(self.ask_predecessor(left))
+
+    async def ask_predecessor(self, left: AssignedWorkers) -> None:
+        """Makes sure that the last holder gives no more orders.
+
+        A process that answers under another id is its successor, so that the
+        holder has ended.
+        """
+        while self.unreached:
+            if left.process == self.parts.process:
+                break
+            try:
+                fence = self.tenure.fence
+                process = await self.parts.release(left.address, self.pool, fence)
+                self.log.info(
+                    "predecessor_silent",
+                    pool=self.pool,
+                    address=left.address,
+                    restarted=process != left.process,
+                )
+                break
+            except PeerUnavailableError:
+                await self.clock.sleep(STOP_RETRY_S)
+        lapsed_s = self.clock.now() + LEASE_BOUND_S
+        for key, until_s in self.unreached.items():
+            self.unreached[key] = min(until_s, lapsed_s)
 
     # Jobs
 
@@ -380,6 +440,7 @@
             return
         _, task = self.sessions.pop(key)
         task.cancel()
+        self.assigned_dirty = True
         self.log.info("worker_dropped", worker=worker.worker_id, reason=reason)
 
     def on_fenced(self, worker: WorkerState) -> None:
@@ -504,7 +565,7 @@
                 self.estimates.learn(task, placement)
             self.succeed(job, end.task)
         elif end.kind is EndKind.FAILED:
-            self.fail(job, task, worker)
+            self.fail(job, task, worker, end.run)
         elif end.checkpoint:
             task.checkpoint = end.checkpoint
 
@@ -515,15 +576,15 @@
                 self.stop(placement, "task succeeded")
         self.writer.mark(job)
 
-    def fail(self, job: JobRun, task: TaskRun, worker: WorkerState) -> None:
+    def fail(self, job: JobRun, task: TaskRun, worker: WorkerState, run: int) -> None:
         """Notes that a run has failed."""
         task.failed_on.add(worker.worker_id)
         if task.step.lasting:
             return
-        task.failures += 1
+        task.failures.add(run)
         job.dirty = True
         self.writer.mark(job)
-        if task.failures < job.queue.max_attempts:
+        if len(task.failures) < job.queue.max_attempts:
             return
         job.end = JobEnd.FAILED
         self.log.info("job_failed", job=job.spec.job_id, task=task.task)
@@ -564,6 +625,8 @@
                 continue
             answer = await self.parts.report(self.status())
             if answer is not None:
+                self.turn_ages_s = answer.turn_ages_s
+                self.turn_ages_read_s = self.clock.now()
                 self.take_wishes(answer)
 
     def take_wishes(self, answer: PlannerAnswer) -> None:
@@ -597,7 +660,11 @@
             for worker in self.workers.values()
         )
         demand = self.demand()
-        return PoolStatus(self.pool, self.tenure.fence, *demand, workers)
+        passed_s = now - self.turn_ages_read_s
+        turn_ages_s = {
+            pool: age_s + passed_s for pool, age_s in self.turn_ages_s.items()
+        }
+        return PoolStatus(self.pool, self.tenure.fence, *demand, workers, turn_ages_s)
 
     def demand(self) -> tuple[int, int, float, float]:
         """Returns lasting and running processors, waiting work and inflow."""
@@ -693,25 +760,38 @@
 
     def assign_workers(self) -> None:
         """Records the workers that may get orders before they get any."""
+        now = self.clock.now()
         missing = self.workers.keys() - self.assigned
-        if missing and "assign" not in {t.get_name() for t in self.tasks}:
-            task = self.spawn(self.record_assigned(set(self.workers)))
-            task.set_name("assign")
+        stale = self.assigned_dirty and now - self.assigned_s >= ASSIGN_INTERVAL_S
+        if (missing or stale) and not self.assigning:
+            self.assigning = True
+            self.spawn(self.record_assigned(set(self.workers)))
 
     async def record_assigned(self, workers: set[WorkerKey]) -> None:
         """Writes the workers that may get orders."""
-        kept = workers | set(self.unreached)
-        record = AssignedWorkers(tuple(sorted(kept)))
-        change = Change(f"assigned/{self.pool}", encode(record), ANY_REVISION)
+        self.assigned_dirty = False
         try:
-            await self.parts.store.write([change], [self.tenure.guard])
-        except StoreError as error:
+            await self.write_assigned(workers, released=False)
+        except (StoreError, ConflictError) as error:
+            self.assigned_dirty = True
             self.log.info("workers_not_assigned", pool=self.pool, reason=error)
             await self.clock.sleep(TICK_S)
             return
-        self.assigned |= workers
+        finally:
+            self.assigning = False
+        self.assigned = workers
+        self.assigned_s = self.clock.now()
         self.wake.set()
 
+    async def write_assigned(self, workers: set[WorkerKey], *, released: bool) -> None:
+        """Writes the workers on which runs may exist."""
+        kept = workers | self.unreached.keys()
+        record = AssignedWorkers(
+            tuple(sorted(kept)), self.parts.address, self.parts.process, released
+        )
+        change = Change(f"assigned/{self.pool}", encode(record), ANY_REVISION)
+        await self.parts.store.write([change], [self.tenure.guard])
+
     def place_job(self, job: JobRun, ready: list[WorkerState]) -> None:
         """Starts the tasks of a job that have room."""
         for step in job.runnable_steps():
@@ -736,6 +816,14 @@
 
     async def send_start(self, placement: Placement, task: TaskRun) -> None:
         """Sends the order of a run and takes in the answer."""
+        self.starting += 1
+        try:
+            await self.try_start(placement, task)
+        finally:
+            self.starting -= 1
+
+    async def try_start(self, placement: Placement, task: TaskRun) -> None:
+        """Sends the order of a run once."""
         worker = placement.worker
         order = StartOrder(
             task=task.task,
@@ -856,12 +944,18 @@
             await self.clock.sleep(STOP_RETRY_S)
 
     async def hand_over(self) -> None:
-        """Sends no more orders and stores what has ended."""
+        """Gives no more orders, then stores what has ended and what runs where."""
         self.closing = True
-        self.log.info("pool_handed_over", pool=self.pool, jobs=len(self.board.jobs))
-        with suppress(StoreError, TimeoutError, WorkerFencedError):
-            async with self.clock.timeout(CALL_TIMEOUT_S):
+        with suppress(StoreError, ConflictError, TimeoutError, LeaseLostError):
+            async with self.clock.timeout(HAND_OVER_TIMEOUT_S):
+                while self.starting:
+                    await self.clock.sleep(HAND_OVER_POLL_S)
+                for _, session in self.sessions.values():
+                    session.cancel()
                 await self.writer.flush()
+                busy = {key for key, w in self.workers.items() if w.placements}
+                await self.write_assigned(busy, released=True)
+        self.log.info("pool_handed_over", pool=self.pool, jobs=len(self.board.jobs))
 
 
 def is_at_work(task: TaskRun) -> bool:
--- a/libs/scheduling/burdockthread_scheduling/pool_status.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_status.py
@@ -37,6 +37,8 @@
             seconds.
         inflow_milli: Work that arrives each second.
         workers: Workers of the pool.
+        turn_ages_s: What the planner last told of the pools' turns, so that its
+            successor knows: seconds since each pool was last in its turn.
     """
 
     pool: str
@@ -46,6 +48,7 @@
     waiting: float
     inflow_milli: float
     workers: tuple[WorkerStatus, ...]
+    turn_ages_s: dict[str, float]
 
 
 class PlannerAnswer(NamedTuple):
@@ -53,6 +56,30 @@
 
     Attributes:
         vacate: Workers that are to be emptied, by id.
+        turn_ages_s: Seconds since each pool was last in its turn.
     """
 
-    vacate: tuple[str, ...] = ()
+    vacate: tuple[str, ...]
+    turn_ages_s: dict[str, float]
+
+
+class ReleaseOrder(NamedTuple):
+    """Asks an earlier holder of a pool to give no more orders.
+
+    Attributes:
+        pool: The pool.
+        fence: Fencing token of the new holder.
+    """
+
+    pool: str
+    fence: int
+
+
+class ReleaseAnswer(NamedTuple):
+    """Says that no orders under an earlier fencing token will follow.
+
+    Attributes:
+        process: Id of the process that answers.
+    """
+
+    process: str
--- a/libs/scheduling/burdockthread_scheduling/records.py
+++ b/libs/scheduling/burdockthread_scheduling/records.py
@@ -104,13 +104,13 @@
         begun: Whether a task has started.
         succeeded: Tasks that have succeeded, as the hexadecimal bits of their
             indices, by ``<occurrence>.<step>``.
-        failures: Failed runs by ``<occurrence>.<step>.<index>``.
+        failures: Numbers of the failed runs by ``<occurrence>.<step>.<index>``.
         checkpoints: Saved progress by ``<occurrence>.<step>.<index>``.
     """
 
     begun: bool
     succeeded: dict[str, str]
-    failures: dict[str, int]
+    failures: dict[str, tuple[int, ...]]
     checkpoints: dict[str, str]
 
 
