Serve jobs that can still end in time first, and rescue slow runs

Cause: in a turn of five times the mean all jobs waited alike and all ended late; tasks on hung, slow or cut-off workers were waited for.

Jobs that can end in time go first, those begun before others, the smaller first. Progress tells when a run will end; one that a fresh run would overtake is copied where copies are allowed, else restarted. Workers whose runs fail or stall rest for a while, a third of the pool at most. Durations are learned from the other tasks of a step.

--- a/libs/scheduling/burdockthread_scheduling/board.py
+++ b/libs/scheduling/burdockthread_scheduling/board.py
@@ -68,6 +68,7 @@
         spec: The step.
         open_tasks: Tasks that have not succeeded, by index.
         succeeded: Bits of the indices of the tasks that have.
+        durations_s: How long the runs took that succeeded.
     """
 
     def __init__(self, job: "JobRun", occurrence: int, number: int) -> None:
@@ -75,6 +76,7 @@
         self.number = number
         self.spec = job.spec.steps[number]
         self.succeeded = 0
+        self.durations_s: list[float] = []
         self.open_tasks = {
             index: TaskRun(
                 TaskId(job.spec.job_id, occurrence, number, index), job, self.spec
--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -255,12 +255,26 @@
             owner = self.owners.get(name)
             if owner is not None:
                 self.vacant_since_s.pop(name, None)
-                if owner[0].term == self.lease.term and self.lease.remaining_s() > 0:
-                    self.take(name, factory, owner[1])
+                await self.regain(name, factory, *owner)
                 continue
             since_s = self.vacant_since_s.setdefault(name, now)
             if now - since_s >= self.campaign_delay_s(name):
-                await self.campaign(name, factory)
+                await self.campaign(name, factory, 0)
+
+    async def regain(
+        self, name: str, factory: DutyFactory, owner: DutyRecord, revision: int
+    ) -> None:
+        """Takes a duty that is recorded for this entry, but not done by it.
+
+        A record of another term is of an earlier process of this entry, or of
+        an earlier lease; neither acts any more.
+        """
+        if owner.entry != self.entry or self.lease.remaining_s() <= 0:
+            return
+        if owner.term == self.lease.term:
+            self.take(name, factory, revision)
+        else:
+            await self.campaign(name, factory, revision)
 
     def reason_to_drop(self, name: str, wanted: Mapping[str, DutyFactory]) -> str:
         """Returns why a held duty is to be dropped, or an empty string."""
@@ -306,14 +320,14 @@
         load = sum(1 for record, _ in self.owners.values() if record.entry == entry)
         return float(share ** (1.0 / self.entries[entry].weight)) - load
 
-    async def campaign(self, name: str, factory: DutyFactory) -> None:
-        """Tries to take a vacant duty."""
+    async def campaign(self, name: str, factory: DutyFactory, revision: int) -> None:
+        """Tries to take a duty whose record has a revision, 0 if there is none."""
         lease = self.lease.lease
         if lease is None or self.lease.remaining_s() <= 0:
             return
         key = duty_key(name)
         record = DutyRecord(self.entry, self.lease.term)
-        change = Change(key, encode(record), 0, lease.lease_id)
+        change = Change(key, encode(record), revision, lease.lease_id)
         try:
             fence = await self.store.write([change])
         except (ConflictError, StoreError) as error:
--- a/libs/scheduling/burdockthread_scheduling/estimates.py
+++ b/libs/scheduling/burdockthread_scheduling/estimates.py
@@ -2,21 +2,25 @@
 
 import math
 from collections import deque
+from statistics import median
 
 from burdockthread_model.clock import Clock
 
-from burdockthread_scheduling.board import TaskRun
+from burdockthread_scheduling.board import StepRun, TaskRun
+from burdockthread_scheduling.specs import StepSpec
 from burdockthread_scheduling.worker_state import Placement, PlacementPhase
 
 LEARN_SHARE = 0.05
 DEFAULT_S = 1.0
-MIN_LEFT_S = 0.1
+MIN_LEFT_S = 0.05
+# Before that share of the work is done, a rate tells too little.
+MIN_PERCENT = 10
 # Work that arrived within this time tells the present rate.
 INFLOW_WINDOW_S = 1.0
 
 
 class DurationEstimates:
-    """Durations of tasks by queue.
+    """Durations of tasks: by the step's other tasks, else by the queue.
 
     Attributes:
         means_s: Mean duration by queue.
@@ -28,8 +32,17 @@
 
     def total_s(self, task: TaskRun) -> float:
         """Returns the expected duration of a task in seconds."""
-        told_s = task.step.estimated_ms / 1000
-        mean_s = self.means_s.get(task.job.spec.queue)
+        step = task.job.step_run(task.task.occurrence, task.task.step)
+        if step is not None:
+            seen_s = self.seen_s(step)
+            if seen_s:
+                return median(seen_s)
+        return self.told_s(task.step, task.job.spec.queue)
+
+    def told_s(self, step: StepSpec, queue: str) -> float:
+        """Returns the duration that the caller told, corrected by the queue's."""
+        told_s = step.estimated_ms / 1000
+        mean_s = self.means_s.get(queue)
         if told_s <= 0:
             return mean_s or DEFAULT_S
         if mean_s is None:
@@ -37,17 +50,39 @@
         # What is told is as wrong as the mean is: the middle errs least.
         return math.sqrt(told_s * mean_s)
 
+    def seen_s(self, step: StepRun) -> list[float]:
+        """Returns the durations of a step's tasks that are known or in sight."""
+        found = list(step.durations_s)
+        for task in step.open_tasks.values():
+            for placement in task.placements:
+                if placement.percent < MIN_PERCENT or not placement.rate:
+                    continue
+                done_s = placement.progress_s - placement.ordered_s
+                found.append(done_s + (100 - placement.percent) / placement.rate)
+        return found
+
     def left_s(self, task: TaskRun) -> float:
         """Returns the seconds that a task probably still takes."""
+        now = self.clock.now()
+        known = [
+            left_s
+            for placement in task.placements
+            if (left_s := placement.left_s(now)) is not None
+        ]
+        if known:
+            return max(min(*known, self.total_s(task)), MIN_LEFT_S)
         total_s = self.total_s(task)
         for placement in task.placements:
             if placement.phase is PlacementPhase.CONFIRMED:
-                total_s -= self.clock.now() - placement.ordered_s
+                total_s -= now - placement.ordered_s
         return max(total_s, MIN_LEFT_S)
 
     def learn(self, task: TaskRun, placement: Placement) -> None:
         """Takes in how long a run took that succeeded."""
         took_s = self.clock.now() - placement.ordered_s
+        step = task.job.step_run(task.task.occurrence, task.task.step)
+        if step is not None:
+            step.durations_s.append(took_s)
         queue = task.job.spec.queue
         known_s = self.means_s.get(queue, took_s)
         self.means_s[queue] = known_s + LEARN_SHARE * (took_s - known_s)
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -24,6 +24,7 @@
 from burdockthread_scheduling.duties import DOUBT_LIMIT_S, Duty, Tenure
 from burdockthread_scheduling.estimates import DurationEstimates, Inflow
 from burdockthread_scheduling.job_index import JobIndex
+from burdockthread_scheduling.job_order import JobOrder
 from burdockthread_scheduling.placement import choose_worker
 from burdockthread_scheduling.pool_status import (
     PlannerAnswer,
@@ -40,12 +41,14 @@
     progress_prefix,
     work_prefix,
 )
+from burdockthread_scheduling.rescue import LaggardFinder
 from burdockthread_scheduling.sessions import (
     CALL_TIMEOUT_S,
     ReportListener,
     WorkerSession,
 )
 from burdockthread_scheduling.specs import FleetConfiguration, QueueSpec, TaskId
+from burdockthread_scheduling.worker_health import WorkerHealth
 from burdockthread_scheduling.worker_state import (
     CLOCK_RATE_BOUND,
     LAPSE_MARGIN_S,
@@ -188,6 +191,9 @@
         self.vacating_until_s: dict[str, float] = {}
         self.vacating_since_s: dict[str, float] = {}
         self.estimates = DurationEstimates(self.clock)
+        self.order = JobOrder(self.estimates, self.clock)
+        self.laggards = LaggardFinder(self.estimates, self.clock)
+        self.health = WorkerHealth(self.clock, self.metrics, self.log)
         self.inflow = Inflow()
         self.turn_ages_s: dict[str, float] = {}
         self.turn_ages_read_s = 0.0
@@ -511,7 +517,12 @@
         if placement is None:
             placement = self.adopt(worker, run)
         placement.confirm(now)
-        placement.percent = run.percent
+        if placement.task is not None and placement.task.step.lasting:
+            placement.percent = run.percent
+            if run.percent >= AT_WORK_PERCENT:
+                self.health.succeed(worker)
+        else:
+            placement.advance(run.percent, now)
         placement.measure = run.measure
         if placement.task is not None and run.checkpoint:
             placement.task.checkpoint = run.checkpoint
@@ -561,6 +572,7 @@
             return
         task.waiting_since_s = self.clock.now()
         if end.kind is EndKind.SUCCEEDED:
+            self.health.succeed(worker)
             if placement is not None:
                 self.estimates.learn(task, placement)
             self.succeed(job, end.task)
@@ -579,6 +591,7 @@
     def fail(self, job: JobRun, task: TaskRun, worker: WorkerState, run: int) -> None:
         """Notes that a run has failed."""
         task.failed_on.add(worker.worker_id)
+        self.health.fail(worker, task, len(self.workers))
         if task.step.lasting:
             return
         task.failures.add(run)
@@ -713,7 +726,7 @@
         if missing >= max(task.step.max_unavailable, 1) and not leaving:
             return
         ready = [w for w in self.workers.values() if self.is_ready(w)]
-        if choose_worker(task, ready) is None:
+        if choose_worker(task, ready, self.health) is None:
             return
         self.stop(placement, "worker is to be emptied")
 
@@ -731,13 +744,45 @@
         ready = [worker for worker in self.workers.values() if self.is_ready(worker)]
         if not ready:
             return
-        for job in sorted(self.board.jobs.values(), key=rank_of_job):
-            if job.end is not None:
-                continue
-            if job.adopted and self.unreached:
+        for job in self.jobs_in_order(wall_ms):
+            self.place_job(job, ready)
+        self.rescue(ready)
+
+    def jobs_in_order(self, wall_ms: float) -> list[JobRun]:
+        """Returns the jobs whose tasks may start, the first to be served first."""
+        jobs = []
+        for job in self.board.jobs.values():
+            if job.end is not None or (job.adopted and self.unreached):
                 continue
             job.open_due(wall_ms)
-            self.place_job(job, ready)
+            if any(not task.placements for task in job.open_tasks()):
+                jobs.append(job)
+        return sorted(jobs, key=lambda job: self.order.rank(job, wall_ms))
+
+    def rescue(self, ready: list[WorkerState]) -> None:
+        """Copies or restarts runs that a fresh one would overtake."""
+        for found in tuple(self.laggards.find(self.board.jobs.values())):
+            slow = found.placement.worker
+            others = [worker for worker in ready if worker is not slow]
+            worker = choose_worker(found.task, others, self.health)
+            if worker is None:
+                continue
+            self.health.stall(slow, found.task, len(self.workers))
+            self.metrics.count("runs.rescued")
+            self.log.info(
+                "run_overtaken",
+                task=found.task.task,
+                run=found.placement.run,
+                worker=slow.worker_id,
+                percent=found.placement.percent,
+                left_s=round(min(found.left_s, 1e6), 3),
+                fresh_s=round(found.fresh_s, 3),
+                copied=found.task.step.duplicates_allowed,
+            )
+            if found.task.step.duplicates_allowed:
+                self.start(found.task, worker)
+            elif not slow.failed_calls:
+                self.stop(found.placement, "too slow")
 
     def is_reachable(self, worker: WorkerState) -> bool:
         """Returns whether a worker may get tasks, unless it is full or vacating."""
@@ -754,6 +799,7 @@
         """Returns whether a worker takes orders now."""
         return (
             self.is_reachable(worker)
+            and not self.health.is_rested(worker)
             and worker.worker_id not in self.vacating_until_s
             and self.clock.now() >= worker.full_until_s
         )
@@ -798,7 +844,7 @@
             for task in step.open_tasks.values():
                 if task.placements:
                     continue
-                worker = choose_worker(task, ready)
+                worker = choose_worker(task, ready, self.health)
                 if worker is None:
                     continue
                 self.start(task, worker)
@@ -965,8 +1011,3 @@
         and placement.percent >= AT_WORK_PERCENT
         for placement in task.placements
     )
-
-
-def rank_of_job(job: JobRun) -> tuple[int, int]:
-    """Returns the order in which jobs are served; the lowest goes first."""
-    return job.queue.priority, job.spec.accepted_ms
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/worker_health.py
@@ -0,0 +1,79 @@
+"""Tells workers that fail or stall what they start from tasks that do."""
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.events import EventLog
+from burdockthread_model.metrics import Metrics
+
+from burdockthread_scheduling.board import TaskRun
+from burdockthread_scheduling.worker_state import WorkerState
+
+# Failures in a row, of different jobs, after which a worker gets no tasks.
+MAX_STRIKES = 2
+REST_S = 4.0
+MAX_RESTED_SHARE = 0.34
+
+
+class WorkerHealth:
+    """Judges the workers of a pool by the outcomes of their runs.
+
+    Attributes:
+        struck_by: Jobs whose runs failed on a worker, and tasks that stalled
+            there, since its last success.
+        rested_until_s: Clock time until which a worker gets no tasks.
+    """
+
+    def __init__(self, clock: Clock, metrics: Metrics, log: EventLog) -> None:
+        self.clock = clock
+        self.metrics = metrics
+        self.log = log
+        self.struck_by: dict[str, set[str]] = {}
+        self.rested_until_s: dict[str, float] = {}
+
+    def succeed(self, worker: WorkerState) -> None:
+        """Notes that a run has ended well on a worker, or works there."""
+        if self.struck_by.pop(worker.worker_id, None) is not None:
+            self.rested_until_s.pop(worker.worker_id, None)
+
+    def fail(self, worker: WorkerState, task: TaskRun, workers: int) -> None:
+        """Notes that a run has failed on a worker.
+
+        Args:
+            worker: The worker.
+            task: Its task; one that has also failed elsewhere says nothing.
+            workers: Number of workers of the pool.
+        """
+        if task.failed_on - {worker.worker_id}:
+            return
+        jobs = self.struck_by.setdefault(worker.worker_id, set())
+        jobs.add(task.task.job_id)
+        if len(jobs) >= MAX_STRIKES:
+            self.rest(worker, workers, f"runs of {len(jobs)} jobs failed")
+
+    def stall(self, worker: WorkerState, task: TaskRun, workers: int) -> None:
+        """Notes that a run makes no progress on a worker, or far too little."""
+        jobs = self.struck_by.setdefault(worker.worker_id, set())
+        jobs.add(str(task.task))
+        if len(jobs) >= MAX_STRIKES:
+            self.rest(worker, workers, f"{len(jobs)} runs stalled")
+
+    def rest(self, worker: WorkerState, workers: int, reason: str) -> None:
+        """Gives a worker no tasks for a while, unless too many rest already."""
+        now = self.clock.now()
+        resting = {w for w, until_s in self.rested_until_s.items() if until_s > now}
+        if worker.worker_id in resting:
+            return
+        if len(resting) + 1 > max(workers * MAX_RESTED_SHARE, 1):
+            return
+        self.rested_until_s[worker.worker_id] = now + REST_S
+        self.metrics.count("workers.rested")
+        self.log.warning(
+            "worker_rested", worker=worker.worker_id, reason=reason, seconds=REST_S
+        )
+
+    def is_rested(self, worker: WorkerState) -> bool:
+        """Returns whether a worker gets no tasks now."""
+        return self.rested_until_s.get(worker.worker_id, 0.0) > self.clock.now()
+
+    def is_suspect(self, worker: WorkerState) -> bool:
+        """Returns whether the last run on a worker has failed."""
+        return worker.worker_id in self.struck_by
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -14,6 +14,8 @@
 # A worker's clock may be slow by two per cent.
 CLOCK_RATE_BOUND = 1.0205
 LAPSE_MARGIN_S = 0.1
+# Shorter intervals tell too little, since progress comes in whole percents.
+RATE_WINDOW_S = 0.2
 
 
 class PlacementPhase(Enum):
@@ -39,6 +41,8 @@
         certain_s: Clock time since which the worker surely knows of the order
             in `phase`, or infinity.
         percent: Share of the work done, or at which it works.
+        rate: Percent a second lately, or None before two reports.
+        progress_s: Clock time at which `percent` was reported.
         measure: Last measure reported.
     """
 
@@ -48,6 +52,8 @@
         "ordered_s",
         "percent",
         "phase",
+        "progress_s",
+        "rate",
         "run",
         "size",
         "task",
@@ -73,6 +79,8 @@
         self.ordered_s = ordered_s
         self.certain_s = float("inf")
         self.percent = 0
+        self.rate: float | None = None
+        self.progress_s = ordered_s
         self.measure = 0.0
 
     def confirm(self, now: float) -> None:
@@ -81,6 +89,23 @@
             self.phase = PlacementPhase.CONFIRMED
         self.certain_s = min(self.certain_s, now)
 
+    def advance(self, percent: int, now: float) -> None:
+        """Takes in how far the run has come."""
+        passed_s = now - self.progress_s
+        if passed_s < RATE_WINDOW_S:
+            return
+        self.rate = max(percent - self.percent, 0) / passed_s
+        self.percent = percent
+        self.progress_s = now
+
+    def left_s(self, now: float) -> float | None:
+        """Returns the seconds that it will still take, or None if unknown."""
+        if self.rate is None:
+            return None
+        if self.rate <= 0:
+            return float("inf")
+        return max((100 - self.percent) / self.rate - (now - self.progress_s), 0.0)
+
 
 class WorkerState:
     """One life of a worker.
