--- a/libs/platform/burdockthread_platform/registrations.py
+++ b/libs/platform/burdockthread_platform/registrations.py
@@ -5,7 +5,7 @@
 from types import MappingProxyType
 
 from burdockthread_model.events import EventLog
-from burdockthread_scheduling.pool_scheduler import WorkerRoster
+from burdockthread_scheduling.roster import WorkerRoster
 from burdockthread_scheduling.workers import Capacity, WorkerKey, WorkerListing
 from burdockthread_store.prefix_cache import PrefixCache
 from burdockthread_store.store import KeyValue
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/memory_workers.py
@@ -0,0 +1,475 @@
+"""Workers held in memory, with switches for their troubles, for tests and stand-ins."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from burdockthread_model.clock import Clock
+
+from burdockthread_scheduling.roster import WorkerRoster
+from burdockthread_scheduling.specs import TaskId
+from burdockthread_scheduling.workers import (
+    Capacity,
+    EndKind,
+    EndReport,
+    HoldOrder,
+    HoldReport,
+    OrderAnswer,
+    Refusal,
+    RunReport,
+    StartOrder,
+    WorkerFencedError,
+    WorkerGateway,
+    WorkerKey,
+    WorkerListing,
+    WorkerRefusedError,
+    WorkerReplacedError,
+    WorkerSilentError,
+)
+
+MAX_LEASE_MS = 6_000
+MAX_LISTED = 500
+STOP_S = 0.2
+FAIL_AFTER_S = 0.1
+POLL_S = 0.02
+DEFAULT_TASK_S = 1.0
+DEFAULT_CAPACITY = Capacity(16_000, 65_536)
+
+
+class TaskNature(NamedTuple):
+    """How a task behaves on a sound worker.
+
+    Attributes:
+        duration_s: Seconds of work; infinity for a task that lasts.
+        size: What it takes up.
+        fails: Whether each run of it fails.
+        checkpointing: Whether it saves its progress each second.
+    """
+
+    duration_s: float = DEFAULT_TASK_S
+    size: Capacity = Capacity(1_000, 256)
+    fails: bool = False
+    checkpointing: bool = False
+
+
+class RunRecord(NamedTuple):
+    """One run as it really was.
+
+    Attributes:
+        task: The task.
+        run: Number of the run.
+        worker: Where it ran.
+        started_s: Clock time of its start.
+        ended_s: Clock time of its end, or infinity.
+        kind: How it ended, or None.
+    """
+
+    task: TaskId
+    run: int
+    worker: WorkerKey
+    started_s: float
+    ended_s: float
+    kind: EndKind | None
+
+
+class MemoryRun:
+    """A run on a memory worker."""
+
+    def __init__(self, order: StartOrder, nature: TaskNature, now: float) -> None:
+        self.order = order
+        self.nature = nature
+        self.started_s = now
+        self.done_s = saved_s(order.checkpoint) if nature.checkpointing else 0.0
+        self.touched_s = now
+        self.stop_s = float("inf")
+        self.fails_s = now + FAIL_AFTER_S
+        self.percent_allowed = 100
+
+    def work(self, now: float, speed: float) -> None:
+        """Takes in the time that has passed, at a speed."""
+        passed_s = max(now - self.touched_s, 0.0)
+        self.done_s += passed_s * speed * self.percent_allowed / 100
+        self.touched_s = now
+
+    def percent(self) -> int:
+        """Returns the share of the work that is done; a lasting task is at work."""
+        if self.nature.duration_s == float("inf"):
+            return self.percent_allowed
+        return min(int(self.done_s / self.nature.duration_s * 100), 100)
+
+    def checkpoint(self) -> str:
+        """Returns the saved progress, or an empty text."""
+        if not self.nature.checkpointing or self.done_s < 1:
+            return ""
+        return f"{int(self.done_s)}"
+
+
+def saved_s(checkpoint: str) -> float:
+    """Returns the seconds of work that a checkpoint holds."""
+    return float(checkpoint) if checkpoint else 0.0
+
+
+class MemoryWorker:
+    """One life of a worker.
+
+    Attributes:
+        listing: Its registration.
+        silent: Whether it answers nothing but works on.
+        refusing: Whether it refuses connections but works on.
+        speed: Work done in a second.
+        failing: Whether each run that it starts fails at once.
+        lost_answers: Orders that take effect without an answer.
+        late_orders_s: Delay of the next orders, which get no answer.
+    """
+
+    def __init__(self, listing: WorkerListing, park: "MemoryWorkers") -> None:
+        self.listing = listing
+        self.park = park
+        self.born_s = park.clock.now()
+        self.runs: dict[tuple[TaskId, int], MemoryRun] = {}
+        self.ended: list[EndReport] = []
+        self.end_count = 0
+        self.fence = 0
+        self.lease_until_ms = 0
+        self.closed_runs: dict[TaskId, int] = {}
+        self.silent = False
+        self.refusing = False
+        self.failing = False
+        self.speed = 1.0
+        self.lost_answers = 0
+        self.late_orders_s: list[float] = []
+        self.alive = True
+
+    def clock_ms(self) -> int:
+        """Returns the worker's clock."""
+        return int((self.park.clock.now() - self.born_s) * 1000) + 1
+
+    def free(self) -> Capacity:
+        """Returns the room that is left."""
+        used = [run.nature.size for run in self.runs.values()]
+        capacity = self.listing.capacity
+        return Capacity(
+            capacity.cpu_milli - sum(size.cpu_milli for size in used),
+            capacity.memory_mb - sum(size.memory_mb for size in used),
+            capacity.accelerators - sum(size.accelerators for size in used),
+        )
+
+    def advance(self) -> None:
+        """Ends the runs whose time has come."""
+        now = self.park.clock.now()
+        for run in tuple(self.runs.values()):
+            run.work(now, self.speed)
+            if self.clock_ms() >= self.lease_until_ms:
+                self.end(run, EndKind.LEASE_LAPSED)
+            elif now >= run.stop_s:
+                self.end(run, EndKind.STOPPED)
+            elif (self.failing or run.nature.fails) and now > run.fails_s:
+                self.end(run, EndKind.FAILED)
+            elif run.done_s >= run.nature.duration_s:
+                self.end(run, EndKind.SUCCEEDED)
+
+    def end(self, run: MemoryRun, kind: EndKind) -> None:
+        """Lists a run as ended."""
+        order = run.order
+        del self.runs[order.task, order.run]
+        self.close_run(order.task, order.run)
+        self.end_count += 1
+        self.ended.append(
+            EndReport(self.end_count, order.task, order.run, kind, run.checkpoint())
+        )
+        self.park.note_end(self, run, kind)
+
+    def close_run(self, task: TaskId, run: int) -> None:
+        """Makes sure that no run up to a number starts here any more."""
+        self.closed_runs[task] = max(self.closed_runs.get(task, 0), run)
+
+    def extend(self, until_ms: int) -> None:
+        """Prolongs the lease."""
+        bound = min(until_ms, self.clock_ms() + MAX_LEASE_MS)
+        self.lease_until_ms = max(self.lease_until_ms, bound)
+
+    def start(self, order: StartOrder) -> Refusal | None:
+        """Carries out an order to start a run."""
+        self.park.running()
+        if order.fence < self.fence:
+            return Refusal.FENCED
+        self.fence = order.fence
+        if (order.task, order.run) in self.runs:
+            self.extend(order.lease_until_ms)
+            return None
+        if order.lease_until_ms <= self.clock_ms():
+            return Refusal.TOO_LATE
+        self.extend(order.lease_until_ms)
+        if order.run <= self.closed_runs.get(order.task, 0):
+            return Refusal.STALE_RUN
+        nature = self.park.nature(order.task)
+        free = self.free()
+        if any(need > left for need, left in zip(nature.size, free, strict=True)):
+            return Refusal.NO_ROOM
+        run = MemoryRun(order, nature, self.park.clock.now())
+        self.runs[order.task, order.run] = run
+        self.park.note_start(self, run)
+        return None
+
+    def stop(self, task: TaskId, run: int, fence: int) -> Refusal | None:
+        """Carries out an order to stop a run."""
+        self.advance()
+        if fence < self.fence:
+            return Refusal.FENCED
+        self.fence = fence
+        self.close_run(task, run)
+        found = self.runs.get((task, run))
+        if found is not None:
+            found.stop_s = min(found.stop_s, self.park.clock.now() + STOP_S)
+        return None
+
+    def report(self) -> HoldReport:
+        """Returns the lists."""
+        self.advance()
+        running = tuple(
+            RunReport(task, number, run.checkpoint(), run.percent())
+            for (task, number), run in self.runs.items()
+        )
+        return HoldReport(
+            self.clock_ms(),
+            self.listing.key.born_ms,
+            running,
+            tuple(self.ended[:MAX_LISTED]),
+        )
+
+    def settle(self, number: int) -> None:
+        """Forgets the ends up to a number."""
+        for end in self.ended:
+            if end.number <= number and end.kind is EndKind.SUCCEEDED:
+                self.park.settled.add(end.task)
+        self.ended = [end for end in self.ended if end.number > number]
+
+
+class MemoryWorkers(WorkerGateway, WorkerRoster):
+    """All workers, the orders to them and the truth about their runs.
+
+    Attributes:
+        by_key: Workers that live.
+        records: Every run that was started.
+        settled: Tasks whose success a worker was told to forget.
+        violations: Broken promises, as texts.
+    """
+
+    def __init__(
+        self, clock: Clock, nature: Callable[[TaskId], TaskNature] | None = None
+    ) -> None:
+        self.clock = clock
+        self.nature = nature or (lambda _: TaskNature())
+        self.by_key: dict[WorkerKey, MemoryWorker] = {}
+        self.records: list[RunRecord] = []
+        self.settled: set[TaskId] = set()
+        self.violations: list[str] = []
+        self.event = asyncio.Event()
+        self.late: set[asyncio.Task[None]] = set()
+        self.starts = 0
+
+    def add(
+        self,
+        worker_id: str,
+        pool: str,
+        capacity: Capacity = DEFAULT_CAPACITY,
+        labels: tuple[str, ...] = (),
+        born_ms: int = 1,
+    ) -> MemoryWorker:
+        """Adds a worker; one with the same id has ended."""
+        key = WorkerKey(worker_id, born_ms)
+        listing = WorkerListing(key, pool, "127.0.0.1", 1, "zone-a", labels, capacity)
+        for other in tuple(self.by_key):
+            if other.worker_id == worker_id:
+                self.remove(other)
+        worker = MemoryWorker(listing, self)
+        self.by_key[key] = worker
+        self.event.set()
+        return worker
+
+    def remove(self, key: WorkerKey) -> None:
+        """Ends a worker with all that runs on it."""
+        worker = self.by_key.pop(key)
+        worker.alive = False
+        worker.advance()
+        now = self.clock.now()
+        for run in worker.runs.values():
+            self.replace_record(worker, run, now, None)
+        worker.runs.clear()
+        self.event.set()
+
+    def workers(self, pool: str) -> Mapping[WorkerKey, WorkerListing]:
+        """Returns the registered workers of a pool."""
+        return {
+            key: worker.listing
+            for key, worker in self.by_key.items()
+            if worker.listing.pool == pool
+        }
+
+    def changed(self) -> asyncio.Event:
+        """Returns an event that is set when the workers have changed."""
+        return self.event
+
+    # The truth
+
+    def note_start(self, worker: MemoryWorker, run: MemoryRun) -> None:
+        """Records a start, and whether it broke a promise."""
+        task, number = run.order.task, run.order.run
+        self.starts += 1
+        for record in self.records:
+            if record.task != task:
+                continue
+            if record.ended_s == float("inf"):
+                self.violations.append(f"{task} runs twice")
+            if record.kind is EndKind.SUCCEEDED and task in self.settled:
+                self.violations.append(f"{task} starts after its success")
+        self.records.append(
+            RunRecord(
+                task,
+                number,
+                worker.listing.key,
+                run.started_s,
+                float("inf"),
+                None,
+            )
+        )
+
+    def note_end(self, worker: MemoryWorker, run: MemoryRun, kind: EndKind) -> None:
+        """Records an end."""
+        self.replace_record(worker, run, self.clock.now(), kind)
+
+    def replace_record(
+        self, worker: MemoryWorker, run: MemoryRun, now: float, kind: EndKind | None
+    ) -> None:
+        """Completes the record of a run."""
+        for position, record in enumerate(self.records):
+            if (record.task, record.run, record.worker) == (
+                run.order.task,
+                run.order.run,
+                worker.listing.key,
+            ):
+                self.records[position] = record._replace(ended_s=now, kind=kind)
+
+    def running(self) -> list[TaskId]:
+        """Returns the tasks that run now."""
+        for worker in self.by_key.values():
+            worker.advance()
+        return [task for worker in self.by_key.values() for task, _ in worker.runs]
+
+    # Orders
+
+    def reach(self, worker: WorkerListing) -> MemoryWorker:
+        """Returns the worker that a call reaches."""
+        found = self.by_key.get(worker.key)
+        if found is None:
+            replaced = any(key.worker_id == worker.key.worker_id for key in self.by_key)
+            if replaced:
+                raise WorkerReplacedError(f"{worker.key.worker_id} is another now")
+            raise WorkerRefusedError(f"{worker.key.worker_id} has ended")
+        if found.refusing:
+            raise WorkerRefusedError(f"{worker.key.worker_id} refuses")
+        return found
+
+    async def answer(
+        self,
+        worker: WorkerListing,
+        timeout_s: float,
+        carry_out: Callable[[MemoryWorker], Refusal | None],
+    ) -> OrderAnswer:
+        """Carries an order out and answers it, unless a switch says otherwise."""
+        found = self.reach(worker)
+        if found.silent:
+            await self.clock.sleep(timeout_s)
+            raise WorkerSilentError(f"{worker.key.worker_id} is silent")
+        if found.late_orders_s:
+            delay_s = found.late_orders_s.pop(0)
+            task = asyncio.create_task(self.carry_out_late(found, delay_s, carry_out))
+            self.late.add(task)
+            task.add_done_callback(self.late.discard)
+            await self.clock.sleep(timeout_s)
+            raise WorkerSilentError("the order waits")
+        refusal = carry_out(found)
+        if found.lost_answers:
+            found.lost_answers -= 1
+            await self.clock.sleep(timeout_s)
+            raise WorkerSilentError("the answer was lost")
+        return OrderAnswer(refusal, found.clock_ms())
+
+    async def carry_out_late(
+        self,
+        worker: MemoryWorker,
+        delay_s: float,
+        carry_out: Callable[[MemoryWorker], Refusal | None],
+    ) -> None:
+        """Carries an order out after a delay, if the worker still lives."""
+        await self.clock.sleep(delay_s)
+        if worker.alive:
+            carry_out(worker)
+
+    async def start(
+        self, worker: WorkerListing, order: StartOrder, timeout_s: float
+    ) -> OrderAnswer:
+        """Starts a run."""
+        return await self.answer(worker, timeout_s, lambda found: found.start(order))
+
+    async def stop(
+        self,
+        worker: WorkerListing,
+        task: TaskId,
+        run: int,
+        fence: int,
+        timeout_s: float,
+    ) -> OrderAnswer:
+        """Stops a run."""
+        return await self.answer(
+            worker, timeout_s, lambda found: found.stop(task, run, fence)
+        )
+
+    async def pace(
+        self,
+        worker: WorkerListing,
+        task: TaskId,
+        run: int,
+        percent: int,
+        fence: int,
+        timeout_s: float,
+    ) -> OrderAnswer:
+        """Sets the share at which a task may work."""
+
+        def carry_out(found: MemoryWorker) -> Refusal | None:
+            found.advance()
+            if fence < found.fence:
+                return Refusal.FENCED
+            placed = found.runs.get((task, run))
+            if placed is not None:
+                placed.percent_allowed = percent
+            return None
+
+        return await self.answer(worker, timeout_s, carry_out)
+
+    async def hold(
+        self, worker: WorkerListing, order: HoldOrder, timeout_s: float
+    ) -> HoldReport:
+        """Prolongs the lease and returns the lists."""
+        found = self.reach(worker)
+        if found.silent:
+            await self.clock.sleep(timeout_s)
+            raise WorkerSilentError(f"{worker.key.worker_id} is silent")
+        if order.fence < found.fence:
+            raise WorkerFencedError(f"{worker.key.worker_id} obeys a later holder")
+        found.fence = order.fence
+        found.advance()
+        if order.lease_until_ms:
+            found.extend(order.lease_until_ms)
+        found.settle(order.settled_end)
+        give_up_s = self.clock.now() + order.wait_ms / 1000
+        while not found.ended and self.clock.now() < give_up_s:
+            await self.clock.sleep(POLL_S)
+            if self.reach(worker).silent:
+                await self.clock.sleep(timeout_s)
+                raise WorkerSilentError(f"{worker.key.worker_id} is silent")
+            found.advance()
+        return found.report()
+
+    async def close(self) -> None:
+        """Does nothing."""
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -1,8 +1,7 @@
 """Runs the jobs of one pool on its workers, as the holder of the pool."""
 
 import asyncio
-from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -42,6 +41,7 @@
     work_prefix,
 )
 from burdockthread_scheduling.rescue import LaggardFinder
+from burdockthread_scheduling.roster import WorkerRoster
 from burdockthread_scheduling.sessions import (
     CALL_TIMEOUT_S,
     ReportListener,
@@ -67,7 +67,6 @@
     StartOrder,
     WorkerGateway,
     WorkerKey,
-    WorkerListing,
     WorkerRefusedError,
     WorkerReplacedError,
 )
@@ -93,18 +92,6 @@
 HAND_OVER_POLL_S = 0.01
 
 
-class WorkerRoster(ABC):
-    """The registered workers."""
-
-    @abstractmethod
-    def workers(self, pool: str) -> Mapping[WorkerKey, WorkerListing]:
-        """Returns the registered workers of a pool."""
-
-    @abstractmethod
-    def changed(self) -> asyncio.Event:
-        """Returns an event that is set when the workers have changed."""
-
-
 class AssignedWorkers(NamedTuple):
     """Workers on which runs of a pool may exist, kept at ``assigned/<pool>``.
 
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/roster.py
@@ -0,0 +1,19 @@
+"""The registered workers."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+
+from burdockthread_scheduling.workers import WorkerKey, WorkerListing
+
+
+class WorkerRoster(ABC):
+    """The registered workers."""
+
+    @abstractmethod
+    def workers(self, pool: str) -> Mapping[WorkerKey, WorkerListing]:
+        """Returns the registered workers of a pool."""
+
+    @abstractmethod
+    def changed(self) -> asyncio.Event:
+        """Returns an event that is set when the workers have changed."""
--- /dev/null
+++ b/libs/scheduling/tests/pool_site.py
@@ -0,0 +1,171 @@
+"""A pool with its store, workers and holders, for tests."""
+
+import asyncio
+
+from burdockthread_model.clock import MemoryClock
+from burdockthread_model.errors import PeerUnavailableError
+from burdockthread_model.events import EventLog
+from burdockthread_model.metrics import MemoryMetrics
+from burdockthread_scheduling.duties import Tenure
+from burdockthread_scheduling.intake import JobIntake
+from burdockthread_scheduling.job_index import JobIndex
+from burdockthread_scheduling.memory_workers import MemoryWorkers, TaskNature
+from burdockthread_scheduling.pool_scheduler import PoolParts, PoolScheduler
+from burdockthread_scheduling.pool_status import PlannerAnswer
+from burdockthread_scheduling.records import SHARED_PREFIX, duty_key
+from burdockthread_scheduling.specs import (
+    FleetConfiguration,
+    JobSpec,
+    PoolSpec,
+    QueueSpec,
+    StepSpec,
+)
+from burdockthread_store.faulty_store import FaultyStore
+from burdockthread_store.memory_store import MemoryStore
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.settled_store import SettledStore
+from burdockthread_store.store import ANY_REVISION, Change, Guard
+
+POOL = "pool-a"
+QUEUE = "queue-a"
+CONFIGURATION = FleetConfiguration(
+    version=1,
+    queues={
+        QUEUE: QueueSpec(
+            QUEUE,
+            "a.example",
+            "/a/",
+            POOL,
+            max_attempts=4,
+            stretch=1.6,
+            latency_target_ms=600,
+        )
+    },
+    pools={POOL: PoolSpec(POOL), "pool-off": PoolSpec("pool-off", spare=True)},
+)
+STEP_MS = 50
+
+
+def step(tasks=1, **fields):
+    """A step whose tasks take a core each for about a second."""
+    values = {"cpu_milli": 1_000, "memory_mb": 256, "estimated_ms": 1_000, **fields}
+    return StepSpec(tasks, **values)
+
+
+class PoolSite:
+    """One pool; each call of `holder` starts the holder of a later term."""
+
+    def __init__(self):
+        self.clock = MemoryClock()
+        self.memory = MemoryStore(self.clock)
+        self.faulty = FaultyStore(self.memory, self.clock)
+        self.metrics = MemoryMetrics()
+        self.log = EventLog("test")
+        self.natures = {}
+        self.park = MemoryWorkers(
+            self.clock, lambda task: self.natures.get(task.job_id, TaskNature())
+        )
+        self.vacate = ()
+        self.processes = {}
+        self.tasks = []
+        self.jobs = 0
+        store = self.store_of("entry-1")
+        self.cache = PrefixCache(store, SHARED_PREFIX, self.clock, 0.3)
+        self.index = JobIndex(self.cache, store, self.clock, self.log)
+        self.intake = JobIntake(store, self.index, self.clock, self.metrics, self.log)
+        self.tasks.append(asyncio.create_task(self.cache.run()))
+
+    def store_of(self, entry):
+        """The store as one entry uses it."""
+        return SettledStore(self.faulty, entry, self.clock, self.metrics)
+
+    async def holder(self, entry="entry-1", process="process-1"):
+        """Makes an entry the holder and starts its work."""
+        key = duty_key(f"pool:{POOL}")
+        change = Change(key, entry.encode(), ANY_REVISION)
+        fence = await self.memory.write([change])
+        tenure = Tenure(f"pool:{POOL}", fence, Guard(key, fence))
+        parts = PoolParts(
+            entry=entry,
+            address=entry,
+            process=process,
+            store=self.store_of(entry),
+            jobs=self.index,
+            roster=self.park,
+            gateway=self.park,
+            configuration=lambda: CONFIGURATION,
+            clock=self.clock,
+            metrics=self.metrics,
+            log=self.log,
+            report=self.report,
+            release=self.release,
+        )
+        scheduler = PoolScheduler(POOL, tenure, parts)
+        scheduler.work = asyncio.create_task(scheduler.run())
+        self.tasks.append(scheduler.work)
+        return scheduler
+
+    async def kill(self, scheduler):
+        """Ends a holder without a word."""
+        scheduler.work.cancel()
+        await asyncio.gather(scheduler.work, return_exceptions=True)
+
+    async def report(self, status):
+        """Answers as the planner of machines."""
+        self.status = status
+        return PlannerAnswer(self.vacate, {})
+
+    async def release(self, address, pool, fence):
+        """Answers as the entry that held the pool before."""
+        if address not in self.processes:
+            raise PeerUnavailableError(address)
+        return self.processes[address]
+
+    async def submit(self, *steps, queue=QUEUE, nature=None, **fields):
+        """Accepts a job and returns its id."""
+        self.jobs += 1
+        job_id = f"{self.jobs:016x}"
+        if nature is not None:
+            self.natures[job_id] = nature
+        job = JobSpec(
+            job_id,
+            queue,
+            "text",
+            tuple(steps or [step()]),
+            accepted_ms=int(self.clock.wall() * 1000),
+            **fields,
+        )
+        waiting = asyncio.create_task(self.intake.submit(job, POOL))
+        await self.pass_time(0.1)
+        await waiting
+        return job_id
+
+    async def pass_time(self, seconds):
+        """Lets time pass in small steps."""
+        left = seconds
+        while left > 0:
+            await self.clock.advance(min(left, STEP_MS / 1000))
+            left -= STEP_MS / 1000
+
+    async def until(self, condition, seconds=20.0):
+        """Lets time pass until a condition holds."""
+        for _ in range(int(seconds * 1000 / STEP_MS)):
+            if condition():
+                return
+            await self.pass_time(STEP_MS / 1000)
+        raise AssertionError("the condition did not come true in time")
+
+    def phase(self, job_id):
+        """The recorded phase of a job."""
+        known = self.index.jobs.get(job_id)
+        return None if known is None else known.record.phase
+
+    def runs(self, job_id):
+        """The runs of a job's tasks as they really were."""
+        return [r for r in self.park.records if r.task.job_id == job_id]
+
+    async def close(self):
+        """Ends everything."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
--- /dev/null
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -0,0 +1,218 @@
+"""The holder of a pool: starts, ends, lost workers and changes of the holder."""
+
+import pytest
+from burdockthread_scheduling.memory_workers import TaskNature
+from burdockthread_scheduling.records import JobPhase
+from burdockthread_scheduling.workers import Capacity, EndKind, WorkerKey
+from pool_site import POOL, step
+
+FOREVER = TaskNature(duration_s=float("inf"))
+
+
+@pytest.fixture
+async def holder(site):
+    site.park.add("w1", POOL)
+    site.park.add("w2", POOL)
+    found = await site.holder()
+    await site.pass_time(0.5)
+    return found
+
+
+async def test_job_runs_step_by_step_and_is_recorded_as_completed(site, holder):
+    job = await site.submit(step(3), step(2, after=(0,)))
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
+    runs = site.runs(job)
+    assert len(runs) == 5
+    first_end = max(r.ended_s for r in runs if r.task.step == 0)
+    assert all(r.started_s >= first_end for r in runs if r.task.step == 1)
+    await site.pass_time(1.0)
+    left = await site.memory.list(f"work/{POOL}/")
+    assert left.items == ()
+    assert (await site.memory.list(f"progress/{POOL}/")).items == ()
+
+
+async def test_task_larger_than_the_room_left_waits(site, holder):
+    size = Capacity(10_000, 256)
+    job = await site.submit(step(3, cpu_milli=10_000), nature=TaskNature(size=size))
+    await site.pass_time(0.5)
+    assert len(site.park.running()) == 2
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
+
+
+async def test_task_fails_the_job_after_its_attempts(site, holder):
+    job = await site.submit(step(2), nature=TaskNature(fails=True))
+    await site.until(lambda: site.phase(job) is JobPhase.FAILED)
+    by_task = [r.task for r in site.runs(job)]
+    assert max(by_task.count(task) for task in by_task) == 4
+
+
+async def test_lasting_task_is_started_again_however_it_ends(site, holder):
+    job = await site.submit(step(2, lasting=True), nature=FOREVER)
+    await site.until(lambda: len(site.park.running()) == 2)
+    key = site.runs(job)[0].worker
+    site.park.remove(key)
+    await site.until(lambda: len(site.park.running()) == 2)
+
+
+async def test_tasks_of_a_silent_worker_wait_for_its_lease(site, holder):
+    job = await site.submit(step(1), nature=FOREVER)
+    await site.until(lambda: len(site.park.running()) == 1)
+    key = site.runs(job)[0].worker
+    site.park.by_key[key].silent = True
+    silent_s = site.clock.now()
+    await site.until(lambda: len(site.runs(job)) == 2, seconds=8.0)
+    first, second = site.runs(job)
+    assert first.kind is EndKind.LEASE_LAPSED
+    assert second.started_s - silent_s < 5.0
+
+
+async def test_worker_that_starts_again_has_lost_its_runs(site, holder):
+    job = await site.submit(step(1), nature=FOREVER)
+    await site.until(lambda: len(site.park.running()) == 1)
+    key = site.runs(job)[0].worker
+    site.park.add(key.worker_id, POOL, born_ms=2)
+    await site.until(lambda: len(site.runs(job)) == 2, seconds=2.0)
+
+
+async def test_lost_answer_to_a_start_runs_nothing_twice(site, holder):
+    for worker in site.park.by_key.values():
+        worker.lost_answers = 1
+    job = await site.submit(step(4))
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
+
+
+async def test_order_carried_out_late_runs_nothing_twice(site, holder):
+    for worker in site.park.by_key.values():
+        worker.late_orders_s = [2.0, 1.0]
+    job = await site.submit(step(6))
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
+    await site.pass_time(4.0)
+
+
+async def test_cancelled_job_is_stopped_and_starts_nothing_more(site, holder):
+    job = await site.submit(step(40), nature=FOREVER)
+    await site.until(lambda: len(site.park.running()) == 32)
+    await site.intake.cancel(job)
+    started = len(site.runs(job))
+    await site.pass_time(1.0)
+    assert site.park.running() == []
+    assert len(site.runs(job)) == started
+    assert site.phase(job) is JobPhase.CANCELLED
+
+
+async def test_new_holder_takes_over_what_runs(site, holder):
+    job = await site.submit(step(3), nature=TaskNature(duration_s=3.0))
+    await site.until(lambda: len(site.park.running()) == 3)
+    await site.kill(holder)
+    await site.holder("entry-2", "process-2")
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
+    assert len(site.runs(job)) == 3
+
+
+async def test_end_listed_to_two_holders_counts_once(site, holder):
+    job = await site.submit(step(1), nature=TaskNature(fails=True))
+    for _ in range(400):
+        await site.clock.advance(0.005)
+        if site.metrics.counters["runs.failed"]:
+            break
+    for worker in site.park.by_key.values():
+        worker.silent = True
+    await site.pass_time(0.1)
+    await site.kill(holder)
+    for worker in site.park.by_key.values():
+        worker.silent = False
+    assert any(worker.ended for worker in site.park.by_key.values())
+    await site.holder("entry-2", "process-2")
+    await site.until(lambda: site.phase(job) is JobPhase.FAILED, seconds=30.0)
+    assert len(site.runs(job)) == 4
+
+
+async def test_old_holder_stops_when_a_worker_obeys_a_later_one(site, holder):
+    await site.submit(step(2), nature=FOREVER)
+    await site.until(lambda: len(site.park.running()) == 2)
+    await site.holder("entry-2", "process-2")
+    await site.until(lambda: holder.work.done(), seconds=5.0)
+
+
+async def test_new_holder_starts_nothing_that_an_unreached_worker_may_run(site, holder):
+    job = await site.submit(step(1), nature=FOREVER)
+    await site.until(lambda: len(site.park.running()) == 1)
+    key = site.runs(job)[0].worker
+    await site.kill(holder)
+    site.park.by_key[key].silent = True
+    await site.holder("entry-2", "process-2")
+    other = await site.submit(step(1))
+    await site.until(lambda: site.phase(other) is JobPhase.COMPLETED, seconds=3.0)
+    await site.until(lambda: len(site.runs(job)) == 2, seconds=15.0)
+
+
+async def test_unreached_worker_is_waited_for_less_once_the_holder_has_ended(
+    site, holder
+):
+    job = await site.submit(step(1), nature=FOREVER)
+    await site.until(lambda: len(site.park.running()) == 1)
+    key = site.runs(job)[0].worker
+    await site.kill(holder)
+    site.park.by_key[key].silent = True
+    site.processes["entry-1"] = "process-1-restarted"
+    await site.holder("entry-2", "process-2")
+    await site.until(lambda: len(site.runs(job)) == 2, seconds=5.0)
+
+
+async def test_workers_that_left_long_ago_hold_no_takeover_up(site, holder):
+    site.park.add("w3", POOL)
+    await site.pass_time(1.0)
+    site.park.remove(WorkerKey("w3", 1))
+    await site.pass_time(2.0)
+    job = await site.submit(step(40))
+    await site.kill(holder)
+    successor = await site.holder("entry-2", "process-2")
+    await site.pass_time(0.5)
+    assert successor.unreached == {}
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
+
+
+async def test_planned_hand_over_leaves_no_doubt(site, holder):
+    job = await site.submit(step(3), nature=TaskNature(duration_s=4.0))
+    await site.until(lambda: len(site.park.running()) == 3)
+    await site.pass_time(0.2)
+    await holder.hand_over()
+    await site.kill(holder)
+    await site.holder("entry-2", "process-2")
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
+    assert len(site.runs(job)) == 3
+
+
+async def test_worker_that_is_to_be_emptied_gives_up_lasting_tasks_one_by_one(
+    site, holder
+):
+    job = await site.submit(step(4, lasting=True, max_unavailable=1), nature=FOREVER)
+    await site.until(lambda: len(site.park.running()) == 4)
+    key = site.runs(job)[0].worker
+    site.vacate = (key.worker_id,)
+    fewest = 4
+    for _ in range(100):
+        await site.pass_time(0.05)
+        fewest = min(fewest, len(site.park.running()))
+    assert fewest >= 3
+    assert not site.park.by_key[key].runs
+    assert len(site.park.running()) == 4
+
+
+async def test_failing_worker_gets_no_more_tasks_for_a_while(site, holder):
+    site.park.by_key[WorkerKey("w1", 1)].failing = True
+    jobs = [await site.submit(step(2)) for _ in range(10)]
+    for job in jobs:
+        await site.until(lambda job=job: site.phase(job) is JobPhase.COMPLETED)
+    failed = [r for r in site.park.records if r.kind is EndKind.FAILED]
+    assert len(failed) <= 12
+
+
+async def test_hung_run_is_started_elsewhere(site, holder):
+    job = await site.submit(step(6))
+    await site.until(lambda: len(site.park.running()) == 6)
+    slow = site.park.by_key[site.runs(job)[0].worker]
+    slow.speed = 0.0
+    slow_runs = len(slow.runs)
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=8.0)
+    assert len(site.runs(job)) >= 6 + (slow_runs > 0)
