Read the configuration again before use when the store has not confirmed it

An entry whose copy is older than 1.2 s reads it before it answers; a store that does not answer costs one wait of 0.3 s, shared by all requests.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -20,7 +20,7 @@
 from burdockthread_model.stdout_log import StdoutLog
 from burdockthread_platform.configuration import (
     OPERATOR_PREFIX,
-    FollowedConfiguration,
+    ConfigurationReader,
 )
 from burdockthread_platform.jobs_http import (
     JobsPort,
@@ -41,6 +41,7 @@
 )
 from burdockthread_platform.waves import FollowedWaves
 from burdockthread_platform.worker_http import HttpWorkerGateway
+from burdockthread_scheduling.configuration_view import ConfigurationView
 from burdockthread_scheduling.desk import JobDesk
 from burdockthread_scheduling.duties import Duties, DutyFactory, Tenure
 from burdockthread_scheduling.entry_link import HttpEntryLink
@@ -110,8 +111,11 @@
         self.shared = self.followed(SHARED_PREFIX)
         self.operator = self.followed(OPERATOR_PREFIX)
         self.registrations = self.followed(REGISTRATION_PREFIX)
-        self.configuration = FollowedConfiguration(self.log)
-        self.operator.listeners.append(self.configuration.on_change)
+        self.configuration = ConfigurationView(
+            self.operator, self.clock, self.metrics, self.log
+        )
+        reader = ConfigurationReader(self.configuration, self.log)
+        self.operator.listeners.append(reader.on_change)
         self.waves = FollowedWaves(self.store, self.log)
         self.operator.listeners.append(self.waves.on_change)
         self.roster = RegisteredWorkers(self.registrations, self.log)
@@ -120,7 +124,7 @@
             self.store, self.index, self.clock, self.metrics, self.log
         )
         self.desk = JobDesk(
-            lambda: self.configuration.current,
+            self.configuration,
             self.index,
             self.intake,
             self.clock,
--- a/libs/platform/burdockthread_platform/configuration.py
+++ b/libs/platform/burdockthread_platform/configuration.py
@@ -1,6 +1,7 @@
 """The operators' configuration as it lies in the platform's store."""
 
 from burdockthread_model.events import EventLog
+from burdockthread_scheduling.configuration_view import ConfigurationView
 from burdockthread_scheduling.specs import (
     FleetConfiguration,
     PlacementPolicyTimes,
@@ -16,39 +17,21 @@
 OPERATOR_PREFIX = "op/"
 
 
-class FollowedConfiguration:
-    """The newest configuration seen; it never goes back.
+class ConfigurationReader:
+    """Decodes the configuration for the view of it."""
 
-    Attributes:
-        current: The configuration, or None before the first.
-    """
-
-    def __init__(self, log: EventLog) -> None:
+    def __init__(self, view: ConfigurationView, log: EventLog) -> None:
+        self.view = view
         self.log = log
-        self.current: FleetConfiguration | None = None
 
     def on_change(self, key: str, item: KeyValue | None) -> None:
-        """Takes in a version unless it is older than the one known."""
+        """Takes in a version; an unreadable one changes nothing."""
         if key != CONFIGURATION_KEY or item is None:
             return
         try:
-            found = parse_configuration(item.value)
+            self.view.apply(parse_configuration(item.value), item.revision)
         except wire.WireError as error:
             self.log.error("configuration_unreadable", reason=error)
-            return
-        known = -1 if self.current is None else self.current.version
-        if found.version <= known:
-            self.log.info("configuration_old", version=found.version, known=known)
-            return
-        self.current = found
-        self.log.info(
-            "configuration_applied",
-            version=found.version,
-            before=known,
-            revision=item.revision,
-            queues=len(found.queues),
-            pools=len(found.pools),
-        )
 
 
 def parse_configuration(value: bytes) -> FleetConfiguration:
--- a/libs/platform/burdockthread_platform/jobs_http.py
+++ b/libs/platform/burdockthread_platform/jobs_http.py
@@ -60,7 +60,7 @@
     async def dispatch(self, request: web.BaseRequest) -> web.Response:
         """Passes a request on by method and path."""
         host = request.headers.get("Host", "").partition(":")[0]
-        queue = self.desk.queue(host, request.path)
+        queue = await self.desk.queue(host, request.path)
         job_id = request.path[len(queue.path) :]
         wait_s = wait_of(request)
         if request.method == "GET" and not job_id:
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/configuration_view.py
@@ -0,0 +1,100 @@
+"""The configuration in force at an entry; it only moves forward."""
+
+import asyncio
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.errors import StoreError
+from burdockthread_model.events import EventLog
+from burdockthread_model.metrics import Metrics
+from burdockthread_store.prefix_cache import PrefixCache
+
+from burdockthread_scheduling.specs import FleetConfiguration
+
+# A copy that the store has not confirmed for longer is read again before use;
+# the watch confirms it each second, and a version is to apply within two.
+MAX_AGE_S = 1.2
+REFRESH_TIMEOUT_S = 0.3
+REFRESH_PAUSE_S = 0.5
+
+
+class ConfigurationView:
+    """The newest configuration seen.
+
+    Attributes:
+        current: The configuration, or None before the first.
+        applied_s: Clock time at which it was applied.
+    """
+
+    def __init__(
+        self, cache: PrefixCache, clock: Clock, metrics: Metrics, log: EventLog
+    ) -> None:
+        self.cache = cache
+        self.clock = clock
+        self.metrics = metrics
+        self.log = log
+        self.current: FleetConfiguration | None = None
+        self.applied_s = float("-inf")
+        self.failed_s = float("-inf")
+        self.reading: asyncio.Task[None] | None = None
+
+    def apply(self, found: FleetConfiguration, revision: int) -> None:
+        """Takes in a version unless it is older than the one in force.
+
+        Args:
+            found: The version.
+            revision: Revision of the store that brought it.
+        """
+        known = -1 if self.current is None else self.current.version
+        if found.version < known:
+            self.log.info(
+                "configuration_old",
+                version=found.version,
+                known=known,
+                revision=revision,
+            )
+        if found.version <= known:
+            return
+        self.current = found
+        self.applied_s = self.clock.now()
+        self.log.info(
+            "configuration_applied",
+            version=found.version,
+            before=known,
+            revision=revision,
+            queues=len(found.queues),
+            pools=len(found.pools),
+        )
+
+    def age_s(self) -> float:
+        """Returns the seconds since the store last confirmed the copy."""
+        return self.clock.now() - self.cache.contact_s
+
+    async def fresh(self) -> FleetConfiguration | None:
+        """Returns the configuration, read again if it may be out of date.
+
+        A store that does not answer in time leaves the one in force.
+        """
+        if self.age_s() > MAX_AGE_S and self.may_read():
+            if self.reading is None:
+                self.reading = asyncio.create_task(self.read())
+            await asyncio.shield(self.reading)
+        return self.current
+
+    def may_read(self) -> bool:
+        """Returns whether a reading has not just failed."""
+        return self.clock.now() - self.failed_s > REFRESH_PAUSE_S
+
+    async def read(self) -> None:
+        """Reads the configuration once."""
+        age_s = self.age_s()
+        outcome = "read"
+        try:
+            async with self.clock.timeout(REFRESH_TIMEOUT_S):
+                await self.cache.refresh()
+        except (StoreError, TimeoutError) as error:
+            outcome = type(error).__name__
+            self.failed_s = self.clock.now()
+        finally:
+            self.reading = None
+        self.metrics.count("configuration.readings")
+        self.log.info("configuration_read", age_s=round(age_s, 3), outcome=outcome)
--- a/libs/scheduling/burdockthread_scheduling/desk.py
+++ b/libs/scheduling/burdockthread_scheduling/desk.py
@@ -1,7 +1,6 @@
 """Answers callers who submit, look at and cancel jobs."""
 
 import asyncio
-from collections.abc import Callable
 
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import (
@@ -14,9 +13,10 @@
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.verdict import Verdict
 
+from burdockthread_scheduling.configuration_view import ConfigurationView
 from burdockthread_scheduling.intake import JobIntake
 from burdockthread_scheduling.job_index import JobIndex, ShownState
-from burdockthread_scheduling.specs import FleetConfiguration, JobSpec, QueueSpec
+from burdockthread_scheduling.specs import JobSpec, QueueSpec
 
 # An answer is sent this long before the caller gives up.
 ANSWER_MARGIN_S = 0.25
@@ -59,7 +59,7 @@
 
     def __init__(
         self,
-        configuration: Callable[[], FleetConfiguration | None],
+        configuration: ConfigurationView,
         index: JobIndex,
         intake: JobIntake,
         clock: Clock,
@@ -72,16 +72,15 @@
         self.clock = clock
         self.metrics = metrics
         self.log = log
-        self.busy = 0
 
-    def queue(self, host: str, path: str) -> QueueSpec:
+    async def queue(self, host: str, path: str) -> QueueSpec:
         """Returns the queue of a request.
 
         Raises:
             NotReadyError: There is no configuration yet.
             NoQueueError: No queue has the host and path.
         """
-        configuration = self.configuration()
+        configuration = await self.configuration.fresh()
         if configuration is None:
             raise NotReadyError("no configuration yet", retry_after_s=RETRY_AFTER_S)
         queue = configuration.queue_of(host, path)
--- /dev/null
+++ b/libs/scheduling/tests/test_configuration_view.py
@@ -0,0 +1,66 @@
+"""The configuration in force: never older, never long out of date."""
+
+import asyncio
+
+import pytest
+from burdockthread_model.metrics import MemoryMetrics
+from burdockthread_scheduling.configuration_view import MAX_AGE_S, ConfigurationView
+from burdockthread_scheduling.specs import FleetConfiguration
+from burdockthread_store.faulty_store import FaultyStore
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.store import ANY_REVISION, Change
+
+KEY = "op/config"
+
+
+def version(number):
+    return FleetConfiguration(number, {}, {})
+
+
+@pytest.fixture
+def faulty(store, clock):
+    return FaultyStore(store, clock)
+
+
+@pytest.fixture
+def view(faulty, clock, log):
+    cache = PrefixCache(faulty, "op/", clock, 0.3)
+    found = ConfigurationView(cache, clock, MemoryMetrics(), log)
+    cache.listeners.append(
+        lambda key, item: found.apply(version(int(item.value)), item.revision)
+    )
+    return found
+
+
+async def put(store, number):
+    await store.write([Change(KEY, str(number).encode(), ANY_REVISION)])
+
+
+async def test_older_version_changes_nothing(view):
+    view.apply(version(7), 1)
+    view.apply(version(5), 2)
+    assert view.current.version == 7
+
+
+async def test_copy_that_is_not_confirmed_is_read_before_use(view, store, clock):
+    await put(store, 3)
+    await view.cache.refresh()
+    await put(store, 4)
+    assert (await view.fresh()).version == 3
+    await clock.advance(MAX_AGE_S + 0.1)
+    assert (await view.fresh()).version == 4
+
+
+async def test_store_that_does_not_answer_costs_one_short_wait(
+    view, store, faulty, clock
+):
+    await put(store, 3)
+    await view.cache.refresh()
+    faulty.set_faults({"slow_s": 5.0})
+    await clock.advance(MAX_AGE_S + 0.1)
+    started_s = clock.now()
+    asking = [asyncio.create_task(view.fresh()) for _ in range(3)]
+    await clock.advance(0.31)
+    assert [task.result().version for task in asking] == [3, 3, 3]
+    assert (await view.fresh()).version == 3
+    assert clock.now() - started_s < 0.4
--- /dev/null
+++ b/libs/scheduling/tests/test_duties.py
@@ -0,0 +1,166 @@
+"""Who does which duty, and who takes it over."""
+
+import asyncio
+
+import pytest
+from burdockthread_model.clock import MemoryClock
+from burdockthread_model.events import EventLog
+from burdockthread_model.metrics import MemoryMetrics
+from burdockthread_scheduling.duties import DOUBT_LIMIT_S, LEASE_TTL_S, Duties, Duty
+from burdockthread_scheduling.records import SHARED_PREFIX
+from burdockthread_store.faulty_store import FaultyStore
+from burdockthread_store.memory_store import MemoryStore
+from burdockthread_store.prefix_cache import PrefixCache
+from burdockthread_store.settled_store import SettledStore
+
+NAMES = ("pool:a", "pool:b", "pool:c")
+
+
+class IdleDuty(Duty):
+    """Does nothing and notes that it was handed over."""
+
+    def __init__(self, tenure):
+        self.tenure = tenure
+        self.handed_over = False
+
+    async def run(self):
+        await asyncio.Event().wait()
+
+    async def hand_over(self):
+        self.handed_over = True
+
+
+class Entries:
+    """Several entries at one store, each behind its own fault switches."""
+
+    def __init__(self):
+        self.clock = MemoryClock()
+        self.memory = MemoryStore(self.clock)
+        self.duties = {}
+        self.stores = {}
+        self.tasks = {}
+
+    def add(self, name):
+        """Starts an entry."""
+        faulty = FaultyStore(self.memory, self.clock)
+        store = SettledStore(faulty, name, self.clock, MemoryMetrics())
+        cache = PrefixCache(store, SHARED_PREFIX, self.clock, 0.3)
+        duties = Duties(
+            name,
+            f"{name}:1",
+            "zone-a",
+            1.0,
+            store,
+            cache,
+            self.clock,
+            MemoryMetrics(),
+            EventLog(name),
+            lambda: dict.fromkeys(NAMES, IdleDuty),
+        )
+        self.stores[name] = faulty
+        self.duties[name] = duties
+        self.tasks[name] = [
+            asyncio.create_task(cache.run()),
+            asyncio.create_task(duties.run()),
+        ]
+        return duties
+
+    async def kill(self, name):
+        """Ends an entry without a word."""
+        for task in self.tasks[name]:
+            task.cancel()
+        await asyncio.gather(*self.tasks[name], return_exceptions=True)
+
+    def held(self):
+        """The duties that are done, each with the entries that do it."""
+        found = {}
+        for entry, duties in self.duties.items():
+            for name in duties.held:
+                found.setdefault(name, []).append(entry)
+        return found
+
+    async def pass_time(self, seconds):
+        """Lets time pass in small steps."""
+        for _ in range(round(seconds / 0.05)):
+            await self.clock.advance(0.05)
+
+
+@pytest.fixture
+async def entries():
+    found = Entries()
+    for name in ("one", "two", "three"):
+        found.add(name)
+    await found.pass_time(2.0)
+    yield found
+    for name in found.tasks:
+        await found.kill(name)
+
+
+async def test_each_duty_is_done_by_one_entry(entries):
+    assert {name: len(held) for name, held in entries.held().items()} == dict.fromkeys(
+        NAMES, 1
+    )
+
+
+async def test_duties_of_a_killed_entry_are_taken_over_with_a_higher_token(entries):
+    before = {
+        name: held.tenure.fence
+        for duties in entries.duties.values()
+        for name, held in duties.held.items()
+    }
+    victim = entries.held()["pool:a"][0]
+    await entries.kill(victim)
+    del entries.duties[victim]
+    await entries.pass_time(LEASE_TTL_S + 1.5)
+    assert set(entries.held()) == set(NAMES)
+    heir = entries.held()["pool:a"][0]
+    assert entries.duties[heir].held["pool:a"].tenure.fence > before["pool:a"]
+
+
+async def test_planned_stop_passes_duties_on_at_once(entries):
+    leaver = entries.held()["pool:a"][0]
+    duty = entries.duties[leaver].held["pool:a"].duty
+    await entries.duties[leaver].hand_over()
+    assert duty.handed_over
+    await entries.pass_time(1.0)
+    assert entries.held()["pool:a"] != [leaver]
+    assert len(entries.held()["pool:a"]) == 1
+
+
+async def test_entry_restarted_regains_its_duty_without_waiting_for_the_lease(entries):
+    victim = entries.held()["pool:a"][0]
+    await entries.kill(victim)
+    duties = entries.add(victim)
+    await entries.pass_time(0.5)
+    assert "pool:a" in duties.held
+
+
+async def test_entry_cut_off_keeps_its_duty_for_a_bounded_time(entries):
+    victim = entries.held()["pool:a"][0]
+    duties = entries.duties[victim]
+    entries.stores[victim].set_faults({"down": True})
+    await entries.pass_time(LEASE_TTL_S + 1.0)
+    assert "pool:a" in duties.held
+    await entries.pass_time(DOUBT_LIMIT_S)
+    assert "pool:a" not in duties.held
+
+
+async def test_entry_back_from_a_cut_does_not_resume_a_duty_of_its_lost_lease(entries):
+    victim = entries.held()["pool:a"][0]
+    duties = entries.duties[victim]
+    entries.stores[victim].set_faults({"down": True})
+    await entries.pass_time(LEASE_TTL_S + DOUBT_LIMIT_S + 2.0)
+    heirs = entries.held()["pool:a"]
+    assert heirs != [victim]
+    entries.stores[victim].set_faults({"down": False})
+    for _ in range(40):
+        await entries.pass_time(0.05)
+        assert entries.held()["pool:a"] == heirs
+    assert "pool:a" not in duties.held
+
+
+async def test_outage_of_the_store_for_all_leaves_duties_where_they_are(entries):
+    before = entries.held()
+    with entries.memory.outage():
+        await entries.pass_time(5.0)
+        assert entries.held() == before
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -131,7 +131,7 @@
     await site.submit(step(2), nature=FOREVER)
     await site.until(lambda: len(site.park.running()) == 2)
     await site.holder("entry-2", "process-2")
-    await site.until(lambda: holder.work.done(), seconds=5.0)
+    await site.until(holder.work.done, seconds=5.0)
 
 
 async def test_new_holder_starts_nothing_that_an_unreached_worker_may_run(site, holder):
