--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/memory_machines.py
@@ -0,0 +1,172 @@
+"""Machines held in memory, each one a worker at a time, for tests and stand-ins."""
+
+import asyncio
+import itertools
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.errors import PlatformError
+
+from burdockthread_scheduling.machines import (
+    Machine,
+    MachineControl,
+    MachineRefusal,
+    MachineRefusedError,
+    MachineState,
+    Wave,
+    WaveBoard,
+)
+from burdockthread_scheduling.memory_workers import DEFAULT_CAPACITY, MemoryWorkers
+from burdockthread_scheduling.workers import Capacity, WorkerKey
+
+
+class OrderRecord:
+    """An order to a machine as it was carried out."""
+
+    def __init__(self, machine: str, holder: str, fence: int, given_s: float) -> None:
+        self.machine = machine
+        self.holder = holder
+        self.fence = fence
+        self.given_s = given_s
+
+
+class MemoryMachines(MachineControl):
+    """Machines whose workers live in a `MemoryWorkers`.
+
+    Attributes:
+        by_name: Machines by name.
+        spare: Pool whose machines are off.
+        orders: Orders carried out.
+        maintained: Machines taken out by wave.
+        down: Whether every call fails.
+        interrupted: Runs that an order has ended.
+        most_out: Most machines that were out for upkeep at once.
+    """
+
+    def __init__(
+        self,
+        park: MemoryWorkers,
+        clock: Clock,
+        spare: str,
+        move_s: float = 1.5,
+        upkeep_s: float = 2.0,
+    ) -> None:
+        self.park = park
+        self.clock = clock
+        self.spare = spare
+        self.move_s = move_s
+        self.upkeep_s = upkeep_s
+        self.by_name: dict[str, Machine] = {}
+        self.orders: list[OrderRecord] = []
+        self.maintained: dict[int, list[str]] = {}
+        self.down = False
+        self.interrupted = 0
+        self.most_out = 0
+        self.lives = itertools.count(1)
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def add(
+        self,
+        name: str,
+        pool: str,
+        capacity: Capacity = DEFAULT_CAPACITY,
+        rack: str = "r1",
+    ) -> None:
+        """Adds a machine."""
+        self.by_name[name] = Machine(
+            name, pool, MachineState.UP, "zone-a", ("a", rack), capacity, ""
+        )
+        self.bring_up(name)
+
+    def bring_up(self, name: str) -> None:
+        """Starts the next worker of a machine, unless its pool is off."""
+        machine = self.by_name[name]
+        worker_id = ""
+        if machine.pool != self.spare:
+            worker_id = f"{name}-{next(self.lives)}"
+            self.park.add(worker_id, machine.pool, machine.capacity, machine.labels)
+        self.by_name[name] = machine._replace(
+            state=MachineState.UP, worker_id=worker_id
+        )
+
+    async def machines(self) -> tuple[Machine, ...]:
+        """Returns all machines."""
+        self.check_reachable()
+        return tuple(self.by_name.values())
+
+    async def move(self, machine: str, pool: str, holder: str, fence: int) -> None:
+        """Moves a machine to another pool."""
+        found = self.take_order(machine, holder, fence)
+        if found.pool == pool:
+            return
+        self.take_down(found, MachineState.MOVING)
+        self.by_name[machine] = self.by_name[machine]._replace(pool=pool)
+        self.later(machine, self.move_s)
+
+    async def maintain(self, machine: str, wave: int, holder: str, fence: int) -> None:
+        """Takes a machine out for the upkeep of a wave."""
+        found = self.take_order(machine, holder, fence)
+        done = self.maintained.setdefault(wave, [])
+        if machine in done:
+            return
+        self.take_down(found, MachineState.UPKEEP)
+        done.append(machine)
+        out = sum(m.state is MachineState.UPKEEP for m in self.by_name.values())
+        self.most_out = max(self.most_out, out)
+        self.later(machine, self.upkeep_s)
+
+    def check_reachable(self) -> None:
+        """Refuses calls while the control is out."""
+        if self.down:
+            raise PlatformError("the control of machines is out")
+
+    def take_order(self, name: str, holder: str, fence: int) -> Machine:
+        """Records an order to a machine that can take it."""
+        self.check_reachable()
+        machine = self.by_name.get(name)
+        if machine is None:
+            raise MachineRefusedError(name, MachineRefusal.INVALID)
+        if machine.state is not MachineState.UP:
+            raise MachineRefusedError(name, MachineRefusal.BUSY)
+        self.orders.append(OrderRecord(name, holder, fence, self.clock.now()))
+        return machine
+
+    def take_down(self, machine: Machine, state: MachineState) -> None:
+        """Ends the worker of a machine with all that runs on it."""
+        if machine.worker_id:
+            key = WorkerKey(machine.worker_id, 1)
+            if key in self.park.by_key:
+                self.interrupted += len(self.park.by_key[key].runs)
+                self.park.remove(key)
+        self.by_name[machine.name] = machine._replace(state=state, worker_id="")
+
+    def later(self, name: str, delay_s: float) -> None:
+        """Brings a machine up after a delay."""
+
+        async def wait() -> None:
+            await self.clock.sleep(delay_s)
+            self.bring_up(name)
+
+        task = asyncio.create_task(wait())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+class MemoryWaves(WaveBoard):
+    """Waves set by a test.
+
+    Attributes:
+        asked: Waves that are asked for.
+        told: Newest word on each wave: whether it is completed.
+    """
+
+    def __init__(self) -> None:
+        self.asked: list[Wave] = []
+        self.told: dict[int, bool] = {}
+
+    def waves(self) -> tuple[Wave, ...]:
+        """Returns the waves that are asked for."""
+        return tuple(self.asked)
+
+    async def tell(self, wave: int, *, completed: bool) -> None:
+        """Keeps the word on a wave."""
+        self.told[wave] = completed
