--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -213,6 +213,7 @@
         settings = self.settings
         parts = PlannerParts(
             entry=settings.name,
+            store=self.store,
             control=control,
             waves=self.waves,
             lease=self.duties.lease,
--- a/libs/scheduling/burdockthread_scheduling/job_order.py
+++ b/libs/scheduling/burdockthread_scheduling/job_order.py
@@ -1,5 +1,6 @@
 """Orders the jobs of a pool by what can still be done in time."""
 
+from collections.abc import Container
 from typing import NamedTuple
 
 from burdockthread_model.clock import Clock
@@ -9,6 +10,7 @@
 
 # A job that would end this close to its objective is taken as late.
 MARGIN_SHARE = 0.1
+RANK_MAX_AGE_S = 0.1
 
 
 class JobRank(NamedTuple):
@@ -32,13 +34,35 @@
 
 
 class JobOrder:
-    """Ranks jobs: those that can end in time first, the smaller ones before."""
+    """Ranks jobs: those that can end in time first, the smaller ones before.
+
+    Attributes:
+        known: Ranks by job, with the clock time at which they were worked out.
+    """
 
     def __init__(self, estimates: DurationEstimates, clock: Clock) -> None:
         self.estimates = estimates
         self.clock = clock
-
-    def rank(self, job: JobRun, wall_ms: float) -> JobRank:
+        self.known: dict[str, tuple[JobRank, float]] = {}
+
+    def rank(self, job: JobRun) -> JobRank:
+        """Returns the rank of a job, worked out anew now and then."""
+        now = self.clock.now()
+        job_id = job.spec.job_id
+        known = self.known.get(job_id)
+        if known is not None and now - known[1] < RANK_MAX_AGE_S:
+            return known[0]._replace(waiting=not job.begun)
+        rank = self.work_out(job, self.clock.wall() * 1000)
+        self.known[job_id] = (rank, now)
+        return rank
+
+    def keep_only(self, job_ids: Container[str]) -> None:
+        """Drops what is known of other jobs."""
+        self.known = {
+            job_id: rank for job_id, rank in self.known.items() if job_id in job_ids
+        }
+
+    def work_out(self, job: JobRun, wall_ms: float) -> JobRank:
         """Returns the rank of a job at a Unix time in milliseconds."""
         spec, queue = job.spec, job.queue
         if spec.is_lasting():
--- a/libs/scheduling/burdockthread_scheduling/memory_machines.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_machines.py
@@ -22,7 +22,10 @@
 class OrderRecord:
     """An order to a machine as it was carried out."""
 
-    def __init__(self, machine: str, holder: str, fence: int, given_s: float) -> None:
+    def __init__(
+        self, machine: str, purpose: str, holder: str, fence: int, given_s: float
+    ) -> None:
+        self.purpose = purpose
         self.machine = machine
         self.holder = holder
         self.fence = fence
@@ -95,7 +98,7 @@
 
     async def move(self, machine: str, pool: str, holder: str, fence: int) -> None:
         """Moves a machine to another pool."""
-        found = self.take_order(machine, holder, fence)
+        found = self.take_order(machine, "move", holder, fence)
         if found.pool == pool:
             return
         self.take_down(found, MachineState.MOVING)
@@ -104,7 +107,7 @@
 
     async def maintain(self, machine: str, wave: int, holder: str, fence: int) -> None:
         """Takes a machine out for the upkeep of a wave."""
-        found = self.take_order(machine, holder, fence)
+        found = self.take_order(machine, "upkeep", holder, fence)
         done = self.maintained.setdefault(wave, [])
         if machine in done:
             return
@@ -119,7 +122,7 @@
         if self.down:
             raise PlatformError("the control of machines is out")
 
-    def take_order(self, name: str, holder: str, fence: int) -> Machine:
+    def take_order(self, name: str, purpose: str, holder: str, fence: int) -> Machine:
         """Records an order to a machine that can take it."""
         self.check_reachable()
         machine = self.by_name.get(name)
@@ -127,7 +130,7 @@
             raise MachineRefusedError(name, MachineRefusal.INVALID)
         if machine.state is not MachineState.UP:
             raise MachineRefusedError(name, MachineRefusal.BUSY)
-        self.orders.append(OrderRecord(name, holder, fence, self.clock.now()))
+        self.orders.append(OrderRecord(name, purpose, holder, fence, self.clock.now()))
         return machine
 
     def take_down(self, machine: Machine, state: MachineState) -> None:
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -88,6 +88,8 @@
 # Tasks may take this long to end by themselves before they are stopped.
 VACATE_PATIENCE_S = 3.0
 AT_WORK_PERCENT = 100
+# Work that ends late anyway draws fewer machines than work in time.
+LATE_WORK_WEIGHT = 0.3
 HAND_OVER_TIMEOUT_S = 0.8
 HAND_OVER_POLL_S = 0.01
 
@@ -673,6 +675,8 @@
         for job in self.board.jobs.values():
             if job.end is not None:
                 continue
+            late = not job.spec.is_lasting() and self.order.rank(job).late
+            weight = LATE_WORK_WEIGHT if late else 1.0
             for task in job.open_tasks():
                 if task.step.fills:
                     continue
@@ -682,7 +686,8 @@
                 if task.placements:
                     running += task.size.cpu_milli
                 else:
-                    waiting += task.size.cpu_milli * self.estimates.left_s(task)
+                    work = task.size.cpu_milli * self.estimates.left_s(task)
+                    waiting += work * weight
         return lasting, running, waiting, self.inflow.per_s(self.clock.now())
 
     def vacate(self) -> None:
@@ -727,6 +732,7 @@
         self.vacate()
         if self.closing or not self.loaded:
             return
+        self.order.keep_only(self.board.jobs)
         wall_ms = self.clock.wall() * 1000
         ready = [worker for worker in self.workers.values() if self.is_ready(worker)]
         if not ready:
@@ -744,7 +750,7 @@
             job.open_due(wall_ms)
             if any(not task.placements for task in job.open_tasks()):
                 jobs.append(job)
-        return sorted(jobs, key=lambda job: self.order.rank(job, wall_ms))
+        return sorted(jobs, key=self.order.rank)
 
     def rescue(self, ready: list[WorkerState]) -> None:
         """Copies or restarts runs that a fresh one would overtake."""
