Emulate the users' platform on loopback; keep room for lasting tasks that move

The stand-ins speak the platform's protocol over sockets from the memory twins of the scheduler, with fault switches, a load of callers and an audit of what they were told against what ran.

A watch that has brought events waits 80 ms, since each answer is a call.

--- a/libs/platform/burdockthread_platform/kv_store.py
+++ b/libs/platform/burdockthread_platform/kv_store.py
@@ -34,8 +34,8 @@
 CONNECT_TIMEOUT_S = 0.5
 # A watch without events ends this often, which shows that it is alive.
 WATCH_WAIT_MS = 1_000
-# Events that follow closely share an answer.
-WATCH_PAUSE_S = 0.03
+# Events that follow closely share an answer; each answer is a call that counts.
+WATCH_PAUSE_S = 0.08
 MAX_REASON_CHARS = 200
 NOT_FOUND = 404
 GONE = 410
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -88,6 +88,8 @@
 # Tasks may take this long to end by themselves before they are stopped.
 VACATE_PATIENCE_S = 3.0
 AT_WORK_PERCENT = 100
+# With fewer workers none is kept free for a lasting task.
+MIN_SERVING_WORKERS = 2
 # Work that ends late anyway draws fewer machines than work in time.
 LATE_WORK_WEIGHT = 0.3
 HAND_OVER_TIMEOUT_S = 0.8
@@ -172,6 +174,7 @@
         self.assigned_s = float("-inf")
         self.assigning = False
         self.starting = 0
+        self.reserved: Capacity | None = None
         self.cache = PrefixCache(parts.store, work_prefix(pool), self.clock)
         self.cache.listeners.append(self.on_work)
         self.progress: dict[str, JobProgress] = {}
@@ -468,6 +471,7 @@
                     "worker_leases_lapsed",
                     worker=worker.worker_id,
                     runs=len(worker.placements),
+                    lasting=worker.lasting(),
                     contact_age_s=round(now - worker.contact_s, 3),
                 )
                 worker.contacted = False
@@ -655,6 +659,7 @@
                 cpu_milli=worker.listing.capacity.cpu_milli,
                 used_milli=worker.used_cpu,
                 runs=len(worker.placements),
+                lasting=worker.lasting(),
                 vacating=worker.worker_id in self.vacating_until_s,
                 usable=self.is_reachable(worker),
                 idle_s=now - worker.busy_s,
@@ -690,9 +695,14 @@
                     waiting += work * weight
         return lasting, running, waiting, self.inflow.per_s(self.clock.now())
 
-    def vacate(self) -> None:
-        """Moves tasks off the workers that are to be emptied or are leaving."""
+    def vacate(self) -> Capacity | None:
+        """Moves tasks off the workers that are to be emptied or are leaving.
+
+        Returns:
+            Room that a lasting task needs elsewhere and does not find, if any.
+        """
         now = self.clock.now()
+        needed: Capacity | None = None
         for worker in self.workers.values():
             since_s = self.vacating_since_s.get(worker.worker_id)
             if worker.listing.draining:
@@ -704,23 +714,29 @@
                 if task is None or placement.phase is not PlacementPhase.CONFIRMED:
                     continue
                 if task.step.lasting:
-                    self.move_lasting(placement, task)
+                    if not self.move_lasting(placement, task):
+                        needed = task.size
                 elif now - since_s > VACATE_PATIENCE_S:
                     self.stop(placement, "worker is to be emptied")
+        return needed
 
-    def move_lasting(self, placement: Placement, task: TaskRun) -> None:
-        """Moves a lasting task if so many of its step may be missing."""
+    def move_lasting(self, placement: Placement, task: TaskRun) -> bool:
+        """Moves a lasting task if so many of its step may be missing.
+
+        Returns:
+            Whether there is room for it elsewhere.
+        """
         step = task.job.step_run(task.task.occurrence, task.task.step)
         if step is None:
-            return
+            return True
         missing = sum(1 for other in step.open_tasks.values() if not is_at_work(other))
         leaving = placement.worker.listing.draining
-        if missing >= max(task.step.max_unavailable, 1) and not leaving:
-            return
         ready = [w for w in self.workers.values() if self.is_ready(w)]
         if choose_worker(task, ready, self.health) is None:
-            return
-        self.stop(placement, "worker is to be emptied")
+            return False
+        if missing < max(task.step.max_unavailable, 1) or leaving:
+            self.stop(placement, "worker is to be emptied")
+        return True
 
     # Decisions
 
@@ -729,7 +745,7 @@
         self.sync_workers()
         self.expire_leases()
         self.assign_workers()
-        self.vacate()
+        self.reserved = self.vacate()
         if self.closing or not self.loaded:
             return
         self.order.keep_only(self.board.jobs)
@@ -737,10 +753,23 @@
         ready = [worker for worker in self.workers.values() if self.is_ready(worker)]
         if not ready:
             return
-        for job in self.jobs_in_order(wall_ms):
-            self.place_job(job, ready)
+        jobs = self.jobs_in_order(wall_ms)
+        for job in jobs:
+            if job.spec.is_lasting():
+                self.place_job(job, ready)
+        ready = self.without_reserved(ready)
+        for job in jobs:
+            if not job.spec.is_lasting():
+                self.place_job(job, ready)
         self.rescue(ready)
 
+    def without_reserved(self, ready: list[WorkerState]) -> list[WorkerState]:
+        """Leaves out the emptiest worker while a lasting task waits for room."""
+        if self.reserved is None or len(ready) < MIN_SERVING_WORKERS:
+            return ready
+        emptiest = min(ready, key=lambda worker: worker.used_cpu)
+        return [worker for worker in ready if worker is not emptiest]
+
     def jobs_in_order(self, wall_ms: float) -> list[JobRun]:
         """Returns the jobs whose tasks may start, the first to be served first."""
         jobs = []
--- a/libs/scheduling/burdockthread_scheduling/pool_status.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_status.py
@@ -11,6 +11,7 @@
         cpu_milli: Processors in thousandths of a core.
         used_milli: Processors that its runs take up.
         runs: Runs that may exist on it.
+        lasting: Those of them that are of lasting tasks.
         vacating: Whether it gets no more tasks at the planner's wish.
         usable: Whether it takes orders.
         idle_s: Seconds since it has had nothing to do.
@@ -20,6 +21,7 @@
     cpu_milli: int
     used_milli: int
     runs: int
+    lasting: int
     vacating: bool
     usable: bool
     idle_s: float
--- a/libs/scheduling/burdockthread_scheduling/wave_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/wave_planner.py
@@ -14,10 +14,12 @@
 )
 
 # A machine that is not empty by then is left for later.
-EMPTYING_TIMEOUT_S = 6.0
+EMPTYING_TIMEOUT_S = 15.0
 RETRY_S = 2.0
 # Emptying a machine and its way back, besides the upkeep itself.
 OVERHEAD_S = 2.0
+# Lasting tasks of a step leave a machine one by one: stop, start and start-up.
+LASTING_MOVE_S = 2.2
 # Part of the time left that the upkeep of the rest may need before work yields.
 CALM_SHARE = 0.5
 
@@ -98,7 +100,7 @@
     def choose(self, wave: Wave, left: list[Machine]) -> None:
         """Picks machines of a wave up to the number allowed at once."""
         room = wave.max_at_once - self.out_for(wave) - self.chosen_for(wave)
-        hurried = self.is_hurried(wave, len(left))
+        hurried = self.is_hurried(wave, left)
         candidates = sorted(
             (machine for machine in left if self.ledger.is_free(machine)),
             key=self.rank,
@@ -144,10 +146,11 @@
             if intent.purpose is Purpose.UPKEEP and intent.wave == wave.number
         )
 
-    def is_hurried(self, wave: Wave, left: int) -> bool:
+    def is_hurried(self, wave: Wave, left: list[Machine]) -> bool:
         """Returns whether the rest of a wave can no longer wait for a calm time."""
-        rounds = math.ceil(left / wave.max_at_once)
-        needed_s = rounds * (self.upkeep_s + OVERHEAD_S)
+        rounds = math.ceil(len(left) / wave.max_at_once)
+        lasting = max(self.lasting(machine) for machine in left)
+        needed_s = rounds * (self.upkeep_s + OVERHEAD_S) + lasting * LASTING_MOVE_S
         passed_s = self.clock.now() - self.seen_s[wave.number]
         return needed_s > (wave.duration_s - passed_s) * CALM_SHARE
 
@@ -158,7 +161,15 @@
         worker = self.ledger.worker_of(machine)
         if worker is None:
             return 3, 0.0
-        return 2 if worker.runs else 1, worker.used_milli
+        if worker.runs > worker.lasting:
+            return 2, worker.used_milli
+        # Machines with lasting tasks take the longest to empty.
+        return 1, -worker.lasting
+
+    def lasting(self, machine: Machine) -> int:
+        """Returns how many lasting tasks a machine has."""
+        worker = self.ledger.worker_of(machine)
+        return 0 if worker is None else worker.lasting
 
     def may_go(self, machine: Machine, *, hurried: bool) -> bool:
         """Returns whether a machine may be emptied now.
@@ -177,4 +188,4 @@
             if staying <= 1:
                 self.reinforced.add(machine.pool)
             return False
-        return hurried or (not worker.runs and not status.waiting)
+        return hurried or (worker.runs == worker.lasting and not status.waiting)
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -170,6 +170,13 @@
         if task is not None and placement in task.placements:
             task.placements.remove(placement)
 
+    def lasting(self) -> int:
+        """Returns how many of its runs are of lasting tasks."""
+        return sum(
+            placement.task is not None and placement.task.step.lasting
+            for placement in self.placements.values()
+        )
+
     def count(self, placement: Placement, sign: int) -> None:
         """Adds or subtracts what a run takes up."""
         task = placement.task
--- /dev/null
+++ b/libs/standins/burdockthread_standins/emulation.py
@@ -0,0 +1,189 @@
+"""Runs a deployment under load and faults, and tells what came of it."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from burdockthread_scheduling.machines import Wave
+from burdockthread_scheduling.workers import WorkerKey
+
+from burdockthread_standins.emulated_site import EmulatedSite, EntryProcess, SitePlan
+from burdockthread_standins.job_audit import audit
+from burdockthread_standins.job_load import JobLoad, LoadPlan
+
+SETTLE_S = 2.0
+PAUSE_S = (0.5, 3.0)
+
+
+class EmulationResult(NamedTuple):
+    """What came of an emulation.
+
+    Attributes:
+        lines: Outcomes and latencies, for people.
+        faults: Faults that were injected, in order.
+        broken: Broken promises.
+    """
+
+    lines: list[str]
+    faults: list[str]
+    broken: list[str]
+
+
+class Emulation:
+    """A deployment, its callers and, on request, faults drawn from a seed."""
+
+    def __init__(self, site: SitePlan, load: LoadPlan, seed: int) -> None:
+        self.site = EmulatedSite(site)
+        self.load = JobLoad(load, self.urls, self.site.clock, seed)
+        self.random = random.Random(seed)
+        self.faults: list[str] = []
+
+    def urls(self) -> list[str]:
+        """Returns the addresses for callers."""
+        return [entry.url for entry in self.site.entries]
+
+    async def run(self, *, faults: bool) -> EmulationResult:
+        """Runs everything once.
+
+        Args:
+            faults: Whether faults are injected while callers come.
+        """
+        async with self.site.running():
+            await asyncio.sleep(SETTLE_S)
+            injecting = asyncio.create_task(self.inject() if faults else idle())
+            try:
+                await self.load.run()
+            finally:
+                injecting.cancel()
+                await asyncio.gather(injecting, return_exceptions=True)
+            lines = [*self.load.table(), f"{'calls of the store':24} {self.calls():6}"]
+            broken = audit(self.load.records, self.site.park)
+            return EmulationResult(lines, self.faults, broken)
+
+    def calls(self) -> int:
+        """Returns the calls that the store has served."""
+        return self.site.store.calls
+
+    async def inject(self) -> None:
+        """Injects one fault after another until cancelled."""
+        kinds: dict[str, Callable[[], Awaitable[None]]] = {
+            "kill": self.kill_entry,
+            "stop": self.stop_entry,
+            "pause": self.pause_entry,
+            "store out": self.store_out,
+            "store loses answers": self.store_loses_answers,
+            "store forgets": self.store_forgets,
+            "worker lost": self.worker_lost,
+            "worker silent": self.worker_silent,
+            "worker hangs": self.worker_hangs,
+            "worker fails": self.worker_fails,
+            "answers lost": self.answers_lost,
+            "orders late": self.orders_late,
+            "wave": self.wave,
+        }
+        while True:
+            await asyncio.sleep(self.random.uniform(*PAUSE_S))
+            kind = self.random.choice(tuple(kinds))
+            self.faults.append(kind)
+            await kinds[kind]()
+
+    def any_entry(self) -> EntryProcess:
+        """Returns an entry by chance."""
+        return self.random.choice(self.site.entries)
+
+    def any_worker(self) -> WorkerKey:
+        """Returns a worker by chance."""
+        return self.random.choice(tuple(self.site.park.by_key))
+
+    async def kill_entry(self) -> None:
+        """Kills an entry and starts it again."""
+        entry = self.any_entry()
+        await entry.stop(signal.SIGKILL)
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        await entry.start()
+
+    async def stop_entry(self) -> None:
+        """Stops an entry as planned and starts it again."""
+        entry = self.any_entry()
+        await entry.stop()
+        await entry.start()
+
+    async def pause_entry(self) -> None:
+        """Freezes an entry for some seconds."""
+        entry = self.any_entry()
+        entry.send(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.5, 5.0))
+        entry.send(signal.SIGCONT)
+
+    async def store_out(self) -> None:
+        """Takes the store away for some seconds."""
+        self.site.store.faulty.set_faults({"down": True})
+        await asyncio.sleep(self.random.uniform(0.5, 5.0))
+        self.site.store.faulty.set_faults({"down": False})
+
+    async def store_loses_answers(self) -> None:
+        """Loses the answers to the next writes."""
+        self.site.store.faulty.set_faults({"lose_answers": self.random.randint(1, 4)})
+
+    async def store_forgets(self) -> None:
+        """Drops the store's history."""
+        self.site.store.faulty.set_faults({"compact": True})
+
+    async def worker_lost(self) -> None:
+        """Ends a worker; it comes back as another life of it."""
+        key = self.any_worker()
+        listing = self.site.park.by_key[key].listing
+        self.site.park.remove(key)
+        await asyncio.sleep(self.random.uniform(0.2, 3.0))
+        if not any(k.worker_id == key.worker_id for k in self.site.park.by_key):
+            self.site.park.add(
+                key.worker_id,
+                listing.pool,
+                listing.capacity,
+                listing.labels,
+                key.born_ms + 1,
+            )
+
+    async def worker_silent(self) -> None:
+        """Cuts a worker off while it works on."""
+        worker = self.site.park.by_key[self.any_worker()]
+        worker.silent = True
+        await asyncio.sleep(self.random.uniform(0.5, 6.0))
+        worker.silent = False
+
+    async def worker_hangs(self) -> None:
+        """Lets the runs of a worker stand still for some seconds."""
+        worker = self.site.park.by_key[self.any_worker()]
+        worker.speed = 0.0
+        await asyncio.sleep(self.random.uniform(0.5, 4.0))
+        worker.speed = 1.0
+
+    async def worker_fails(self) -> None:
+        """Lets the runs of a worker fail for some seconds."""
+        worker = self.site.park.by_key[self.any_worker()]
+        worker.failing = True
+        await asyncio.sleep(self.random.uniform(0.2, 1.0))
+        worker.failing = False
+
+    async def answers_lost(self) -> None:
+        """Loses the next answers of a worker."""
+        self.site.park.by_key[self.any_worker()].lost_answers = 2
+
+    async def orders_late(self) -> None:
+        """Lets a worker carry its next orders out late, without an answer."""
+        delays_s = [self.random.uniform(1.0, 6.0) for _ in range(2)]
+        self.site.park.by_key[self.any_worker()].late_orders_s = delays_s
+
+    async def wave(self) -> None:
+        """Asks for the upkeep of some machines."""
+        names = tuple(self.site.machines.by_name)
+        chosen = tuple(self.random.sample(names, k=len(names) // 3))
+        number = len(self.faults)
+        await self.site.ask_for_wave(Wave(number, chosen, 20.0, 2))
+
+
+async def idle() -> None:
+    """Waits until cancelled."""
+    await asyncio.Event().wait()
