Bind a duty to the lease under which it was taken

An entry back from a cut was granted a new lease and gave an order as the planner of its lost one, 1.6 s after the next planner.

The time that is left is asked for the term of the duty; a lost lease gives none.

Ruled out: the spacing of the new planner, which kept its 3.3 s.

--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -47,11 +47,13 @@
         duty: Name of the duty.
         fence: Fencing token; grows from one holder to the next.
         guard: Condition that fences a write to the store.
+        term: Term of the lease under which it was taken.
     """
 
     duty: str
     fence: int
     guard: Guard
+    term: str = ""
 
 
 class Duty(ABC):
@@ -99,6 +101,10 @@
             return 0.0
         return self.lease.expires_s - self.clock.now()
 
+    def remaining_in_term_s(self, term: str) -> float:
+        """Returns the seconds left of the lease of a term, 0 if that was lost."""
+        return self.remaining_s() if term == self.term else 0.0
+
     async def keep(self) -> bool:
         """Renews the lease or takes a new one.
 
@@ -339,7 +345,7 @@
 
     def take(self, name: str, factory: DutyFactory, fence: int) -> None:
         """Starts the work of a duty that this entry holds."""
-        tenure = Tenure(name, fence, Guard(duty_key(name), fence))
+        tenure = Tenure(name, fence, Guard(duty_key(name), fence), self.lease.term)
         self.held[name] = HeldDuty(tenure, factory(tenure))
         self.metrics.count("duties.taken")
         self.log.info("duty_taken", duty=name, fence=fence)
--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -225,8 +225,11 @@
         ]
         if not ready or self.closing:
             return
-        if self.parts.lease.remaining_s() < MIN_LEASE_S:
-            self.log.info("orders_held_back", machines=len(ready))
+        lease_s = self.parts.lease.remaining_in_term_s(self.tenure.term)
+        if lease_s < MIN_LEASE_S:
+            self.log.info(
+                "orders_held_back", machines=len(ready), lease_s=round(lease_s, 3)
+            )
             return
         self.giving = True
         try:
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -159,6 +159,18 @@
     assert "pool:a" not in duties.held
 
 
+async def test_lease_that_was_lost_backs_no_duty_taken_under_it(entries):
+    victim = entries.held()["pool:a"][0]
+    duties = entries.duties[victim]
+    tenure = duties.held["pool:a"].tenure
+    entries.stores[victim].set_faults({"down": True})
+    await entries.pass_time(LEASE_TTL_S + 1.0)
+    entries.stores[victim].set_faults({"down": False})
+    for _ in range(20):
+        await entries.clock.advance(0.01)
+        assert duties.lease.remaining_in_term_s(tenure.term) <= 0
+
+
 async def test_outage_of_the_store_for_all_leaves_duties_where_they_are(entries):
     before = entries.held()
     with entries.memory.outage():
--- a/libs/scheduling/tests/test_machine_planner.py
+++ b/libs/scheduling/tests/test_machine_planner.py
@@ -27,9 +27,10 @@
 
     def __init__(self):
         self.left_s = 10.0
+        self.term = ""
 
-    def remaining_s(self):
-        return self.left_s
+    def remaining_in_term_s(self, term):
+        return self.left_s if term == self.term else 0.0
 
 
 class PlannedSite(PoolSite):
@@ -144,6 +145,14 @@
     await site.until(lambda: site.machines.maintained.get(1) == ["m8"], seconds=2.0)
 
 
+async def test_planner_of_a_lost_lease_gives_no_order_under_the_next(site):
+    site.lease.term = "later"
+    before = len(site.machines.orders)
+    site.waves.asked.append(Wave(1, ("m8",), 20.0, 1))
+    await site.pass_time(3.0)
+    assert len(site.machines.orders) == before
+
+
 async def test_orders_of_a_lost_planner_and_the_next_keep_apart(site):
     names = tuple(f"m{number}" for number in range(10))
     site.waves.asked.append(Wave(1, names, 20.0, 2))
