--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -60,7 +60,7 @@
     ReleaseAnswer,
     ReleaseOrder,
 )
-from burdockthread_scheduling.records import SHARED_PREFIX
+from burdockthread_scheduling.records import CLUSTER_PREFIX, SHARED_PREFIX
 from burdockthread_scheduling.specs import FleetConfiguration
 from burdockthread_store.prefix_cache import PrefixCache
 from burdockthread_store.settled_store import SettledStore
@@ -69,6 +69,9 @@
 DEFAULT_METRICS_PORT = 9464
 POOL_DUTY = "pool:"
 MACHINES_DUTY = "machines"
+# A job that has not ended is read anew for each caller, and counts may be two
+# seconds old; a worker that leaves is to be seen within two seconds.
+WATCH_PAUSES_S = {SHARED_PREFIX: 0.5, REGISTRATION_PREFIX: 0.25}
 STORE_RETRY_MAX_S = 0.3
 # Without an answer of the store for this long, callers are better served elsewhere.
 READY_CONTACT_S = 2.5
@@ -104,11 +107,14 @@
         self.clock = SuspendClock()
         self.log = StdoutLog(settings.name)
         self.metrics = HistogramMetrics()
-        self.platform = PlatformStore(str(settings.store), session, self.clock)
+        self.platform = PlatformStore(
+            str(settings.store), session, self.clock, WATCH_PAUSES_S
+        )
         self.store = SettledStore(
             self.platform, settings.name, self.clock, self.metrics
         )
         self.shared = self.followed(SHARED_PREFIX)
+        self.cluster = self.followed(CLUSTER_PREFIX)
         self.operator = self.followed(OPERATOR_PREFIX)
         self.registrations = self.followed(REGISTRATION_PREFIX)
         self.configuration = ConfigurationView(
@@ -145,7 +151,7 @@
             settings.availability_zone,
             settings.cores,
             self.store,
-            self.shared,
+            self.cluster,
             self.clock,
             self.metrics,
             self.log,
@@ -261,10 +267,21 @@
         return (
             self.operator.run(),
             self.shared.run(),
-            self.registrations.run(),
+            self.cluster.run(),
+            self.follow_registrations(),
             self.duties.run(),
         )
 
+    async def follow_registrations(self) -> None:
+        """Follows the workers' registrations while a pool is held here."""
+        while True:
+            await self.duties.holding.wait()
+            following = asyncio.create_task(self.registrations.run())
+            try:
+                await self.duties.idle.wait()
+            finally:
+                following.cancel()
+
     @asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Serves within the block and stops gracefully at its end."""
--- a/libs/platform/burdockthread_platform/jobs_http.py
+++ b/libs/platform/burdockthread_platform/jobs_http.py
@@ -85,9 +85,10 @@
         """Reads the body of a submission."""
         try:
             body = wire.parse_object(await request.read())
-            return parse_job(body, queue.name, job_id, int(self.clock.wall() * 1000))
+            job = parse_job(body, queue.name, job_id)
         except wire.WireError as error:
             raise BadRequestError(str(error)) from error
+        return job._replace(accepted_ms=int(self.clock.wall() * 1000))
 
 
 def wait_of(request: web.BaseRequest) -> float:
@@ -109,16 +110,13 @@
     return web.json_response(body, status=error.status, headers=headers)
 
 
-def parse_job(
-    body: wire.JsonObject, queue: str, job_id: str, accepted_ms: int
-) -> JobSpec:
+def parse_job(body: wire.JsonObject, queue: str, job_id: str) -> JobSpec:
     """Reads a job.
 
     Args:
         body: Body of the submission.
         queue: Name of its queue.
         job_id: Its id.
-        accepted_ms: Unix time in milliseconds.
 
     Raises:
         WireError: A field is missing, out of range or of another type.
@@ -137,7 +135,6 @@
         repetitions=wire.integer(body, "repetitions", most=MAX_REPETITIONS),
         first_run_ms=wire.integer(body, "firstRunMs", most=MAX_MILLISECONDS),
         interval_ms=wire.integer(body, "intervalMs", most=MAX_MILLISECONDS),
-        accepted_ms=accepted_ms,
     )
 
 
--- a/libs/platform/burdockthread_platform/kv_store.py
+++ b/libs/platform/burdockthread_platform/kv_store.py
@@ -3,7 +3,7 @@
 import base64
 import binascii
 import json
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from typing import NamedTuple, TypeVar
 from urllib.parse import quote
 
@@ -34,8 +34,6 @@
 CONNECT_TIMEOUT_S = 0.5
 # A watch without events ends this often, which shows that it is alive.
 WATCH_WAIT_MS = 1_000
-# Events that follow closely share an answer; each answer is a call that counts.
-WATCH_PAUSE_S = 0.08
 MAX_REASON_CHARS = 200
 NOT_FOUND = 404
 GONE = 410
@@ -60,11 +58,18 @@
     Attributes:
         base_url: Address such as ``http://10.0.0.1:8621``.
         contact_s: Clock time of the last answer that did what was asked.
+        pauses_s: Seconds between two answers of a watch that brings events, by
+            prefix; each answer is a call that counts.
     """
 
     def __init__(
-        self, address: str, session: aiohttp.ClientSession, clock: Clock
+        self,
+        address: str,
+        session: aiohttp.ClientSession,
+        clock: Clock,
+        pauses_s: Mapping[str, float],
     ) -> None:
+        self.pauses_s = pauses_s
         self.base_url = f"http://{address}"
         self.session = session
         self.clock = clock
@@ -199,7 +204,7 @@
             revision = max(revision, wire.integer(answer.body, "currentRev"))
             yield events
             if events:
-                await self.clock.sleep(WATCH_PAUSE_S)
+                await self.clock.sleep(self.pauses_s.get(prefix, 0.0))
 
     async def close(self) -> None:
         """Does nothing; the owner of the session closes it."""
--- a/libs/scheduling/burdockthread_scheduling/desk.py
+++ b/libs/scheduling/burdockthread_scheduling/desk.py
@@ -147,14 +147,23 @@
         """
         try:
             async with self.clock.timeout(max(wait_s - ANSWER_MARGIN_S, 0.1)):
-                known = await self.index.find(job_id)
+                known = await self.index.find_newest(job_id)
         except (StoreError, TimeoutError) as error:
             raise NotReadyError(
                 f"job {job_id}: the store did not answer", retry_after_s=RETRY_AFTER_S
             ) from error
         if known is None:
             raise NoJobError(f"no job {job_id}")
-        return self.index.shown_state(job_id, known)
+        state = self.index.shown_state(job_id, known)
+        self.metrics.count(f"desk.shown.{state.value}")
+        self.log.info(
+            "job_shown",
+            job=job_id,
+            state=state.value,
+            revision=known.revision,
+            copy_age_s=round(self.clock.now() - self.index.cache.contact_s, 3),
+        )
+        return state
 
     async def cancel(self, job_id: str, wait_s: float) -> None:
         """Cancels a job.
--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -140,6 +140,8 @@
         held: Duties that this entry does, by name.
         owners: Known holders by duty, with the revision of the record.
         entries: Live entries by name.
+        holding: Set while this entry does a duty.
+        idle: Set while it does none.
     """
 
     def __init__(
@@ -171,6 +173,8 @@
         self.entries: dict[str, EntryRecord] = {}
         self.vacant_since_s: dict[str, float] = {}
         self.changed = asyncio.Event()
+        self.holding = asyncio.Event()
+        self.idle = asyncio.Event()
         self.stopping = False
         self.keeper: asyncio.Task[None] | None = None
         cache.listeners.append(self.on_change)
@@ -248,6 +252,7 @@
     async def check(self) -> None:
         """Drops what is lost and seeks what is vacant."""
         wanted = self.wanted()
+        self.note_holding()
         for name in tuple(self.held):
             reason = self.reason_to_drop(name, wanted)
             if reason:
@@ -267,6 +272,11 @@
             if now - since_s >= self.campaign_delay_s(name):
                 await self.campaign(name, factory, 0)
 
+    def note_holding(self) -> None:
+        """Sets the events that tell whether this entry does a duty."""
+        (self.holding if self.held else self.idle).set()
+        (self.idle if self.held else self.holding).clear()
+
     async def regain(
         self, name: str, factory: DutyFactory, owner: DutyRecord, revision: int
     ) -> None:
@@ -347,6 +357,7 @@
         """Starts the work of a duty that this entry holds."""
         tenure = Tenure(name, fence, Guard(duty_key(name), fence), self.lease.term)
         self.held[name] = HeldDuty(tenure, factory(tenure))
+        self.note_holding()
         self.metrics.count("duties.taken")
         self.log.info("duty_taken", duty=name, fence=fence)
 
--- a/libs/scheduling/burdockthread_scheduling/job_index.py
+++ b/libs/scheduling/burdockthread_scheduling/job_index.py
@@ -20,6 +20,9 @@
     job_key,
 )
 
+# A state that is some seconds old is better than none.
+READ_TIMEOUT_S = 0.3
+
 
 class ShownState(StrEnum):
     """State of a job as callers see it."""
@@ -99,11 +102,34 @@
         """Returns a job, asking the store if this entry has not heard of it.
 
         Raises:
-            StoreUnavailableError: It is not known here and the store is out.
+            StoreError: It is not known here and the store did not answer.
+        """
+        return self.jobs.get(job_id) or await self.read(job_id)
+
+    async def find_newest(self, job_id: str) -> KnownJob | None:
+        """Returns a job as the store has it now; an end is known for good.
+
+        A store that does not answer in time leaves what is known here.
+
+        Raises:
+            StoreError: It is not known here and the store did not answer.
         """
         known = self.jobs.get(job_id)
-        if known is not None:
+        if known is None:
+            return await self.read(job_id)
+        if known.record.phase is not JobPhase.ACCEPTED:
             return known
+        try:
+            async with self.clock.timeout(READ_TIMEOUT_S):
+                await self.read(job_id)
+        except (StoreError, TimeoutError) as error:
+            age_s = round(self.clock.now() - self.cache.contact_s, 3)
+            reason = type(error).__name__
+            self.log.info("job_not_read", job=job_id, copy_age_s=age_s, reason=reason)
+        return self.jobs.get(job_id, known)
+
+    async def read(self, job_id: str) -> KnownJob | None:
+        """Reads a job from the store."""
         item = await self.store.get(job_key(job_id))
         if item is None:
             return None
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -202,6 +202,7 @@
             self.metrics,
             self.log,
             self.mark_ends,
+            parts.jobs.note,
         )
 
     async def run(self) -> None:
--- a/libs/scheduling/burdockthread_scheduling/pool_sizer.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_sizer.py
@@ -18,7 +18,7 @@
 # A pool gives machines up only as far as it has this much more than it asks.
 SURPLUS_FACTOR = 1.3
 # A move costs about as much as a machine that idles for a second.
-IDLE_BEFORE_RELEASE_S = 2.5
+IDLE_BEFORE_RELEASE_S = 1.2
 IDLE_BEFORE_LOAN_S = 0.4
 # Part of an even share of the machines that a pool keeps without demand.
 FLOOR_SHARE = 1.0
@@ -79,13 +79,14 @@
     def floors(self, pools: list[PoolStatus]) -> dict[str, int]:
         """Returns how many machines each pool keeps while it asks for less.
 
-        A pool whose turn is just over can do with few; the longer ago it was,
-        the sooner the next one may come.
+        A pool has its next turn after all others had theirs; until then it can
+        do with few.
         """
         share = len(self.ledger.machines) / (len(pools) + 1) * FLOOR_SHARE
         ranks = self.demand.ranks([status.pool for status in pools])
         return {
-            pool: max(round(share * rank), MIN_WORKERS) for pool, rank in ranks.items()
+            pool: max(round(share), MIN_WORKERS) if rank >= 1 else MIN_WORKERS
+            for pool, rank in ranks.items()
         }
 
     def need(self, status: PoolStatus) -> Need:
--- a/libs/scheduling/burdockthread_scheduling/progress_writer.py
+++ b/libs/scheduling/burdockthread_scheduling/progress_writer.py
@@ -43,7 +43,8 @@
     Attributes:
         tenure: Duty under which it writes.
         dirty: Jobs with progress that is not stored.
-        clear: Jobs whose keys are no longer needed.
+        cleared: Jobs whose keys are no longer needed.
+        note: Takes in the state of a job that was recorded, and its revision.
     """
 
     def __init__(
@@ -57,7 +58,9 @@
         metrics: Metrics,
         log: EventLog,
         marks: Callable[[], Callable[[], None]],
+        note: Callable[[str, JobRecord, int], None],
     ) -> None:
+        self.note = note
         self.entry = entry
         self.tenure = tenure
         self.pool = pool
@@ -154,11 +157,14 @@
             removed.append(Change(progress_key, None, ANY_REVISION))
         if job.end is JobEnd.CANCELLED:
             return removed
-        record = JobRecord(
-            self.pool, job.queue.name, PHASES[job.end], int(self.clock.wall() * 1000)
-        )
+        record = self.record(job, PHASES[job.end])
         return [Change(job_key(job_id), encode(record), job.revision), *removed]
 
+    def record(self, job: JobRun, phase: JobPhase) -> JobRecord:
+        """Returns the state of a job that ends now."""
+        wall_ms = int(self.clock.wall() * 1000)
+        return JobRecord(self.pool, job.queue.name, phase, wall_ms)
+
     def settled(self, job: JobRun, end: JobEnd | None, revision: int) -> None:
         """Notes that a job is stored as it was when the write was made."""
         job_id = job.spec.job_id
@@ -166,6 +172,9 @@
             self.dirty.pop(job_id, None)
             self.cleared.pop(job_id, None)
             self.board.jobs.pop(job_id, None)
+            if end in PHASES:
+                record = self.record(job, PHASES[end])
+                self.note(job_id, record, revision)
             self.metrics.count(f"jobs.{end.name.lower()}")
             self.log.info(
                 "job_ended",
--- a/libs/scheduling/burdockthread_scheduling/records.py
+++ b/libs/scheduling/burdockthread_scheduling/records.py
@@ -5,14 +5,15 @@
     holder of the pool.
 ``shared/pool/<pool>``
     `PoolReport`: what waits; written by the holder of the pool.
-``shared/duty/<duty>``, ``shared/entry/<entry>``
+``cluster/duty/<duty>``, ``cluster/entry/<entry>``
     `DutyRecord` and `EntryRecord`, each bound to the lease of its entry.
 ``work/<pool>/<job>``
     `JobSpec`, or `CANCELLED`; written by acceptance and cancel.
 ``progress/<pool>/<job>``
     `JobProgress`; written by the holder of the pool.
 
-All entries follow ``shared/``; only the holder of a pool follows its work.
+All entries follow ``cluster/`` and, less closely, ``shared/``; only the holder
+of a pool follows its work.
 """
 
 from enum import StrEnum
@@ -26,8 +27,9 @@
 SHARED_PREFIX = "shared/"
 JOB_PREFIX = "shared/job/"
 POOL_PREFIX = "shared/pool/"
-DUTY_PREFIX = "shared/duty/"
-ENTRY_PREFIX = "shared/entry/"
+CLUSTER_PREFIX = "cluster/"
+DUTY_PREFIX = "cluster/duty/"
+ENTRY_PREFIX = "cluster/entry/"
 CANCELLED = b"cancelled"
 
 Record = TypeVar("Record")
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -7,7 +7,7 @@
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import MemoryMetrics
 from burdockthread_scheduling.duties import DOUBT_LIMIT_S, LEASE_TTL_S, Duties, Duty
-from burdockthread_scheduling.records import SHARED_PREFIX
+from burdockthread_scheduling.records import CLUSTER_PREFIX
 from burdockthread_store.faulty_store import FaultyStore
 from burdockthread_store.memory_store import MemoryStore
 from burdockthread_store.prefix_cache import PrefixCache
@@ -44,7 +44,7 @@
         """Starts an entry."""
         faulty = FaultyStore(self.memory, self.clock)
         store = SettledStore(faulty, name, self.clock, MemoryMetrics())
-        cache = PrefixCache(store, SHARED_PREFIX, self.clock, 0.3)
+        cache = PrefixCache(store, CLUSTER_PREFIX, self.clock, 0.3)
         duties = Duties(
             name,
             f"{name}:1",
--- a/libs/scheduling/tests/test_machine_planner.py
+++ b/libs/scheduling/tests/test_machine_planner.py
@@ -61,7 +61,7 @@
             metrics=self.metrics,
             log=self.log,
         )
-        key = "shared/duty/machines"
+        key = "cluster/duty/machines"
         change = Change(key, entry.encode(), ANY_REVISION)
         fence = await self.memory.write([change])
         found = MachinePlanner(Tenure("machines", fence, Guard(key, fence)), parts)
