--- a/libs/scheduling/burdockthread_scheduling/estimates.py
+++ b/libs/scheduling/burdockthread_scheduling/estimates.py
@@ -17,6 +17,8 @@
 MIN_PERCENT = 10
 # Work that arrived within this time tells the present rate.
 INFLOW_WINDOW_S = 1.0
+# The onset of a turn shows within this time.
+ONSET_S = 0.4
 
 
 class DurationEstimates:
@@ -104,4 +106,5 @@
         """Returns the work that arrives each second."""
         while self.arrivals and now - self.arrivals[0][0] > INFLOW_WINDOW_S:
             self.total -= self.arrivals.popleft()[1]
-        return max(self.total, 0.0) / INFLOW_WINDOW_S
+        lately = sum(work for at_s, work in self.arrivals if now - at_s < ONSET_S)
+        return max(self.total / INFLOW_WINDOW_S, lately / ONSET_S, 0.0)
--- a/libs/scheduling/burdockthread_scheduling/pool_sizer.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_sizer.py
@@ -21,7 +21,7 @@
 IDLE_BEFORE_RELEASE_S = 1.2
 IDLE_BEFORE_LOAN_S = 0.4
 # Part of an even share of the machines that a pool keeps without demand.
-FLOOR_SHARE = 1.0
+FLOOR_SHARE = 0.8
 MIN_WORKERS = 2
 LOG_INTERVAL_S = 1.0
 
