--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -30,6 +30,7 @@
 )
 from burdockthread_platform.kv_store import PlatformStore
 from burdockthread_platform.machines_http import HttpMachineControl
+from burdockthread_platform.policy_http import HttpPolicyService
 from burdockthread_platform.registrations import (
     REGISTRATION_PREFIX,
     RegisteredWorkers,
@@ -53,7 +54,9 @@
     PlannerParts,
 )
 from burdockthread_scheduling.machines import MachineControl
-from burdockthread_scheduling.pool_scheduler import PoolParts, PoolScheduler
+from burdockthread_scheduling.placement_policy import NoPolicyService, PolicyService
+from burdockthread_scheduling.pool_core import PoolParts
+from burdockthread_scheduling.pool_scheduler import PoolScheduler
 from burdockthread_scheduling.pool_status import (
     PlannerAnswer,
     PoolStatus,
@@ -140,6 +143,11 @@
         self.gateway = HttpWorkerGateway(session)
         self.process = secrets.token_hex(PROCESS_ID_BYTES)
         self.link = HttpEntryLink(session, self.on_status, self.on_release)
+        self.policy: PolicyService = (
+            NoPolicyService()
+            if settings.policy is None
+            else HttpPolicyService(settings.policy, session)
+        )
         self.machines = (
             None
             if settings.machines is None
@@ -243,6 +251,7 @@
             jobs=self.index,
             roster=self.roster,
             gateway=self.gateway,
+            policy=self.policy,
             configuration=self.current_configuration,
             clock=self.clock,
             metrics=self.metrics,
--- /dev/null
+++ b/libs/platform/burdockthread_platform/policy_http.py
@@ -0,0 +1,70 @@
+"""The users' service of placement policies over HTTP."""
+
+import asyncio
+from collections.abc import Sequence
+
+import aiohttp
+from burdockthread_model.errors import PlatformError
+from burdockthread_scheduling.placement_policy import (
+    PolicyAnswer,
+    PolicyService,
+    StepId,
+)
+
+from burdockthread_platform import wire
+from burdockthread_platform.settings import Address
+
+# The service answers the calls of one machine in turn.
+CALL_TIMEOUT_S = 5.0
+MAX_WORKERS = 100
+
+
+class HttpPolicyService(PolicyService):
+    """The service at one address; one call at a time."""
+
+    def __init__(self, address: Address, session: aiohttp.ClientSession) -> None:
+        self.url = f"http://{address}/advise"
+        self.session = session
+        self.timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        self.turn = asyncio.Lock()
+
+    async def ask(self, step: StepId, workers: Sequence[str]) -> PolicyAnswer:
+        """Returns which of some workers may run a step."""
+        name = f"{step.job_id}.{step.occurrence}.{step.step}"
+        body = {"step": name, "workers": list(workers[:MAX_WORKERS])}
+        async with self.turn:
+            return await self.call(body)
+
+    async def call(self, body: wire.JsonObject) -> PolicyAnswer:
+        """Makes one call."""
+        try:
+            async with self.session.post(
+                self.url, json=body, timeout=self.timeout
+            ) as answer:
+                data = await answer.read()
+            if answer.status != 200:
+                raise PlatformError(f"the policy answered {answer.status}")
+            return parse_answer(wire.parse_object(data))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise PlatformError(f"policy: {type(error).__name__}") from error
+        except wire.WireError as error:
+            raise PlatformError(f"policy: {error}") from error
+
+
+def parse_answer(body: wire.JsonObject) -> PolicyAnswer:
+    """Reads the rows of worker and ticket.
+
+    Raises:
+        WireError: The answer is malformed.
+    """
+    rows = body.get("good", [])
+    if not isinstance(rows, list):
+        raise wire.WireError("good", "expected a list")
+    tickets = {}
+    for row in rows:
+        match row:
+            case [str(worker), str(ticket), *_]:
+                tickets[worker] = ticket
+            case _:
+                raise wire.WireError("good", "unexpected row")
+    return PolicyAnswer(tickets, wire.number(body, "validMs") / 1000)
--- a/libs/platform/burdockthread_platform/registrations.py
+++ b/libs/platform/burdockthread_platform/registrations.py
@@ -85,13 +85,16 @@
     if not separator or not host or not port.isdecimal() or len(port) > 5:
         raise wire.WireError("address", "expected IP and port")
     # `slots` counts requests at once and says nothing of tasks.
+    labels = wire.texts(body, "labels")
     return WorkerListing(
         key=WorkerKey(worker_id, wire.integer(body, "born")),
         pool=wire.needed_text(body, "service"),
         host=host,
         port=int(port),
         availability_zone=wire.text(body, "zone"),
-        labels=wire.texts(body, "labels"),
+        labels=labels,
+        # The kind comes first, then the rack.
+        rack=labels[1] if len(labels) > 1 else "",
         capacity=parse_capacity(body.get("capacity", {})),
         draining=state == "draining",
         remaining_ms=wire.integer(body, "remainingMs"),
--- a/libs/scheduling/burdockthread_scheduling/board.py
+++ b/libs/scheduling/burdockthread_scheduling/board.py
@@ -26,7 +26,6 @@
         failures: Numbers of the runs that failed; a worker lists an end again
             until it knows that it is stored.
         failed_on: Workers on which a run failed.
-        waiting_since_s: Clock time since which it has no run.
     """
 
     __slots__ = (
@@ -39,7 +38,6 @@
         "size",
         "step",
         "task",
-        "waiting_since_s",
     )
 
     def __init__(self, task: TaskId, job: "JobRun", step: StepSpec) -> None:
@@ -52,7 +50,6 @@
         self.checkpoint = ""
         self.failures: set[int] = set()
         self.failed_on: set[str] = set()
-        self.waiting_since_s = 0.0
 
     def name(self) -> str:
         """Returns its name within the job, as used in the progress."""
@@ -111,6 +108,7 @@
         revision: Revision of the key of its state.
         occurrences: Steps by occurrence, for those that have begun.
         closed: Occurrences that are complete.
+        next_occurrence: First occurrence that has not been opened yet.
         begun: Whether a task has started.
         end: How it ended, or None.
         adopted: Whether an earlier holder may have started tasks of it.
@@ -126,6 +124,7 @@
         self.revision = revision
         self.occurrences: dict[int, list[StepRun]] = {}
         self.closed: set[int] = set()
+        self.next_occurrence = 0
         self.begun = False
         self.end: JobEnd | None = None
         self.adopted = adopted
@@ -142,13 +141,13 @@
 
     def open_due(self, wall_ms: float) -> None:
         """Creates the occurrences whose time has come."""
-        if not self.spec.repetitions:
-            return
-        for occurrence in range(self.spec.repetitions):
+        while self.next_occurrence < self.spec.repetitions:
+            occurrence = self.next_occurrence
             if self.spec.due_ms(occurrence) > wall_ms:
                 return
             if occurrence not in self.occurrences and occurrence not in self.closed:
                 self.open_occurrence(occurrence)
+            self.next_occurrence += 1
 
     def step_run(self, occurrence: int, number: int) -> StepRun | None:
         """Returns a step of an open occurrence."""
@@ -179,6 +178,14 @@
             for step in steps:
                 yield from step.open_tasks.values()
 
+    def failed_runs(self, task: TaskRun) -> set[int]:
+        """Returns the numbers of the failed runs of a task, or of its gang."""
+        step = self.step_run(task.task.occurrence, task.task.step)
+        if step is None or not task.step.gang:
+            return task.failures
+        members = (member.failures for member in step.open_tasks.values())
+        return set().union(*members)
+
     def succeed(self, task: TaskId) -> tuple[TaskRun, ...]:
         """Notes that a task succeeded, and with it all members of a gang.
 
--- a/libs/scheduling/burdockthread_scheduling/estimates.py
+++ b/libs/scheduling/burdockthread_scheduling/estimates.py
@@ -8,7 +8,11 @@
 
 from burdockthread_scheduling.board import StepRun, TaskRun
 from burdockthread_scheduling.specs import StepSpec
-from burdockthread_scheduling.worker_state import Placement, PlacementPhase
+from burdockthread_scheduling.worker_state import (
+    Placement,
+    PlacementPhase,
+    WorkerState,
+)
 
 LEARN_SHARE = 0.05
 DEFAULT_S = 1.0
@@ -32,11 +36,16 @@
         self.clock = clock
         self.means_s: dict[str, float] = {}
 
-    def total_s(self, task: TaskRun) -> float:
-        """Returns the expected duration of a task in seconds."""
+    def total_s(self, task: TaskRun, besides: WorkerState | None = None) -> float:
+        """Returns the expected duration of a task in seconds.
+
+        Args:
+            task: The task.
+            besides: Worker whose runs say nothing, since it may be slow.
+        """
         step = task.job.step_run(task.task.occurrence, task.task.step)
         if step is not None:
-            seen_s = self.seen_s(step)
+            seen_s = self.seen_s(step, besides)
             if seen_s:
                 return median(seen_s)
         return self.told_s(task.step, task.job.spec.queue)
@@ -52,13 +61,15 @@
         # What is told is as wrong as the mean is: the middle errs least.
         return math.sqrt(told_s * mean_s)
 
-    def seen_s(self, step: StepRun) -> list[float]:
+    def seen_s(self, step: StepRun, besides: WorkerState | None = None) -> list[float]:
         """Returns the durations of a step's tasks that are known or in sight."""
         found = list(step.durations_s)
         for task in step.open_tasks.values():
             for placement in task.placements:
                 if placement.percent < MIN_PERCENT or not placement.rate:
                     continue
+                if placement.worker is besides:
+                    continue
                 done_s = placement.progress_s - placement.ordered_s
                 found.append(done_s + (100 - placement.percent) / placement.rate)
         return found
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/evacuation.py
@@ -0,0 +1,119 @@
+"""Moves tasks off workers that leave, or that the planner wants empty."""
+
+from burdockthread_scheduling.board import TaskRun
+from burdockthread_scheduling.placement import choose_worker
+from burdockthread_scheduling.pool_core import PoolCore
+from burdockthread_scheduling.pool_workers import PoolWorkers
+from burdockthread_scheduling.run_orders import RunOrders
+from burdockthread_scheduling.run_reports import AT_WORK_PERCENT
+from burdockthread_scheduling.worker_state import (
+    Placement,
+    PlacementPhase,
+    WorkerState,
+)
+
+# An order to a machine may still be on its way after the planner's last word.
+VACATE_HOLD_S = 3.0
+# Tasks may take this long to end by themselves before they are stopped.
+PATIENCE_S = 3.0
+# A stop and the way of the checkpoint, before a worker leaves.
+LEAVE_MARGIN_S = 0.5
+# With fewer workers none is kept free for a lasting task.
+MIN_SERVING_WORKERS = 2
+
+
+class Evacuation:
+    """Empties workers without taking out more of a lasting step than allowed.
+
+    Attributes:
+        since_s: Clock time since which the planner wants a worker empty.
+        waiting: Whether a lasting task finds no room elsewhere.
+    """
+
+    def __init__(self, core: PoolCore, workers: PoolWorkers, orders: RunOrders) -> None:
+        self.core = core
+        self.clock = core.clock
+        self.log = core.log
+        self.workers = workers
+        self.orders = orders
+        self.since_s: dict[str, float] = {}
+        self.waiting = False
+
+    def take_wishes(self, worker_ids: tuple[str, ...]) -> None:
+        """Takes in which workers the planner of machines wants empty."""
+        now = self.clock.now()
+        until_s = self.workers.vacating_until_s
+        for worker_id in worker_ids:
+            if worker_id not in until_s:
+                self.since_s[worker_id] = now
+                self.log.info("worker_vacating", worker=worker_id, pool=self.core.pool)
+            until_s[worker_id] = now + VACATE_HOLD_S
+        for worker_id in [w for w, end_s in until_s.items() if now >= end_s]:
+            del until_s[worker_id]
+            self.since_s.pop(worker_id, None)
+            self.log.info("worker_kept", worker=worker_id, pool=self.core.pool)
+        self.core.wake.set()
+
+    def step(self) -> None:
+        """Moves what can be moved now."""
+        self.waiting = False
+        for worker in self.core.workers.values():
+            since_s = self.emptying_since_s(worker)
+            if since_s is None:
+                continue
+            for placement in tuple(worker.placements.values()):
+                task = placement.task
+                if task is None or placement.phase is not PlacementPhase.CONFIRMED:
+                    continue
+                if task.step.lasting:
+                    self.move_lasting(placement, task)
+                elif self.is_to_stop(worker, placement, task, since_s):
+                    self.orders.stop(placement, "worker is to be emptied")
+
+    def emptying_since_s(self, worker: WorkerState) -> float | None:
+        """Returns since when a worker is being emptied, or None."""
+        if worker.listing.draining:
+            return worker.draining_since_s
+        return self.since_s.get(worker.worker_id)
+
+    def is_to_stop(
+        self, worker: WorkerState, placement: Placement, task: TaskRun, since_s: float
+    ) -> bool:
+        """Returns whether a task that ends by itself is stopped all the same."""
+        now = self.clock.now()
+        if not worker.listing.draining:
+            return now - since_s > PATIENCE_S
+        leaves_s = since_s + worker.listing.remaining_ms / 1000 - LEAVE_MARGIN_S
+        left_s = placement.left_s(now)
+        if left_s is None:
+            left_s = self.core.estimates.total_s(task)
+        return now + left_s > leaves_s and (task.step.checkpointing or now > leaves_s)
+
+    def move_lasting(self, placement: Placement, task: TaskRun) -> None:
+        """Moves a lasting task if so many of its step may be missing."""
+        step = task.job.step_run(task.task.occurrence, task.task.step)
+        if step is None:
+            return
+        if choose_worker(task, self.workers.ready(), self.core.health) is None:
+            self.waiting = True
+            return
+        missing = sum(not is_at_work(other) for other in step.open_tasks.values())
+        leaving = placement.worker.listing.draining
+        if leaving or missing < max(task.step.max_unavailable, 1):
+            self.orders.stop(placement, "worker is to be emptied")
+
+    def without_reserved(self, ready: list[WorkerState]) -> list[WorkerState]:
+        """Leaves out the emptiest worker while a lasting task waits for room."""
+        if not self.waiting or len(ready) < MIN_SERVING_WORKERS:
+            return ready
+        emptiest = min(ready, key=lambda worker: worker.used_cpu)
+        return [worker for worker in ready if worker is not emptiest]
+
+
+def is_at_work(task: TaskRun) -> bool:
+    """Returns whether a lasting task works and is not about to be stopped."""
+    return any(
+        placement.phase is PlacementPhase.CONFIRMED
+        and placement.percent >= AT_WORK_PERCENT
+        for placement in task.placements
+    )
--- a/libs/scheduling/burdockthread_scheduling/memory_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_workers.py
@@ -30,6 +30,7 @@
 MAX_LEASE_MS = 6_000
 MAX_LISTED = 500
 STOP_S = 0.2
+GANG_WAIT_S = 3.0
 FAIL_AFTER_S = 0.1
 POLL_S = 0.02
 DEFAULT_TASK_S = 1.0
@@ -44,12 +45,14 @@
         size: What it takes up.
         fails: Whether each run of it fails.
         checkpointing: Whether it saves its progress each second.
+        gang: Number of tasks that only work together, or 0.
     """
 
     duration_s: float = DEFAULT_TASK_S
     size: Capacity = Capacity(1_000, 256)
     fails: bool = False
     checkpointing: bool = False
+    gang: int = 0
 
 
 class RunRecord(NamedTuple):
@@ -158,8 +161,13 @@
         """Ends the runs whose time has come."""
         now = self.park.clock.now()
         for run in tuple(self.runs.values()):
-            run.work(now, self.speed)
-            if self.clock_ms() >= self.lease_until_ms:
+            if (run.order.task, run.order.run) not in self.runs:
+                continue
+            waiting = self.park.is_waiting_gang(run)
+            run.work(now, 0.0 if waiting else self.speed)
+            if waiting and now - run.started_s > GANG_WAIT_S:
+                self.end(run, EndKind.GANG_INCOMPLETE)
+            elif self.clock_ms() >= self.lease_until_ms:
                 self.end(run, EndKind.LEASE_LAPSED)
             elif now >= run.stop_s:
                 self.end(run, EndKind.STOPPED)
@@ -178,6 +186,8 @@
             EndReport(self.end_count, order.task, order.run, kind, run.checkpoint())
         )
         self.park.note_end(self, run, kind)
+        if run.nature.gang:
+            self.park.end_gang(run, kind)
 
     def close_run(self, task: TaskId, run: int) -> None:
         """Makes sure that no run up to a number starts here any more."""
@@ -227,7 +237,13 @@
         """Returns the lists."""
         self.advance()
         running = tuple(
-            RunReport(task, number, run.checkpoint(), run.percent())
+            RunReport(
+                task,
+                number,
+                run.checkpoint(),
+                run.percent(),
+                self.park.measure(self, run),
+            )
             for (task, number), run in self.runs.items()
         )
         return HoldReport(
@@ -253,6 +269,7 @@
         records: Every run that was started.
         settled: Tasks whose success a worker was told to forget.
         violations: Broken promises, as texts.
+        measure: Returns the measure of a run on a worker.
     """
 
     def __init__(
@@ -267,6 +284,7 @@
         self.event = asyncio.Event()
         self.late: set[asyncio.Task[None]] = set()
         self.starts = 0
+        self.measure: Callable[[MemoryWorker, MemoryRun], float] = lambda *_: 0.0
 
     def add(
         self,
@@ -278,7 +296,10 @@
     ) -> MemoryWorker:
         """Adds a worker; one with the same id has ended."""
         key = WorkerKey(worker_id, born_ms)
-        listing = WorkerListing(key, pool, "127.0.0.1", 1, "zone-a", labels, capacity)
+        rack = labels[1] if len(labels) > 1 else ""
+        listing = WorkerListing(
+            key, pool, "127.0.0.1", 1, "zone-a", labels, capacity, rack=rack
+        )
         for other in tuple(self.by_key):
             if other.worker_id == worker_id:
                 self.remove(other)
@@ -350,6 +371,27 @@
             ):
                 self.records[position] = record._replace(ended_s=now, kind=kind)
 
+    def gang_of(self, run: MemoryRun) -> list[tuple[MemoryWorker, MemoryRun]]:
+        """Returns the members of a run of a gang that are present."""
+        task, number = run.order.task, run.order.run
+        return [
+            (worker, other)
+            for worker in self.by_key.values()
+            for (other_task, other_number), other in tuple(worker.runs.items())
+            if other_task[:3] == task[:3] and other_number == number
+        ]
+
+    def is_waiting_gang(self, run: MemoryRun) -> bool:
+        """Returns whether a member of a gang waits for others."""
+        return run.nature.gang > 0 and len(self.gang_of(run)) < run.nature.gang
+
+    def end_gang(self, run: MemoryRun, kind: EndKind) -> None:
+        """Ends the other members of a gang with one of them."""
+        together = kind is EndKind.SUCCEEDED
+        for worker, other in self.gang_of(run):
+            if (other.order.task, other.order.run) in worker.runs:
+                worker.end(other, kind if together else EndKind.GANG_BROKEN)
+
     def running(self) -> list[TaskId]:
         """Returns the tasks that run now."""
         for worker in self.by_key.values():
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/pacing.py
@@ -0,0 +1,133 @@
+"""Slows tasks that fill down before they harm the tasks that serve beside them."""
+
+from burdockthread_scheduling.pool_core import PoolCore
+from burdockthread_scheduling.run_orders import RunOrders
+from burdockthread_scheduling.worker_state import (
+    Placement,
+    PlacementPhase,
+    WorkerState,
+)
+
+# Shares of a task's target at which its neighbours are slowed, stopped, sped up.
+SLOW_SHARE = 0.75
+STOP_SHARE = 0.95
+CALM_SHARE = 0.55
+SLOW_FACTOR = 0.5
+RAISE_STEP = 15
+FULL_PERCENT = 100
+# A task that fills starts at full pace; beside one that serves it begins lower.
+FIRST_PERCENT = 30
+MIN_PERCENT = 5
+# The measure covers the last half second, and a pace takes a tenth to apply.
+SETTLE_S = 0.7
+# A pace that is not confirmed for so long ends the run instead.
+UNCERTAIN_S = 1.5
+
+
+class Pacing:
+    """Sets the pace of the tasks that fill, worker by worker.
+
+    Attributes:
+        changed_s: Clock time of the last change of pace, by worker.
+        uncertain_s: Clock time since which a run's pace is not confirmed.
+    """
+
+    def __init__(self, core: PoolCore, orders: RunOrders) -> None:
+        self.core = core
+        self.clock = core.clock
+        self.orders = orders
+        self.changed_s: dict[str, float] = {}
+        self.uncertain_s: dict[Placement, float] = {}
+        self.sending: set[Placement] = set()
+
+    def step(self) -> None:
+        """Decides for each worker with tasks that fill."""
+        for worker in self.core.workers.values():
+            filling = [p for p in worker.placements.values() if is_filling(p)]
+            if filling:
+                self.pace_worker(worker, filling)
+            else:
+                self.changed_s.pop(worker.worker_id, None)
+
+    def pace_worker(self, worker: WorkerState, filling: list[Placement]) -> None:
+        """Decides for the tasks that fill on one worker."""
+        now = self.clock.now()
+        serving = [p for p in worker.placements.values() if is_serving(p)]
+        for placement in filling:
+            fresh = (
+                placement.pace == FULL_PERCENT and now - placement.ordered_s < SETTLE_S
+            )
+            if serving and fresh:
+                self.set(placement, FIRST_PERCENT)
+        changed_s = self.changed_s.get(worker.worker_id, float("-inf"))
+        load = max((self.load(p, changed_s) for p in serving), default=0.0)
+        if load < SLOW_SHARE and now - changed_s < SETTLE_S:
+            return
+        for placement in filling:
+            percent = self.next_percent(placement.pace, load, alone=not serving)
+            if percent != placement.pace:
+                self.set(placement, percent)
+
+    def load(self, placement: Placement, since_s: float) -> float:
+        """Returns a task's measure as a share of its target, 0 if it is older."""
+        if placement.task is None or placement.measured_s < since_s:
+            return 0.0
+        return placement.measure / placement.task.step.target_ms
+
+    def next_percent(self, percent: int, load: float, *, alone: bool) -> int:
+        """Returns the pace that follows from the load of the tasks that serve."""
+        if alone:
+            return FULL_PERCENT
+        if load >= STOP_SHARE:
+            return 0
+        if load >= SLOW_SHARE:
+            slower = int(percent * SLOW_FACTOR)
+            return slower if slower >= MIN_PERCENT else 0
+        if load <= CALM_SHARE:
+            return min(percent + RAISE_STEP, FULL_PERCENT)
+        return percent
+
+    def set(self, placement: Placement, percent: int) -> None:
+        """Orders a pace."""
+        now = self.clock.now()
+        if placement in self.sending:
+            return
+        since_s = self.uncertain_s.setdefault(placement, now)
+        if now - since_s > UNCERTAIN_S:
+            self.uncertain_s.pop(placement, None)
+            self.orders.stop(placement, "its pace cannot be set")
+            return
+        self.sending.add(placement)
+        self.changed_s[placement.worker.worker_id] = now
+        self.core.log.info(
+            "run_paced",
+            task=placement.task_id,
+            run=placement.run,
+            worker=placement.worker.worker_id,
+            before=placement.pace,
+            percent=percent,
+        )
+        self.core.spawn(self.send(placement, percent))
+
+    async def send(self, placement: Placement, percent: int) -> None:
+        """Sends a pace and notes whether it is certain."""
+        try:
+            certain = await self.orders.pace(placement, percent)
+        finally:
+            self.sending.discard(placement)
+        if certain:
+            placement.pace = percent
+            self.uncertain_s.pop(placement, None)
+
+
+def is_filling(placement: Placement) -> bool:
+    """Returns whether a run only uses what others leave."""
+    task = placement.task
+    confirmed = placement.phase is PlacementPhase.CONFIRMED
+    return confirmed and task is not None and task.step.fills
+
+
+def is_serving(placement: Placement) -> bool:
+    """Returns whether a run serves users of its own within a target."""
+    task = placement.task
+    return task is not None and task.step.target_ms > 0 and not task.step.fills
--- a/libs/scheduling/burdockthread_scheduling/placement.py
+++ b/libs/scheduling/burdockthread_scheduling/placement.py
@@ -1,12 +1,13 @@
 """Chooses the worker for a task."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 from burdockthread_scheduling.board import TaskRun
 from burdockthread_scheduling.worker_health import WorkerHealth
 from burdockthread_scheduling.worker_state import WorkerState
 
-Rank = tuple[bool, bool, bool, float]
+Rank = tuple[bool, bool, bool, bool, bool, float]
 
 
 def is_allowed(task: TaskRun, worker: WorkerState) -> bool:
@@ -51,9 +52,51 @@
 
 def rank_of(task: TaskRun, worker: WorkerState, health: WorkerHealth) -> Rank:
     """Returns how well a worker suits a task; the lowest is best."""
-    rack = task.step.data_rack
-    remote = bool(rack) and rack not in worker.listing.labels
+    step = task.step
+    remote = bool(step.data_rack) and step.data_rack not in worker.listing.labels
     load = worker.used_cpu / max(worker.listing.capacity.cpu_milli, 1)
-    failed = worker.worker_id in task.failed_on
-    # Full workers first, so that others stay empty and can be switched off.
-    return failed, health.is_suspect(worker), remote, -load
+    return (
+        worker.worker_id in task.failed_on,
+        health.is_suspect(worker),
+        remote,
+        step.same_rack and is_elsewhere(task, worker),
+        disturbs(task, worker),
+        # Full workers first, so that others stay empty and can be switched off.
+        -load,
+    )
+
+
+def is_elsewhere(task: TaskRun, worker: WorkerState) -> bool:
+    """Returns whether the runs of a task's step are in other racks."""
+    step = task.job.step_run(task.task.occurrence, task.task.step)
+    if step is None:
+        return False
+    racks = {
+        placement.worker.listing.rack
+        for member in step.open_tasks.values()
+        for placement in member.placements
+    }
+    return bool(racks) and worker.listing.rack not in racks
+
+
+def disturbs(task: TaskRun, worker: WorkerState) -> bool:
+    """Returns whether a task that fills would get beside one that serves."""
+    if not task.step.fills and not task.step.target_ms:
+        return False
+    for placement in worker.placements.values():
+        other = placement.task
+        if other is None:
+            continue
+        if task.step.fills and other.step.target_ms:
+            return True
+        if task.step.target_ms and other.step.fills:
+            return True
+    return False
+
+
+def racks_by_room(workers: Iterable[WorkerState]) -> list[str]:
+    """Returns the racks of some workers, that with the most room first."""
+    room: Counter[str] = Counter()
+    for worker in workers:
+        room[worker.listing.rack] += worker.listing.capacity.cpu_milli - worker.used_cpu
+    return [rack for rack, _ in room.most_common()]
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/placement_policy.py
@@ -0,0 +1,172 @@
+"""Queues whose policy allows only some workers, as a service of the users tells."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.errors import PlatformError
+from burdockthread_model.events import EventLog
+from burdockthread_model.metrics import Metrics
+
+from burdockthread_scheduling.specs import TaskId
+
+# The service decides for each worker named; a step rarely needs more.
+MAX_ASKED = 30
+RETRY_S = 0.2
+# A ticket that is about to lapse may do so on its way.
+TICKET_MARGIN_S = 0.3
+
+
+class StepId(NamedTuple):
+    """A step of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+
+class PolicyAnswer(NamedTuple):
+    """What the policy says of a step.
+
+    Attributes:
+        tickets: Ticket of each worker that may run it, by id.
+        valid_s: Seconds for which the tickets hold.
+    """
+
+    tickets: dict[str, str]
+    valid_s: float
+
+
+class PolicyService(ABC):
+    """Asks the service that knows the policies."""
+
+    @abstractmethod
+    async def ask(self, step: StepId, workers: Sequence[str]) -> PolicyAnswer:
+        """Returns which of some workers may run a step.
+
+        Raises:
+            PlatformError: No answer.
+        """
+
+
+class NoPolicyService(PolicyService):
+    """Stands where no service is configured."""
+
+    async def ask(self, step: StepId, workers: Sequence[str]) -> PolicyAnswer:
+        """Refuses; a queue with a policy cannot run without the service."""
+        raise PlatformError("no service of placement policies is configured")
+
+
+class Ticket(NamedTuple):
+    """Permission to run a step on a worker until a clock time."""
+
+    text: str
+    until_s: float
+
+
+class PolicyTickets:
+    """The tickets of the steps whose queue has a policy.
+
+    Attributes:
+        tickets: Tickets by step and worker.
+        refused: Workers that may not run a step; that does not change.
+    """
+
+    def __init__(
+        self, service: PolicyService, clock: Clock, metrics: Metrics, log: EventLog
+    ) -> None:
+        self.service = service
+        self.clock = clock
+        self.metrics = metrics
+        self.log = log
+        self.tickets: dict[StepId, dict[str, Ticket]] = {}
+        self.refused: dict[StepId, set[str]] = {}
+        self.asking: set[StepId] = set()
+
+    def ticket(self, task: TaskId, worker_id: str) -> str:
+        """Returns a valid ticket, or an empty text."""
+        found = self.tickets.get(step_of(task), {}).get(worker_id)
+        if found is None or self.clock.now() >= found.until_s:
+            return ""
+        return found.text
+
+    def drop(self, task: TaskId, worker_id: str) -> None:
+        """Forgets a ticket that the worker did not take."""
+        self.tickets.get(step_of(task), {}).pop(worker_id, None)
+
+    def unknown(self, step: StepId, workers: Iterable[str]) -> list[str]:
+        """Returns the workers of which the policy has not been asked lately."""
+        refused = self.refused.get(step, set())
+        now = self.clock.now()
+        known = {
+            worker
+            for worker, ticket in self.tickets.get(step, {}).items()
+            if now < ticket.until_s
+        }
+        return [worker for worker in workers if worker not in refused | known]
+
+    async def ask(self, step: StepId, workers: Sequence[str]) -> None:
+        """Asks the policy of some workers, once at a time for each step."""
+        if step in self.asking or not workers:
+            return
+        self.asking.add(step)
+        asked = workers[:MAX_ASKED]
+        sent_s = self.clock.now()
+        try:
+            answer = await self.service.ask(step, asked)
+        except PlatformError as error:
+            self.log.info(
+                "policy_not_asked", step=".".join(map(str, step)), reason=error
+            )
+            await self.clock.sleep(RETRY_S)
+            return
+        finally:
+            self.asking.discard(step)
+        self.metrics.timing("policy.ask", self.clock.now() - sent_s)
+        until_s = sent_s + answer.valid_s - TICKET_MARGIN_S
+        known = self.tickets.setdefault(step, {})
+        for worker, text in answer.tickets.items():
+            known[worker] = Ticket(text, until_s)
+        refused = set(asked) - answer.tickets.keys()
+        self.refused.setdefault(step, set()).update(refused)
+        self.log.info(
+            "policy_asked",
+            step=".".join(map(str, step)),
+            asked=len(asked),
+            allowed=len(answer.tickets),
+        )
+
+    def keep_only(self, job_ids: Iterable[str]) -> None:
+        """Drops what is known of other jobs."""
+        kept = set(job_ids)
+        for known in (self.tickets, self.refused):
+            for step in [step for step in known if step.job_id not in kept]:
+                del known[step]
+
+
+class MemoryPolicyService(PolicyService):
+    """A policy that a test sets.
+
+    Attributes:
+        allowed: Workers that may run anything.
+        asked: Workers named in each call.
+    """
+
+    def __init__(self, valid_s: float = 3.0) -> None:
+        self.allowed: set[str] = set()
+        self.valid_s = valid_s
+        self.asked: list[tuple[str, ...]] = []
+
+    async def ask(self, step: StepId, workers: Sequence[str]) -> PolicyAnswer:
+        """Allows the workers that the test has set."""
+        self.asked.append(tuple(workers))
+        await asyncio.sleep(0)
+        tickets = {w: f"{step.job_id}-{w}" for w in workers if w in self.allowed}
+        return PolicyAnswer(tickets, self.valid_s)
+
+
+def step_of(task: TaskId) -> StepId:
+    """Returns the step that a task belongs to."""
+    return StepId(task.job_id, task.occurrence, task.step)
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/planner_link.py
@@ -0,0 +1,107 @@
+"""Tells the planner of machines what a pool asks for and has."""
+
+from burdockthread_scheduling.board import JobRun
+from burdockthread_scheduling.estimates import Inflow
+from burdockthread_scheduling.evacuation import Evacuation
+from burdockthread_scheduling.pool_core import PoolCore
+from burdockthread_scheduling.pool_status import PoolStatus, WorkerStatus
+from burdockthread_scheduling.pool_workers import PoolWorkers
+from burdockthread_scheduling.worker_state import WorkerState
+
+STATUS_INTERVAL_S = 0.1
+# Work that ends late anyway draws fewer machines than work in time.
+LATE_WORK_WEIGHT = 0.3
+
+
+class PlannerLink:
+    """Reports the demand of a pool and takes the planner's wishes in.
+
+    Attributes:
+        inflow: Work that has arrived lately.
+        turn_ages_s: What the planner last told of the pools' turns.
+    """
+
+    def __init__(
+        self, core: PoolCore, workers: PoolWorkers, evacuation: Evacuation
+    ) -> None:
+        self.core = core
+        self.clock = core.clock
+        self.workers = workers
+        self.evacuation = evacuation
+        self.inflow = Inflow()
+        self.turn_ages_s: dict[str, float] = {}
+        self.turn_ages_read_s = 0.0
+
+    async def run(self) -> None:
+        """Reports until cancelled."""
+        while True:
+            await self.clock.sleep(STATUS_INTERVAL_S)
+            answer = await self.core.parts.report(self.status())
+            if answer is None:
+                continue
+            self.turn_ages_s = answer.turn_ages_s
+            self.turn_ages_read_s = self.clock.now()
+            self.evacuation.take_wishes(answer.vacate)
+
+    def note_arrival(self, job: JobRun) -> None:
+        """Notes the work of a job that has arrived."""
+        work = sum(
+            task.size.cpu_milli * self.core.estimates.left_s(task)
+            for task in job.open_tasks()
+            if not task.step.lasting
+        )
+        self.inflow.add(work, self.clock.now())
+
+    def status(self) -> PoolStatus:
+        """Returns the demand and the workers of the pool."""
+        now = self.clock.now()
+        core = self.core
+        workers = tuple(self.worker(worker, now) for worker in core.workers.values())
+        passed_s = now - self.turn_ages_read_s
+        ages_s = {pool: age_s + passed_s for pool, age_s in self.turn_ages_s.items()}
+        lasting, running, waiting = self.demand()
+        return PoolStatus(
+            core.pool,
+            core.tenure.fence,
+            lasting,
+            running,
+            waiting,
+            self.inflow.per_s(now),
+            workers,
+            ages_s,
+        )
+
+    def worker(self, worker: WorkerState, now: float) -> WorkerStatus:
+        """Returns what the planner needs to know of a worker."""
+        return WorkerStatus(
+            worker_id=worker.worker_id,
+            cpu_milli=worker.listing.capacity.cpu_milli,
+            used_milli=worker.used_cpu,
+            runs=len(worker.placements),
+            lasting=worker.lasting(),
+            vacating=worker.worker_id in self.workers.vacating_until_s,
+            usable=self.workers.is_usable(worker),
+            idle_s=now - worker.busy_s,
+        )
+
+    def demand(self) -> tuple[int, int, float]:
+        """Returns lasting and running processors, and the work that waits."""
+        lasting = running = 0
+        waiting = 0.0
+        core = self.core
+        for job in core.board.jobs.values():
+            if job.end is not None:
+                continue
+            late = not job.spec.is_lasting() and core.order.rank(job).late
+            weight = LATE_WORK_WEIGHT if late else 1.0
+            for task in job.open_tasks():
+                cpu_milli = task.size.cpu_milli
+                if task.step.fills:
+                    continue
+                if task.step.lasting:
+                    lasting += cpu_milli
+                elif task.placements:
+                    running += cpu_milli
+                else:
+                    waiting += cpu_milli * core.estimates.left_s(task) * weight
+        return lasting, running, waiting
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/pool_core.py
@@ -0,0 +1,128 @@
+"""What the parts of a pool's holder share."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import NamedTuple
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.events import EventLog
+from burdockthread_model.metrics import Metrics
+from burdockthread_store.store import ConfigurationStore
+
+from burdockthread_scheduling.board import Board
+from burdockthread_scheduling.duties import Tenure
+from burdockthread_scheduling.estimates import DurationEstimates
+from burdockthread_scheduling.job_index import JobIndex
+from burdockthread_scheduling.job_order import JobOrder
+from burdockthread_scheduling.placement_policy import PolicyService
+from burdockthread_scheduling.pool_status import PlannerAnswer, PoolStatus
+from burdockthread_scheduling.roster import WorkerRoster
+from burdockthread_scheduling.specs import FleetConfiguration, PoolSpec, QueueSpec
+from burdockthread_scheduling.worker_health import WorkerHealth
+from burdockthread_scheduling.worker_state import WorkerState
+from burdockthread_scheduling.workers import WorkerGateway, WorkerKey
+
+
+class PoolParts(NamedTuple):
+    """What the scheduler of a pool is built from.
+
+    Attributes:
+        entry: Name of this entry.
+        address: Address of this entry for others.
+        process: Id of this process.
+        store: The store.
+        jobs: States of all jobs.
+        roster: Registered workers.
+        gateway: Orders to workers.
+        policy: Service that knows the placement policies.
+        configuration: Returns the configuration in force.
+        clock: Source of time.
+        metrics: Counters.
+        log: Events.
+        report: Tells the planner of machines a status; returns its wishes, or
+            None if it cannot be reached.
+        release: Asks the entry at an address to give no more orders for a pool
+            under fencing tokens below one; returns the id of its process.
+    """
+
+    entry: str
+    address: str
+    process: str
+    store: ConfigurationStore
+    jobs: JobIndex
+    roster: WorkerRoster
+    gateway: WorkerGateway
+    policy: PolicyService
+    configuration: Callable[[], FleetConfiguration]
+    clock: Clock
+    metrics: Metrics
+    log: EventLog
+    report: Callable[[PoolStatus], Awaitable[PlannerAnswer | None]]
+    release: Callable[[str, str, int], Awaitable[str]]
+
+
+class PoolCore:
+    """The state of one pool at its holder.
+
+    Attributes:
+        board: Jobs of the pool.
+        workers: Workers by life.
+        estimates: How long tasks take.
+        order: Which jobs are served first.
+        health: Which workers are sick.
+        lost: Why the duty is lost, or empty.
+        wake: Set when there may be something to decide.
+    """
+
+    def __init__(self, pool: str, tenure: Tenure, parts: PoolParts) -> None:
+        self.pool = pool
+        self.tenure = tenure
+        self.parts = parts
+        self.clock = parts.clock
+        self.log = parts.log
+        self.metrics = parts.metrics
+        self.board = Board()
+        self.workers: dict[WorkerKey, WorkerState] = {}
+        self.estimates = DurationEstimates(self.clock)
+        self.order = JobOrder(self.estimates, self.clock)
+        self.health = WorkerHealth(self.clock, self.metrics, self.log)
+        self.lost = ""
+        self.wake = asyncio.Event()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        """Starts work that ends with the duty."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.finished)
+        return task
+
+    def finished(self, task: asyncio.Task[None]) -> None:
+        """Drops work that has ended; an error ends the duty."""
+        self.tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self.log.error("pool_work_failed", pool=self.pool, reason=repr(error))
+            self.lose(repr(error))
+
+    def lose(self, reason: str) -> None:
+        """Ends the duty."""
+        self.lost = reason
+        self.wake.set()
+
+    def cancel_all(self) -> None:
+        """Ends all work."""
+        for task in self.tasks:
+            task.cancel()
+
+    def queue_of(self, name: str) -> QueueSpec:
+        """Returns a queue; one that is gone from the configuration gets defaults."""
+        queue = self.parts.configuration().queues.get(name)
+        return queue or QueueSpec(name, "", "", self.pool)
+
+    def spec(self) -> PoolSpec:
+        """Returns the pool as configured."""
+        found = self.parts.configuration().pools.get(self.pool)
+        return found or PoolSpec(self.pool)
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -0,0 +1,276 @@
+"""The workers of a pool: who they are, which take orders, whose leases lapsed."""
+
+import asyncio
+from contextlib import suppress
+from typing import NamedTuple
+
+from burdockthread_model.errors import (
+    ConflictError,
+    PeerUnavailableError,
+    StoreError,
+)
+from burdockthread_store.store import ANY_REVISION, Change
+
+from burdockthread_scheduling.duties import DOUBT_LIMIT_S
+from burdockthread_scheduling.pool_core import PoolCore
+from burdockthread_scheduling.records import decode, encode
+from burdockthread_scheduling.sessions import ReportListener, WorkerSession
+from burdockthread_scheduling.worker_state import (
+    CLOCK_RATE_BOUND,
+    LAPSE_MARGIN_S,
+    RUN_LEASE_MS,
+    WorkerState,
+)
+from burdockthread_scheduling.workers import WorkerKey
+
+# By then every lease has lapsed that a worker was given before.
+LEASE_BOUND_S = RUN_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
+ASSIGN_INTERVAL_S = 0.5
+RETRY_S = 0.1
+ASK_INTERVAL_S = 0.2
+
+
+class AssignedWorkers(NamedTuple):
+    """Workers on which runs of a pool may exist, kept at ``assigned/<pool>``.
+
+    Attributes:
+        workers: The workers.
+        address: Address of the holder for other entries.
+        process: Id of the holder's process.
+        released: Whether the holder has given its last order.
+    """
+
+    workers: tuple[WorkerKey, ...]
+    address: str
+    process: str
+    released: bool
+
+
+class PoolWorkers:
+    """Follows the workers of a pool.
+
+    Attributes:
+        sessions: Session and its task by worker.
+        unreached: Workers of earlier holders that have not answered yet; tasks
+            of theirs may run there until the clock time given.
+        assigned: Workers that the store names as having runs.
+        vacating_until_s: Clock time until which a worker gets no tasks because
+            the planner of machines wants it empty.
+    """
+
+    def __init__(self, core: PoolCore, listener: ReportListener) -> None:
+        self.core = core
+        self.clock = core.clock
+        self.log = core.log
+        self.listener = listener
+        self.sessions: dict[WorkerKey, tuple[WorkerSession, asyncio.Task[None]]] = {}
+        self.unreached: dict[WorkerKey, float] = {}
+        self.assigned: set[WorkerKey] = set()
+        self.assigned_dirty = True
+        self.assigned_s = float("-inf")
+        self.assigning = False
+        self.vacating_until_s: dict[str, float] = {}
+
+    # Earlier holders
+
+    async def read_assigned(self) -> None:
+        """Reads on which workers runs of an earlier holder may exist.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        found = await self.core.parts.store.get(f"assigned/{self.core.pool}")
+        if found is None:
+            return
+        left = decode(found.value, AssignedWorkers)
+        silent_s = 0.0 if left.released else DOUBT_LIMIT_S
+        lapsed_s = self.clock.now() + silent_s + LEASE_BOUND_S
+        for key in left.workers:
+            self.unreached[WorkerKey(*key)] = lapsed_s
+        if not left.released and self.unreached:
+            self.core.spawn(self.ask_predecessor(left))
+
+    async def ask_predecessor(self, left: AssignedWorkers) -> None:
+        """Makes sure that the last holder gives no more orders.
+
+        A process that answers under another id is its successor, so that the
+        holder has ended.
+        """
+        parts, core = self.core.parts, self.core
+        while self.unreached and left.process != parts.process:
+            try:
+                fence = core.tenure.fence
+                process = await parts.release(left.address, core.pool, fence)
+            except PeerUnavailableError:
+                await self.clock.sleep(ASK_INTERVAL_S)
+                continue
+            self.log.info(
+                "predecessor_silent",
+                pool=core.pool,
+                address=left.address,
+                restarted=process != left.process,
+            )
+            break
+        lapsed_s = self.clock.now() + LEASE_BOUND_S
+        for key, until_s in self.unreached.items():
+            self.unreached[key] = min(until_s, lapsed_s)
+
+    # Registrations
+
+    def sync(self) -> None:
+        """Follows the registrations."""
+        now = self.clock.now()
+        listings = self.core.parts.roster.workers(self.core.pool)
+        for key, listing in listings.items():
+            worker = self.core.workers.get(key)
+            if worker is None:
+                self.add(WorkerState(listing, now))
+                continue
+            worker.listing = listing
+            worker.listed = True
+            if listing.draining and worker.draining_since_s is None:
+                worker.draining_since_s = now
+                self.log.info("worker_draining", worker=worker.worker_id)
+            if worker.placements:
+                worker.busy_s = now
+        for key, worker in tuple(self.core.workers.items()):
+            if key not in listings:
+                worker.listed = False
+                if not worker.placements:
+                    self.drop(worker, "not registered")
+
+    def add(self, worker: WorkerState) -> None:
+        """Starts the session of a worker."""
+        key = worker.listing.key
+        core = self.core
+        core.workers[key] = worker
+        session = WorkerSession(
+            worker,
+            core.tenure.fence,
+            core.parts.gateway,
+            self.listener,
+            core.clock,
+            core.metrics,
+            core.log,
+        )
+        self.sessions[key] = (session, core.spawn(session.run()))
+        self.log.info("worker_seen", worker=worker.worker_id, pool=core.pool)
+
+    def drop(self, worker: WorkerState, reason: str) -> None:
+        """Forgets a worker."""
+        key = worker.listing.key
+        del self.core.workers[key]
+        _, task = self.sessions.pop(key)
+        task.cancel()
+        self.assigned_dirty = True
+        self.log.info("worker_dropped", worker=worker.worker_id, reason=reason)
+
+    def replaced(self, worker: WorkerState) -> None:
+        """Takes in that a worker has ended; all its runs have ended with it."""
+        self.log.info("worker_replaced", worker=worker.worker_id)
+        worker.replaced = True
+        self.unreached.pop(worker.listing.key, None)
+        self.lose_runs(worker)
+        self.core.wake.set()
+
+    def reached(self, worker: WorkerState) -> None:
+        """Takes in that a worker has answered this holder."""
+        if not worker.contacted:
+            worker.contacted = True
+            self.unreached.pop(worker.listing.key, None)
+
+    def lose_runs(self, worker: WorkerState) -> None:
+        """Takes all runs of a worker as ended."""
+        for placement in tuple(worker.placements.values()):
+            worker.remove(placement)
+
+    def expire_leases(self) -> None:
+        """Takes the runs on unreachable workers as ended once leases lapsed."""
+        now = self.clock.now()
+        for worker in self.core.workers.values():
+            if worker.placements and worker.failed_calls and now > worker.lapse_s():
+                self.log.warning(
+                    "worker_leases_lapsed",
+                    worker=worker.worker_id,
+                    runs=len(worker.placements),
+                    contact_age_s=round(now - worker.contact_s, 3),
+                )
+                worker.contacted = False
+                self.lose_runs(worker)
+        for key, lapsed_s in tuple(self.unreached.items()):
+            if now > lapsed_s:
+                del self.unreached[key]
+                self.log.warning("unreached_worker_lapsed", worker=key.worker_id)
+
+    # Readiness
+
+    def is_usable(self, worker: WorkerState) -> bool:
+        """Returns whether a worker may get tasks, unless it is full or vacating."""
+        return (
+            worker.listed
+            and worker.contacted
+            and not worker.replaced
+            and not worker.listing.draining
+            and not worker.failed_calls
+            and worker.listing.key in self.assigned
+        )
+
+    def is_ready(self, worker: WorkerState) -> bool:
+        """Returns whether a worker takes orders now."""
+        return (
+            self.is_usable(worker)
+            and not self.core.health.is_rested(worker)
+            and worker.worker_id not in self.vacating_until_s
+            and self.clock.now() >= worker.full_until_s
+            and (not worker.unknown_runs or self.core.spec().refuses_overload)
+        )
+
+    def ready(self) -> list[WorkerState]:
+        """Returns the workers that take orders now."""
+        return [w for w in self.core.workers.values() if self.is_ready(w)]
+
+    # The list in the store
+
+    def assign(self) -> None:
+        """Records the workers that may get orders before they get any."""
+        now = self.clock.now()
+        missing = self.core.workers.keys() - self.assigned
+        stale = self.assigned_dirty and now - self.assigned_s >= ASSIGN_INTERVAL_S
+        if (missing or stale) and not self.assigning:
+            self.assigning = True
+            self.core.spawn(self.record_assigned(set(self.core.workers)))
+
+    async def record_assigned(self, workers: set[WorkerKey]) -> None:
+        """Writes the workers that may get orders."""
+        self.assigned_dirty = False
+        try:
+            await self.write_assigned(workers, released=False)
+        except (StoreError, ConflictError) as error:
+            self.assigned_dirty = True
+            self.log.info("workers_not_assigned", pool=self.core.pool, reason=error)
+            await self.clock.sleep(RETRY_S)
+            return
+        finally:
+            self.assigning = False
+        self.assigned = workers
+        self.assigned_s = self.clock.now()
+        self.core.wake.set()
+
+    async def write_assigned(self, workers: set[WorkerKey], *, released: bool) -> None:
+        """Writes the workers on which runs may exist."""
+        parts = self.core.parts
+        kept = tuple(sorted(workers | self.unreached.keys()))
+        record = AssignedWorkers(kept, parts.address, parts.process, released)
+        change = Change(f"assigned/{self.core.pool}", encode(record), ANY_REVISION)
+        await parts.store.write([change], [self.core.tenure.guard])
+
+    def end_sessions(self) -> None:
+        """Looks at no worker any more."""
+        for _, task in self.sessions.values():
+            task.cancel()
+
+    async def release(self) -> None:
+        """Writes which workers have runs, as the last word of this holder."""
+        busy = {key for key, w in self.core.workers.items() if w.placements}
+        with suppress(ConflictError):
+            await self.write_assigned(busy, released=True)
--- a/libs/scheduling/burdockthread_scheduling/progress_writer.py
+++ b/libs/scheduling/burdockthread_scheduling/progress_writer.py
@@ -4,14 +4,11 @@
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 
-from burdockthread_model.clock import Clock
 from burdockthread_model.errors import ConflictError, LeaseLostError, StoreError
-from burdockthread_model.events import EventLog
-from burdockthread_model.metrics import Metrics
-from burdockthread_store.store import ANY_REVISION, Change, ConfigurationStore
+from burdockthread_store.store import ANY_REVISION, Change
 
-from burdockthread_scheduling.board import Board, JobEnd, JobRun
-from burdockthread_scheduling.duties import Tenure
+from burdockthread_scheduling.board import JobEnd, JobRun
+from burdockthread_scheduling.pool_core import PoolCore
 from burdockthread_scheduling.records import (
     JobPhase,
     JobRecord,
@@ -47,28 +44,17 @@
         note: Takes in the state of a job that was recorded, and its revision.
     """
 
-    def __init__(
-        self,
-        entry: str,
-        tenure: Tenure,
-        pool: str,
-        board: Board,
-        store: ConfigurationStore,
-        clock: Clock,
-        metrics: Metrics,
-        log: EventLog,
-        marks: Callable[[], Callable[[], None]],
-        note: Callable[[str, JobRecord, int], None],
-    ) -> None:
-        self.note = note
-        self.entry = entry
-        self.tenure = tenure
-        self.pool = pool
-        self.board = board
-        self.store = store
-        self.clock = clock
-        self.metrics = metrics
-        self.log = log
+    def __init__(self, core: PoolCore, marks: Callable[[], Callable[[], None]]) -> None:
+        self.core = core
+        self.entry = core.parts.entry
+        self.tenure = core.tenure
+        self.pool = core.pool
+        self.board = core.board
+        self.store = core.parts.store
+        self.note = core.parts.jobs.note
+        self.clock = core.clock
+        self.metrics = core.metrics
+        self.log = core.log
         self.marks = marks
         self.dirty: dict[str, JobRun] = {}
         self.cleared: dict[str, JobRun] = {}
--- a/libs/scheduling/burdockthread_scheduling/rescue.py
+++ b/libs/scheduling/burdockthread_scheduling/rescue.py
@@ -67,7 +67,7 @@
             if placement.worker.failed_calls and not step.spec.duplicates_allowed:
                 continue
             left_s = self.left_s(placement, now)
-            fresh_s = self.estimates.total_s(task)
+            fresh_s = self.estimates.total_s(task, placement.worker)
             if self.is_overtaken(task, left_s, fresh_s):
                 yield Laggard(task, placement, left_s, fresh_s)
 
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/run_orders.py
@@ -0,0 +1,257 @@
+"""Orders to workers about single runs, and what their answers mean."""
+
+from collections.abc import Callable
+
+from burdockthread_model.errors import PlatformError
+
+from burdockthread_scheduling.board import TaskRun
+from burdockthread_scheduling.placement_policy import PolicyTickets
+from burdockthread_scheduling.pool_core import PoolCore
+from burdockthread_scheduling.sessions import CALL_TIMEOUT_S
+from burdockthread_scheduling.worker_state import (
+    Placement,
+    PlacementPhase,
+    WorkerState,
+)
+from burdockthread_scheduling.workers import (
+    OrderAnswer,
+    Refusal,
+    StartOrder,
+    WorkerRefusedError,
+    WorkerReplacedError,
+)
+
+STOP_RETRY_S = 0.2
+# A worker that has refused a start gets none for a while.
+PAUSES_S = {Refusal.NO_ROOM: 0.3, Refusal.UNHEALTHY: 1.0}
+DEFAULT_PAUSE_S = 0.1
+UNREACHED_PAUSE_S = 0.5
+# Runs of one holder are numbered from its fencing token times this.
+RUNS_PER_FENCE = 1_000
+
+
+class RunOrders:
+    """Starts, stops and paces runs.
+
+    Attributes:
+        starting: Starts under way.
+        on_replaced: Told of a worker at whose address another life answers.
+        on_gang_refused: Told of a member of a gang that could not be started.
+    """
+
+    def __init__(
+        self,
+        core: PoolCore,
+        tickets: PolicyTickets,
+        on_replaced: Callable[[WorkerState], None],
+    ) -> None:
+        self.core = core
+        self.clock = core.clock
+        self.log = core.log
+        self.tickets = tickets
+        self.on_replaced = on_replaced
+        self.starting = 0
+
+    def next_run(self, task: TaskRun) -> int:
+        """Returns a run number above all that any holder has given to a task."""
+        first = self.core.tenure.fence * RUNS_PER_FENCE
+        return max(task.last_run + 1, first)
+
+    def start(self, task: TaskRun, worker: WorkerState, run: int = 0) -> None:
+        """Orders a run of a task.
+
+        Args:
+            task: The task.
+            worker: Where it is to run.
+            run: Number of the run; 0 for the next of the task.
+        """
+        task.last_run = run or self.next_run(task)
+        now = self.clock.now()
+        placement = Placement(task, task.task, task.last_run, worker, task.size, now)
+        task.placements.append(placement)
+        worker.add(placement)
+        worker.wake.set()
+        self.core.spawn(self.send_start(placement, task))
+
+    async def send_start(self, placement: Placement, task: TaskRun) -> None:
+        """Sends the order of a run and takes in the answer."""
+        self.starting += 1
+        try:
+            await self.try_start(placement, task)
+        finally:
+            self.starting -= 1
+
+    async def try_start(self, placement: Placement, task: TaskRun) -> None:
+        """Sends the order of a run once."""
+        worker = placement.worker
+        if placement.phase is not PlacementPhase.ORDERED:
+            return
+        order = StartOrder(
+            task=task.task,
+            run=placement.run,
+            payload=task.job.spec.payload,
+            lease_until_ms=worker.next_lease_ms(self.clock.now()),
+            fence=self.core.tenure.fence,
+            checkpoint=task.checkpoint,
+            ticket=self.tickets.ticket(task.task, worker.worker_id),
+        )
+        sent_s = self.clock.now()
+        gateway = self.core.parts.gateway
+        try:
+            answer = await gateway.start(worker.listing, order, CALL_TIMEOUT_S)
+        except WorkerReplacedError:
+            self.on_replaced(worker)
+            return
+        except WorkerRefusedError as error:
+            worker.full_until_s = self.clock.now() + UNREACHED_PAUSE_S
+            self.on_refused(placement, str(error))
+            return
+        except PlatformError as error:
+            self.on_no_answer(placement, error)
+            return
+        self.core.metrics.timing("worker.start", self.clock.now() - sent_s)
+        self.on_answer(placement, task, answer)
+
+    def on_answer(
+        self, placement: Placement, task: TaskRun, answer: OrderAnswer
+    ) -> None:
+        """Takes in the answer to a start."""
+        worker = placement.worker
+        now = self.clock.now()
+        if answer.refusal is None:
+            placement.confirm(now)
+            task.job.begun = True
+            self.log.info(
+                "run_started",
+                task=task.task,
+                run=placement.run,
+                worker=worker.worker_id,
+                fence=self.core.tenure.fence,
+            )
+            return
+        if answer.refusal is Refusal.FENCED:
+            self.core.lose(f"fenced by {worker.worker_id}")
+            return
+        if answer.refusal is Refusal.NO_TICKET:
+            self.tickets.drop(task.task, worker.worker_id)
+        pause_s = PAUSES_S.get(answer.refusal, DEFAULT_PAUSE_S)
+        worker.full_until_s = now + pause_s
+        self.on_refused(placement, answer.refusal.value)
+
+    def on_refused(self, placement: Placement, reason: str) -> None:
+        """Takes in that a run was not started."""
+        placement.worker.remove(placement)
+        self.core.metrics.count("runs.refused")
+        self.log.info(
+            "run_refused",
+            task=placement.task_id,
+            run=placement.run,
+            worker=placement.worker.worker_id,
+            reason=reason,
+        )
+        if placement.task is not None and placement.task.step.gang:
+            self.stop_gang(placement.task, placement.run, "a member was refused")
+        self.core.wake.set()
+
+    def on_no_answer(self, placement: Placement, error: PlatformError) -> None:
+        """Takes in that an order was not answered; it may take effect later."""
+        self.core.metrics.count("runs.unanswered")
+        self.log.info(
+            "run_unanswered",
+            task=placement.task_id,
+            run=placement.run,
+            worker=placement.worker.worker_id,
+            reason=error,
+        )
+        if placement.phase is not PlacementPhase.ORDERED:
+            return
+        placement.phase = PlacementPhase.DOUBTFUL
+        if placement.task is not None and placement.task.step.gang:
+            self.stop_gang(placement.task, placement.run, "a member did not answer")
+        else:
+            self.stop(placement, "no answer to its order")
+
+    def stop_gang(self, task: TaskRun, run: int, reason: str) -> None:
+        """Stops all members of a run of a gang."""
+        step = task.job.step_run(task.task.occurrence, task.task.step)
+        if step is None:
+            return
+        for member in step.open_tasks.values():
+            for placement in tuple(member.placements):
+                if placement.run == run:
+                    self.stop(placement, reason)
+
+    def stop(self, placement: Placement, reason: str) -> None:
+        """Stops a run, or keeps one from starting later."""
+        if placement.phase is PlacementPhase.STOPPING:
+            return
+        placement.phase = PlacementPhase.STOPPING
+        placement.certain_s = float("inf")
+        self.log.info(
+            "run_stopping",
+            task=placement.task_id,
+            run=placement.run,
+            worker=placement.worker.worker_id,
+            reason=reason,
+        )
+        self.core.spawn(self.send_stop(placement))
+
+    async def send_stop(self, placement: Placement) -> None:
+        """Repeats a stop until the worker has answered or the run has ended."""
+        while not await self.try_stop(placement):
+            await self.clock.sleep(STOP_RETRY_S)
+
+    async def try_stop(self, placement: Placement) -> bool:
+        """Sends a stop once; returns whether nothing is left to do."""
+        worker = placement.worker
+        key = (placement.task_id, placement.run)
+        if worker.placements.get(key) is not placement or worker.replaced:
+            return True
+        fence = self.core.tenure.fence
+        try:
+            answer = await self.core.parts.gateway.stop(
+                worker.listing, *key, fence, CALL_TIMEOUT_S
+            )
+        except WorkerReplacedError:
+            self.on_replaced(worker)
+            return True
+        except PlatformError as error:
+            self.log.info(
+                "stop_unanswered",
+                task=placement.task_id,
+                run=placement.run,
+                worker=worker.worker_id,
+                reason=error,
+            )
+            return False
+        if answer.refusal is Refusal.FENCED:
+            self.core.lose(f"fenced by {worker.worker_id}")
+        elif answer.refusal is not None:
+            return False
+        placement.certain_s = self.clock.now()
+        worker.wake.set()
+        return True
+
+    async def pace(self, placement: Placement, percent: int) -> bool:
+        """Sets the share at which a run may work; returns whether that is certain."""
+        worker = placement.worker
+        try:
+            answer = await self.core.parts.gateway.pace(
+                worker.listing,
+                placement.task_id,
+                placement.run,
+                percent,
+                self.core.tenure.fence,
+                CALL_TIMEOUT_S,
+            )
+        except PlatformError as error:
+            self.log.info(
+                "pace_unanswered",
+                task=placement.task_id,
+                worker=worker.worker_id,
+                percent=percent,
+                reason=error,
+            )
+            return False
+        self.core.metrics.count("runs.paced")
+        return answer.refusal is None
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -0,0 +1,202 @@
+"""Takes the workers' lists in: what runs, and what has ended."""
+
+from collections.abc import Callable
+
+from burdockthread_scheduling.board import JobEnd, JobRun, TaskRun
+from burdockthread_scheduling.pool_core import PoolCore
+from burdockthread_scheduling.pool_workers import PoolWorkers
+from burdockthread_scheduling.progress_writer import ProgressWriter
+from burdockthread_scheduling.run_orders import RunOrders
+from burdockthread_scheduling.sessions import ReportListener
+from burdockthread_scheduling.specs import TaskId
+from burdockthread_scheduling.worker_state import Placement, WorkerState
+from burdockthread_scheduling.workers import (
+    Capacity,
+    EndKind,
+    EndReport,
+    HoldReport,
+    RunReport,
+)
+
+# A list that is as long may have been cut.
+FULL_LIST = 500
+AT_WORK_PERCENT = 100
+
+
+class RunReports(ReportListener):
+    """Keeps the board in step with the workers' lists.
+
+    Attributes:
+        workers: The workers; set by the holder.
+        orders: Orders to workers; set by the holder.
+        writer: Stores what has ended; set by the holder.
+    """
+
+    workers: PoolWorkers
+    orders: RunOrders
+    writer: ProgressWriter
+
+    def __init__(self, core: PoolCore) -> None:
+        self.core = core
+        self.clock = core.clock
+        self.log = core.log
+
+    def on_fenced(self, worker: WorkerState) -> None:
+        """Takes in that a worker obeys a later holder."""
+        self.core.lose(f"fenced by {worker.worker_id}")
+
+    def on_replaced(self, worker: WorkerState) -> None:
+        """Takes in that another life of the worker answers."""
+        self.workers.replaced(worker)
+
+    def on_report(self, worker: WorkerState, report: HoldReport, sent_s: float) -> None:
+        """Takes in a worker's lists."""
+        self.workers.reached(worker)
+        listed = set()
+        for run in report.running:
+            listed.add((run.task, run.run))
+            self.on_running(worker, run)
+        for end in report.ended:
+            listed.add((end.task, end.run))
+            if end.number > worker.seen_end:
+                worker.seen_end = end.number
+                self.on_end(worker, end)
+        if len(report.ended) < FULL_LIST and len(report.running) < FULL_LIST:
+            drop_missing(worker, listed, sent_s)
+        if worker.seen_end > worker.settled_end:
+            self.writer.work.set()
+        self.core.wake.set()
+
+    def on_running(self, worker: WorkerState, run: RunReport) -> None:
+        """Takes in a run that goes on."""
+        now = self.clock.now()
+        placement = worker.placements.get((run.task, run.run))
+        if placement is None:
+            placement = self.adopt(worker, run)
+        placement.confirm(now)
+        placement.measure = run.measure
+        placement.measured_s = now
+        task = placement.task
+        if task is not None and task.step.lasting:
+            placement.percent = run.percent
+            if run.percent >= AT_WORK_PERCENT:
+                self.core.health.succeed(worker)
+        else:
+            placement.advance(run.percent, now)
+        if task is not None and run.checkpoint:
+            task.checkpoint = run.checkpoint
+
+    def adopt(self, worker: WorkerState, run: RunReport) -> Placement:
+        """Takes over a run that an earlier holder has started."""
+        task = self.core.board.find(run.task)
+        wanted = task is not None and (
+            not task.placements
+            or (task.step.duplicates_allowed and len(task.placements) == 1)
+        )
+        size = task.size if task is not None else Capacity()
+        placement = Placement(
+            task if wanted else None,
+            run.task,
+            run.run,
+            worker,
+            size,
+            self.clock.now(),
+        )
+        worker.add(placement)
+        if task is not None and wanted:
+            task.placements.append(placement)
+            task.last_run = max(task.last_run, run.run)
+            task.job.begun = True
+        else:
+            self.orders.stop(placement, "not wanted")
+        self.log.info(
+            "run_adopted",
+            task=run.task,
+            run=run.run,
+            worker=worker.worker_id,
+            wanted=wanted,
+        )
+        return placement
+
+    def on_end(self, worker: WorkerState, end: EndReport) -> None:
+        """Takes in a run that has ended."""
+        placement = worker.placements.get((end.task, end.run))
+        if placement is not None:
+            worker.remove(placement)
+        core = self.core
+        core.metrics.count(f"runs.{end.kind.value}")
+        self.log.info(
+            "run_ended",
+            task=end.task,
+            run=end.run,
+            worker=worker.worker_id,
+            how=end.kind.value,
+            number=end.number,
+        )
+        job = core.board.jobs.get(end.task.job_id)
+        task = core.board.find(end.task)
+        if job is None or task is None:
+            return
+        if end.kind is EndKind.SUCCEEDED:
+            core.health.succeed(worker)
+            if placement is not None:
+                core.estimates.learn(task, placement)
+            self.succeed(job, end.task)
+        elif end.kind is EndKind.FAILED:
+            self.fail(job, task, worker, end.run)
+        elif end.checkpoint:
+            task.checkpoint = end.checkpoint
+
+    def succeed(self, job: JobRun, task_id: TaskId) -> None:
+        """Notes that a task has succeeded, and with it all members of a gang."""
+        for task in job.succeed(task_id):
+            for placement in tuple(task.placements):
+                self.orders.stop(placement, "task succeeded")
+        self.writer.mark(job)
+
+    def fail(self, job: JobRun, task: TaskRun, worker: WorkerState, run: int) -> None:
+        """Notes that a run has failed."""
+        task.failed_on.add(worker.worker_id)
+        self.core.health.fail(worker, task, len(self.core.workers))
+        if task.step.lasting:
+            return
+        task.failures.add(run)
+        job.dirty = True
+        self.writer.mark(job)
+        if len(job.failed_runs(task)) < job.queue.max_attempts:
+            return
+        job.end = JobEnd.FAILED
+        self.log.info("job_failed", job=job.spec.job_id, task=task.task)
+        self.stop_job(job)
+
+    def stop_job(self, job: JobRun) -> None:
+        """Stops all runs of a job."""
+        for worker in self.core.workers.values():
+            for placement in tuple(worker.placements.values()):
+                if placement.task_id.job_id == job.spec.job_id:
+                    self.orders.stop(placement, "job ended")
+
+    def mark_ends(self) -> Callable[[], None]:
+        """Returns what lets the workers forget the ends seen until now."""
+        seen = [(worker, worker.seen_end) for worker in self.core.workers.values()]
+
+        def settle() -> None:
+            for worker, number in seen:
+                if number <= worker.settled_end:
+                    continue
+                worker.settled_end = number
+                entry = self.workers.sessions.get(worker.listing.key)
+                if entry is not None:
+                    entry[0].stored.set()
+                    worker.wake.set()
+
+        return settle
+
+
+def drop_missing(
+    worker: WorkerState, listed: set[tuple[TaskId, int]], sent_s: float
+) -> None:
+    """Drops the runs that a worker knew of before it was asked and has no more."""
+    for key, placement in tuple(worker.placements.items()):
+        if key not in listed and placement.certain_s < sent_s:
+            worker.remove(placement)
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/task_placer.py
@@ -0,0 +1,163 @@
+"""Decides which waiting tasks start now, and where."""
+
+from collections.abc import Callable
+
+from burdockthread_scheduling.board import JobRun, StepRun, TaskRun
+from burdockthread_scheduling.evacuation import Evacuation
+from burdockthread_scheduling.placement import choose_worker, racks_by_room
+from burdockthread_scheduling.placement_policy import PolicyTickets, StepId
+from burdockthread_scheduling.pool_core import PoolCore
+from burdockthread_scheduling.pool_workers import PoolWorkers
+from burdockthread_scheduling.rescue import Laggard, LaggardFinder
+from burdockthread_scheduling.run_orders import RunOrders
+from burdockthread_scheduling.worker_state import WorkerState
+
+
+class TaskPlacer:
+    """Starts tasks in the order of their jobs, and rescues slow runs."""
+
+    def __init__(
+        self,
+        core: PoolCore,
+        workers: PoolWorkers,
+        orders: RunOrders,
+        evacuation: Evacuation,
+        tickets: PolicyTickets,
+    ) -> None:
+        self.core = core
+        self.workers = workers
+        self.orders = orders
+        self.evacuation = evacuation
+        self.tickets = tickets
+        self.laggards = LaggardFinder(core.estimates, core.clock)
+
+    def step(self) -> None:
+        """Starts what can be started."""
+        core = self.core
+        core.order.keep_only(core.board.jobs)
+        self.tickets.keep_only(core.board.jobs)
+        jobs = self.jobs_in_order()
+        ready = self.workers.ready()
+        if not ready:
+            return
+        for job in jobs:
+            if job.spec.is_lasting():
+                self.place_job(job, ready)
+        ready = self.evacuation.without_reserved(ready)
+        for job in jobs:
+            if not job.spec.is_lasting():
+                self.place_job(job, ready)
+        self.rescue(ready)
+
+    def jobs_in_order(self) -> list[JobRun]:
+        """Returns the jobs whose tasks may start, the first to be served first."""
+        core = self.core
+        wall_ms = core.clock.wall() * 1000
+        jobs = []
+        for job in core.board.jobs.values():
+            if job.end is not None or (job.adopted and self.workers.unreached):
+                continue
+            job.open_due(wall_ms)
+            if any(not task.placements for task in job.open_tasks()):
+                jobs.append(job)
+        return sorted(jobs, key=core.order.rank)
+
+    def place_job(self, job: JobRun, ready: list[WorkerState]) -> None:
+        """Starts the tasks of a job that have room."""
+        for step in job.runnable_steps():
+            allowed = self.allowed(job, step, ready)
+            if step.spec.gang:
+                self.place_gang(step, allowed)
+                continue
+            for task in step.open_tasks.values():
+                if task.placements:
+                    continue
+                worker = choose_worker(task, allowed, self.core.health)
+                if worker is not None:
+                    self.orders.start(task, worker)
+
+    def allowed(
+        self, job: JobRun, step: StepRun, ready: list[WorkerState]
+    ) -> list[WorkerState]:
+        """Returns the workers that the policy of a job's queue allows."""
+        if job.queue.placement_policy is None:
+            return ready
+        step_id = StepId(job.spec.job_id, step.occurrence, step.number)
+        waiting = [t for t in step.open_tasks.values() if not t.placements]
+        if not waiting:
+            return []
+        found = [w for w in ready if self.tickets.ticket(waiting[0].task, w.worker_id)]
+        room = sum(w.fits(waiting[0].size, fills=step.spec.fills) for w in found)
+        if room < len(waiting):
+            by_room = sorted(ready, key=lambda worker: worker.used_cpu)
+            names = [worker.worker_id for worker in by_room]
+            unknown = self.tickets.unknown(step_id, names)
+            if unknown and step_id not in self.tickets.asking:
+                self.core.spawn(self.ask(step_id, unknown))
+        return found
+
+    async def ask(self, step: StepId, workers: list[str]) -> None:
+        """Asks the policy, then places again."""
+        await self.tickets.ask(step, workers)
+        self.core.wake.set()
+
+    def place_gang(self, step: StepRun, ready: list[WorkerState]) -> None:
+        """Starts all members of a gang together, or none."""
+        members = list(step.open_tasks.values())
+        if any(member.placements for member in members):
+            return
+        for rack in racks_by_room(ready) if step.spec.same_rack else ():
+            among = [worker for worker in ready if rack in worker.listing.labels]
+            if self.start_gang(members, among):
+                return
+        self.start_gang(members, ready)
+
+    def start_gang(self, members: list[TaskRun], ready: list[WorkerState]) -> bool:
+        """Starts a gang if there is room for all members; returns whether."""
+        chosen: list[tuple[TaskRun, WorkerState]] = []
+        undo: list[Callable[[], None]] = []
+        for member in members:
+            worker = choose_worker(member, ready, self.core.health)
+            if worker is None:
+                break
+            chosen.append((member, worker))
+            undo.append(worker.hold_room(member))
+        for release in undo:
+            release()
+        if len(chosen) < len(members):
+            return False
+        run = max(self.orders.next_run(member) for member in members)
+        checkpoint = max((member.checkpoint for member in members), key=len)
+        for member, worker in chosen:
+            member.checkpoint = checkpoint
+            self.orders.start(member, worker, run)
+        return True
+
+    def rescue(self, ready: list[WorkerState]) -> None:
+        """Copies or restarts runs that a fresh one would overtake."""
+        for found in tuple(self.laggards.find(self.core.board.jobs.values())):
+            slow = found.placement.worker
+            others = [worker for worker in ready if worker is not slow]
+            worker = choose_worker(found.task, others, self.core.health)
+            if worker is not None:
+                self.overtake(found, worker)
+
+    def overtake(self, found: Laggard, worker: WorkerState) -> None:
+        """Copies a slow run to a worker, or stops it so that it starts anew."""
+        core, slow = self.core, found.placement.worker
+        core.health.stall(slow, found.task, len(core.workers))
+        core.metrics.count("runs.rescued")
+        core.log.info(
+            "run_overtaken",
+            task=found.task.task,
+            run=found.placement.run,
+            worker=slow.worker_id,
+            percent=found.placement.percent,
+            left_s=round(min(found.left_s, 1e6), 3),
+            fresh_s=round(found.fresh_s, 3),
+            copied=found.task.step.duplicates_allowed,
+        )
+        if found.task.step.duplicates_allowed:
+            self.orders.start(found.task, worker)
+        else:
+            self.orders.stop(found.placement, "too slow")
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -1,7 +1,7 @@
 """What the holder of a pool knows of one worker."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from enum import Enum, auto
 
 from burdockthread_scheduling.board import TaskRun
@@ -44,12 +44,16 @@
         rate: Percent a second lately, or None before two reports.
         progress_s: Clock time at which `percent` was reported.
         measure: Last measure reported.
+        measured_s: Clock time of that report.
+        pace: Share, 0 to 100, at which it was last told to work.
     """
 
     __slots__ = (
         "certain_s",
         "measure",
+        "measured_s",
         "ordered_s",
+        "pace",
         "percent",
         "phase",
         "progress_s",
@@ -82,6 +86,8 @@
         self.rate: float | None = None
         self.progress_s = ordered_s
         self.measure = 0.0
+        self.measured_s = float("-inf")
+        self.pace = 100
 
     def confirm(self, now: float) -> None:
         """Notes that the worker has the run."""
@@ -170,6 +176,21 @@
         if task is not None and placement in task.placements:
             task.placements.remove(placement)
 
+    def hold_room(self, task: TaskRun) -> Callable[[], None]:
+        """Counts a task as if it were here; returns what takes it back."""
+        placement = Placement(task, task.task, 0, self, task.size, 0.0)
+        self.add(placement)
+
+        def release() -> None:
+            self.remove(placement)
+
+        return release
+
+    @property
+    def unknown_runs(self) -> int:
+        """Returns how many of its runs belong to no job that is known."""
+        return sum(placement.task is None for placement in self.placements.values())
+
     def lasting(self) -> int:
         """Returns how many of its runs are of lasting tasks."""
         return sum(
--- a/libs/scheduling/burdockthread_scheduling/workers.py
+++ b/libs/scheduling/burdockthread_scheduling/workers.py
@@ -44,6 +44,7 @@
         capacity: What it has.
         draining: Whether it is about to leave.
         remaining_ms: Least milliseconds until a draining worker leaves.
+        rack: Rack that it stands in, or empty.
     """
 
     key: WorkerKey
@@ -55,6 +56,7 @@
     capacity: Capacity
     draining: bool = False
     remaining_ms: int = 0
+    rack: str = ""
 
 
 class StartOrder(NamedTuple):
--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -10,7 +10,9 @@
 from burdockthread_scheduling.intake import JobIntake
 from burdockthread_scheduling.job_index import JobIndex
 from burdockthread_scheduling.memory_workers import MemoryWorkers, TaskNature
-from burdockthread_scheduling.pool_scheduler import PoolParts, PoolScheduler
+from burdockthread_scheduling.placement_policy import MemoryPolicyService
+from burdockthread_scheduling.pool_core import PoolParts
+from burdockthread_scheduling.pool_scheduler import PoolScheduler
 from burdockthread_scheduling.pool_status import PlannerAnswer
 from burdockthread_scheduling.records import SHARED_PREFIX, duty_key
 from burdockthread_scheduling.specs import (
@@ -66,6 +68,8 @@
             self.clock, lambda task: self.natures.get(task.job_id, TaskNature())
         )
         self.vacate = ()
+        self.policy = MemoryPolicyService()
+        self.configuration = CONFIGURATION
         self.processes = {}
         self.tasks = []
         self.jobs = 0
@@ -93,7 +97,8 @@
             jobs=self.index,
             roster=self.park,
             gateway=self.park,
-            configuration=lambda: CONFIGURATION,
+            policy=self.policy,
+            configuration=lambda: self.configuration,
             clock=self.clock,
             metrics=self.metrics,
             log=self.log,
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -168,7 +168,7 @@
     await site.kill(holder)
     successor = await site.holder("entry-2", "process-2")
     await site.pass_time(0.5)
-    assert successor.unreached == {}
+    assert successor.workers.unreached == {}
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
 
 
