--- a/deploy/stage.sh
+++ b/deploy/stage.sh
@@ -8,5 +8,5 @@
 rm -rf target/deps/burdockthread
 mkdir target/deps/burdockthread
 cp libs/burdockthread/burdockthread/__init__.py \
-    libs/burdockthread/burdockthread/platform_entry.py target/deps/burdockthread/
+    libs/burdockthread/burdockthread/platform_*.py target/deps/burdockthread/
 python3 -m compileall -q target/deps
--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -1,21 +1,16 @@
 """An entry on the users' platform: every part wired together in one process."""
 
 import asyncio
-import os
 import secrets
-import signal
-import sys
 import time
 import traceback
 from collections.abc import AsyncIterator, Coroutine, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
-from pathlib import Path
 
 import aiohttp
-import uvloop
 from burdockthread_model.clock import SystemClock
-from burdockthread_model.errors import PeerUnavailableError, SettingsError
+from burdockthread_model.errors import PeerUnavailableError
 from burdockthread_model.histograms import HistogramMetrics
 from burdockthread_model.stdout_log import StdoutLog
 from burdockthread_platform.configuration import (
@@ -36,7 +31,6 @@
     RegisteredWorkers,
 )
 from burdockthread_platform.settings import (
-    SETTINGS_VARIABLE,
     Address,
     EntrySettings,
 )
@@ -68,18 +62,16 @@
 from burdockthread_store.prefix_cache import PrefixCache
 from burdockthread_store.settled_store import SettledStore
 
-EXIT_SETTINGS = 2
-DEFAULT_METRICS_PORT = 9464
 POOL_DUTY = "pool:"
 MACHINES_DUTY = "machines"
+# A change of these takes effect only when the process starts again.
+FIXED_SETTINGS = ("name", "host", "callers", "readiness", "first_port")
 # A job that has not ended is read anew for each caller, and counts may be two
 # seconds old; a worker that leaves is to be seen within two seconds.
 WATCH_PAUSES_S = {SHARED_PREFIX: 0.5, REGISTRATION_PREFIX: 0.25}
 STORE_RETRY_MAX_S = 0.3
 # Without an answer of the store for this long, callers are better served elsewhere.
 READY_CONTACT_S = 2.5
-CONNECTIONS_PER_HOST = 16
-KEEPALIVE_S = 60.0
 DRAIN_POLL_S = 0.02
 PROCESS_ID_BYTES = 8
 # Two readings of the readiness, a second apart, take new callers elsewhere.
@@ -325,6 +317,25 @@
             yield
             await self.drain()
 
+    def apply(self, settings: EntrySettings) -> None:
+        """Takes settings over that have changed; ports stay as they are."""
+        before, self.settings = self.settings, settings
+        changed = [
+            name
+            for name, old, new in zip(before._fields, before, settings, strict=True)
+            if old != new
+        ]
+        self.platform.base_url = f"http://{settings.store}"
+        if isinstance(self.machines, HttpMachineControl) and settings.machines:
+            self.machines.base_url = f"http://{settings.machines}"
+        if isinstance(self.policy, HttpPolicyService) and settings.policy:
+            self.policy.base_url = f"http://{settings.policy}"
+        self.log.info(
+            "settings_reloaded",
+            changed=",".join(changed) or "nothing",
+            after_restart=",".join(n for n in changed if n in FIXED_SETTINGS) or "-",
+        )
+
     def on_work_ended(self, task: asyncio.Task[None]) -> None:
         """Logs the error of work that should have gone on."""
         if not task.cancelled():
@@ -345,36 +356,3 @@
         while self.port.open_requests and self.clock.now() < give_up_s:
             await self.clock.sleep(DRAIN_POLL_S)
         self.log.info("entry_stopped", open_requests=self.port.open_requests)
-
-
-async def serve_until_stopped(settings: EntrySettings, metrics_port: int) -> None:
-    """Runs an entry until SIGTERM or SIGINT."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    connector = aiohttp.TCPConnector(
-        limit=0, limit_per_host=CONNECTIONS_PER_HOST, keepalive_timeout=KEEPALIVE_S
-    )
-    async with (
-        aiohttp.ClientSession(connector=connector) as session,
-        PlatformEntry(settings, metrics_port, session).running(),
-    ):
-        await stop.wait()
-
-
-def main() -> int:
-    """Runs an entry with the settings that the environment names."""
-    path = os.environ.get(SETTINGS_VARIABLE, "")
-    metrics_port = int(sys.argv[1]) if len(sys.argv) > 1 else DEFAULT_METRICS_PORT
-    try:
-        settings = EntrySettings.from_path(Path(path))
-    except SettingsError as error:
-        print(f"settings: {error}", file=sys.stderr)
-        return EXIT_SETTINGS
-    uvloop.run(serve_until_stopped(settings, metrics_port))
-    return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/libs/platform/burdockthread_platform/policy_http.py
+++ b/libs/platform/burdockthread_platform/policy_http.py
@@ -23,7 +23,7 @@
     """The service at one address; one call at a time."""
 
     def __init__(self, address: Address, session: aiohttp.ClientSession) -> None:
-        self.url = f"http://{address}/advise"
+        self.base_url = f"http://{address}"
         self.session = session
         self.timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         self.turn = asyncio.Lock()
@@ -39,7 +39,7 @@
         """Makes one call."""
         try:
             async with self.session.post(
-                self.url, json=body, timeout=self.timeout
+                f"{self.base_url}/advise", json=body, timeout=self.timeout
             ) as answer:
                 data = await answer.read()
             if answer.status != 200:
--- /dev/null
+++ b/libs/platform/tests/test_kv_store.py
@@ -0,0 +1,118 @@
+"""The store's client against the emulated store over sockets."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from aiohttp.test_utils import TestServer
+from burdockthread_model.clock import SystemClock
+from burdockthread_model.errors import (
+    ConflictError,
+    LeaseLostError,
+    StoreUnavailableError,
+    StoreUnknownError,
+    WatchCompactedError,
+)
+from burdockthread_model.metrics import MemoryMetrics
+from burdockthread_platform.kv_store import PlatformStore
+from burdockthread_standins.emulated_store import PAGE_ITEMS, EmulatedStore
+from burdockthread_store.settled_store import SettledStore
+from burdockthread_store.store import ANY_REVISION, Change, Guard
+
+
+@pytest.fixture
+async def emulated():
+    found = EmulatedStore(SystemClock())
+    async with TestServer(found.application()) as server:
+        found.address = f"{server.host}:{server.port}"
+        yield found
+
+
+@pytest.fixture
+async def client(emulated):
+    async with aiohttp.ClientSession() as session:
+        yield PlatformStore(emulated.address, session, SystemClock(), {})
+
+
+async def test_written_key_is_read(client):
+    revision = await client.write([Change("a/b c", b"\x00\xff", 0)])
+    found = await client.get("a/b c")
+    assert (found.value, found.revision) == (b"\x00\xff", revision)
+    assert await client.get("a/none") is None
+
+
+async def test_condition_that_does_not_hold_writes_nothing(client):
+    await client.write([Change("a", b"1", 0)])
+    with pytest.raises(ConflictError):
+        await client.write([Change("b", b"2", 0), Change("a", b"2", 0)])
+    with pytest.raises(ConflictError):
+        await client.write([Change("b", b"2", ANY_REVISION)], [Guard("a", 99)])
+    assert await client.get("b") is None
+
+
+async def test_listing_goes_through_all_pages(client):
+    count = PAGE_ITEMS * 2 + 5
+    for first in range(0, count, 16):
+        names = range(first, min(first + 16, count))
+        changes = [Change(f"l/{n:05d}", b"x", ANY_REVISION) for n in names]
+        await client.write(changes)
+    listing = await client.list("l/")
+    assert len(listing.items) == count
+    assert listing.items[-1].key == f"l/{count - 1:05d}"
+
+
+async def test_watch_brings_changes_and_shows_that_it_lives(client):
+    revision = await client.write([Change("w/a", b"1", 0)])
+    watch = client.watch("w/", revision)
+    writing = asyncio.create_task(client.write([Change("w/a", None, revision)]))
+    events = await anext(watch)
+    while not events:
+        events = await anext(watch)
+    assert [(e.key, e.value) for e in events] == [("w/a", None)]
+    await writing
+    assert await anext(watch) == ()
+    await watch.aclose()
+
+
+async def test_history_that_is_gone_asks_for_a_listing(client, emulated):
+    await client.write([Change("w/a", b"1", 0)])
+    await client.write([Change("w/b", b"1", 0)])
+    emulated.faulty.set_faults({"compact": True})
+    with pytest.raises(WatchCompactedError):
+        await anext(client.watch("w/", 1))
+
+
+async def test_lease_takes_its_keys_along(client):
+    lease = await client.grant_lease(1.0)
+    await client.write([Change("e/me", b"1", 0, lease.lease_id)])
+    renewed = await client.renew_lease(lease)
+    assert renewed.expires_s >= lease.expires_s
+    await client.revoke_lease(lease)
+    assert await client.get("e/me") is None
+    with pytest.raises(LeaseLostError):
+        await client.renew_lease(lease)
+
+
+async def test_store_that_is_out_did_nothing(client, emulated):
+    emulated.faulty.set_faults({"down": True})
+    with pytest.raises(StoreUnavailableError):
+        await client.write([Change("a", b"1", 0)])
+    emulated.faulty.set_faults({"down": False})
+    assert await client.get("a") is None
+
+
+async def test_lost_answer_is_unknown_and_settled_by_the_marker(client, emulated):
+    emulated.faulty.set_faults({"lose_answers": 1})
+    with pytest.raises(StoreUnknownError):
+        await client.write([Change("a", b"1", 0)])
+    settled = SettledStore(client, "entry", SystemClock(), MemoryMetrics())
+    emulated.faulty.set_faults({"lose_answers": 1})
+    revision = await settled.write([Change("b", b"1", 0)])
+    assert (await client.get("b")).revision == revision
+
+
+async def test_port_that_nothing_listens_at_did_nothing():
+    async with aiohttp.ClientSession() as session:
+        store = PlatformStore("127.0.0.1:1", session, SystemClock(), {})
+        with pytest.raises(StoreUnavailableError):
+            await store.write([Change("a", b"1", 0)])
--- a/libs/standins/burdockthread_standins/emulated_site.py
+++ b/libs/standins/burdockthread_standins/emulated_site.py
@@ -113,7 +113,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "burdockthread.platform_entry",
+                "burdockthread.platform_process",
                 str(self.metrics),
                 env=environment,
                 stdout=log,
