--- a/libs/scheduling/burdockthread_scheduling/pool_sizer.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_sizer.py
@@ -215,4 +215,9 @@
                 waiting=int(status.waiting),
                 inflow_milli=int(status.inflow_milli),
                 supply_milli=int(need.supply_milli),
+                staying=len(self.ledger.staying(status)),
+                intents=len(self.ledger.intents),
+                orders=len(self.ledger.orders),
+                ended=len(self.ledger.ended),
+                resting=len(self.ledger.resting),
             )
--- a/libs/standins/burdockthread_standins/emulated_site.py
+++ b/libs/standins/burdockthread_standins/emulated_site.py
@@ -108,7 +108,11 @@
 
     async def start(self) -> None:
         """Starts the process."""
-        environment = {**os.environ, "BURDOCKTHREAD_BOOT": str(self.settings)}
+        environment = {
+            **os.environ,
+            "BURDOCKTHREAD_BOOT": str(self.settings),
+            "PYTHONPATH": os.pathsep.join(sys.path),
+        }
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -168,7 +172,8 @@
             control = await self.listen(stack, machines)
             self.add_machines()
             await self.configure(1)
-            following = asyncio.create_task(self.workers.run())
+            group = await stack.enter_async_context(asyncio.TaskGroup())
+            following = group.create_task(self.workers.run())
             stack.callback(following.cancel)
             for number in range(self.plan.entries):
                 name, host = f"entry-{number + 1}", f"127.0.1.{number + 1}"
--- a/libs/standins/burdockthread_standins/emulated_workers.py
+++ b/libs/standins/burdockthread_standins/emulated_workers.py
@@ -29,6 +29,8 @@
 HEARTBEAT_S = 1.5
 MISSED_HEARTBEATS = 3
 SILENCE_S = 5.0
+# Zero would wait for the requests in flight.
+SHUTDOWN_S = 0.01
 REASONS = {
     Refusal.FENCED: "fence",
     Refusal.STALE_RUN: "old",
@@ -103,7 +105,7 @@
         loop = asyncio.get_running_loop()
         listener = await loop.create_server(handler, self.host, 0)
         stack = AsyncExitStack()
-        stack.push_async_callback(handler.shutdown, 0.0)
+        stack.push_async_callback(handler.shutdown, SHUTDOWN_S)
         stack.callback(listener.close)
         self.stacks[key] = stack
         self.ports[key] = listener.sockets[0].getsockname()[1]
--- /dev/null
+++ b/tests/test_emulated_site.py
@@ -0,0 +1,183 @@
+"""Real entries in processes of their own against the emulated platform."""
+
+import asyncio
+import json
+import signal
+
+import aiohttp
+import pytest
+from burdockthread_scheduling.machines import Wave
+from burdockthread_standins.emulated_site import EmulatedSite, SitePlan
+from burdockthread_standins.emulation import Emulation
+from burdockthread_standins.job_audit import audit
+from burdockthread_standins.job_load import HOST_HEADER, JobLoad, LoadPlan
+
+SETTLE_S = 2.0
+# A line for each seed that has failed once, with its cause:
+# (none yet)
+REGRESSION_SEEDS: tuple[int, ...] = ()
+FRESH_SEEDS = (11, 12)
+
+
+@pytest.fixture
+async def site():
+    found = EmulatedSite(SitePlan())
+    async with found.running():
+        await asyncio.sleep(SETTLE_S)
+        yield found
+
+
+def load_of(site, jobs=40, jobs_per_s=8.0, **fields):
+    plan = LoadPlan(jobs, jobs_per_s, patience_s=40.0, **fields)
+    return JobLoad(plan, lambda: [entry.url for entry in site.entries], site.clock, 1)
+
+
+async def finish(site, load, running):
+    await running
+    assert audit(load.records, site.park) == []
+    assert load.outcomes["lost"] == 0
+
+
+def holder_of(site, pool):
+    """The entry that holds a pool."""
+    stored = site.store.store.values[f"cluster/duty/pool:{pool}"]
+    name = json.loads(stored.value)[0]
+    return next(entry for entry in site.entries if entry.name == name)
+
+
+async def test_calm_load_is_served_whole(site):
+    load = load_of(site)
+    await finish(site, load, load.run())
+    assert load.outcomes["completed"] == 40
+    assert load.end_ms.get_value_at_percentile(95) < 4_000
+
+
+async def test_holder_killed_under_load_loses_and_doubles_nothing(site):
+    load = load_of(site)
+    running = asyncio.create_task(load.run())
+    await asyncio.sleep(1.5)
+    victim = holder_of(site, "pool-a")
+    await victim.stop(signal.SIGKILL)
+    await asyncio.sleep(1.0)
+    await victim.start()
+    await finish(site, load, running)
+
+
+async def test_entries_stopped_in_turn_cut_no_request(site):
+    load = load_of(site, jobs=60)
+    running = asyncio.create_task(load.run())
+    for entry in site.entries:
+        await entry.stop()
+        await entry.start()
+    await finish(site, load, running)
+
+
+async def test_frozen_holder_is_replaced_and_harmless_when_it_wakes(site):
+    load = load_of(site, jobs=60)
+    running = asyncio.create_task(load.run())
+    await asyncio.sleep(1.0)
+    victim = holder_of(site, "pool-a")
+    victim.send(signal.SIGSTOP)
+    await asyncio.sleep(4.0)
+    victim.send(signal.SIGCONT)
+    await finish(site, load, running)
+
+
+async def test_outage_of_the_store_refuses_truly_and_loses_nothing(site):
+    load = load_of(site, jobs=60)
+    running = asyncio.create_task(load.run())
+    await asyncio.sleep(1.0)
+    site.store.faulty.set_faults({"down": True})
+    await asyncio.sleep(4.0)
+    site.store.faulty.set_faults({"down": False})
+    await finish(site, load, running)
+
+
+async def test_all_entries_killed_at_once_recover(site):
+    load = load_of(site, jobs=60)
+    running = asyncio.create_task(load.run())
+    await asyncio.sleep(2.0)
+    await asyncio.gather(*(entry.stop(signal.SIGKILL) for entry in site.entries))
+    await asyncio.sleep(1.0)
+    await asyncio.gather(*(entry.start() for entry in site.entries))
+    await finish(site, load, running)
+
+
+async def test_wave_under_load_maintains_every_machine(site):
+    load = load_of(site, jobs=60)
+    running = asyncio.create_task(load.run())
+    names = tuple(site.machines.by_name)
+    await site.ask_for_wave(Wave(1, names, 20.0, 3))
+    await finish(site, load, running)
+    async with asyncio.timeout(20.0):
+        await until(lambda: len(site.machines.maintained.get(1, ())) == len(names))
+    assert site.machines.most_out <= 3
+
+
+async def until(condition):
+    """Waits until a condition holds."""
+    done = condition()
+    while not done:
+        await asyncio.sleep(0.05)
+        done = condition()
+
+
+async def test_changed_settings_are_taken_on_a_signal(site):
+    entry = site.entries[0]
+    content = entry.settings.read_text()
+    entry.settings.write_text(content.replace("graceS=6", "graceS=5"))
+    entry.send(signal.SIGHUP)
+    async with asyncio.timeout(3.0):
+        await until(lambda: "settings_reloaded" in entry.log.read_text())
+    entry.settings.write_text(content.replace("platform.address", "platform.elsewhere"))
+    async with asyncio.timeout(5.0):
+        await until(lambda: "settings_not_valid" in entry.log.read_text())
+
+
+async def request(site, method, path, body=None):
+    """Makes one request at the first entry."""
+    url = site.entries[0].url + path
+    async with (
+        aiohttp.ClientSession() as session,
+        session.request(method, url, json=body, headers=HOST_HEADER) as answer,
+    ):
+        return answer.status, await answer.json()
+
+
+@pytest.mark.parametrize(
+    ("body", "field"),
+    [
+        ({}, "steps"),
+        ({"steps": []}, "steps"),
+        ({"steps": [{"count": 0}]}, "steps[0].count"),
+        ({"steps": [{"count": "many"}]}, "steps[0].count"),
+        ({"steps": [{"after": [0]}]}, "steps[0].after"),
+        ({"steps": [{}, {"after": [1]}]}, "steps[1].after"),
+        ({"steps": [{"cpu": -1}]}, "steps[0].cpu"),
+        ({"steps": [{"gang": 1}]}, "steps[0].gang"),
+        ({"steps": [{}], "specification": "x" * 4_001}, "specification"),
+        ({"steps": [{}], "repetitions": 10**9}, "repetitions"),
+        ([], "body"),
+    ],
+)
+async def test_malformed_job_is_named_and_not_stored(site, body, field):
+    path = f"/pool-a/{'a' * 16}"
+    status, answer = await request(site, "POST", path, body)
+    assert status == 400
+    assert answer["error"].startswith(field)
+    assert answer["verdict"] == "not_run"
+    assert (await request(site, "GET", path))[0] == 410
+
+
+async def test_requests_that_name_nothing_known(site):
+    assert (await request(site, "GET", "/elsewhere/"))[0] == 404
+    assert (await request(site, "GET", "/pool-a/"))[1] == {"waiting": 0}
+    assert (await request(site, "DELETE", f"/pool-a/{'b' * 16}"))[0] == 410
+    assert (await request(site, "POST", "/pool-a/short", {"steps": [{}]}))[0] == 400
+
+
+@pytest.mark.parametrize("seed", [*REGRESSION_SEEDS, *FRESH_SEEDS])
+async def test_random_faults_break_no_promise(seed):
+    load = LoadPlan(jobs=80, jobs_per_s=6.0, cancelled=0.1, patience_s=60.0)
+    result = await Emulation(SitePlan(), load, seed).run(faults=True)
+    assert result.broken == [], result.faults
