Keep a round of a holder short under a flood, and give duties to strong entries

The entry of a half core that held the pool was busy for good: its own calls timed out, runs were doubted and stopped, machines that had moved in were not spoken to.

A size without room is looked for once a round, the outlook of a job is worked out once for rank and demand, slow runs are sought ten times a second, rounds leave as much time as they take. Duties go to entries by their processors. Jobs that can no longer earn anything come last.

Ruled out: the planner's own plan (9 ms at 179 machines), the platform's rate of orders.

--- a/libs/scheduling/burdockthread_scheduling/board.py
+++ b/libs/scheduling/burdockthread_scheduling/board.py
@@ -63,6 +63,7 @@
         occurrence: The occurrence.
         number: Number of the step.
         spec: The step.
+        queue: Name of the job's queue.
         open_tasks: Tasks that have not succeeded, by index.
         succeeded: Bits of the indices of the tasks that have.
         durations_s: How long the runs took that succeeded.
@@ -72,6 +73,7 @@
         self.occurrence = occurrence
         self.number = number
         self.spec = job.spec.steps[number]
+        self.queue = job.spec.queue
         self.succeeded = 0
         self.durations_s: list[float] = []
         self.open_tasks = {
@@ -178,6 +180,15 @@
             for step in steps:
                 yield from step.open_tasks.values()
 
+    def lasting_milli(self) -> int:
+        """Returns the processors that its lasting tasks ask for, in thousandths."""
+        return sum(
+            step.spec.cpu_milli * len(step.open_tasks)
+            for steps in self.occurrences.values()
+            for step in steps
+            if step.spec.lasting and not step.spec.fills
+        )
+
     def failed_runs(self, task: TaskRun) -> set[int]:
         """Returns the numbers of the failed runs of a task, or of its gang."""
         step = self.step_run(task.task.occurrence, task.task.step)
--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -37,6 +37,8 @@
 # Head start of an entry over the next in the order of preference.
 CAMPAIGN_STEP_S = 0.12
 MAX_CAMPAIGN_DELAY_S = 0.6
+# Entries that start together know of one another by then.
+FIRST_NOTICE_S = 0.4
 TERM_BYTES = 8
 
 
@@ -139,6 +141,7 @@
     Attributes:
         held: Duties that this entry does, by name.
         owners: Known holders by duty, with the revision of the record.
+        seen: Duties that had a holder since this entry started.
         entries: Live entries by name.
         holding: Set while this entry does a duty.
         idle: Set while it does none.
@@ -170,6 +173,7 @@
         self.lease = EntryLease(store, clock, log)
         self.held: dict[str, HeldDuty] = {}
         self.owners: dict[str, tuple[DutyRecord, int]] = {}
+        self.seen: set[str] = set()
         self.entries: dict[str, EntryRecord] = {}
         self.vacant_since_s: dict[str, float] = {}
         self.changed = asyncio.Event()
@@ -195,6 +199,7 @@
             self.owners.pop(duty, None)
         else:
             self.owners[duty] = (decode(item.value, DutyRecord), item.revision)
+            self.seen.add(duty)
         self.changed.set()
 
     def on_entry(self, entry: str, item: KeyValue | None) -> None:
@@ -326,15 +331,19 @@
         )
         if self.entry not in ranked:
             return MAX_CAMPAIGN_DELAY_S
-        delay_s = ranked.index(self.entry) * CAMPAIGN_STEP_S
-        return min(delay_s, MAX_CAMPAIGN_DELAY_S)
+        delay_s = min(ranked.index(self.entry) * CAMPAIGN_STEP_S, MAX_CAMPAIGN_DELAY_S)
+        return delay_s if name in self.seen else delay_s + FIRST_NOTICE_S
 
     def preference(self, name: str, entry: str) -> float:
-        """Returns the rank of an entry for a duty; the highest goes first."""
+        """Returns the rank of an entry for a duty; the highest goes first.
+
+        Strong entries carry duties before weak ones, and each duty that an entry
+        has leaves less for the next.
+        """
         digest = xxhash.xxh64_intdigest(f"{name}\0{entry}".encode())
         share = (digest + 1) / 2**64
         load = sum(1 for record, _ in self.owners.values() if record.entry == entry)
-        return float(share ** (1.0 / self.entries[entry].weight)) - load
+        return self.entries[entry].weight * (1.0 + share) / (1.0 + load)
 
     async def campaign(self, name: str, factory: DutyFactory, revision: int) -> None:
         """Tries to take a duty whose record has a revision, 0 if there is none."""
--- a/libs/scheduling/burdockthread_scheduling/estimates.py
+++ b/libs/scheduling/burdockthread_scheduling/estimates.py
@@ -44,11 +44,21 @@
             besides: Worker whose runs say nothing, since it may be slow.
         """
         step = task.job.step_run(task.task.occurrence, task.task.step)
-        if step is not None:
-            seen_s = self.seen_s(step, besides)
-            if seen_s:
-                return median(seen_s)
-        return self.told_s(task.step, task.job.spec.queue)
+        if step is None:
+            return self.told_s(task.step, task.job.spec.queue)
+        return self.step_total_s(step, besides)
+
+    def step_total_s(self, step: StepRun, besides: WorkerState | None = None) -> float:
+        """Returns the expected duration of the tasks of a step in seconds.
+
+        Args:
+            step: The step.
+            besides: Worker whose runs say nothing, since it may be slow.
+        """
+        seen_s = self.seen_s(step, besides)
+        if seen_s:
+            return median(seen_s)
+        return self.told_s(step.spec, step.queue)
 
     def told_s(self, step: StepSpec, queue: str) -> float:
         """Returns the duration that the caller told, corrected by the queue's."""
@@ -74,8 +84,17 @@
                 found.append(done_s + (100 - placement.percent) / placement.rate)
         return found
 
-    def left_s(self, task: TaskRun) -> float:
-        """Returns the seconds that a task probably still takes."""
+    def left_s(self, task: TaskRun, total_s: float | None = None) -> float:
+        """Returns the seconds that a task probably still takes.
+
+        Args:
+            task: The task.
+            total_s: Expected duration of the tasks of its step, if known.
+        """
+        if total_s is None:
+            total_s = self.total_s(task)
+        if not task.placements:
+            return max(total_s, MIN_LEFT_S)
         now = self.clock.now()
         known = [
             left_s
@@ -83,8 +102,7 @@
             if (left_s := placement.left_s(now)) is not None
         ]
         if known:
-            return max(min(*known, self.total_s(task)), MIN_LEFT_S)
-        total_s = self.total_s(task)
+            return max(min(*known, total_s), MIN_LEFT_S)
         for placement in task.placements:
             if placement.phase is PlacementPhase.CONFIRMED:
                 total_s -= now - placement.ordered_s
--- a/libs/scheduling/burdockthread_scheduling/job_order.py
+++ b/libs/scheduling/burdockthread_scheduling/job_order.py
@@ -1,6 +1,7 @@
 """Orders the jobs of a pool by what can still be done in time."""
 
 from collections.abc import Container
+from enum import IntEnum
 from typing import NamedTuple
 
 from burdockthread_model.clock import Clock
@@ -10,7 +11,49 @@
 
 # A job that would end this close to its objective is taken as late.
 MARGIN_SHARE = 0.1
-RANK_MAX_AGE_S = 0.1
+# The users' rules credit a result up to this many times its objective.
+LATE_LIMIT = 3.0
+# Runs report their progress about five times a second.
+OUTLOOK_MAX_AGE_S = 0.1
+# What is expected of a job without runs changes only as its queue is learned.
+IDLE_OUTLOOK_MAX_AGE_S = 0.5
+
+
+class Lateness(IntEnum):
+    """Whether a job can still end in time."""
+
+    IN_TIME = 0
+    LATE = 1
+    TOO_LATE = 2
+
+
+class JobOutlook(NamedTuple):
+    """What is expected of a job that has not ended.
+
+    Attributes:
+        computed_s: Clock time at which it was worked out.
+        chain_s: Seconds that its longest chain of work still takes.
+        objective_ms: Milliseconds allowed from its acceptance.
+        work: Work that is left in thousandths of a core times seconds.
+        waiting: Part of that work whose tasks have no run.
+        running_milli: Processors that its runs take up, in thousandths.
+    """
+
+    computed_s: float
+    chain_s: float
+    objective_ms: float
+    work: float
+    waiting: float
+    running_milli: int
+
+
+class StepOutlook(NamedTuple):
+    """What is expected of one step, in the units of `JobOutlook`."""
+
+    longest_s: float
+    work: float
+    waiting: float
+    running_milli: int
 
 
 class JobRank(NamedTuple):
@@ -19,7 +62,7 @@
     Attributes:
         lasting: 0 for a job that lasts, which is to be kept up.
         priority: Urgency of its queue.
-        late: Whether it can no longer end in time.
+        lateness: Whether it can still end in time.
         waiting: Whether none of its tasks has started.
         work: Work that is left in thousandths of a core times seconds.
         accepted_ms: Unix time of its acceptance.
@@ -27,7 +70,7 @@
 
     lasting: int
     priority: int
-    late: bool
+    lateness: Lateness
     waiting: bool
     work: float
     accepted_ms: int
@@ -37,73 +80,95 @@
     """Ranks jobs: those that can end in time first, the smaller ones before.
 
     Attributes:
-        known: Ranks by job, with the clock time at which they were worked out.
+        known: Outlooks by job.
     """
 
     def __init__(self, estimates: DurationEstimates, clock: Clock) -> None:
         self.estimates = estimates
         self.clock = clock
-        self.known: dict[str, tuple[JobRank, float]] = {}
+        self.known: dict[str, JobOutlook] = {}
 
     def rank(self, job: JobRun) -> JobRank:
-        """Returns the rank of a job, worked out anew now and then."""
-        now = self.clock.now()
-        job_id = job.spec.job_id
-        known = self.known.get(job_id)
-        if known is not None and now - known[1] < RANK_MAX_AGE_S:
-            return known[0]._replace(waiting=not job.begun)
-        rank = self.work_out(job, self.clock.wall() * 1000)
-        self.known[job_id] = (rank, now)
-        return rank
+        """Returns the rank of a job."""
+        spec, queue = job.spec, job.queue
+        if spec.is_lasting():
+            lateness = Lateness.IN_TIME
+            return JobRank(0, queue.priority, lateness, False, 0.0, spec.accepted_ms)
+        outlook = self.outlook(job)
+        lateness = self.lateness(job)
+        waiting = not job.begun
+        return JobRank(
+            1, queue.priority, lateness, waiting, outlook.work, spec.accepted_ms
+        )
 
     def keep_only(self, job_ids: Container[str]) -> None:
         """Drops what is known of other jobs."""
-        self.known = {
-            job_id: rank for job_id, rank in self.known.items() if job_id in job_ids
-        }
+        for job_id in [job_id for job_id in self.known if job_id not in job_ids]:
+            del self.known[job_id]
 
-    def work_out(self, job: JobRun, wall_ms: float) -> JobRank:
-        """Returns the rank of a job at a Unix time in milliseconds."""
-        spec, queue = job.spec, job.queue
-        if spec.is_lasting():
-            return JobRank(0, queue.priority, False, False, 0.0, spec.accepted_ms)
-        work = 0.0
-        chain_s = 0.0
+    def outlook(self, job: JobRun) -> JobOutlook:
+        """Returns what is expected of a job, worked out anew now and then."""
+        now = self.clock.now()
+        known = self.known.get(job.spec.job_id)
+        max_age_s = OUTLOOK_MAX_AGE_S if job.begun else IDLE_OUTLOOK_MAX_AGE_S
+        if known is not None and now - known.computed_s < max_age_s:
+            return known
+        outlook = self.work_out(job, now)
+        self.known[job.spec.job_id] = outlook
+        return outlook
+
+    def work_out(self, job: JobRun, now: float) -> JobOutlook:
+        """Returns what is expected of a job."""
+        work = waiting = chain_s = 0.0
+        running_milli = 0
         for steps in job.occurrences.values():
             ends_s: list[float] = []
             for step in steps:
                 before_s = max((ends_s[n] for n in step.spec.after), default=0.0)
-                longest_s, step_work = self.left(step)
-                ends_s.append(before_s + longest_s)
-                work += step_work
+                found = self.step_outlook(step)
+                ends_s.append(before_s + found.longest_s)
+                work += found.work
+                waiting += found.waiting
+                running_milli += found.running_milli
             chain_s = max(chain_s, *ends_s) if ends_s else chain_s
-        return JobRank(
-            1,
-            queue.priority,
-            self.is_late(job, chain_s, wall_ms),
-            not job.begun,
-            work,
-            spec.accepted_ms,
+        objective_ms = (
+            job.queue.stretch * self.total_chain_ms(job) + job.queue.latency_target_ms
         )
-
-    def left(self, step: StepRun) -> tuple[float, float]:
-        """Returns the longest time and the work that a step still takes."""
-        longest_s = work = 0.0
+        return JobOutlook(now, chain_s, objective_ms, work, waiting, running_milli)
+
+    def step_outlook(self, step: StepRun) -> StepOutlook:
+        """Returns what is expected of the tasks of a step that are open."""
+        if not step.open_tasks:
+            return StepOutlook(0.0, 0.0, 0.0, 0)
+        total_s = self.estimates.step_total_s(step)
+        longest_s = work = waiting = 0.0
+        running_milli = 0
         for task in step.open_tasks.values():
-            left_s = self.estimates.left_s(task)
+            left_s = self.estimates.left_s(task, total_s)
+            cpu_milli = task.size.cpu_milli
             longest_s = max(longest_s, left_s)
-            work += left_s * task.size.cpu_milli
-        return longest_s, work
-
-    def is_late(self, job: JobRun, chain_s: float, wall_ms: float) -> bool:
-        """Returns whether a job can no longer end in time."""
-        spec = job.spec
-        if spec.repetitions:
-            return False
-        total_ms = self.total_chain_ms(job)
-        allowed_ms = job.queue.stretch * total_ms + job.queue.latency_target_ms
-        end_ms = wall_ms + chain_s * 1000
-        return end_ms > spec.accepted_ms + allowed_ms * (1 - MARGIN_SHARE)
+            work += left_s * cpu_milli
+            if step.spec.lasting or step.spec.fills:
+                continue
+            if task.placements:
+                running_milli += cpu_milli
+            else:
+                waiting += left_s * cpu_milli
+        return StepOutlook(longest_s, work, waiting, running_milli)
+
+    def lateness(self, job: JobRun) -> Lateness:
+        """Returns whether a job can still end in time."""
+        if job.spec.repetitions or job.spec.is_lasting():
+            return Lateness.IN_TIME
+        outlook = self.outlook(job)
+        end_ms = self.clock.wall() * 1000 + outlook.chain_s * 1000
+        passed_ms = end_ms - job.spec.accepted_ms
+        allowed_ms = outlook.objective_ms * (1 - MARGIN_SHARE)
+        if passed_ms <= allowed_ms:
+            return Lateness.IN_TIME
+        if passed_ms <= allowed_ms * LATE_LIMIT:
+            return Lateness.LATE
+        return Lateness.TOO_LATE
 
     def total_chain_ms(self, job: JobRun) -> float:
         """Returns the expected length of a job's longest chain of work."""
--- a/libs/scheduling/burdockthread_scheduling/placement.py
+++ b/libs/scheduling/burdockthread_scheduling/placement.py
@@ -6,10 +6,42 @@
 from burdockthread_scheduling.board import TaskRun
 from burdockthread_scheduling.worker_health import WorkerHealth
 from burdockthread_scheduling.worker_state import WorkerState
+from burdockthread_scheduling.workers import Capacity
 
 Rank = tuple[bool, bool, bool, bool, bool, float]
 
 
+class SizesWithoutRoom:
+    """Sizes of tasks for which no worker has room, within one round.
+
+    Starts only take room away, so that what is larger does not fit either.
+    """
+
+    def __init__(self) -> None:
+        self.sizes: list[Capacity] = []
+
+    def note(self, task: TaskRun, workers: Iterable[WorkerState]) -> None:
+        """Takes in that a task found no worker, if that is for want of room."""
+        fills = task.step.fills
+        if not any(worker.fits(task.size, fills=fills) for worker in workers):
+            self.sizes.append(effective_size(task))
+
+    def covers(self, task: TaskRun) -> bool:
+        """Returns whether a task surely has no room."""
+        size = effective_size(task)
+        return any(
+            size.cpu_milli >= known.cpu_milli
+            and size.memory_mb >= known.memory_mb
+            and size.accelerators >= known.accelerators
+            for known in self.sizes
+        )
+
+
+def effective_size(task: TaskRun) -> Capacity:
+    """Returns the room that a task needs; one that fills needs no processors."""
+    return task.size._replace(cpu_milli=0) if task.step.fills else task.size
+
+
 def is_allowed(task: TaskRun, worker: WorkerState) -> bool:
     """Returns whether a task may run on a worker, if that has room.
 
--- a/libs/scheduling/burdockthread_scheduling/planner_link.py
+++ b/libs/scheduling/burdockthread_scheduling/planner_link.py
@@ -3,6 +3,7 @@
 from burdockthread_scheduling.board import JobRun
 from burdockthread_scheduling.estimates import Inflow
 from burdockthread_scheduling.evacuation import Evacuation
+from burdockthread_scheduling.job_order import Lateness
 from burdockthread_scheduling.pool_core import PoolCore
 from burdockthread_scheduling.pool_status import PoolStatus, WorkerStatus
 from burdockthread_scheduling.pool_workers import PoolWorkers
@@ -10,7 +11,11 @@
 
 STATUS_INTERVAL_S = 0.1
 # Work that ends late anyway draws fewer machines than work in time.
-LATE_WORK_WEIGHT = 0.3
+LATE_WORK_WEIGHTS = {
+    Lateness.IN_TIME: 1.0,
+    Lateness.LATE: 0.3,
+    Lateness.TOO_LATE: 0.1,
+}
 
 
 class PlannerLink:
@@ -45,12 +50,7 @@
 
     def note_arrival(self, job: JobRun) -> None:
         """Notes the work of a job that has arrived."""
-        work = sum(
-            task.size.cpu_milli * self.core.estimates.left_s(task)
-            for task in job.open_tasks()
-            if not task.step.lasting
-        )
-        self.inflow.add(work, self.clock.now())
+        self.inflow.add(self.core.order.outlook(job).waiting, self.clock.now())
 
     def status(self) -> PoolStatus:
         """Returns the demand and the workers of the pool."""
@@ -92,16 +92,9 @@
         for job in core.board.jobs.values():
             if job.end is not None:
                 continue
-            late = not job.spec.is_lasting() and core.order.rank(job).late
-            weight = LATE_WORK_WEIGHT if late else 1.0
-            for task in job.open_tasks():
-                cpu_milli = task.size.cpu_milli
-                if task.step.fills:
-                    continue
-                if task.step.lasting:
-                    lasting += cpu_milli
-                elif task.placements:
-                    running += cpu_milli
-                else:
-                    waiting += cpu_milli * core.estimates.left_s(task) * weight
+            if job.spec.is_lasting():
+                lasting += job.lasting_milli()
+            outlook = core.order.outlook(job)
+            running += outlook.running_milli
+            waiting += outlook.waiting * LATE_WORK_WEIGHTS[core.order.lateness(job)]
         return lasting, running, waiting
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -33,6 +33,10 @@
 from burdockthread_scheduling.task_placer import TaskPlacer
 
 TICK_S = 0.1
+# Reports that come close together share a round, and a round leaves at least as
+# much time to all other work as it takes itself.
+ROUND_PAUSE_S = 0.01
+MAX_ROUND_PAUSE_S = 0.1
 RETRY_S = 0.1
 STORE_RETRY_MAX_S = 0.3
 HAND_OVER_TIMEOUT_S = 0.8
@@ -86,7 +90,12 @@
             writer = core.spawn(self.writer.run())
             while not core.lost and not writer.done():
                 core.wake.clear()
+                started_s = self.clock.now()
                 self.step()
+                took_s = self.clock.now() - started_s
+                core.metrics.timing("pool.round", took_s)
+                pause_s = min(max(took_s, ROUND_PAUSE_S), MAX_ROUND_PAUSE_S)
+                await self.clock.sleep(pause_s)
                 with suppress(TimeoutError):
                     async with self.clock.timeout(TICK_S):
                         await core.wake.wait()
--- a/libs/scheduling/burdockthread_scheduling/task_placer.py
+++ b/libs/scheduling/burdockthread_scheduling/task_placer.py
@@ -4,7 +4,11 @@
 
 from burdockthread_scheduling.board import JobRun, StepRun, TaskRun
 from burdockthread_scheduling.evacuation import Evacuation
-from burdockthread_scheduling.placement import choose_worker, racks_by_room
+from burdockthread_scheduling.placement import (
+    SizesWithoutRoom,
+    choose_worker,
+    racks_by_room,
+)
 from burdockthread_scheduling.placement_policy import PolicyTickets, StepId
 from burdockthread_scheduling.pool_core import PoolCore
 from burdockthread_scheduling.pool_workers import PoolWorkers
@@ -12,9 +16,15 @@
 from burdockthread_scheduling.run_orders import RunOrders
 from burdockthread_scheduling.worker_state import WorkerState
 
+RESCUE_INTERVAL_S = 0.1
+
 
 class TaskPlacer:
-    """Starts tasks in the order of their jobs, and rescues slow runs."""
+    """Starts tasks in the order of their jobs, and rescues slow runs.
+
+    Attributes:
+        rescued_s: Clock time at which slow runs were last looked for.
+    """
 
     def __init__(
         self,
@@ -30,6 +40,7 @@
         self.evacuation = evacuation
         self.tickets = tickets
         self.laggards = LaggardFinder(core.estimates, core.clock)
+        self.rescued_s = float("-inf")
 
     def step(self) -> None:
         """Starts what can be started."""
@@ -40,14 +51,17 @@
         ready = self.workers.ready()
         if not ready:
             return
+        full = SizesWithoutRoom()
         for job in jobs:
             if job.spec.is_lasting():
-                self.place_job(job, ready)
+                self.place_job(job, ready, full)
         ready = self.evacuation.without_reserved(ready)
         for job in jobs:
             if not job.spec.is_lasting():
-                self.place_job(job, ready)
-        self.rescue(ready)
+                self.place_job(job, ready, full)
+        if core.clock.now() - self.rescued_s >= RESCUE_INTERVAL_S:
+            self.rescued_s = core.clock.now()
+            self.rescue(ready, full)
 
     def jobs_in_order(self) -> list[JobRun]:
         """Returns the jobs whose tasks may start, the first to be served first."""
@@ -58,23 +72,40 @@
             if job.end is not None or (job.adopted and self.workers.unreached):
                 continue
             job.open_due(wall_ms)
-            if any(not task.placements for task in job.open_tasks()):
+            if any(
+                not task.placements
+                for step in job.runnable_steps()
+                for task in step.open_tasks.values()
+            ):
                 jobs.append(job)
         return sorted(jobs, key=core.order.rank)
 
-    def place_job(self, job: JobRun, ready: list[WorkerState]) -> None:
+    def place_job(
+        self, job: JobRun, ready: list[WorkerState], full: SizesWithoutRoom
+    ) -> None:
         """Starts the tasks of a job that have room."""
         for step in job.runnable_steps():
             allowed = self.allowed(job, step, ready)
             if step.spec.gang:
                 self.place_gang(step, allowed)
+            else:
+                self.place_step(step, allowed, full)
+
+    def place_step(
+        self, step: StepRun, allowed: list[WorkerState], full: SizesWithoutRoom
+    ) -> None:
+        """Starts the tasks of a step until one finds no worker; all ask the same."""
+        for task in step.open_tasks.values():
+            if task.placements:
                 continue
-            for task in step.open_tasks.values():
-                if task.placements:
-                    continue
-                worker = choose_worker(task, allowed, self.core.health)
-                if worker is not None:
-                    self.orders.start(task, worker)
+            if full.covers(task):
+                return
+            worker = choose_worker(task, allowed, self.core.health)
+            if worker is None:
+                if task.job.queue.placement_policy is None:
+                    full.note(task, allowed)
+                return
+            self.orders.start(task, worker)
 
     def allowed(
         self, job: JobRun, step: StepRun, ready: list[WorkerState]
@@ -133,13 +164,17 @@
             self.orders.start(member, worker, run)
         return True
 
-    def rescue(self, ready: list[WorkerState]) -> None:
+    def rescue(self, ready: list[WorkerState], full: SizesWithoutRoom) -> None:
         """Copies or restarts runs that a fresh one would overtake."""
         for found in tuple(self.laggards.find(self.core.board.jobs.values())):
+            if full.covers(found.task):
+                continue
             slow = found.placement.worker
             others = [worker for worker in ready if worker is not slow]
             worker = choose_worker(found.task, others, self.core.health)
-            if worker is not None:
+            if worker is None:
+                full.note(found.task, ready)
+            else:
                 self.overtake(found, worker)
 
     def overtake(self, found: Laggard, worker: WorkerState) -> None:
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -40,7 +40,7 @@
         self.stores = {}
         self.tasks = {}
 
-    def add(self, name):
+    def add(self, name, weight=1.0):
         """Starts an entry."""
         faulty = FaultyStore(self.memory, self.clock)
         store = SettledStore(faulty, name, self.clock, MemoryMetrics())
@@ -49,7 +49,7 @@
             name,
             f"{name}:1",
             "zone-a",
-            1.0,
+            weight,
             store,
             cache,
             self.clock,
@@ -176,3 +176,17 @@
     with entries.memory.outage():
         await entries.pass_time(5.0)
         assert entries.held() == before
+
+
+async def test_strong_entries_do_the_duties_and_weak_ones_only_without_them():
+    found = Entries()
+    for name, weight in (("weak-1", 0.5), ("weak-2", 0.5), ("strong", 2.1)):
+        found.add(name, weight)
+    await found.pass_time(2.0)
+    assert found.held() == {name: ["strong"] for name in NAMES}
+    await found.kill("strong")
+    found.duties.pop("strong")
+    await found.pass_time(4.0)
+    assert {name for (name,) in found.held().values()} == {"weak-1", "weak-2"}
+    for name in found.tasks:
+        await found.kill(name)
--- /dev/null
+++ b/libs/scheduling/tests/test_job_order.py
@@ -0,0 +1,53 @@
+"""The order in which jobs are served."""
+
+import pytest
+from burdockthread_model.clock import MemoryClock
+from burdockthread_scheduling.board import JobRun
+from burdockthread_scheduling.estimates import DurationEstimates
+from burdockthread_scheduling.job_order import JobOrder, Lateness
+from burdockthread_scheduling.specs import JobSpec, QueueSpec, StepSpec
+
+QUEUE = QueueSpec("q", "h", "/", "p", stretch=1.6, latency_target_ms=600)
+
+
+@pytest.fixture
+def order(clock: MemoryClock):
+    return JobOrder(DurationEstimates(clock), clock)
+
+
+def job_of(clock, tasks=4, job_id="a" * 16, **fields):
+    step = StepSpec(tasks, 2_000, 256, estimated_ms=1_000, **fields)
+    spec = JobSpec(job_id, "q", "", (step,), accepted_ms=int(clock.wall() * 1000))
+    return JobRun(spec, QUEUE, 1, adopted=False)
+
+
+async def test_lateness_follows_the_objective_and_three_times_it(order, clock):
+    job = job_of(clock)
+    assert order.lateness(job) is Lateness.IN_TIME
+    await clock.advance(1.2)
+    assert order.lateness(job) is Lateness.LATE
+    await clock.advance(4.0)
+    assert order.lateness(job) is Lateness.TOO_LATE
+
+
+async def test_jobs_that_earn_something_come_before_those_that_do_not(order, clock):
+    hopeless = job_of(clock, tasks=1, job_id="a" * 16)
+    await clock.advance(3.5)
+    late = job_of(clock, tasks=6, job_id="b" * 16)
+    await clock.advance(2.0)
+    timely = job_of(clock, tasks=9, job_id="c" * 16)
+    ranked = sorted([hopeless, late, timely], key=order.rank)
+    assert ranked == [timely, late, hopeless]
+
+
+def test_outlook_counts_the_work_of_tasks_without_a_run(order, clock):
+    outlook = order.outlook(job_of(clock, tasks=3))
+    assert outlook.waiting == outlook.work == 3 * 2_000 * 1.0
+    assert outlook.chain_s == 1.0
+    assert outlook.running_milli == 0
+
+
+def test_lasting_tasks_do_not_count_as_waiting_work(order, clock):
+    job = job_of(clock, tasks=3, lasting=True)
+    assert order.outlook(job).waiting == 0
+    assert job.lasting_milli() == 6_000
--- a/libs/scheduling/tests/test_task_placer.py
+++ b/libs/scheduling/tests/test_task_placer.py
@@ -4,6 +4,7 @@
 from burdockthread_scheduling.memory_workers import TaskNature
 from burdockthread_scheduling.records import JobPhase
 from burdockthread_scheduling.specs import PlacementPolicyTimes
+from burdockthread_scheduling.worker_state import WorkerState
 from burdockthread_scheduling.workers import Capacity, EndKind, WorkerKey
 from pool_site import CONFIGURATION, POOL, QUEUE, step
 
@@ -135,3 +136,25 @@
     await site.holder("entry-2", "process-2")
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
     assert len(site.runs(job)) == 8
+
+
+async def test_round_looks_once_for_room_for_tasks_of_one_size(site, monkeypatch):
+    for number in range(20):
+        site.park.add(f"w{number:02d}", POOL, SMALL, ("r0",))
+    holder = await site.holder()
+    await site.pass_time(0.5)
+    long = TaskNature(duration_s=60.0)
+    for _ in range(40):
+        await site.submit(step(8), nature=long)
+    await site.pass_time(0.5)
+    looks = 0
+    fits = WorkerState.fits
+
+    def counted(worker, size, *, fills):
+        nonlocal looks
+        looks += 1
+        return fits(worker, size, fills=fills)
+
+    monkeypatch.setattr(WorkerState, "fits", counted)
+    holder.placer.step()
+    assert 0 < looks <= 3 * 20
--- a/libs/standins/burdockthread_standins/emulated_site.py
+++ b/libs/standins/burdockthread_standins/emulated_site.py
@@ -175,15 +175,19 @@
             group = await stack.enter_async_context(asyncio.TaskGroup())
             following = group.create_task(self.workers.run())
             stack.callback(following.cancel)
+            stack.push_async_callback(self.stop_entries)
             for number in range(self.plan.entries):
                 name, host = f"entry-{number + 1}", f"127.0.1.{number + 1}"
                 entry = EntryProcess(name, host, folder, store, control)
                 self.entries.append(entry)
-                stack.push_async_callback(entry.stop)
                 await entry.start()
             await self.until_ready()
             yield self
 
+    async def stop_entries(self) -> None:
+        """Ends all entries side by side."""
+        await asyncio.gather(*(entry.stop() for entry in self.entries))
+
     async def listen(self, stack: AsyncExitStack, app: web.Application) -> str:
         """Serves an application; returns its address."""
         runner = web.AppRunner(app, shutdown_timeout=0.1)
