Hand a duty on while the store refuses its holder; end requests that a stop has read

The store turned the planner's entry away; its lease had to end, then orders of two planners had to keep 3.3 s apart. An idle connection stayed open while the port stopped; a request on it was read and cut off when the time was over. Idle connections are closed first, and the port waits until no caller has asked for a while. Found by reading: the planner may act for 0.8 s on the last holder's word that a worker is empty, while the next holder starts lasting tasks on it. A new holder now waits until the planner has spoken of a worker, or that time has passed.

Ruled out: a shorter wait between planners, since the store may drop a key before the lease of its holder ends (an existing test holds that).

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -38,7 +38,12 @@
 from burdockthread_platform.worker_http import HttpWorkerGateway
 from burdockthread_scheduling.configuration_view import ConfigurationView
 from burdockthread_scheduling.desk import JobDesk
-from burdockthread_scheduling.duties import Duties, DutyFactory, Tenure
+from burdockthread_scheduling.duties import (
+    Duties,
+    DutyFactory,
+    DutyOffer,
+    Tenure,
+)
 from burdockthread_scheduling.entry_link import HttpEntryLink
 from burdockthread_scheduling.intake import JobIntake
 from burdockthread_scheduling.job_index import JobIndex
@@ -76,7 +81,11 @@
 PROCESS_ID_BYTES = 8
 # Two readings of the readiness, a second apart, take new callers elsewhere.
 READINESS_NOTICE_S = 2.5
-# Part of the time to stop after which open requests are given up.
+# Callers with open connections may ask again within this time.
+QUIET_S = 0.5
+# Parts of the time to stop: for the hand-over of duties, and until open requests
+# are given up; the rest is for closing and for a slow processor.
+HAND_OVER_SHARE = 0.4
 STOP_SHARE = 0.7
 
 
@@ -134,7 +143,9 @@
         )
         self.gateway = HttpWorkerGateway(session)
         self.process = secrets.token_hex(PROCESS_ID_BYTES)
-        self.link = HttpEntryLink(session, self.on_status, self.on_release)
+        self.link = HttpEntryLink(
+            session, self.on_status, self.on_release, self.on_offer
+        )
         self.policy: PolicyService = (
             NoPolicyService()
             if settings.policy is None
@@ -156,6 +167,7 @@
             self.metrics,
             self.log,
             self.wanted_duties,
+            self.link.offer,
         )
         self.port = JobsPort(self.desk, self.clock)
         self.stopping = False
@@ -180,6 +192,10 @@
         self.duties.release(POOL_DUTY + order.pool, order.fence)
         return ReleaseAnswer(self.process)
 
+    async def on_offer(self, offer: DutyOffer) -> bool:
+        """Takes a duty over that another entry offers."""
+        return await self.duties.take_offer(offer)
+
     async def ask_release(self, address: str, pool: str, fence: int) -> str:
         """Asks an earlier holder to give a pool up; returns its process id."""
         answer = await self.link.release(address, ReleaseOrder(pool, fence))
@@ -343,16 +359,27 @@
             trace = "".join(traceback.format_exception(error))
             self.log.error("work_failed", reason=repr(error), trace=trace)
 
+    def is_quiet(self) -> bool:
+        """Returns whether no caller has asked for a while."""
+        quiet_s = self.clock.now() - self.port.answered_s
+        return not self.port.open_requests and quiet_s > QUIET_S
+
     async def drain(self) -> None:
         """Hands the duties over and answers what callers have sent."""
         self.stopping = True
         self.log.info("entry_stopping", open_requests=self.port.open_requests)
         self.port.closing = True
         started_s = self.clock.now()
-        await self.duties.hand_over()
+        stop_s = self.settings.stop_timeout_s
+        try:
+            async with self.clock.timeout(stop_s * HAND_OVER_SHARE):
+                await self.duties.hand_over()
+        except TimeoutError:
+            self.log.warning("hand_over_given_up", seconds=stop_s * HAND_OVER_SHARE)
         left_s = started_s + READINESS_NOTICE_S - self.clock.now()
         await self.clock.sleep(left_s)
-        give_up_s = started_s + self.settings.stop_timeout_s * STOP_SHARE
-        while self.port.open_requests and self.clock.now() < give_up_s:
+        while (
+            not self.is_quiet() and self.clock.now() < started_s + stop_s * STOP_SHARE
+        ):
             await self.clock.sleep(DRAIN_POLL_S)
         self.log.info("entry_stopped", open_requests=self.port.open_requests)
--- a/libs/platform/burdockthread_platform/jobs_http.py
+++ b/libs/platform/burdockthread_platform/jobs_http.py
@@ -23,7 +23,8 @@
 MAX_REPETITIONS = 100_000
 MAX_MILLISECONDS = 10**14
 DEFAULT_WAIT_S = 3.0
-STOP_TIMEOUT_S = 1.0
+# Requests that are still open when an entry stops have had their time already.
+STOP_TIMEOUT_S = 0.3
 
 
 class JobsPort:
@@ -32,6 +33,7 @@
     Attributes:
         open_requests: Requests that are being answered.
         closing: Whether each answer asks the caller to connect anew.
+        answered_s: Clock time of the last answer.
     """
 
     def __init__(self, desk: JobDesk, clock: Clock) -> None:
@@ -39,6 +41,7 @@
         self.clock = clock
         self.open_requests = 0
         self.closing = False
+        self.answered_s = float("-inf")
 
     def handler(self) -> web.Server:
         """Returns what serves the connections."""
@@ -53,6 +56,7 @@
             response = refusal(error)
         finally:
             self.open_requests -= 1
+            self.answered_s = self.clock.now()
         if self.closing:
             response.force_close()
         return response
@@ -172,13 +176,18 @@
 
 @asynccontextmanager
 async def serve(handler: web.Server, address: Address) -> AsyncIterator[None]:
-    """Listens at an address within the block, then lets open requests end."""
+    """Listens at an address within the block, then lets open requests end.
+
+    Idle connections are closed first: a request on one of them would be read and
+    then given up.
+    """
     loop = asyncio.get_running_loop()
     listener = await loop.create_server(handler, address.host, address.port)
     try:
         yield
     finally:
         listener.close()
+        handler.pre_shutdown()
         await handler.shutdown(STOP_TIMEOUT_S)
 
 
--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -3,13 +3,18 @@
 import asyncio
 import secrets
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from typing import NamedTuple
 
 import xxhash
 from burdockthread_model.clock import Clock
-from burdockthread_model.errors import ConflictError, LeaseLostError, StoreError
+from burdockthread_model.errors import (
+    ConflictError,
+    LeaseLostError,
+    PeerUnavailableError,
+    StoreError,
+)
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.records import RecordError
@@ -39,6 +44,13 @@
 MAX_CAMPAIGN_DELAY_S = 0.6
 # Entries that start together know of one another by then.
 FIRST_NOTICE_S = 0.4
+# An entry without a word from the store for this long offers its duties to
+# others; a renewal and a round of the watch each take up to a second when calm.
+OFFER_AFTER_S = 0.8
+OFFER_INTERVAL_S = 0.4
+MAX_OFFERS = 3
+# An entry that takes an offer has renewed its own lease this lately.
+OFFER_MIN_LEASE_S = 1.2
 TERM_BYTES = 8
 
 
@@ -50,12 +62,14 @@
         fence: Fencing token; grows from one holder to the next.
         guard: Condition that fences a write to the store.
         term: Term of the lease under which it was taken.
+        inherited: What its last holder passed on with its offer, or empty.
     """
 
     duty: str
     fence: int
     guard: Guard
     term: str = ""
+    inherited: bytes = b""
 
 
 class Duty(ABC):
@@ -69,16 +83,50 @@
     async def hand_over(self) -> None:
         """Ends all orders under way, so that a successor may start at once."""
 
+    @abstractmethod
+    async def pause(self) -> bytes:
+        """Stops what a successor must not overlap with.
+
+        Returns:
+            What the successor has to know.
+        """
+
+    @abstractmethod
+    def resume(self) -> None:
+        """Goes on after a pause, since no other entry has the duty."""
+
+
+class DutyOffer(NamedTuple):
+    """Asks another entry to take a duty over.
+
+    Attributes:
+        duty: Name of the duty.
+        fence: Fencing token of the holder that offers it.
+        state: What the successor has to know.
+    """
+
+    duty: str
+    fence: int
+    state: bytes
+
 
+OfferSender = Callable[[str, DutyOffer], Awaitable[bool]]
 DutyFactory = Callable[[Tenure], Duty]
 
 
 class HeldDuty:
-    """A duty that this entry does."""
+    """A duty that this entry does.
+
+    Attributes:
+        offering: Whether it is being offered to another entry.
+        paused: Whether it waits for certainty that no other entry has it.
+    """
 
     def __init__(self, tenure: Tenure, duty: Duty) -> None:
         self.tenure = tenure
         self.duty = duty
+        self.offering = False
+        self.paused = False
         self.work = asyncio.create_task(duty.run())
 
 
@@ -142,6 +190,8 @@
         held: Duties that this entry does, by name.
         owners: Known holders by duty, with the revision of the record.
         seen: Duties that had a holder since this entry started.
+        given_up: Token under which a duty was given to another entry; the record
+            of this entry may still be in its copy of the store.
         entries: Live entries by name.
         holding: Set while this entry does a duty.
         idle: Set while it does none.
@@ -159,6 +209,7 @@
         metrics: Metrics,
         log: EventLog,
         wanted: Callable[[], Mapping[str, DutyFactory]],
+        send_offer: OfferSender,
     ) -> None:
         self.entry = entry
         self.address = address
@@ -170,10 +221,15 @@
         self.metrics = metrics
         self.log = log
         self.wanted = wanted
+        self.send_offer = send_offer
         self.lease = EntryLease(store, clock, log)
         self.held: dict[str, HeldDuty] = {}
         self.owners: dict[str, tuple[DutyRecord, int]] = {}
         self.seen: set[str] = set()
+        self.given_up: dict[str, int] = {}
+        self.renewed_s = clock.now()
+        self.offered_s = float("-inf")
+        self.offers: set[asyncio.Task[None]] = set()
         self.entries: dict[str, EntryRecord] = {}
         self.vacant_since_s: dict[str, float] = {}
         self.changed = asyncio.Event()
@@ -221,6 +277,8 @@
                         await self.changed.wait()
         finally:
             self.keeper.cancel()
+            for task in self.offers:
+                task.cancel()
             for name in tuple(self.held):
                 self.drop(name, "stopped")
 
@@ -230,6 +288,7 @@
             try:
                 if not await self.lease.keep():
                     await self.register()
+                self.renewed_s = self.clock.now()
                 await self.clock.sleep(RENEW_INTERVAL_S)
             except (StoreError, ConflictError) as error:
                 self.metrics.count("duties.renewals_failed")
@@ -265,6 +324,8 @@
         if self.stopping or not self.cache.synced:
             return
         now = self.clock.now()
+        await self.confirm_paused()
+        self.offer_if_cut_off(now)
         for name, factory in wanted.items():
             if name in self.held:
                 continue
@@ -292,6 +353,8 @@
         """
         if owner.entry != self.entry or self.lease.remaining_s() <= 0:
             return
+        if revision <= self.given_up.get(name, -1):
+            return
         if owner.term == self.lease.term:
             self.take(name, factory, revision)
         else:
@@ -324,6 +387,89 @@
         self.metrics.count("duties.dropped")
         self.log.info("duty_dropped", duty=name, fence=held.tenure.fence, reason=reason)
 
+    # A holder without the store
+
+    def offer_if_cut_off(self, now: float) -> None:
+        """Offers the duties held here if only this entry may lack the store."""
+        silent_s = now - max(self.renewed_s, self.cache.contact_s)
+        if silent_s < OFFER_AFTER_S or now - self.offered_s < OFFER_INTERVAL_S:
+            return
+        self.offered_s = now
+        for name, held in self.held.items():
+            if not held.offering:
+                held.offering = True
+                task = asyncio.create_task(self.offer(name, held))
+                self.offers.add(task)
+                task.add_done_callback(self.offers.discard)
+
+    async def offer(self, name: str, held: HeldDuty) -> None:
+        """Offers a duty to some entries in turn, until one has taken it."""
+        held.paused = True
+        state = await held.duty.pause()
+        offer = DutyOffer(name, held.tenure.fence, state)
+        certain = True
+        for entry in self.successors(name):
+            try:
+                taken = await self.send_offer(self.entries[entry].address, offer)
+            except PeerUnavailableError as error:
+                self.log.info("offer_unanswered", duty=name, entry=entry, reason=error)
+                certain = False
+                continue
+            self.log.info("duty_offered", duty=name, entry=entry, taken=taken)
+            if taken:
+                self.give_up(name, held, f"taken by {entry}")
+                return
+        held.offering = False
+        if certain:
+            held.paused = False
+            held.duty.resume()
+
+    def successors(self, name: str) -> list[str]:
+        """Returns the entries to which a duty is offered, the best first."""
+        others = [entry for entry in self.entries if entry != self.entry]
+        others.sort(key=lambda entry: self.preference(name, entry), reverse=True)
+        return others[:MAX_OFFERS]
+
+    async def take_offer(self, offer: DutyOffer) -> bool:
+        """Takes a duty over that its holder offers; returns whether it is held."""
+        factory = self.wanted().get(offer.duty)
+        if factory is None or self.stopping:
+            return False
+        if self.lease.remaining_s() < OFFER_MIN_LEASE_S:
+            return False
+        if offer.duty not in self.held:
+            owner = self.owners.get(offer.duty)
+            revision = 0 if owner is None else offer.fence
+            await self.campaign(offer.duty, factory, revision, offer.state)
+        held = self.held.get(offer.duty)
+        return held is not None and held.tenure.fence > offer.fence
+
+    async def confirm_paused(self) -> None:
+        """Goes on with duties whose offers were not answered, if still held."""
+        if self.clock.now() - self.renewed_s > RENEW_INTERVAL_S:
+            return
+        for name, held in tuple(self.held.items()):
+            if not held.paused or held.offering:
+                continue
+            try:
+                found = await self.store.get(duty_key(name))
+            except StoreError as error:
+                self.log.info("duty_not_confirmed", duty=name, reason=error)
+                return
+            if found is None or found.revision != held.tenure.fence:
+                self.give_up(name, held, "taken over while it was offered")
+                continue
+            held.paused = False
+            held.duty.resume()
+
+    def give_up(self, name: str, held: HeldDuty, reason: str) -> None:
+        """Stops doing a duty that another entry has."""
+        self.given_up[name] = held.tenure.fence
+        if self.held.get(name) is held:
+            self.drop(name, reason)
+
+    # Vacant duties
+
     def campaign_delay_s(self, name: str) -> float:
         """Returns how long this entry leaves a vacant duty to others."""
         ranked = sorted(
@@ -345,7 +491,9 @@
         load = sum(1 for record, _ in self.owners.values() if record.entry == entry)
         return self.entries[entry].weight * (1.0 + share) / (1.0 + load)
 
-    async def campaign(self, name: str, factory: DutyFactory, revision: int) -> None:
+    async def campaign(
+        self, name: str, factory: DutyFactory, revision: int, inherited: bytes = b""
+    ) -> None:
         """Tries to take a duty whose record has a revision, 0 if there is none."""
         lease = self.lease.lease
         if lease is None or self.lease.remaining_s() <= 0:
@@ -360,11 +508,14 @@
             self.vacant_since_s.pop(name, None)
             return
         self.owners[name] = (record, fence)
-        self.take(name, factory, fence)
+        self.take(name, factory, fence, inherited)
 
-    def take(self, name: str, factory: DutyFactory, fence: int) -> None:
+    def take(
+        self, name: str, factory: DutyFactory, fence: int, inherited: bytes = b""
+    ) -> None:
         """Starts the work of a duty that this entry holds."""
-        tenure = Tenure(name, fence, Guard(duty_key(name), fence), self.lease.term)
+        guard = Guard(duty_key(name), fence)
+        tenure = Tenure(name, fence, guard, self.lease.term, inherited)
         self.held[name] = HeldDuty(tenure, factory(tenure))
         self.note_holding()
         self.metrics.count("duties.taken")
@@ -374,7 +525,7 @@
         """Gives a duty up that another entry has taken under a later token."""
         held = self.held.get(name)
         if held is not None and held.tenure.fence < fence:
-            self.drop(name, "released")
+            self.give_up(name, held, "released")
 
     def held_duty(self, name: str) -> Duty | None:
         """Returns the work of a duty that this entry does."""
--- a/libs/scheduling/burdockthread_scheduling/entry_link.py
+++ b/libs/scheduling/burdockthread_scheduling/entry_link.py
@@ -1,7 +1,7 @@
 """Messages between entries: bodies of msgpack over HTTP."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 import aiohttp
@@ -9,6 +9,7 @@
 from aiohttp import web
 from burdockthread_model.errors import PeerUnavailableError
 
+from burdockthread_scheduling.duties import DutyOffer
 from burdockthread_scheduling.pool_status import (
     PlannerAnswer,
     PoolStatus,
@@ -18,11 +19,13 @@
 
 STATUS_PATH = "/pool-status"
 RELEASE_PATH = "/pool-release"
+OFFER_PATH = "/duty-offer"
 CALL_TIMEOUT_S = 0.5
 NOT_PLANNER = 409
 
 StatusHandler = Callable[[PoolStatus], PlannerAnswer | None]
 ReleaseHandler = Callable[[ReleaseOrder], ReleaseAnswer]
+OfferHandler = Callable[[DutyOffer], Awaitable[bool]]
 Answer = TypeVar("Answer")
 
 
@@ -49,6 +52,14 @@
             PeerUnavailableError: No answer.
         """
 
+    @abstractmethod
+    async def offer(self, address: str, offer: DutyOffer) -> bool:
+        """Offers a duty; returns whether the other entry has it now.
+
+        Raises:
+            PeerUnavailableError: No answer; it may have taken it.
+        """
+
 
 class HttpEntryLink(EntryLink):
     """Calls over HTTP, and the server for those of others.
@@ -56,6 +67,7 @@
     Attributes:
         on_status: Takes in a status; returns None if this is not the planner.
         on_release: Gives up a pool that another entry holds.
+        on_offer: Takes a duty over; returns whether it is held here.
     """
 
     def __init__(
@@ -63,10 +75,12 @@
         session: aiohttp.ClientSession,
         on_status: StatusHandler,
         on_release: ReleaseHandler,
+        on_offer: OfferHandler,
     ) -> None:
         self.session = session
         self.on_status = on_status
         self.on_release = on_release
+        self.on_offer = on_offer
         self.timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
 
     async def call(
@@ -97,6 +111,10 @@
         """Asks an earlier holder of a pool to give no more orders."""
         return await self.call(address, RELEASE_PATH, order, ReleaseAnswer)
 
+    async def offer(self, address: str, offer: DutyOffer) -> bool:
+        """Offers a duty; returns whether the other entry has it now."""
+        return await self.call(address, OFFER_PATH, offer, bool)
+
     async def answer(self, request: web.BaseRequest) -> web.Response:
         """Answers another entry."""
         body = await request.read()
@@ -107,6 +125,9 @@
             if request.path == RELEASE_PATH:
                 order = msgspec.msgpack.decode(body, type=ReleaseOrder)
                 return encoded(self.on_release(order))
+            if request.path == OFFER_PATH:
+                offer = msgspec.msgpack.decode(body, type=DutyOffer)
+                return encoded(await self.on_offer(offer))
         except msgspec.MsgspecError as error:
             return web.Response(status=400, text=str(error))
         return web.Response(status=404)
--- a/libs/scheduling/burdockthread_scheduling/machine_ledger.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_ledger.py
@@ -7,10 +7,13 @@
 from burdockthread_model.clock import Clock
 
 from burdockthread_scheduling.machines import Machine, MachineState
-from burdockthread_scheduling.pool_status import PoolStatus, WorkerStatus
+from burdockthread_scheduling.pool_status import (
+    STATUS_MAX_AGE_S,
+    PoolStatus,
+    WorkerStatus,
+)
 from burdockthread_scheduling.specs import FleetConfiguration
 
-STATUS_MAX_AGE_S = 0.8
 # A worker's registration lapses within three heartbeats of its end.
 REGISTRATION_LAPSE_S = 8.0
 # A list that is read this long after an order shows whether it ended the worker.
--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -47,12 +47,14 @@
     """What a planner leaves to the next, kept at ``planner``.
 
     Attributes:
+        holder: Entry of the planner.
         released: Whether it has given its last order.
         ordered_ms: Unix time in milliseconds of the last order by machine.
         maintained: Machines whose upkeep has begun, by wave.
         seen_ms: Unix time in milliseconds at which each wave was first seen.
     """
 
+    holder: str
     released: bool
     ordered_ms: dict[str, int]
     maintained: dict[int, tuple[str, ...]]
@@ -95,6 +97,7 @@
         ledger: What is known and intended.
         ordered_ms: Unix time in milliseconds of the last order by machine.
         ready_s: Clock time before which no order is given.
+        paused: Whether the duty is being offered to another entry.
     """
 
     def __init__(self, tenure: Tenure, parts: PlannerParts) -> None:
@@ -112,6 +115,7 @@
         self.ready_s = float("inf")
         self.giving = False
         self.closing = False
+        self.paused = False
 
     async def run(self) -> None:
         """Plans until cancelled."""
@@ -139,26 +143,23 @@
     async def read_record(self, started_s: float) -> None:
         """Reads the record and decides from when on orders may be given.
 
-        A planner that was lost may have given an order up to the end of its
-        lease; one that has handed over has written its orders down.
+        A planner that was lost may have given an order until now, since the store
+        may drop its key early; one that has handed over, or offered its duty,
+        tells its orders. It may also have been an earlier process of this entry.
         """
         spacing_s = self.parts.times.spacing_s + SPACING_MARGIN_S
         self.ready_s = started_s + spacing_s
         found = await self.parts.store.get(RECORD_KEY)
-        if found is None:
+        record = self.last_record(None if found is None else found.value)
+        if record is None:
             return
-        try:
-            record = decode(found.value, PlannerRecord)
-        except RecordError as error:
-            self.log.error("record_unreadable", store_key=RECORD_KEY, reason=error)
-            return
-        wall_s = self.clock.wall()
-        if record.released:
+        if record.holder == self.parts.entry:
+            # An order of the earlier term is answered or given up by then.
+            self.ready_s = started_s + MIN_LEASE_S
+        elif record.released:
             self.ready_s = self.clock.now()
-            for name, ordered_ms in record.ordered_ms.items():
-                left_s = ordered_ms / 1000 + spacing_s + WALL_MARGIN_S - wall_s
-                if left_s > 0:
-                    self.ledger.resting[name] = self.clock.now() + left_s
+            self.rest_ordered(record.ordered_ms, spacing_s + WALL_MARGIN_S)
+        wall_s = self.clock.wall()
         for wave, names in record.maintained.items():
             self.waves.done(wave).update(names)
         for wave, seen_ms in record.seen_ms.items():
@@ -170,10 +171,30 @@
             resting=len(self.ledger.resting),
         )
 
-    async def write_record(self, *, released: bool) -> None:
-        """Writes what the next planner has to know."""
+    def last_record(self, stored: bytes | None) -> PlannerRecord | None:
+        """Returns what the last planner passed on, or else what it stored."""
+        for data in (self.tenure.inherited, stored):
+            if not data:
+                continue
+            try:
+                return decode(data, PlannerRecord)
+            except RecordError as error:
+                self.log.error("record_unreadable", store_key=RECORD_KEY, reason=error)
+        return None
+
+    def rest_ordered(self, ordered_ms: dict[str, int], rest_s: float) -> None:
+        """Gives no orders for a while to machines that had some lately."""
         wall_s, now = self.clock.wall(), self.clock.now()
-        record = PlannerRecord(
+        for name, at_ms in ordered_ms.items():
+            left_s = at_ms / 1000 + rest_s - wall_s
+            if left_s > 0:
+                self.ledger.resting[name] = now + left_s
+
+    def record(self, *, released: bool) -> PlannerRecord:
+        """Returns what the next planner has to know."""
+        wall_s, now = self.clock.wall(), self.clock.now()
+        return PlannerRecord(
+            self.parts.entry,
             released,
             self.ordered_ms,
             {wave: tuple(sorted(n)) for wave, n in self.waves.maintained.items()},
@@ -182,16 +203,34 @@
                 for wave, seen_s in self.waves.seen_s.items()
             },
         )
+
+    async def write_record(self, *, released: bool) -> None:
+        """Writes what the next planner has to know."""
+        record = self.record(released=released)
         change = Change(RECORD_KEY, encode(record), ANY_REVISION)
         await self.parts.store.write([change], [self.tenure.guard])
 
+    async def pause(self) -> bytes:
+        """Gives no more orders; returns those given."""
+        self.paused = True
+        await self.until_orders_end()
+        return encode(self.record(released=True))
+
+    def resume(self) -> None:
+        """Gives orders again."""
+        self.paused = False
+
+    async def until_orders_end(self) -> None:
+        """Waits until no order is under way."""
+        while self.giving:
+            await self.clock.sleep(PLAN_INTERVAL_S / 10)
+
     async def hand_over(self) -> None:
         """Gives no more orders and writes down those given."""
         self.closing = True
         try:
             async with self.clock.timeout(MIN_LEASE_S):
-                while self.giving:
-                    await self.clock.sleep(PLAN_INTERVAL_S / 10)
+                await self.until_orders_end()
                 await self.write_record(released=True)
         except (StoreError, ConflictError, TimeoutError) as error:
             self.log.info("record_not_written", store_key=RECORD_KEY, reason=error)
@@ -223,7 +262,7 @@
             for name, intent in self.ledger.intents.items()
             if self.ledger.is_empty(machine := self.ledger.machines[name])
         ]
-        if not ready or self.closing:
+        if not ready or self.closing or self.paused:
             return
         lease_s = self.parts.lease.remaining_in_term_s(self.tenure.term)
         if lease_s < MIN_LEASE_S:
--- a/libs/scheduling/burdockthread_scheduling/planner_link.py
+++ b/libs/scheduling/burdockthread_scheduling/planner_link.py
@@ -5,11 +5,17 @@
 from burdockthread_scheduling.evacuation import Evacuation
 from burdockthread_scheduling.job_order import Lateness
 from burdockthread_scheduling.pool_core import PoolCore
-from burdockthread_scheduling.pool_status import PoolStatus, WorkerStatus
+from burdockthread_scheduling.pool_status import (
+    PlannerAnswer,
+    PoolStatus,
+    WorkerStatus,
+)
 from burdockthread_scheduling.pool_workers import PoolWorkers
 from burdockthread_scheduling.worker_state import WorkerState
 
 STATUS_INTERVAL_S = 0.1
+# A new holder has taken the registrations in by then.
+FIRST_STATUS_S = 0.02
 # Work that ends late anyway draws fewer machines than work in time.
 LATE_WORK_WEIGHTS = {
     Lateness.IN_TIME: 1.0,
@@ -39,14 +45,20 @@
 
     async def run(self) -> None:
         """Reports until cancelled."""
+        await self.clock.sleep(FIRST_STATUS_S)
         while True:
+            status = self.status()
+            answer = await self.core.parts.report(status)
+            if answer is not None:
+                self.take_answer(status, answer)
             await self.clock.sleep(STATUS_INTERVAL_S)
-            answer = await self.core.parts.report(self.status())
-            if answer is None:
-                continue
-            self.turn_ages_s = answer.turn_ages_s
-            self.turn_ages_read_s = self.clock.now()
-            self.evacuation.take_wishes(answer.vacate)
+
+    def take_answer(self, status: PoolStatus, answer: PlannerAnswer) -> None:
+        """Takes in what the planner said to a status."""
+        self.turn_ages_s = answer.turn_ages_s
+        self.turn_ages_read_s = self.clock.now()
+        self.evacuation.take_wishes(answer.vacate)
+        self.workers.wishes_known.update(w.worker_id for w in status.workers)
 
     def note_arrival(self, job: JobRun) -> None:
         """Notes the work of a job that has arrived."""
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -209,6 +209,13 @@
             # The next holder finds the keys again and removes them.
             self.log.info("cancelled_job_not_removed", job=job_id, reason=error)
 
+    async def pause(self) -> bytes:
+        """Goes on, since the workers refuse orders of an earlier holder."""
+        return b""
+
+    def resume(self) -> None:
+        """Goes on as before."""
+
     async def hand_over(self) -> None:
         """Gives no more orders, then stores what has ended and what runs where."""
         self.closing = True
--- a/libs/scheduling/burdockthread_scheduling/pool_status.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_status.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+# The planner acts on a status for so long.
+STATUS_MAX_AGE_S = 0.8
+
 
 class WorkerStatus(NamedTuple):
     """A worker as the holder of its pool sees it.
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -13,6 +13,7 @@
 
 from burdockthread_scheduling.duties import DOUBT_LIMIT_S
 from burdockthread_scheduling.pool_core import PoolCore
+from burdockthread_scheduling.pool_status import STATUS_MAX_AGE_S
 from burdockthread_scheduling.records import decode, encode
 from burdockthread_scheduling.sessions import ReportListener, WorkerSession
 from burdockthread_scheduling.worker_state import (
@@ -28,6 +29,8 @@
 ASSIGN_INTERVAL_S = 0.5
 RETRY_S = 0.1
 ASK_INTERVAL_S = 0.2
+# The planner of machines may act for so long on what the last holder told it.
+WISHES_TIMEOUT_S = STATUS_MAX_AGE_S + 0.2
 
 
 class AssignedWorkers(NamedTuple):
@@ -54,6 +57,9 @@
         unreached: Workers of earlier holders that have not answered yet; tasks
             of theirs may run there until the clock time given.
         assigned: Workers that the store names as having runs.
+        wishes_known: Workers of which the planner has said to this holder whether
+            it wants them empty.
+        wishes_due_s: Clock time from which no earlier wish is acted upon.
         vacating_until_s: Clock time until which a worker gets no tasks because
             the planner of machines wants it empty.
     """
@@ -69,6 +75,8 @@
         self.assigned_dirty = True
         self.assigned_s = float("-inf")
         self.assigning = False
+        self.wishes_known: set[str] = set()
+        self.wishes_due_s = core.clock.now() + WISHES_TIMEOUT_S
         self.vacating_until_s: dict[str, float] = {}
 
     # Earlier holders
@@ -221,10 +229,16 @@
             self.is_usable(worker)
             and not self.core.health.is_rested(worker)
             and worker.worker_id not in self.vacating_until_s
+            and self.is_wish_known(worker)
             and self.clock.now() >= worker.full_until_s
             and (not worker.unknown_runs or self.core.spec().refuses_overload)
         )
 
+    def is_wish_known(self, worker: WorkerState) -> bool:
+        """Returns whether no wish to the last holder to empty a worker stands."""
+        known = worker.worker_id in self.wishes_known
+        return known or self.clock.now() >= self.wishes_due_s
+
     def ready(self) -> list[WorkerState]:
         """Returns the workers that take orders now."""
         return [w for w in self.core.workers.values() if self.is_ready(w)]
--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -68,6 +68,7 @@
             self.clock, lambda task: self.natures.get(task.job_id, TaskNature())
         )
         self.vacate = ()
+        self.planner_silent = False
         self.policy = MemoryPolicyService()
         self.configuration = CONFIGURATION
         self.processes = {}
@@ -118,6 +119,8 @@
     async def report(self, status):
         """Answers as the planner of machines."""
         self.status = status
+        if self.planner_silent:
+            return None
         return PlannerAnswer(self.vacate, {})
 
     async def release(self, address, pool, fence):
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -4,6 +4,7 @@
 
 import pytest
 from burdockthread_model.clock import MemoryClock
+from burdockthread_model.errors import PeerUnavailableError
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import MemoryMetrics
 from burdockthread_scheduling.duties import DOUBT_LIMIT_S, LEASE_TTL_S, Duties, Duty
@@ -22,6 +23,7 @@
     def __init__(self, tenure):
         self.tenure = tenure
         self.handed_over = False
+        self.working = True
 
     async def run(self):
         await asyncio.Event().wait()
@@ -29,6 +31,13 @@
     async def hand_over(self):
         self.handed_over = True
 
+    async def pause(self):
+        self.working = False
+        return b"orders"
+
+    def resume(self):
+        self.working = True
+
 
 class Entries:
     """Several entries at one store, each behind its own fault switches."""
@@ -39,6 +48,8 @@
         self.duties = {}
         self.stores = {}
         self.tasks = {}
+        self.links_cut = False
+        self.answers_lost = False
 
     def add(self, name, weight=1.0):
         """Starts an entry."""
@@ -56,6 +67,7 @@
             MemoryMetrics(),
             EventLog(name),
             lambda: dict.fromkeys(NAMES, IdleDuty),
+            self.send_offer,
         )
         self.stores[name] = faulty
         self.duties[name] = duties
@@ -65,6 +77,15 @@
         ]
         return duties
 
+    async def send_offer(self, address, offer):
+        """Passes an offer to the entry at an address."""
+        if self.links_cut:
+            raise PeerUnavailableError(address)
+        taken = await self.duties[address.partition(":")[0]].take_offer(offer)
+        if self.answers_lost:
+            raise PeerUnavailableError(address)
+        return taken
+
     async def kill(self, name):
         """Ends an entry without a word."""
         for task in self.tasks[name]:
@@ -136,6 +157,7 @@
 
 
 async def test_entry_cut_off_keeps_its_duty_for_a_bounded_time(entries):
+    entries.links_cut = True
     victim = entries.held()["pool:a"][0]
     duties = entries.duties[victim]
     entries.stores[victim].set_faults({"down": True})
@@ -190,3 +212,52 @@
     assert {name for (name,) in found.held().values()} == {"weak-1", "weak-2"}
     for name in found.tasks:
         await found.kill(name)
+
+
+async def cut_off_holder(entries, seconds):
+    """Takes the store away from one holder; returns it and what it held."""
+    name, (holder,) = next(iter(entries.held().items()))
+    held = {name: entries.duties[holder].held[name].tenure}
+    entries.stores[holder].set_faults({"down": True})
+    await entries.pass_time(seconds)
+    return holder, held
+
+
+async def test_holder_without_the_store_passes_its_duties_on_before_its_lease_ends(
+    entries,
+):
+    holder, before = await cut_off_holder(entries, 1.6)
+    assert entries.duties[holder].held == {}
+    for name, tenure in before.items():
+        ((successor,),) = (entries.held()[name],)
+        taken = entries.duties[successor].held[name].tenure
+        assert taken.fence > tenure.fence
+        assert taken.inherited == b"orders"
+    entries.stores[holder].set_faults({"down": False})
+    await entries.pass_time(2.0)
+    assert all(len(holders) == 1 for holders in entries.held().values())
+
+
+async def test_offer_without_an_answer_leaves_the_duty_paused_until_it_is_certain(
+    entries,
+):
+    entries.answers_lost = True
+    holder, before = await cut_off_holder(entries, 1.6)
+    held = entries.duties[holder].held
+    assert all(not entry.duty.working for entry in held.values())
+    entries.stores[holder].set_faults({"down": False})
+    await entries.pass_time(1.0)
+    for name in before:
+        assert name not in entries.duties[holder].held
+
+
+async def test_duty_that_nobody_takes_goes_on_once_the_store_is_back(entries):
+    entries.links_cut = True
+    holder, before = await cut_off_holder(entries, 1.2)
+    assert not any(e.duty.working for e in entries.duties[holder].held.values())
+    entries.stores[holder].set_faults({"down": False})
+    await entries.pass_time(0.6)
+    for name, tenure in before.items():
+        held = entries.duties[holder].held[name]
+        assert held.tenure.fence == tenure.fence
+        assert held.duty.working
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -216,3 +216,27 @@
     slow_runs = len(slow.runs)
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=8.0)
     assert len(site.runs(job)) >= 6 + (slow_runs > 0)
+
+
+async def test_next_holder_starts_nothing_where_the_planner_may_still_act(site, holder):
+    site.vacate = ("w1",)
+    await site.pass_time(0.5)
+    site.planner_silent = True
+    await holder.hand_over()
+    await site.kill(holder)
+    await site.submit(step(4, lasting=True, max_unavailable=1), nature=FOREVER)
+    await site.holder("entry-2", "process-2")
+    await site.pass_time(0.6)
+    assert not site.park.by_key[WorkerKey("w1", 1)].runs
+    site.planner_silent = False
+    await site.pass_time(1.0)
+    assert not site.park.by_key[WorkerKey("w1", 1)].runs
+    assert len(site.park.running()) == 4
+
+
+async def test_next_holder_does_not_wait_long_for_a_planner(site, holder):
+    site.planner_silent = True
+    await site.kill(holder)
+    job = await site.submit(step(4))
+    await site.holder("entry-2", "process-2")
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=4.0)
