Take machines of a pool in its turn last for upkeep; count silent lasting tasks as missing

A lasting task on a worker that does not answer counted as at work until its lease lapsed, so that another of its step could be stopped meanwhile.

--- a/libs/scheduling/burdockthread_scheduling/evacuation.py
+++ b/libs/scheduling/burdockthread_scheduling/evacuation.py
@@ -115,5 +115,6 @@
     return any(
         placement.phase is PlacementPhase.CONFIRMED
         and placement.percent >= AT_WORK_PERCENT
+        and not placement.worker.failed_calls
         for placement in task.placements
     )
--- a/libs/scheduling/burdockthread_scheduling/wave_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/wave_planner.py
@@ -1,6 +1,7 @@
 """Decides which machines are taken out for upkeep next."""
 
 import math
+from enum import IntEnum
 
 from burdockthread_model.clock import Clock
 from burdockthread_model.events import EventLog
@@ -12,6 +13,7 @@
     Wave,
     WaveBoard,
 )
+from burdockthread_scheduling.pool_status import PoolStatus
 
 # A machine that is not empty by then is left for later.
 EMPTYING_TIMEOUT_S = 15.0
@@ -20,8 +22,20 @@
 OVERHEAD_S = 2.0
 # Lasting tasks of a step leave a machine one by one: stop, start and start-up.
 LASTING_MOVE_S = 2.2
-# Part of the time left that the upkeep of the rest may need before work yields.
+# Parts of the time left that the upkeep of the rest may need before it takes
+# workers with short tasks, and before it takes those of a pool in its turn.
 CALM_SHARE = 0.5
+HURRIED_SHARE = 0.85
+# A pool is in its turn while its runs take up this part of its processors.
+TURN_SHARE = 0.3
+
+
+class Hurry(IntEnum):
+    """How much the rest of a wave presses."""
+
+    CALM = 0
+    HURRIED = 1
+    PRESSED = 2
 
 
 class WavePlanner:
@@ -100,7 +114,7 @@
     def choose(self, wave: Wave, left: list[Machine]) -> None:
         """Picks machines of a wave up to the number allowed at once."""
         room = wave.max_at_once - self.out_for(wave) - self.chosen_for(wave)
-        hurried = self.is_hurried(wave, left)
+        hurry = self.hurry(wave, left)
         candidates = sorted(
             (machine for machine in left if self.ledger.is_free(machine)),
             key=self.rank,
@@ -108,7 +122,7 @@
         for machine in candidates:
             if room <= 0:
                 return
-            if not self.may_go(machine, hurried=hurried):
+            if not self.may_go(machine, hurry):
                 continue
             room -= 1
             self.ledger.intents[machine.name] = Intent(
@@ -121,7 +135,7 @@
                 wave=wave.number,
                 pool=machine.pool,
                 left=len(left),
-                hurried=hurried,
+                hurry=hurry.name.lower(),
             )
 
     def out_for(self, wave: Wave) -> int:
@@ -146,13 +160,16 @@
             if intent.purpose is Purpose.UPKEEP and intent.wave == wave.number
         )
 
-    def is_hurried(self, wave: Wave, left: list[Machine]) -> bool:
-        """Returns whether the rest of a wave can no longer wait for a calm time."""
+    def hurry(self, wave: Wave, left: list[Machine]) -> Hurry:
+        """Returns how long the rest of a wave can wait for a calm time."""
         rounds = math.ceil(len(left) / wave.max_at_once)
         lasting = max(self.lasting(machine) for machine in left)
         needed_s = rounds * (self.upkeep_s + OVERHEAD_S) + lasting * LASTING_MOVE_S
         passed_s = self.clock.now() - self.seen_s[wave.number]
-        return needed_s > (wave.duration_s - passed_s) * CALM_SHARE
+        left_s = wave.duration_s - passed_s
+        if needed_s <= left_s * CALM_SHARE:
+            return Hurry.CALM
+        return Hurry.HURRIED if needed_s <= left_s * HURRIED_SHARE else Hurry.PRESSED
 
     def rank(self, machine: Machine) -> tuple[int, float]:
         """Returns how soon a machine is taken out; the lowest goes first."""
@@ -171,7 +188,7 @@
         worker = self.ledger.worker_of(machine)
         return 0 if worker is None else worker.lasting
 
-    def may_go(self, machine: Machine, *, hurried: bool) -> bool:
+    def may_go(self, machine: Machine, hurry: Hurry) -> bool:
         """Returns whether a machine may be emptied now.
 
         At least half of the workers of a pool stay, and one at the least.
@@ -188,4 +205,14 @@
             if staying <= 1:
                 self.reinforced.add(machine.pool)
             return False
-        return hurried or (worker.runs == worker.lasting and not status.waiting)
+        if hurry is Hurry.PRESSED:
+            return True
+        if is_in_turn(status):
+            return False
+        return hurry is Hurry.HURRIED or worker.runs == worker.lasting
+
+
+def is_in_turn(status: PoolStatus) -> bool:
+    """Returns whether a pool needs all of its workers."""
+    capacity = sum(worker.cpu_milli for worker in status.workers if worker.usable)
+    return status.waiting > 0 or status.running_milli > capacity * TURN_SHARE
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -240,3 +240,16 @@
     job = await site.submit(step(4))
     await site.holder("entry-2", "process-2")
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=4.0)
+
+
+async def test_lasting_task_on_a_silent_worker_counts_as_missing(site, holder):
+    apart = step(2, lasting=True, max_unavailable=1, max_per_worker=1)
+    await site.submit(apart, nature=FOREVER)
+    await site.until(lambda: len(site.park.running()) == 2)
+    await site.pass_time(2.0)
+    first, second = sorted(k for k, w in site.park.by_key.items() if w.runs)[:2]
+    site.park.by_key[second].silent = True
+    await site.pass_time(1.5)
+    site.vacate = (first.worker_id,)
+    await site.pass_time(1.0)
+    assert site.park.by_key[first].runs
