--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -243,6 +243,7 @@
 
 
 async def test_lasting_task_on_a_silent_worker_counts_as_missing(site, holder):
+    site.park.add("w9", POOL, Capacity(8_000, 8_192), ("r9",))
     apart = step(2, lasting=True, max_unavailable=1, max_per_worker=1)
     await site.submit(apart, nature=FOREVER)
     await site.until(lambda: len(site.park.running()) == 2)
