Explain a job from the logs of all entries; emulate a deployment from the command line

burdockthread explain joins the lines of one job with those of its pool, workers and the store, names what delayed or ended it, and says which lines are missing. burdockthread emulate, make demo-platform and make soak-jobs run real entries on the emulated platform under load and seeded faults.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 PACKAGES := $(foreach lib,$(filter-out burdockthread,$(LIBS)),libs/$(lib)/burdockthread_$(lib)) libs/burdockthread/burdockthread
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo bench binary format check unit clean
+.PHONY: test demo demo-platform soak-jobs bench binary format check unit clean
 
 test: check binary unit
 
@@ -34,6 +34,13 @@
 demo: $(STAMP)
 	$(VENV)/bin/python scripts/demo.py
 
+demo-platform: $(STAMP)
+	$(VENV)/bin/python -m burdockthread emulate --jobs 60 --rate 10
+	$(VENV)/bin/python -m burdockthread emulate --jobs 60 --rate 5 --seed 3 --faults
+
+soak-jobs: $(STAMP)
+	$(VENV)/bin/python scripts/soak_jobs.py
+
 bench: $(STAMP)
 	$(VENV)/bin/python -m burdockthread bench
 	$(VENV)/bin/python scripts/measure_rollout.py
--- a/libs/burdockthread/burdockthread/actions.py
+++ b/libs/burdockthread/burdockthread/actions.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from contextlib import AbstractAsyncContextManager
 from pathlib import Path
 from typing import TypeVar
@@ -14,14 +14,20 @@
 from burdockthread_model.errors import BurdockthreadError
 from burdockthread_model.settings import EntrySettings, Limits, load_settings
 from burdockthread_operators.client import OperatorsClient, operators_client
+from burdockthread_standins.emulated_site import SitePlan
+from burdockthread_standins.emulation import Emulation
+from burdockthread_standins.job_load import LoadPlan
 from burdockthread_standins.processes import platform, site
 
 from burdockthread.bench import run_bench
+from burdockthread.explain import Explanation, explain, read_lines
 from burdockthread.measures import Measure
 from burdockthread.service import EntryService
 
 LOOPBACK = "127.0.0.1"
 STOP_MARGIN_S = 10.0
+# Callers look at a job for so long, over any fault that is injected.
+EMULATION_PATIENCE_S = 60.0
 
 T = TypeVar("T")
 Action = Callable[[OperatorsClient], Awaitable[object]]
@@ -55,6 +61,50 @@
     logging.use_absl_handler()
 
 
+def explain_job(job: str, logs: Iterable[str]) -> Explanation:
+    """Tells from the logs of all entries what became of a job.
+
+    Args:
+        job: Its id.
+        logs: Paths of the logs.
+
+    Raises:
+        BurdockthreadError: A log cannot be read.
+    """
+    texts: list[str] = []
+    for path in logs:
+        try:
+            texts += Path(path).read_text(errors="replace").splitlines()
+        except OSError as error:
+            raise BurdockthreadError(f"{path}: {error.strerror}") from error
+    return explain(job, read_lines(texts))
+
+
+def run_emulation(jobs: int, rate: float, seed: int, *, faults: bool) -> Iterator[str]:
+    """Runs a deployment on the stand-in platform under load.
+
+    Args:
+        jobs: Jobs that callers submit.
+        rate: Jobs a second.
+        seed: Seed of the load and the faults.
+        faults: Whether faults are injected.
+
+    Yields:
+        Outcomes, latencies, faults and broken promises, a line each.
+
+    Raises:
+        BurdockthreadError: A promise was broken.
+    """
+    load = LoadPlan(jobs, rate, patience_s=EMULATION_PATIENCE_S)
+    emulation = Emulation(SitePlan(), load, seed)
+    result = uvloop.run(emulation.run(faults=faults))
+    yield from result.lines
+    yield f"faults: {', '.join(result.faults) or 'none'}"
+    if result.broken:
+        raise BurdockthreadError("; ".join(result.broken))
+    yield "no promise was broken"
+
+
 def check_settings(path: str) -> EntrySettings:
     """Checks a settings file and returns its content."""
     return load_settings(path)
--- a/libs/burdockthread/burdockthread/commands.py
+++ b/libs/burdockthread/burdockthread/commands.py
@@ -8,6 +8,7 @@
 from cappa import Arg, Subcommands
 
 from burdockthread import actions
+from burdockthread.explain import render
 from burdockthread.text_output import render_text
 
 EXIT_FAILURE = 1
@@ -294,6 +295,43 @@
         show(actions.dump(self.entry, self.token), self.as_json)
 
 
+@cappa.command(name="explain", help="Tell from logs what became of a job.")
+@dataclass
+class ExplainCommand:
+    """Tells what became of a job."""
+
+    job: Annotated[str, Arg(help="Id of the job.")]
+    logs: Annotated[list[str], Arg(long=True, num_args=-1, help="Logs of all entries.")]
+    as_json: Json = False
+
+    def __call__(self) -> None:
+        """Runs the command."""
+        found = actions.explain_job(self.job, self.logs)
+        if self.as_json:
+            show(found._asdict(), as_json=True)
+        else:
+            print(render(found))
+
+
+@cappa.command(name="emulate", help="Run entries on an emulated platform under load.")
+@dataclass
+class EmulateCommand:
+    """Runs entries on an emulated platform."""
+
+    jobs: Annotated[int, Arg(long=True, help="Jobs to submit.")] = 100
+    rate: Annotated[float, Arg(long=True, help="Jobs a second.")] = 8.0
+    seed: Annotated[int, Arg(long=True, help="Seed of load and faults.")] = 1
+    faults: Annotated[bool, Arg(long=True, help="Inject faults.")] = False
+
+    def __call__(self) -> None:
+        """Runs the command."""
+        lines = actions.run_emulation(
+            self.jobs, self.rate, self.seed, faults=self.faults
+        )
+        for line in lines:
+            print(line, flush=True)
+
+
 @cappa.command(name="platform", help="Run the stand-in platform.")
 @dataclass
 class StandinPlatform:
@@ -344,5 +382,7 @@
         | VmCommand
         | JobCommand
         | BenchCommand
+        | ExplainCommand
+        | EmulateCommand
         | StandinCommand
     ]
--- /dev/null
+++ b/scripts/soak_jobs.py
@@ -0,0 +1,38 @@
+"""Runs entries on the emulated platform under faults, one seed after another."""
+
+import argparse
+import sys
+import time
+
+import uvloop
+from burdockthread_standins.emulated_site import SitePlan
+from burdockthread_standins.emulation import Emulation
+from burdockthread_standins.job_load import LoadPlan
+
+PATIENCE_S = 60.0
+
+
+def main() -> int:
+    """Prints a line for each seed; returns 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=50, help="how many seeds")
+    parser.add_argument("--first", type=int, default=None, help="first seed")
+    parser.add_argument("--jobs", type=int, default=80, help="jobs of each run")
+    parser.add_argument("--rate", type=float, default=8.0, help="jobs a second")
+    options = parser.parse_args()
+    first = int(time.time()) if options.first is None else options.first
+    broken = 0
+    for seed in range(first, first + options.seeds):
+        load = LoadPlan(
+            options.jobs, options.rate, cancelled=0.1, patience_s=PATIENCE_S
+        )
+        result = uvloop.run(Emulation(SitePlan(), load, seed).run(faults=True))
+        broken += bool(result.broken)
+        outcome = "; ".join(result.broken) or "whole"
+        print(f"seed {seed}: {outcome} ({', '.join(result.faults)})", flush=True)
+    print(f"{options.seeds - broken} passed, {broken} failed")
+    return int(broken > 0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
