Cut, hold and slow the entries' links to the emulated platform, two series at once

The forwarder moves to the stand-ins, where the emulated site uses it; it holds a direction or delays what it forwards.

--- a/libs/scenarios/burdockthread_scenarios/process_driver.py
+++ b/libs/scenarios/burdockthread_scenarios/process_driver.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 from burdockthread_operators.client import OperatorsClient, operators_client
+from burdockthread_standins.forwarder import Forwarder
 
 from burdockthread_scenarios.cluster import (
     LOOPBACK,
@@ -23,7 +24,7 @@
 from burdockthread_scenarios.driver import ALL_VMS, Driver, NamedChange, ScenarioError
 from burdockthread_scenarios.endings import end_tasks, within
 from burdockthread_scenarios.faults import store_fault
-from burdockthread_scenarios.forwarder import Forwarder, PeerForwarder
+from burdockthread_scenarios.forwarder import PeerForwarder
 from burdockthread_scenarios.ledger import Outcome, RequestLedger, new_key
 from burdockthread_scenarios.memory_vms import ENDPOINT_FAULTS, LEAVING_BOUND_S
 from burdockthread_scenarios.world import (
--- a/libs/scenarios/tests/test_forwarder.py
+++ b/libs/scenarios/tests/test_forwarder.py
@@ -6,7 +6,8 @@
 import pytest
 from burdockthread_peers.frames import handshake, new_hello
 from burdockthread_scenarios.cluster import LOOPBACK
-from burdockthread_scenarios.forwarder import Forwarder, PeerForwarder
+from burdockthread_scenarios.forwarder import PeerForwarder
+from burdockthread_standins.forwarder import Direction, Forwarder
 
 KEY = b"a-key"
 
@@ -84,3 +85,27 @@
         assert await reader.readexactly(6) == b"abcabc"
         assert (link.sent_bytes, link.received_bytes) == (3, 6)
         writer.close()
+
+
+@pytest.mark.parametrize("direction", list(Direction))
+async def test_held_direction_waits_and_its_connections_end_when_healed(direction):
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with Forwarder("127.0.0.1", port).running() as link:
+        reader, writer = await asyncio.open_connection("127.0.0.1", link.port)
+        writer.write(b"one")
+        assert await reader.read(100) == b"one"
+        link.hold(direction)
+        writer.write(b"two")
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await reader.read(100)
+        link.heal()
+        with pytest.raises((ConnectionError, EOFError)):
+            await reader.readexactly(3)
+        writer.close()
+    server.close()
--- a/libs/standins/burdockthread_standins/emulated_site.py
+++ b/libs/standins/burdockthread_standins/emulated_site.py
@@ -24,6 +24,7 @@
 from burdockthread_standins.emulated_machines import EmulatedMachines
 from burdockthread_standins.emulated_store import EmulatedStore
 from burdockthread_standins.emulated_workers import EmulatedWorkers
+from burdockthread_standins.forwarder import Forwarder
 
 HOST = "127.0.0.1"
 SPARE_POOL = "pool-off"
@@ -72,6 +73,13 @@
     nature: Callable[[TaskId], TaskNature] = lambda _: TaskNature()
 
 
+class EntryLinks(NamedTuple):
+    """The links of one entry to the platform."""
+
+    store: Forwarder
+    machines: Forwarder
+
+
 class EntryProcess:
     """An entry in a process of its own.
 
@@ -80,10 +88,12 @@
         host: Loopback address of its own.
         callers: Port for callers.
         log: File with what it has written.
+        links: Its own links to the store and to the control of machines.
     """
 
-    def __init__(self, name: str, host: str, folder: Path, store: str, machines: str):
+    def __init__(self, name: str, host: str, folder: Path, links: "EntryLinks"):
         self.name = name
+        self.links = links
         self.host = host
         self.callers, self.ready, self.internal, self.metrics = free_ports(host, 4)
         self.log = folder / f"{name}.log"
@@ -95,8 +105,8 @@
                 callers=self.callers,
                 ready=self.ready,
                 internal=self.internal,
-                store=store,
-                machines=machines,
+                store=f"{HOST}:{links.store.port}",
+                machines=f"{HOST}:{links.machines.port}",
             )
         )
         self.process: asyncio.subprocess.Process | None = None
@@ -178,7 +188,13 @@
             stack.push_async_callback(self.stop_entries)
             for number in range(self.plan.entries):
                 name, host = f"entry-{number + 1}", f"127.0.1.{number + 1}"
-                entry = EntryProcess(name, host, folder, store, control)
+                links = EntryLinks(
+                    *[
+                        await stack.enter_async_context(Forwarder(HOST, port).running())
+                        for port in (store, control)
+                    ]
+                )
+                entry = EntryProcess(name, host, folder, links)
                 self.entries.append(entry)
                 await entry.start()
             await self.until_ready()
@@ -188,14 +204,13 @@
         """Ends all entries side by side."""
         await asyncio.gather(*(entry.stop() for entry in self.entries))
 
-    async def listen(self, stack: AsyncExitStack, app: web.Application) -> str:
-        """Serves an application; returns its address."""
+    async def listen(self, stack: AsyncExitStack, app: web.Application) -> int:
+        """Serves an application; returns its port."""
         runner = web.AppRunner(app, shutdown_timeout=0.1)
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
         await web.TCPSite(runner, HOST, 0).start()
-        host, port = runner.addresses[0][:2]
-        return f"{host}:{port}"
+        return int(runner.addresses[0][1])
 
     def add_machines(self) -> None:
         """Adds the machines of the plan."""
--- a/libs/standins/burdockthread_standins/emulation.py
+++ b/libs/standins/burdockthread_standins/emulation.py
@@ -4,17 +4,21 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import NamedTuple
 
 from burdockthread_scheduling.machines import Wave
 from burdockthread_scheduling.workers import WorkerKey
 
 from burdockthread_standins.emulated_site import EmulatedSite, EntryProcess, SitePlan
+from burdockthread_standins.forwarder import Direction
 from burdockthread_standins.job_audit import audit
 from burdockthread_standins.job_load import JobLoad, LoadPlan
 
 SETTLE_S = 2.0
 PAUSE_S = (0.5, 3.0)
+# Series of faults that go on side by side, so that faults overlap.
+SERIES = 2
 
 
 class EmulationResult(NamedTuple):
@@ -52,12 +56,14 @@
         """
         async with self.site.running():
             await asyncio.sleep(SETTLE_S)
-            injecting = asyncio.create_task(self.inject() if faults else idle())
+            series = [self.inject() for _ in range(SERIES)] if faults else [idle()]
+            injecting = asyncio.gather(*series)
             try:
                 await self.load.run()
             finally:
                 injecting.cancel()
-                await asyncio.gather(injecting, return_exceptions=True)
+                with suppress(asyncio.CancelledError):
+                    await injecting
             lines = [*self.load.table(), f"{'calls of the store':24} {self.calls():6}"]
             broken = audit(self.load.records, self.site.park)
             return EmulationResult(lines, self.faults, broken)
@@ -82,6 +88,10 @@
             "answers lost": self.answers_lost,
             "orders late": self.orders_late,
             "wave": self.wave,
+            "link cut": self.link_cut,
+            "link silent": self.link_silent,
+            "link silent one way": self.link_silent_one_way,
+            "link slow": self.link_slow,
         }
         while True:
             await asyncio.sleep(self.random.uniform(*PAUSE_S))
@@ -183,6 +193,36 @@
         number = len(self.faults)
         await self.site.ask_for_wave(Wave(number, chosen, 20.0, 2))
 
+    async def link_cut(self) -> None:
+        """Resets an entry's connections to the store and refuses new ones."""
+        link = self.any_entry().links.store
+        link.cut()
+        await asyncio.sleep(self.random.uniform(0.5, 5.0))
+        link.heal()
+
+    async def link_silent(self) -> None:
+        """Lets an entry's link to the store fall silent."""
+        await self.hold_link(*Direction)
+
+    async def link_silent_one_way(self) -> None:
+        """Holds what goes one way on an entry's link to the store."""
+        await self.hold_link(self.random.choice(tuple(Direction)))
+
+    async def hold_link(self, *directions: Direction) -> None:
+        """Holds some directions of an entry's link to the store for a while."""
+        link = self.any_entry().links.store
+        for direction in directions:
+            link.hold(direction)
+        await asyncio.sleep(self.random.uniform(0.5, 5.0))
+        link.heal()
+
+    async def link_slow(self) -> None:
+        """Delays what goes over an entry's link to the store."""
+        link = self.any_entry().links.store
+        link.delay_s = self.random.uniform(0.02, 0.3)
+        await asyncio.sleep(self.random.uniform(1.0, 5.0))
+        link.heal()
+
 
 async def idle() -> None:
     """Waits until cancelled."""
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -25,7 +25,7 @@
     running_cluster,
     token,
 )
-from burdockthread_scenarios.forwarder import Forwarder
+from burdockthread_standins.forwarder import Forwarder
 
 VM_COUNTS = (61, 305, 610)
 ENTRIES = 3
