--- a/libs/burdockthread/burdockthread/explain.py
+++ b/libs/burdockthread/burdockthread/explain.py
@@ -6,14 +6,16 @@
 from typing import NamedTuple
 
 PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
-# Lines of other requests this long before a refusal tell of the same outage.
+# An outage shows at the latest this long after the first request that met it.
 OUTAGE_WINDOW_S = 2.0
 # A wait that callers notice; below it a job is served as usual.
 LONG_WAIT_S = 1.0
 # Events that concern every job of a pool, or of an entry, while one is open.
 POOL_EVENTS = frozenset({"pool_taken_over", "pool_released", "takeover_waits"})
 DUTY_EVENTS = frozenset({"duty_taken", "duty_dropped", "duty_handed_over"})
-STORE_EVENTS = frozenset({"lease_not_renewed", "lease_lost", "progress_not_stored"})
+STORE_EVENTS = frozenset(
+    {"store_lost", "store_regained", "lease_lost", "progress_not_stored"}
+)
 WORKER_EVENTS = frozenset(
     {
         "worker_lost",
@@ -94,9 +96,13 @@
     if not own:
         return Explanation(job, 0.0, [], [], [f"no line names {job}"])
     story = Story(job, own, lines)
-    kept = sorted({id(line): line for line in story.kept()}.values())
+    kept = {id(line): line for line in story.kept()}
     return Explanation(
-        job, own[0].time_s, kept, list(story.findings()), list(story.missing())
+        job,
+        own[0].time_s,
+        sorted(kept.values(), key=lambda line: line.time_s),
+        list(dict.fromkeys(story.findings())),
+        list(story.missing()),
     )
 
 
@@ -173,15 +179,20 @@
             yield from self.of_store(line)
 
     def of_store(self, line: LogLine) -> Iterator[str]:
-        """Yields the last word of an entry's store before a line."""
-        for found in reversed(self.lines):
-            age_s = line.time_s - found.time_s
+        """Yields why an entry's store was out when it wrote a line, if it was."""
+        last: LogLine | None = None
+        for found in self.lines:
+            if found.time_s > line.time_s + OUTAGE_WINDOW_S:
+                break
             if found.node != line.node or found.event not in STORE_EVENTS:
                 continue
-            if -OUTAGE_WINDOW_S <= age_s <= OUTAGE_WINDOW_S:
-                reason = found.fields.get("reason", "")
-                yield f"the store did not serve {line.node}: {reason}"
-                return
+            if found.event != "store_regained":
+                last = found
+            elif found.time_s < line.time_s:
+                last = None
+        if last is not None:
+            reason = last.fields.get("reason", "")
+            yield f"the store did not serve {line.node}: {reason}"
 
     def of_takeover(self) -> Iterator[str]:
         """Yields each change of the holder while the job was open."""
--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -190,6 +190,8 @@
         held: Duties that this entry does, by name.
         owners: Known holders by duty, with the revision of the record.
         seen: Duties that had a holder since this entry started.
+        renewed_s: Clock time at which the store last confirmed the lease.
+        store_lost: Whether it has not confirmed it since.
         given_up: Token under which a duty was given to another entry; the record
             of this entry may still be in its copy of the store.
         entries: Live entries by name.
@@ -228,6 +230,7 @@
         self.seen: set[str] = set()
         self.given_up: dict[str, int] = {}
         self.renewed_s = clock.now()
+        self.store_lost = False
         self.offered_s = float("-inf")
         self.offers: set[asyncio.Task[None]] = set()
         self.entries: dict[str, EntryRecord] = {}
@@ -288,17 +291,30 @@
             try:
                 if not await self.lease.keep():
                     await self.register()
-                self.renewed_s = self.clock.now()
+                self.note_renewed()
                 await self.clock.sleep(RENEW_INTERVAL_S)
             except (StoreError, ConflictError) as error:
                 self.metrics.count("duties.renewals_failed")
-                self.log.info(
-                    "lease_not_renewed",
-                    remaining_s=round(self.lease.remaining_s(), 3),
-                    reason=error,
-                )
+                self.note_not_renewed(error)
                 await self.clock.sleep(RETRY_INTERVAL_S)
 
+    def note_renewed(self) -> None:
+        """Notes that the store has confirmed the lease."""
+        now = self.clock.now()
+        if self.store_lost:
+            self.store_lost = False
+            silent_s = round(now - self.renewed_s, 3)
+            self.log.info("store_regained", silent_s=silent_s)
+        self.renewed_s = now
+
+    def note_not_renewed(self, error: Exception) -> None:
+        """Notes that the store has not confirmed the lease; logs it once."""
+        if self.store_lost:
+            return
+        self.store_lost = True
+        remaining_s = round(self.lease.remaining_s(), 3)
+        self.log.warning("store_lost", lease_left_s=remaining_s, reason=error)
+
     async def register(self) -> None:
         """Writes this entry's record, replacing one of an earlier process."""
         lease = self.lease.lease
--- a/libs/scheduling/burdockthread_scheduling/job_order.py
+++ b/libs/scheduling/burdockthread_scheduling/job_order.py
@@ -35,7 +35,7 @@
         chain_s: Seconds that its longest chain of work still takes.
         objective_ms: Milliseconds allowed from its acceptance.
         work: Work that is left in thousandths of a core times seconds.
-        waiting: Part of that work whose tasks have no run.
+        waiting: Part of that work whose tasks could run now and have no run.
         running_milli: Processors that its runs take up, in thousandths.
     """
 
@@ -125,7 +125,7 @@
             ends_s: list[float] = []
             for step in steps:
                 before_s = max((ends_s[n] for n in step.spec.after), default=0.0)
-                found = self.step_outlook(step)
+                found = self.step_outlook(step, unlocked=job.is_unlocked(steps, step))
                 ends_s.append(before_s + found.longest_s)
                 work += found.work
                 waiting += found.waiting
@@ -136,7 +136,7 @@
         )
         return JobOutlook(now, chain_s, objective_ms, work, waiting, running_milli)
 
-    def step_outlook(self, step: StepRun) -> StepOutlook:
+    def step_outlook(self, step: StepRun, *, unlocked: bool) -> StepOutlook:
         """Returns what is expected of the tasks of a step that are open."""
         if not step.open_tasks:
             return StepOutlook(0.0, 0.0, 0.0, 0)
@@ -152,7 +152,7 @@
                 continue
             if task.placements:
                 running_milli += cpu_milli
-            else:
+            elif unlocked:
                 waiting += left_s * cpu_milli
         return StepOutlook(longest_s, work, waiting, running_milli)
 
--- a/libs/scheduling/burdockthread_scheduling/planner_link.py
+++ b/libs/scheduling/burdockthread_scheduling/planner_link.py
@@ -62,7 +62,8 @@
 
     def note_arrival(self, job: JobRun) -> None:
         """Notes the work of a job that has arrived."""
-        self.inflow.add(self.core.order.outlook(job).waiting, self.clock.now())
+        if not job.spec.is_lasting():
+            self.inflow.add(self.core.order.outlook(job).work, self.clock.now())
 
     def status(self) -> PoolStatus:
         """Returns the demand and the workers of the pool."""
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -261,3 +261,14 @@
         held = entries.duties[holder].held[name]
         assert held.tenure.fence == tenure.fence
         assert held.duty.working
+
+
+async def test_lost_store_is_logged_once_and_once_when_it_is_back(entries, caplog):
+    caplog.set_level("INFO")
+    entries.stores["one"].set_faults({"down": True})
+    await entries.pass_time(3.0)
+    entries.stores["one"].set_faults({"down": False})
+    await entries.pass_time(1.0)
+    events = [record.getMessage() for record in caplog.records]
+    assert sum("event=store_lost" in event for event in events) == 1
+    assert sum("event=store_regained" in event for event in events) == 1
--- a/libs/scheduling/tests/test_job_order.py
+++ b/libs/scheduling/tests/test_job_order.py
@@ -51,3 +51,16 @@
     job = job_of(clock, tasks=3, lasting=True)
     assert order.outlook(job).waiting == 0
     assert job.lasting_milli() == 6_000
+
+
+def test_steps_that_wait_for_others_ask_for_no_workers_yet(order, clock):
+    steps = (
+        StepSpec(2, 2_000, 256, estimated_ms=1_000),
+        StepSpec(8, 2_000, 256, estimated_ms=1_000, after=(0,)),
+    )
+    spec = JobSpec("a" * 16, "q", "", steps, accepted_ms=int(clock.wall() * 1000))
+    job = JobRun(spec, QUEUE, 1, adopted=False)
+    outlook = order.outlook(job)
+    assert outlook.waiting == 2 * 2_000
+    assert outlook.work == 10 * 2_000
+    assert outlook.chain_s == 2.0
