--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -10,8 +10,11 @@
     "killed or (partition and not lists)",
     "answers-match or frozen-entry or graceful",
 )
+EMULATED_SITE = "tests/test_emulated_site.py"
 GROUPS = (
     ("libs",),
+    (EMULATED_SITE, "-k", "random"),
+    (EMULATED_SITE, "-k", "not random"),
     *(("tests/test_scenarios.py", "-k", names) for names in LONG_SCENARIOS),
     ("tests/test_scenarios.py", "-k", f"not ({' or '.join(LONG_SCENARIOS)})"),
     ("tests/test_fault_matrix.py",),
