Tell holders at once which workers an order has ended

The planner names the workers that its orders have ended; it may take that back while the platform still lists the worker.

Ruled out: taking a refused connection as proof of an end, since a cut may refuse as well.

--- a/libs/scheduling/burdockthread_scheduling/machine_ledger.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_ledger.py
@@ -195,3 +195,8 @@
         }
         present = {worker.worker_id for worker in status.workers}
         return tuple((unwanted | self.ended.keys()) & present)
+
+    def ended_among(self, status: PoolStatus) -> tuple[str, ...]:
+        """Returns the workers of a pool that orders have ended."""
+        present = (worker.worker_id for worker in status.workers)
+        return tuple(worker_id for worker_id in present if worker_id in self.ended)
--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -240,7 +240,11 @@
         self.ledger.take_status(status)
         now = self.clock.now()
         self.demand.note(status, now)
-        return PlannerAnswer(self.ledger.to_vacate(status), self.demand.ages_s(now))
+        return PlannerAnswer(
+            self.ledger.to_vacate(status),
+            self.demand.ages_s(now),
+            self.ledger.ended_among(status),
+        )
 
     async def step(self) -> None:
         """Plans once."""
--- a/libs/scheduling/burdockthread_scheduling/planner_link.py
+++ b/libs/scheduling/burdockthread_scheduling/planner_link.py
@@ -59,6 +59,7 @@
         self.turn_ages_read_s = self.clock.now()
         self.evacuation.take_wishes(answer.vacate)
         self.workers.wishes_known.update(w.worker_id for w in status.workers)
+        self.workers.take_ended(answer.ended)
 
     def note_arrival(self, job: JobRun) -> None:
         """Notes the work of a job that has arrived."""
--- a/libs/scheduling/burdockthread_scheduling/pool_status.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_status.py
@@ -62,10 +62,12 @@
     Attributes:
         vacate: Workers that are to be emptied, by id.
         turn_ages_s: Seconds since each pool was last in its turn.
+        ended: Workers that an order to their machine has ended.
     """
 
     vacate: tuple[str, ...]
     turn_ages_s: dict[str, float]
+    ended: tuple[str, ...] = ()
 
 
 class ReleaseOrder(NamedTuple):
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -57,6 +57,7 @@
         unreached: Workers of earlier holders that have not answered yet; tasks
             of theirs may run there until the clock time given.
         assigned: Workers that the store names as having runs.
+        ended_by_planner: Workers that an order to their machine has ended.
         wishes_known: Workers of which the planner has said to this holder whether
             it wants them empty.
         wishes_due_s: Clock time from which no earlier wish is acted upon.
@@ -75,6 +76,7 @@
         self.assigned_dirty = True
         self.assigned_s = float("-inf")
         self.assigning = False
+        self.ended_by_planner: set[str] = set()
         self.wishes_known: set[str] = set()
         self.wishes_due_s = core.clock.now() + WISHES_TIMEOUT_S
         self.vacating_until_s: dict[str, float] = {}
@@ -177,10 +179,27 @@
         """Takes in that a worker has ended; all its runs have ended with it."""
         self.log.info("worker_replaced", worker=worker.worker_id)
         worker.replaced = True
+        self.assigned_dirty = True
         self.unreached.pop(worker.listing.key, None)
         self.lose_runs(worker)
         self.core.wake.set()
 
+    def take_ended(self, worker_ids: tuple[str, ...]) -> None:
+        """Takes in which workers the planner has ended with an order.
+
+        Their registrations stay for some heartbeats. The planner takes its word
+        back if the platform still lists the worker; it was empty, so that nothing
+        was started elsewhere, and is spoken to anew.
+        """
+        for worker in tuple(self.core.workers.values()):
+            worker_id = worker.worker_id
+            if worker_id in worker_ids and not worker.replaced:
+                self.ended_by_planner.add(worker_id)
+                self.replaced(worker)
+            elif worker_id in self.ended_by_planner and worker_id not in worker_ids:
+                self.ended_by_planner.discard(worker_id)
+                self.drop(worker, "the planner takes its end back")
+
     def reached(self, worker: WorkerState) -> None:
         """Takes in that a worker has answered this holder."""
         if not worker.contacted:
@@ -248,11 +267,12 @@
     def assign(self) -> None:
         """Records the workers that may get orders before they get any."""
         now = self.clock.now()
-        missing = self.core.workers.keys() - self.assigned
+        living = {key for key, w in self.core.workers.items() if not w.replaced}
+        missing = living - self.assigned
         stale = self.assigned_dirty and now - self.assigned_s >= ASSIGN_INTERVAL_S
         if (missing or stale) and not self.assigning:
             self.assigning = True
-            self.core.spawn(self.record_assigned(set(self.core.workers)))
+            self.core.spawn(self.record_assigned(living))
 
     async def record_assigned(self, workers: set[WorkerKey]) -> None:
         """Writes the workers that may get orders."""
--- a/libs/scheduling/burdockthread_scheduling/sessions.py
+++ b/libs/scheduling/burdockthread_scheduling/sessions.py
@@ -68,7 +68,7 @@
     async def run(self) -> None:
         """Looks at the worker until cancelled or until it is replaced."""
         retry_s = RETRY_FIRST_S
-        while True:
+        while not self.worker.replaced:
             await self.wait_for_need()
             try:
                 await self.look()
--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -68,6 +68,7 @@
             self.clock, lambda task: self.natures.get(task.job_id, TaskNature())
         )
         self.vacate = ()
+        self.ended = ()
         self.planner_silent = False
         self.policy = MemoryPolicyService()
         self.configuration = CONFIGURATION
@@ -121,7 +122,7 @@
         self.status = status
         if self.planner_silent:
             return None
-        return PlannerAnswer(self.vacate, {})
+        return PlannerAnswer(self.vacate, {}, self.ended)
 
     async def release(self, address, pool, fence):
         """Answers as the entry that held the pool before."""
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -254,3 +254,28 @@
     site.vacate = (first.worker_id,)
     await site.pass_time(1.0)
     assert site.park.by_key[first].runs
+
+
+async def test_worker_ended_by_the_planner_holds_up_no_later_holder(site, holder):
+    gone = WorkerKey("w1", 1)
+    site.park.by_key[gone].silent = True
+    site.ended = ("w1",)
+    await site.pass_time(1.0)
+    await site.kill(holder)
+    job = await site.submit(step(2))
+    site.ended = ()
+    successor = await site.holder("entry-2", "process-2")
+    await site.until(lambda: successor.loaded)
+    assert gone not in successor.workers.unreached
+    started_s = site.clock.now()
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
+    assert site.clock.now() - started_s < 2.5
+
+
+async def test_worker_that_the_planner_ended_by_mistake_serves_again(site, holder):
+    site.ended = ("w1",)
+    await site.pass_time(0.5)
+    assert not any(w.worker_id == "w1" for w in holder.workers.ready())
+    site.ended = ()
+    await site.pass_time(1.0)
+    assert any(w.worker_id == "w1" for w in holder.workers.ready())
