--- a/libs/burdockthread/burdockthread/bench.py
+++ b/libs/burdockthread/burdockthread/bench.py
@@ -11,6 +11,7 @@
     bench_jobs,
     bench_peers,
     bench_routing,
+    bench_scheduling,
     bench_store,
 )
 from burdockthread.measures import Measure
@@ -23,6 +24,7 @@
     "store": bench_store.measures,
     "fleet": bench_fleet.measures,
     "jobs": bench_jobs.measures,
+    "scheduling": bench_scheduling.measures,
 }
 
 
