--- a/libs/platform/burdockthread_platform/jobs_http.py
+++ b/libs/platform/burdockthread_platform/jobs_http.py
@@ -3,12 +3,14 @@
 import asyncio
 import json
 import re
+import traceback
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from aiohttp import web
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import BadRequestError, RequestError
+from burdockthread_model.verdict import Verdict
 from burdockthread_scheduling.desk import JobDesk
 from burdockthread_scheduling.specs import JobSpec, QueueSpec, StepSpec
 
@@ -16,6 +18,9 @@
 from burdockthread_platform.settings import Address
 
 DEADLINE_HEADER = "Deadline-Ms"
+BAD_REQUEST = 400
+# The caller sends the same request again.
+UNSETTLED = 504
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 MAX_PAYLOAD_BYTES = 4_000
 MAX_STEPS = 256
@@ -54,6 +59,19 @@
             response = await self.dispatch(request)
         except RequestError as error:
             response = refusal(error)
+        except ConnectionError as error:
+            self.desk.log.info("caller_gone", path=request.path, reason=repr(error))
+            response = web.Response(status=BAD_REQUEST)
+            response.force_close()
+        except Exception as error:
+            trace = "".join(traceback.format_exception(error))
+            self.desk.log.error(
+                "request_failed", path=request.path, reason=repr(error), trace=trace
+            )
+            response = web.json_response(
+                {"error": "the request failed here", "verdict": Verdict.UNKNOWN.value},
+                status=UNSETTLED,
+            )
         finally:
             self.open_requests -= 1
             self.answered_s = self.clock.now()
--- a/libs/platform/tests/test_jobs_port.py
+++ b/libs/platform/tests/test_jobs_port.py
@@ -4,7 +4,8 @@
 import time
 
 from aiohttp import web
-from burdockthread_platform.jobs_http import serve
+from burdockthread_model.events import EventLog
+from burdockthread_platform.jobs_http import JobsPort, serve
 from burdockthread_platform.settings import Address
 from ephemeral_port_reserve import reserve
 
@@ -56,3 +57,41 @@
     assert await reader.read() == b""
     writer.close()
     await serving
+
+
+class BrokenDesk:
+    """A desk that fails in a way that nobody expects."""
+
+    log = EventLog("test")
+
+    def __init__(self, error):
+        self.error = error
+
+    async def queue(self, host, path):
+        raise self.error
+
+
+async def answered(desk, clock):
+    """The bytes that a caller gets from a port with a desk."""
+    port = reserve(HOST)
+    handler = JobsPort(desk, clock).handler()
+    async with serve(handler, Address(HOST, port)):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(REQUEST.replace(b"Host", b"Connection: close\r\nHost"))
+        found = await reader.read()
+        writer.close()
+    return found
+
+
+async def test_failure_of_the_program_is_answered_as_unknown(clock, caplog):
+    found = await answered(BrokenDesk(ValueError("a fault")), clock)
+    assert found.startswith(b"HTTP/1.1 504")
+    assert b'"verdict": "unknown"' in found
+    assert "event=request_failed" in caplog.text
+
+
+async def test_caller_that_has_gone_is_no_failure(clock, caplog):
+    caplog.set_level("INFO")
+    await answered(BrokenDesk(ConnectionResetError("gone")), clock)
+    assert "event=caller_gone" in caplog.text
+    assert "request_failed" not in caplog.text
--- a/libs/scheduling/burdockthread_scheduling/desk.py
+++ b/libs/scheduling/burdockthread_scheduling/desk.py
@@ -14,7 +14,7 @@
 from burdockthread_model.verdict import Verdict
 
 from burdockthread_scheduling.configuration_view import ConfigurationView
-from burdockthread_scheduling.intake import JobIntake
+from burdockthread_scheduling.intake import JobIntake, consume_error
 from burdockthread_scheduling.job_index import JobIndex, ShownState
 from burdockthread_scheduling.specs import JobSpec, QueueSpec
 
@@ -174,9 +174,11 @@
             UnsettledError: It may have been cancelled.
         """
         outcome = "cancelled"
+        cancelling = asyncio.create_task(self.intake.cancel(job_id))
+        cancelling.add_done_callback(consume_error)
         try:
             async with self.clock.timeout(max(wait_s - ANSWER_MARGIN_S, 0.1)):
-                await asyncio.shield(asyncio.ensure_future(self.intake.cancel(job_id)))
+                await asyncio.shield(cancelling)
         except NotFoundError as error:
             outcome = "no job"
             raise NoJobError(f"no job {job_id}") from error
