--- a/libs/burdockthread/burdockthread/bench_scheduling.py
+++ b/libs/burdockthread/burdockthread/bench_scheduling.py
@@ -10,7 +10,7 @@
 from burdockthread_model.clock import MemoryClock
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import MemoryMetrics
-from burdockthread_scheduling.duties import Tenure
+from burdockthread_scheduling.duty import Tenure
 from burdockthread_scheduling.intake import JobIntake
 from burdockthread_scheduling.job_index import JobIndex
 from burdockthread_scheduling.memory_workers import MemoryWorkers, TaskNature
--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -38,12 +38,8 @@
 from burdockthread_platform.worker_http import HttpWorkerGateway
 from burdockthread_scheduling.configuration_view import ConfigurationView
 from burdockthread_scheduling.desk import JobDesk
-from burdockthread_scheduling.duties import (
-    Duties,
-    DutyFactory,
-    DutyOffer,
-    Tenure,
-)
+from burdockthread_scheduling.duties import Duties
+from burdockthread_scheduling.duty import DutyFactory, DutyOffer, Tenure
 from burdockthread_scheduling.entry_link import HttpEntryLink
 from burdockthread_scheduling.intake import JobIntake
 from burdockthread_scheduling.job_index import JobIndex
--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -1,17 +1,13 @@
 """Divides the duties among the entries, each held under a lease of the store."""
 
 import asyncio
-import secrets
-from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 from contextlib import suppress
-from typing import NamedTuple
 
 import xxhash
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import (
     ConflictError,
-    LeaseLostError,
     PeerUnavailableError,
     StoreError,
 )
@@ -19,8 +15,17 @@
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.records import RecordError
 from burdockthread_store.prefix_cache import PrefixCache
-from burdockthread_store.store import Change, ConfigurationStore, Guard, KeyValue, Lease
-
+from burdockthread_store.store import Change, ConfigurationStore, Guard, KeyValue
+
+from burdockthread_scheduling.duty import (
+    Duty,
+    DutyFactory,
+    DutyOffer,
+    HeldDuty,
+    OfferSender,
+    Tenure,
+)
+from burdockthread_scheduling.entry_lease import EntryLease
 from burdockthread_scheduling.records import (
     DUTY_PREFIX,
     ENTRY_PREFIX,
@@ -32,7 +37,6 @@
     entry_key,
 )
 
-LEASE_TTL_S = 2.0
 RENEW_INTERVAL_S = 0.5
 RETRY_INTERVAL_S = 0.15
 CHECK_INTERVAL_S = 0.1
@@ -51,136 +55,6 @@
 MAX_OFFERS = 3
 # An entry that takes an offer has renewed its own lease this lately.
 OFFER_MIN_LEASE_S = 1.2
-TERM_BYTES = 8
-
-
-class Tenure(NamedTuple):
-    """A duty as held.
-
-    Attributes:
-        duty: Name of the duty.
-        fence: Fencing token; grows from one holder to the next.
-        guard: Condition that fences a write to the store.
-        term: Term of the lease under which it was taken.
-        inherited: What its last holder passed on with its offer, or empty.
-    """
-
-    duty: str
-    fence: int
-    guard: Guard
-    term: str = ""
-    inherited: bytes = b""
-
-
-class Duty(ABC):
-    """Work that one entry does at a time."""
-
-    @abstractmethod
-    async def run(self) -> None:
-        """Works until cancelled."""
-
-    @abstractmethod
-    async def hand_over(self) -> None:
-        """Ends all orders under way, so that a successor may start at once."""
-
-    @abstractmethod
-    async def pause(self) -> bytes:
-        """Stops what a successor must not overlap with.
-
-        Returns:
-            What the successor has to know.
-        """
-
-    @abstractmethod
-    def resume(self) -> None:
-        """Goes on after a pause, since no other entry has the duty."""
-
-
-class DutyOffer(NamedTuple):
-    """Asks another entry to take a duty over.
-
-    Attributes:
-        duty: Name of the duty.
-        fence: Fencing token of the holder that offers it.
-        state: What the successor has to know.
-    """
-
-    duty: str
-    fence: int
-    state: bytes
-
-
-OfferSender = Callable[[str, DutyOffer], Awaitable[bool]]
-DutyFactory = Callable[[Tenure], Duty]
-
-
-class HeldDuty:
-    """A duty that this entry does.
-
-    Attributes:
-        offering: Whether it is being offered to another entry.
-        paused: Whether it waits for certainty that no other entry has it.
-    """
-
-    def __init__(self, tenure: Tenure, duty: Duty) -> None:
-        self.tenure = tenure
-        self.duty = duty
-        self.offering = False
-        self.paused = False
-        self.work = asyncio.create_task(duty.run())
-
-
-class EntryLease:
-    """The lease to which this entry's record and duties are bound.
-
-    Attributes:
-        lease: The lease, or None.
-        term: Unique for each lease that this process was granted.
-    """
-
-    def __init__(self, store: ConfigurationStore, clock: Clock, log: EventLog) -> None:
-        self.store = store
-        self.clock = clock
-        self.log = log
-        self.lease: Lease | None = None
-        self.term = ""
-
-    def remaining_s(self) -> float:
-        """Returns the seconds for which the lease surely lasts; may be negative."""
-        if self.lease is None:
-            return 0.0
-        return self.lease.expires_s - self.clock.now()
-
-    def remaining_in_term_s(self, term: str) -> float:
-        """Returns the seconds left of the lease of a term, 0 if that was lost."""
-        return self.remaining_s() if term == self.term else 0.0
-
-    async def keep(self) -> bool:
-        """Renews the lease or takes a new one.
-
-        Returns:
-            Whether it is the lease of before.
-
-        Raises:
-            StoreError: The store did not answer.
-        """
-        if self.lease is not None:
-            try:
-                self.lease = await self.store.renew_lease(self.lease)
-                return True
-            except LeaseLostError:
-                self.log.warning("lease_lost", lease=self.lease.lease_id)
-                self.lease = None
-        self.lease = await self.store.grant_lease(LEASE_TTL_S)
-        self.term = secrets.token_hex(TERM_BYTES)
-        self.log.info("lease_granted", lease=self.lease.lease_id)
-        return False
-
-    async def end(self) -> None:
-        """Gives the lease up."""
-        lease, self.lease = self.lease, None
-        if lease is not None:
-            await self.store.revoke_lease(lease)
 
 
 class Duties:
--- /dev/null
+++ b/libs/scheduling/burdockthread_scheduling/entry_lease.py
@@ -0,0 +1,64 @@
+"""The lease of the store to which an entry's record and duties are bound."""
+
+import secrets
+
+from burdockthread_model.clock import Clock
+from burdockthread_model.errors import LeaseLostError
+from burdockthread_model.events import EventLog
+from burdockthread_store.store import ConfigurationStore, Lease
+
+LEASE_TTL_S = 2.0
+TERM_BYTES = 8
+
+
+class EntryLease:
+    """The lease to which this entry's record and duties are bound.
+
+    Attributes:
+        lease: The lease, or None.
+        term: Unique for each lease that this process was granted.
+    """
+
+    def __init__(self, store: ConfigurationStore, clock: Clock, log: EventLog) -> None:
+        self.store = store
+        self.clock = clock
+        self.log = log
+        self.lease: Lease | None = None
+        self.term = ""
+
+    def remaining_s(self) -> float:
+        """Returns the seconds for which the lease surely lasts; may be negative."""
+        if self.lease is None:
+            return 0.0
+        return self.lease.expires_s - self.clock.now()
+
+    def remaining_in_term_s(self, term: str) -> float:
+        """Returns the seconds left of the lease of a term, 0 if that was lost."""
+        return self.remaining_s() if term == self.term else 0.0
+
+    async def keep(self) -> bool:
+        """Renews the lease or takes a new one.
+
+        Returns:
+            Whether it is the lease of before.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        if self.lease is not None:
+            try:
+                self.lease = await self.store.renew_lease(self.lease)
+                return True
+            except LeaseLostError:
+                self.log.warning("lease_lost", lease=self.lease.lease_id)
+                self.lease = None
+        self.lease = await self.store.grant_lease(LEASE_TTL_S)
+        self.term = secrets.token_hex(TERM_BYTES)
+        self.log.info("lease_granted", lease=self.lease.lease_id)
+        return False
+
+    async def end(self) -> None:
+        """Gives the lease up."""
+        lease, self.lease = self.lease, None
+        if lease is not None:
+            await self.store.revoke_lease(lease)
--- a/libs/scheduling/burdockthread_scheduling/entry_link.py
+++ b/libs/scheduling/burdockthread_scheduling/entry_link.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from burdockthread_model.errors import PeerUnavailableError
 
-from burdockthread_scheduling.duties import DutyOffer
+from burdockthread_scheduling.duty import DutyOffer
 from burdockthread_scheduling.pool_status import (
     PlannerAnswer,
     PoolStatus,
--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -12,7 +12,8 @@
 from burdockthread_store.store import ANY_REVISION, Change, ConfigurationStore
 
 from burdockthread_scheduling.demand_turns import DemandTurns
-from burdockthread_scheduling.duties import Duty, EntryLease, Tenure
+from burdockthread_scheduling.duty import Duty, Tenure
+from burdockthread_scheduling.entry_lease import EntryLease
 from burdockthread_scheduling.machine_ledger import (
     GivenOrder,
     Intent,
--- a/libs/scheduling/burdockthread_scheduling/pool_core.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_core.py
@@ -10,7 +10,7 @@
 from burdockthread_store.store import ConfigurationStore
 
 from burdockthread_scheduling.board import Board
-from burdockthread_scheduling.duties import Tenure
+from burdockthread_scheduling.duty import Tenure
 from burdockthread_scheduling.estimates import DurationEstimates
 from burdockthread_scheduling.job_index import JobIndex
 from burdockthread_scheduling.job_order import JobOrder
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -12,7 +12,7 @@
 from burdockthread_store.store import ANY_REVISION, Change, KeyValue
 
 from burdockthread_scheduling.board import JobEnd, JobRun
-from burdockthread_scheduling.duties import Duty, Tenure
+from burdockthread_scheduling.duty import Duty, Tenure
 from burdockthread_scheduling.evacuation import Evacuation
 from burdockthread_scheduling.pacing import Pacing
 from burdockthread_scheduling.placement_policy import PolicyTickets
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -7,7 +7,9 @@
 from burdockthread_model.errors import PeerUnavailableError
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import MemoryMetrics
-from burdockthread_scheduling.duties import DOUBT_LIMIT_S, LEASE_TTL_S, Duties, Duty
+from burdockthread_scheduling.duties import DOUBT_LIMIT_S, Duties
+from burdockthread_scheduling.duty import Duty
+from burdockthread_scheduling.entry_lease import LEASE_TTL_S
 from burdockthread_scheduling.records import CLUSTER_PREFIX
 from burdockthread_store.faulty_store import FaultyStore
 from burdockthread_store.memory_store import MemoryStore
--- a/libs/scheduling/tests/test_machine_planner.py
+++ b/libs/scheduling/tests/test_machine_planner.py
@@ -4,7 +4,7 @@
 
 import pytest
 from burdockthread_model.errors import PeerUnavailableError
-from burdockthread_scheduling.duties import Tenure
+from burdockthread_scheduling.duty import Tenure
 from burdockthread_scheduling.machine_planner import (
     MachinePlanner,
     MachineTimes,
