--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import pytest
+from burdockthread.explain import explain, read_lines
 from burdockthread_scheduling.machines import Wave
 from burdockthread_standins.emulated_site import EmulatedSite, SitePlan
 from burdockthread_standins.emulation import Emulation
@@ -38,6 +39,14 @@
     assert load.outcomes["lost"] == 0
 
 
+def findings(site, load):
+    """What the logs tell of the jobs, all findings together."""
+    texts = [entry.log.read_text(errors="replace") for entry in site.entries]
+    lines = read_lines("\n".join(texts).splitlines())
+    found = [explain(record.job, lines).findings for record in load.records]
+    return [finding for job in found for finding in job]
+
+
 def holder_of(site, pool):
     """The entry that holds a pool."""
     stored = site.store.store.values[f"cluster/duty/pool:{pool}"]
@@ -61,6 +70,17 @@
     await asyncio.sleep(1.0)
     await victim.start()
     await finish(site, load, running)
+    assert any("took the pool over" in finding for finding in findings(site, load))
+
+
+async def test_sick_worker_is_left_out_and_named(site):
+    load = load_of(site, jobs=60)
+    running = asyncio.create_task(load.run())
+    sick = next(w for k, w in sorted(site.park.by_key.items()) if w.listing.pool)
+    sick.failing = True
+    await finish(site, load, running)
+    name = sick.listing.key.worker_id
+    assert f"failed on worker {name}" in " ".join(findings(site, load))
 
 
 async def test_entries_stopped_in_turn_cut_no_request(site):
@@ -91,6 +111,7 @@
     await asyncio.sleep(4.0)
     site.store.faulty.set_faults({"down": False})
     await finish(site, load, running)
+    assert any("the store did not serve" in found for found in findings(site, load))
 
 
 async def test_all_entries_killed_at_once_recover(site):
