Take a duty once, and under a new token each time

A duty whose record is being written is left alone. Two more of the kind, found by reading: a duty that had ended here was begun again under the same token, so that a late write of the earlier work still met its condition; and a tenure could carry the term of a later lease than its record.

Ruled out: the order of progress writes and settled ends (both guarded by the token), and listings that are behind.

--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -66,6 +66,9 @@
         seen: Duties that had a holder since this entry started.
         renewed_s: Clock time at which the store last confirmed the lease.
         store_lost: Whether it has not confirmed it since.
+        campaigning: Duties whose record this entry is about to write; the watch
+            may tell of the write before its answer comes.
+        worked: Highest token under which this process has done a duty.
         given_up: Token under which a duty was given to another entry; the record
             of this entry may still be in its copy of the store.
         entries: Live entries by name.
@@ -102,6 +105,8 @@
         self.held: dict[str, HeldDuty] = {}
         self.owners: dict[str, tuple[DutyRecord, int]] = {}
         self.seen: set[str] = set()
+        self.campaigning: set[str] = set()
+        self.worked: dict[str, int] = {}
         self.given_up: dict[str, int] = {}
         self.renewed_s = clock.now()
         self.store_lost = False
@@ -217,7 +222,7 @@
         await self.confirm_paused()
         self.offer_if_cut_off(now)
         for name, factory in wanted.items():
-            if name in self.held:
+            if name in self.held or name in self.campaigning:
                 continue
             owner = self.owners.get(name)
             if owner is not None:
@@ -239,14 +244,16 @@
         """Takes a duty that is recorded for this entry, but not done by it.
 
         A record of another term is of an earlier process of this entry, or of
-        an earlier lease; neither acts any more.
+        an earlier lease; neither acts any more. One under whose token this
+        process has worked is written anew: what that work has sent may still
+        take effect, and a higher token keeps it out.
         """
         if owner.entry != self.entry or self.lease.remaining_s() <= 0:
             return
         if revision <= self.given_up.get(name, -1):
             return
-        if owner.term == self.lease.term:
-            self.take(name, factory, revision)
+        if owner.term == self.lease.term and revision > self.worked.get(name, -1):
+            self.take(name, factory, revision, owner.term)
         else:
             await self.campaign(name, factory, revision)
 
@@ -327,7 +334,7 @@
             return False
         if self.lease.remaining_s() < OFFER_MIN_LEASE_S:
             return False
-        if offer.duty not in self.held:
+        if offer.duty not in self.held and offer.duty not in self.campaigning:
             owner = self.owners.get(offer.duty)
             revision = 0 if owner is None else offer.fence
             await self.campaign(offer.duty, factory, revision, offer.state)
@@ -388,9 +395,24 @@
         lease = self.lease.lease
         if lease is None or self.lease.remaining_s() <= 0:
             return
+        self.campaigning.add(name)
+        try:
+            await self.write_owner(name, factory, revision, inherited, lease.lease_id)
+        finally:
+            self.campaigning.discard(name)
+
+    async def write_owner(
+        self,
+        name: str,
+        factory: DutyFactory,
+        revision: int,
+        inherited: bytes,
+        lease_id: int,
+    ) -> None:
+        """Writes this entry as the holder of a duty, and takes it."""
         key = duty_key(name)
         record = DutyRecord(self.entry, self.lease.term)
-        change = Change(key, encode(record), revision, lease.lease_id)
+        change = Change(key, encode(record), revision, lease_id)
         try:
             fence = await self.store.write([change])
         except (ConflictError, StoreError) as error:
@@ -398,14 +420,20 @@
             self.vacant_since_s.pop(name, None)
             return
         self.owners[name] = (record, fence)
-        self.take(name, factory, fence, inherited)
+        self.take(name, factory, fence, record.term, inherited)
 
     def take(
-        self, name: str, factory: DutyFactory, fence: int, inherited: bytes = b""
+        self,
+        name: str,
+        factory: DutyFactory,
+        fence: int,
+        term: str,
+        inherited: bytes = b"",
     ) -> None:
         """Starts the work of a duty that this entry holds."""
         guard = Guard(duty_key(name), fence)
-        tenure = Tenure(name, fence, guard, self.lease.term, inherited)
+        tenure = Tenure(name, fence, guard, term, inherited)
+        self.worked[name] = fence
         self.held[name] = HeldDuty(tenure, factory(tenure))
         self.note_holding()
         self.metrics.count("duties.taken")
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -1,6 +1,7 @@
 """Who does which duty, and who takes it over."""
 
 import asyncio
+from typing import ClassVar
 
 import pytest
 from burdockthread_model.clock import MemoryClock
@@ -22,13 +23,19 @@
 class IdleDuty(Duty):
     """Does nothing and notes that it was handed over."""
 
+    at_work: ClassVar[list[str]] = []
+
     def __init__(self, tenure):
         self.tenure = tenure
         self.handed_over = False
         self.working = True
 
     async def run(self):
-        await asyncio.Event().wait()
+        IdleDuty.at_work.append(self.tenure.duty)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            IdleDuty.at_work.remove(self.tenure.duty)
 
     async def hand_over(self):
         self.handed_over = True
@@ -274,3 +281,31 @@
     events = [record.getMessage() for record in caplog.records]
     assert sum("event=store_lost" in event for event in events) == 1
     assert sum("event=store_regained" in event for event in events) == 1
+
+
+async def test_duty_that_the_watch_tells_before_the_answer_is_taken_once(entries):
+    for duties in entries.duties.values():
+        write = duties.store.write
+
+        async def answered_late(changes, guards=(), write=write):
+            revision = await write(changes, guards)
+            await entries.clock.sleep(0.4)
+            return revision
+
+        duties.store.write = answered_late
+    holder, _ = await cut_off_holder(entries, 3.0)
+    others = [name for name in entries.held() if holder not in entries.held()[name]]
+    assert others
+    for name in others:
+        assert IdleDuty.at_work.count(name) == 1
+
+
+async def test_duty_whose_work_has_ended_is_taken_again_under_a_higher_token(entries):
+    name, (holder,) = next(iter(entries.held().items()))
+    held = entries.duties[holder].held[name]
+    held.work.cancel()
+    await entries.pass_time(1.0)
+    ((successor,),) = (entries.held()[name],)
+    again = entries.duties[successor].held[name]
+    assert again is not held
+    assert again.tenure.fence > held.tenure.fence
