--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -305,9 +305,9 @@
         state = await held.duty.pause()
         offer = DutyOffer(name, held.tenure.fence, state)
         certain = True
-        for entry in self.successors(name):
+        for entry, address in self.successors(name):
             try:
-                taken = await self.send_offer(self.entries[entry].address, offer)
+                taken = await self.send_offer(address, offer)
             except PeerUnavailableError as error:
                 self.log.info("offer_unanswered", duty=name, entry=entry, reason=error)
                 certain = False
@@ -321,11 +321,14 @@
             held.paused = False
             held.duty.resume()
 
-    def successors(self, name: str) -> list[str]:
-        """Returns the entries to which a duty is offered, the best first."""
+    def successors(self, name: str) -> list[tuple[str, str]]:
+        """Returns the entries to which a duty is offered, with their addresses.
+
+        The best comes first.
+        """
         others = [entry for entry in self.entries if entry != self.entry]
         others.sort(key=lambda entry: self.preference(name, entry), reverse=True)
-        return others[:MAX_OFFERS]
+        return [(entry, self.entries[entry].address) for entry in others[:MAX_OFFERS]]
 
     async def take_offer(self, offer: DutyOffer) -> bool:
         """Takes a duty over that its holder offers; returns whether it is held."""
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -309,3 +309,20 @@
     again = entries.duties[successor].held[name]
     assert again is not held
     assert again.tenure.fence > held.tenure.fence
+
+
+async def test_entry_that_goes_while_duties_are_offered_breaks_nothing(entries):
+    name, (holder,) = next(iter(entries.held().items()))
+    duties = entries.duties[holder]
+
+    async def refused(address, offer):
+        duties.entries.clear()
+        return False
+
+    duties.send_offer = refused
+    entries.stores[holder].set_faults({"down": True})
+    await entries.pass_time(1.5)
+    entries.stores[holder].set_faults({"down": False})
+    await entries.pass_time(1.0)
+    assert duties.held[name].duty.working
+    assert not duties.held[name].offering
