--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -331,7 +331,11 @@
         return [(entry, self.entries[entry].address) for entry in others[:MAX_OFFERS]]
 
     async def take_offer(self, offer: DutyOffer) -> bool:
-        """Takes a duty over that its holder offers; returns whether it is held."""
+        """Takes a duty over that its holder offers.
+
+        Returns:
+            Whether another entry than the one that offers it has the duty.
+        """
         factory = self.wanted().get(offer.duty)
         if factory is None or self.stopping:
             return False
@@ -341,8 +345,8 @@
             owner = self.owners.get(offer.duty)
             revision = 0 if owner is None else offer.fence
             await self.campaign(offer.duty, factory, revision, offer.state)
-        held = self.held.get(offer.duty)
-        return held is not None and held.tenure.fence > offer.fence
+        owner = self.owners.get(offer.duty)
+        return owner is not None and owner[1] > offer.fence
 
     async def confirm_paused(self) -> None:
         """Goes on with duties whose offers were not answered, if still held."""
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -9,7 +9,7 @@
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import MemoryMetrics
 from burdockthread_scheduling.duties import DOUBT_LIMIT_S, Duties
-from burdockthread_scheduling.duty import Duty
+from burdockthread_scheduling.duty import Duty, DutyOffer
 from burdockthread_scheduling.entry_lease import LEASE_TTL_S
 from burdockthread_scheduling.records import CLUSTER_PREFIX
 from burdockthread_store.faulty_store import FaultyStore
@@ -326,3 +326,12 @@
     await entries.pass_time(1.0)
     assert duties.held[name].duty.working
     assert not duties.held[name].offering
+
+
+async def test_offer_of_a_duty_that_a_third_entry_has_is_answered_as_taken(entries):
+    name, (holder,) = next(iter(entries.held().items()))
+    fence = entries.duties[holder].held[name].tenure.fence
+    other = next(entry for entry in entries.duties if entry != holder)
+    assert await entries.duties[other].take_offer(DutyOffer(name, fence - 1, b""))
+    await entries.pass_time(0.5)
+    assert entries.held()[name] == [holder]
