--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -14,9 +14,8 @@
 from burdockthread_standins.job_load import HOST_HEADER, JobLoad, LoadPlan
 
 SETTLE_S = 2.0
-# A line for each seed that has failed once, with its cause:
-# (none yet)
-REGRESSION_SEEDS: tuple[int, ...] = ()
+# Seeds that have failed once. 1009: a task ran twice at once; not traced yet.
+REGRESSION_SEEDS = (1009,)
 FRESH_SEEDS = (11, 12)
 
 
