Log a submission that is cut off as given up, and the cut itself

A request whose answer is cut off at the end of a stop was logged as job_submitted outcome=accepted, so the logs could not tell a caller who was answered from one who was not. The outcome is now set where it is known, and request_cut_off names method, path and age. No change of logic.

Both tests of test_desk.py failed before (outcome=accepted, outcome=cancelled).

--- a/libs/platform/burdockthread_platform/jobs_http.py
+++ b/libs/platform/burdockthread_platform/jobs_http.py
@@ -55,6 +55,7 @@
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
         self.open_requests += 1
+        started_s = self.clock.now()
         try:
             response = await self.dispatch(request)
         except RequestError as error:
@@ -63,6 +64,14 @@
             self.desk.log.info("caller_gone", path=request.path, reason=repr(error))
             response = web.Response(status=BAD_REQUEST)
             response.force_close()
+        except asyncio.CancelledError:
+            self.desk.log.warning(
+                "request_cut_off",
+                method=request.method,
+                path=request.path,
+                age_ms=round((self.clock.now() - started_s) * 1000, 1),
+            )
+            raise
         except Exception as error:
             trace = "".join(traceback.format_exception(error))
             self.desk.log.error(
--- a/libs/scheduling/burdockthread_scheduling/desk.py
+++ b/libs/scheduling/burdockthread_scheduling/desk.py
@@ -22,6 +22,8 @@
 ANSWER_MARGIN_S = 0.25
 # A store that is out is asked again by callers after this long.
 RETRY_AFTER_S = 1.0
+# Outcome of a request whose answer nobody waits for any more.
+GIVEN_UP = "given up"
 
 
 class NotReadyError(RequestError):
@@ -101,10 +103,11 @@
             UnsettledError: It may have been accepted.
         """
         started_s = self.clock.now()
-        outcome = "accepted"
+        outcome = GIVEN_UP
         try:
             async with self.clock.timeout(max(wait_s - ANSWER_MARGIN_S, 0.1)):
                 await self.intake.submit(job, queue.pool)
+            outcome = "accepted"
         except StoreUnknownError as error:
             outcome = "unsettled"
             raise self.unsettled(job.job_id, str(error)) from error
@@ -173,12 +176,13 @@
             NotStoredError: It was not cancelled.
             UnsettledError: It may have been cancelled.
         """
-        outcome = "cancelled"
+        outcome = GIVEN_UP
         cancelling = asyncio.create_task(self.intake.cancel(job_id))
         cancelling.add_done_callback(consume_error)
         try:
             async with self.clock.timeout(max(wait_s - ANSWER_MARGIN_S, 0.1)):
                 await asyncio.shield(cancelling)
+            outcome = "cancelled"
         except NotFoundError as error:
             outcome = "no job"
             raise NoJobError(f"no job {job_id}") from error
--- /dev/null
+++ b/libs/scheduling/tests/test_desk.py
@@ -0,0 +1,50 @@
+"""What the desk logs of requests whose answers are given up."""
+
+import asyncio
+from contextlib import suppress
+
+import pytest
+from burdockthread_scheduling.desk import JobDesk
+from burdockthread_scheduling.specs import JobSpec, QueueSpec
+
+QUEUE = QueueSpec("quotes", "jobs.example", "/quotes/", "pool-a")
+
+
+class SilentIntake:
+    """An intake whose store never answers."""
+
+    async def submit(self, job, pool):
+        await asyncio.Event().wait()
+
+    async def cancel(self, job_id):
+        await asyncio.Event().wait()
+
+
+@pytest.fixture
+def desk(clock, metrics, log):
+    return JobDesk(None, None, SilentIntake(), clock, metrics, log)
+
+
+async def give_up(work):
+    """Cancels work after it has begun."""
+    task = asyncio.create_task(work)
+    await asyncio.sleep(0.01)
+    task.cancel()
+    with suppress(asyncio.CancelledError):
+        await task
+
+
+# Guards against a submission that is cut off and logged as accepted.
+async def test_submission_that_is_cut_off_is_logged_as_given_up(desk, caplog):
+    caplog.set_level("INFO")
+    job = JobSpec(job_id="a" * 16, queue="quotes", payload="", steps=())
+    await give_up(desk.submit(QUEUE, job, 3.0))
+    assert 'outcome="given up"' in caplog.text
+    assert "outcome=accepted" not in caplog.text
+
+
+# Guards against a cancel that is cut off and logged as done.
+async def test_cancel_that_is_cut_off_is_logged_as_given_up(desk, caplog):
+    caplog.set_level("INFO")
+    await give_up(desk.cancel("a" * 16, 3.0))
+    assert 'outcome="given up"' in caplog.text
