--- a/libs/platform/tests/test_jobs_port.py
+++ b/libs/platform/tests/test_jobs_port.py
@@ -1,17 +1,29 @@
 """How the callers' port listens and stops."""
 
 import asyncio
+import json
 import time
+from contextlib import asynccontextmanager, suppress
 
+import pytest
+import uvloop
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+from burdockthread_model.clock import SystemClock
 from burdockthread_model.events import EventLog
 from burdockthread_platform.jobs_http import JobsPort, serve
 from burdockthread_platform.settings import Address
+from burdockthread_scheduling.specs import QueueSpec
 from ephemeral_port_reserve import reserve
 
 HOST = "127.0.0.1"
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 ANSWER_S = 0.2
+QUEUE = QueueSpec("quotes", "jobs.example", "/quotes/", "pool-a")
+JOB_PATH = f"/quotes/{'a' * 16}"
+JOB = json.dumps({"specification": "", "steps": [{"count": 1}]}).encode()
+CALLERS = 40
+STORM_S = 0.3
 
 
 async def answer(request):
@@ -95,3 +107,131 @@
     await answered(BrokenDesk(ConnectionResetError("gone")), clock)
     assert "event=caller_gone" in caplog.text
     assert "request_failed" not in caplog.text
+
+
+class SilentDesk:
+    """A desk whose store never answers."""
+
+    log = EventLog("test")
+
+    async def queue(self, host, path):
+        return QUEUE
+
+    async def submit(self, queue, job, wait_s):
+        await asyncio.Event().wait()
+
+    async def state(self, job_id, wait_s):
+        await asyncio.Event().wait()
+
+    async def cancel(self, job_id, wait_s):
+        await asyncio.Event().wait()
+
+
+class PromptDesk(SilentDesk):
+    """A desk that accepts every job at once."""
+
+    async def submit(self, queue, job, wait_s):
+        return
+
+
+def request_of(method, body=b""):
+    head = f"{method} {JOB_PATH} HTTP/1.1\r\nHost: jobs.example\r\n"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+@asynccontextmanager
+async def stoppable_port(desk):
+    """Yields the address of a port, and the event that stops it."""
+    address, stop = Address(HOST, reserve(HOST)), asyncio.Event()
+
+    async def serving():
+        async with serve(JobsPort(desk, SystemClock()).handler(), address):
+            await stop.wait()
+
+    task = asyncio.create_task(serving())
+    await asyncio.sleep(0.05)
+    yield address, stop
+    stop.set()
+    await task
+
+
+# Guards against a stop that drops the rest of a request whose head it has read.
+async def test_stop_reads_the_rest_of_a_request_and_answers_it():
+    request = request_of("POST", JOB)
+    async with stoppable_port(PromptDesk()) as (address, stop):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(request[:-10])
+        await asyncio.sleep(0.05)
+        stop.set()
+        await asyncio.sleep(0.05)
+        writer.write(request[-10:])
+        assert (await reader.read()).startswith(b"HTTP/1.1 200")
+        writer.close()
+
+
+# Guards against a stop that ends a request under way without an answer.
+@pytest.mark.parametrize(
+    ("method", "body", "status", "verdict"),
+    [
+        ("POST", JOB, b"504", b"unknown"),
+        ("DELETE", b"", b"504", b"unknown"),
+        ("GET", b"", b"503", b"not_run"),
+    ],
+    ids=["submit", "cancel", "state"],
+)
+async def test_stop_answers_a_request_that_cannot_end(method, body, status, verdict):
+    async with stoppable_port(SilentDesk()) as (address, stop):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(request_of(method, body))
+        await asyncio.sleep(0.05)
+        stop.set()
+        async with asyncio.timeout(2.0):
+            answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 " + status)
+        assert verdict in answer
+        assert b"Retry-After" in answer
+        writer.close()
+
+
+async def ask_until_closed(address, answered):
+    """Asks on one connection after another, without a pause, until none opens."""
+    while True:
+        try:
+            reader, writer = await asyncio.open_connection(*address)
+        except OSError:
+            return
+        with suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                writer.write(request_of("POST", JOB))
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(2)
+                answered.append(head)
+        writer.close()
+
+
+async def storm(read):
+    """Stops a port amid many callers; returns the answers that they got."""
+    answered = []
+    async with stoppable_port(PromptDesk()) as (address, stop):
+        callers = [ask_until_closed(address, answered) for _ in range(CALLERS)]
+        asking = asyncio.gather(*callers)
+        await asyncio.sleep(STORM_S)
+        read_before = len(read)
+        stop.set()
+        await asking
+    assert read_before > CALLERS
+    return answered
+
+
+# Guards against requests that a stopping port has read and not answered.
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run], ids=["asyncio", "uvloop"])
+def test_stop_answers_each_request_that_it_has_read(monkeypatch, run):
+    read = []
+
+    def data_received(self, data, wrapped=RequestHandler.data_received):
+        read.append(data)
+        wrapped(self, data)
+
+    monkeypatch.setattr(RequestHandler, "data_received", data_received)
+    answered = run(storm(read))
+    assert len(answered) == len([data for data in read if data])
--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -10,10 +10,13 @@
 from burdockthread_scheduling.machines import Wave
 from burdockthread_standins.emulated_site import EmulatedSite, SitePlan
 from burdockthread_standins.emulation import Emulation
+from burdockthread_standins.forwarder import Direction
 from burdockthread_standins.job_audit import audit
 from burdockthread_standins.job_load import HOST_HEADER, JobLoad, LoadPlan
 
 SETTLE_S = 2.0
+# A request made then has most of its time left when the port closes.
+LATE_IN_STOP_S = 2.2
 # Seeds that have failed once. 1009: a task ran twice at once; not traced yet.
 REGRESSION_SEEDS = (1009,)
 FRESH_SEEDS = (11, 12)
@@ -91,6 +94,36 @@
     await finish(site, load, running)
 
 
+async def ask_on(connection, job_number):
+    """Sends one submission on an open connection; returns the first line."""
+    reader, writer = connection
+    body = json.dumps({"specification": "", "steps": [{"count": 1}]})
+    headers = {**HOST_HEADER, "Content-Length": str(len(body))}
+    lines = [f"POST /pool-a/{job_number:016x} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    writer.write("\r\n".join([*lines, "", body]).encode())
+    return await reader.readline()
+
+
+# Guards against a stopping entry that reads requests on open connections and
+# ends without an answer, here since the store is silent from then on.
+async def test_stopping_entry_answers_callers_on_open_connections(site):
+    entry = site.entries[0]
+    opening = [asyncio.open_connection(entry.host, entry.callers) for _ in range(12)]
+    connections = await asyncio.gather(*opening)
+    stopping = asyncio.create_task(entry.stop())
+    await asyncio.sleep(LATE_IN_STOP_S)
+    for direction in Direction:
+        entry.links.store.hold(direction)
+    asking = [ask_on(connection, n) for n, connection in enumerate(connections)]
+    answers = await asyncio.gather(*asking)
+    await stopping
+    entry.links.store.heal()
+    assert {answer.split()[1] for answer in answers} == {b"504"}
+    for _, writer in connections:
+        writer.close()
+
+
 async def test_frozen_holder_is_replaced_and_harmless_when_it_wakes(site):
     load = load_of(site, jobs=60)
     running = asyncio.create_task(load.run())
