Answer each request that a stopping entry has read before its connections close

Cause: the closing of the port went through the HTTP library, which first marks connections as closing and then drops whatever they still read: the request of the same turn of the event loop, the rest of a request whose head was read.

Ruled out: longer waits before the close (the request may come at any moment of an open connection); answering 503 from the start of a stop (callers on open connections can be served until the end).

Change: GracefulServer, which all four ports of the entry use. It pauses reading on all connections, lets what has been read reach its handler, closes only the connections without a request and reads on for the others. Work that has not ended in time is given up and answered: 503 if it was not passed on, 504 if the store may have it. While reading is paused no request can be read and dropped, so the choice of idle connections holds at the moment of the close, on any loop.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -12,6 +12,7 @@
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.errors import PeerUnavailableError
 from burdockthread_model.histograms import HistogramMetrics
+from burdockthread_model.http_server import GracefulServer, serve
 from burdockthread_model.stdout_log import StdoutLog
 from burdockthread_platform.configuration import (
     OPERATOR_PREFIX,
@@ -19,9 +20,8 @@
 )
 from burdockthread_platform.jobs_http import (
     JobsPort,
-    readiness_handler,
-    serve,
-    text_handler,
+    readiness_server,
+    text_server,
 )
 from burdockthread_platform.kv_store import PlatformStore
 from burdockthread_platform.machines_http import HttpMachineControl
@@ -79,10 +79,11 @@
 READINESS_NOTICE_S = 2.5
 # Callers with open connections may ask again within this time.
 QUIET_S = 0.5
-# Parts of the time to stop: for the hand-over of duties, and until open requests
-# are given up; the rest is for closing and for a slow processor.
+# Parts of the time to stop: for the hand-over of duties, until the ports close, and
+# for open requests at each port; the rest is for a slow processor.
 HAND_OVER_SHARE = 0.4
 STOP_SHARE = 0.7
+FINISH_SHARE = 0.05
 
 
 class SuspendClock(SystemClock):
@@ -303,19 +304,10 @@
             for task in tasks:
                 task.add_done_callback(self.on_work_ended)
             stack.callback(lambda: [task.cancel() for task in tasks])
-            await stack.enter_async_context(
-                serve(self.link.handler(), self.link_address())
-            )
-            await stack.enter_async_context(
-                serve(readiness_handler(self.is_ready), self.settings.readiness)
-            )
-            await stack.enter_async_context(
-                serve(self.port.handler(), self.settings.callers)
-            )
             metrics_address = Address(self.settings.host, self.metrics_port)
-            await stack.enter_async_context(
-                serve(text_handler(self.metrics.text), metrics_address)
-            )
+            for server, address in self.ports(metrics_address):
+                finish_s = self.settings.stop_timeout_s * FINISH_SHARE
+                await stack.enter_async_context(serve(server, *address, finish_s))
             stack.callback(self.log.flush)
             self.log.info(
                 "entry_started",
@@ -329,6 +321,16 @@
             yield
             await self.drain()
 
+    def ports(self, metrics: Address) -> tuple[tuple[GracefulServer, Address], ...]:
+        """Returns what listens where; the last closes first."""
+        clock, log = self.clock, self.log
+        return (
+            (self.link.server(clock, log), self.link_address()),
+            (text_server(self.metrics.text, clock, log), metrics),
+            (readiness_server(self.is_ready, clock, log), self.settings.readiness),
+            (self.port.server, self.settings.callers),
+        )
+
     def apply(self, settings: EntrySettings) -> None:
         """Takes settings over that have changed; ports stay as they are."""
         before, self.settings = self.settings, settings
@@ -364,7 +366,7 @@
         """Hands the duties over and answers what callers have sent."""
         self.stopping = True
         self.log.info("entry_stopping", open_requests=self.port.open_requests)
-        self.port.closing = True
+        self.port.server.closing = True
         started_s = self.clock.now()
         stop_s = self.settings.stop_timeout_s
         try:
--- a/libs/platform/burdockthread_platform/jobs_http.py
+++ b/libs/platform/burdockthread_platform/jobs_http.py
@@ -1,21 +1,25 @@
 """The callers' HTTP form of jobs, and the readiness of an entry."""
 
-import asyncio
 import json
 import re
 import traceback
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 
 from aiohttp import web
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import BadRequestError, RequestError
+from burdockthread_model.events import EventLog
+from burdockthread_model.http_server import GracefulServer
 from burdockthread_model.verdict import Verdict
-from burdockthread_scheduling.desk import JobDesk
+from burdockthread_scheduling.desk import (
+    RETRY_AFTER_S,
+    JobDesk,
+    NotReadyError,
+    UnsettledError,
+)
 from burdockthread_scheduling.specs import JobSpec, QueueSpec, StepSpec
 
 from burdockthread_platform import wire
-from burdockthread_platform.settings import Address
 
 DEADLINE_HEADER = "Deadline-Ms"
 BAD_REQUEST = 400
@@ -28,16 +32,30 @@
 MAX_REPETITIONS = 100_000
 MAX_MILLISECONDS = 10**14
 DEFAULT_WAIT_S = 3.0
-# Requests that are still open when an entry stops have had their time already.
-STOP_TIMEOUT_S = 0.3
+# Whether a request may have had an effect, kept with it.
+VERDICT = web.RequestKey("verdict", Verdict)
+
+
+class CallersServer(GracefulServer):
+    """Serves callers; those that are given up are told what became of it."""
+
+    def given_up(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Returns the answer to a request that is given up."""
+        verdict = request.get(VERDICT, Verdict.NOT_RUN)
+        reason = "this entry is stopping"
+        if verdict is Verdict.NOT_RUN:
+            return refusal(NotReadyError(reason, retry_after_s=RETRY_AFTER_S))
+        return refusal(
+            UnsettledError(reason, verdict=verdict, retry_after_s=RETRY_AFTER_S)
+        )
 
 
 class JobsPort:
     """Answers callers' requests.
 
     Attributes:
+        server: What serves the connections.
         open_requests: Requests that are being answered.
-        closing: Whether each answer asks the caller to connect anew.
         answered_s: Clock time of the last answer.
     """
 
@@ -45,17 +63,12 @@
         self.desk = desk
         self.clock = clock
         self.open_requests = 0
-        self.closing = False
         self.answered_s = float("-inf")
-
-    def handler(self) -> web.Server:
-        """Returns what serves the connections."""
-        return web.Server(self.answer, access_log=None)
+        self.server = CallersServer("callers", self.answer, clock, desk.log)
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
         self.open_requests += 1
-        started_s = self.clock.now()
         try:
             response = await self.dispatch(request)
         except RequestError as error:
@@ -64,14 +77,6 @@
             self.desk.log.info("caller_gone", path=request.path, reason=repr(error))
             response = web.Response(status=BAD_REQUEST)
             response.force_close()
-        except asyncio.CancelledError:
-            self.desk.log.warning(
-                "request_cut_off",
-                method=request.method,
-                path=request.path,
-                age_ms=round((self.clock.now() - started_s) * 1000, 1),
-            )
-            raise
         except Exception as error:
             trace = "".join(traceback.format_exception(error))
             self.desk.log.error(
@@ -84,8 +89,6 @@
         finally:
             self.open_requests -= 1
             self.answered_s = self.clock.now()
-        if self.closing:
-            response.force_close()
         return response
 
     async def dispatch(self, request: web.BaseRequest) -> web.Response:
@@ -100,12 +103,14 @@
             raise BadRequestError("the path does not end with an id of 16 digits")
         if request.method == "POST":
             job = await self.read_job(request, queue, job_id)
+            request[VERDICT] = Verdict.UNKNOWN
             await self.desk.submit(queue, job, wait_s)
             return web.json_response({})
         if request.method == "GET":
             state = await self.desk.state(job_id, wait_s)
             return web.json_response({"state": state.value})
         if request.method == "DELETE":
+            request[VERDICT] = Verdict.UNKNOWN
             await self.desk.cancel(job_id, wait_s)
             return web.json_response({})
         raise BadRequestError(f"method {request.method} is not known here")
@@ -201,37 +206,22 @@
     )
 
 
-@asynccontextmanager
-async def serve(handler: web.Server, address: Address) -> AsyncIterator[None]:
-    """Listens at an address within the block, then lets open requests end.
-
-    Idle connections are closed first: a request on one of them would be read and
-    then given up.
-    """
-    loop = asyncio.get_running_loop()
-    listener = await loop.create_server(handler, address.host, address.port)
-    try:
-        yield
-    finally:
-        listener.close()
-        handler.pre_shutdown()
-        await handler.shutdown(STOP_TIMEOUT_S)
-
-
-def readiness_handler(is_ready: Callable[[], bool]) -> web.Server:
+def readiness_server(
+    is_ready: Callable[[], bool], clock: Clock, log: EventLog
+) -> GracefulServer:
     """Returns what tells the platform whether to send callers here."""
 
     async def answer(request: web.BaseRequest) -> web.Response:
         status = 200 if is_ready() else 503
         return web.Response(status=status, text=json.dumps({"ready": status == 200}))
 
-    return web.Server(answer, access_log=None)
+    return GracefulServer("readiness", answer, clock, log)
 
 
-def text_handler(text: Callable[[], str]) -> web.Server:
+def text_server(text: Callable[[], str], clock: Clock, log: EventLog) -> GracefulServer:
     """Returns what answers every request with the same kind of text."""
 
     async def answer(request: web.BaseRequest) -> web.Response:
         return web.Response(text=text())
 
-    return web.Server(answer, access_log=None)
+    return GracefulServer("metrics", answer, clock, log)
--- a/libs/platform/tests/test_jobs_port.py
+++ b/libs/platform/tests/test_jobs_port.py
@@ -11,7 +11,8 @@
 from aiohttp.web_protocol import RequestHandler
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.events import EventLog
-from burdockthread_platform.jobs_http import JobsPort, serve
+from burdockthread_model.http_server import GracefulServer, serve
+from burdockthread_platform.jobs_http import JobsPort
 from burdockthread_platform.settings import Address
 from burdockthread_scheduling.specs import QueueSpec
 from ephemeral_port_reserve import reserve
@@ -19,6 +20,7 @@
 HOST = "127.0.0.1"
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 ANSWER_S = 0.2
+FINISH_S = 0.3
 QUEUE = QueueSpec("quotes", "jobs.example", "/quotes/", "pool-a")
 JOB_PATH = f"/quotes/{'a' * 16}"
 JOB = json.dumps({"specification": "", "steps": [{"count": 1}]}).encode()
@@ -33,7 +35,8 @@
 
 async def served(port, stop):
     """Serves until told to stop."""
-    async with serve(web.Server(answer, access_log=None), Address(HOST, port)):
+    server = GracefulServer("test", answer, SystemClock(), EventLog("test"))
+    async with serve(server, HOST, port, FINISH_S):
         await stop.wait()
 
 
@@ -86,8 +89,7 @@
 async def answered(desk, clock):
     """The bytes that a caller gets from a port with a desk."""
     port = reserve(HOST)
-    handler = JobsPort(desk, clock).handler()
-    async with serve(handler, Address(HOST, port)):
+    async with serve(JobsPort(desk, clock).server, HOST, port, FINISH_S):
         reader, writer = await asyncio.open_connection(HOST, port)
         writer.write(REQUEST.replace(b"Host", b"Connection: close\r\nHost"))
         found = await reader.read()
@@ -145,7 +147,7 @@
     address, stop = Address(HOST, reserve(HOST)), asyncio.Event()
 
     async def serving():
-        async with serve(JobsPort(desk, SystemClock()).handler(), address):
+        async with serve(JobsPort(desk, SystemClock()).server, *address, FINISH_S):
             await stop.wait()
 
     task = asyncio.create_task(serving())
--- a/libs/scheduling/burdockthread_scheduling/entry_link.py
+++ b/libs/scheduling/burdockthread_scheduling/entry_link.py
@@ -7,7 +7,10 @@
 import aiohttp
 import msgspec
 from aiohttp import web
+from burdockthread_model.clock import Clock
 from burdockthread_model.errors import PeerUnavailableError
+from burdockthread_model.events import EventLog
+from burdockthread_model.http_server import GracefulServer
 
 from burdockthread_scheduling.duty import DutyOffer
 from burdockthread_scheduling.pool_status import (
@@ -132,9 +135,9 @@
             return web.Response(status=400, text=str(error))
         return web.Response(status=404)
 
-    def handler(self) -> web.Server:
+    def server(self, clock: Clock, log: EventLog) -> GracefulServer:
         """Returns what serves the connections of other entries."""
-        return web.Server(self.answer, access_log=None)
+        return GracefulServer("entries", self.answer, clock, log)
 
 
 def encoded(message: object) -> web.Response:
