Keep the logs of an emulation that breaks a promise

The soak and the test now keep, for such a run only, the entries' logs, the faults with their begin, end and target, the findings with times and runs, the orders as the workers took them and all runs.

Runs and their records move to a module of their own, memory_runs.py.

--- a/conftest.py
+++ b/conftest.py
@@ -12,6 +12,13 @@
 from burdockthread_store.memory_store import MemoryStore
 from hypothesis import settings
 
+
+def pytest_addoption(parser: pytest.Parser) -> None:
+    parser.addoption(
+        "--keep-logs", help="folder for the logs of emulations that break a promise"
+    )
+
+
 EXAMPLES = Path(__file__).resolve().parent / "examples"
 
 settings.register_profile("repeatable", derandomize=True, deadline=None, database=None)
--- a/libs/scheduling/burdockthread_scheduling/memory_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_workers.py
@@ -1,11 +1,17 @@
 """Workers held in memory, with switches for their troubles, for tests and stand-ins."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Mapping
-from typing import NamedTuple
 
 from burdockthread_model.clock import Clock
 
+from burdockthread_scheduling.memory_runs import (
+    MemoryRun,
+    OrderNote,
+    RunRecord,
+    TaskNature,
+)
 from burdockthread_scheduling.roster import WorkerRoster
 from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.workers import (
@@ -31,87 +37,12 @@
 MAX_LISTED = 500
 STOP_S = 0.2
 GANG_WAIT_S = 3.0
-FAIL_AFTER_S = 0.1
 POLL_S = 0.02
-DEFAULT_TASK_S = 1.0
+# Orders that are remembered for a trace; a soak's run gives a few thousand.
+MAX_ORDERS = 100_000
 DEFAULT_CAPACITY = Capacity(16_000, 65_536)
 
 
-class TaskNature(NamedTuple):
-    """How a task behaves on a sound worker.
-
-    Attributes:
-        duration_s: Seconds of work; infinity for a task that lasts.
-        size: What it takes up.
-        fails: Whether each run of it fails.
-        checkpointing: Whether it saves its progress each second.
-        gang: Number of tasks that only work together, or 0.
-    """
-
-    duration_s: float = DEFAULT_TASK_S
-    size: Capacity = Capacity(1_000, 256)
-    fails: bool = False
-    checkpointing: bool = False
-    gang: int = 0
-
-
-class RunRecord(NamedTuple):
-    """One run as it really was.
-
-    Attributes:
-        task: The task.
-        run: Number of the run.
-        worker: Where it ran.
-        started_s: Clock time of its start.
-        ended_s: Clock time of its end, or infinity.
-        kind: How it ended, or None.
-    """
-
-    task: TaskId
-    run: int
-    worker: WorkerKey
-    started_s: float
-    ended_s: float
-    kind: EndKind | None
-
-
-class MemoryRun:
-    """A run on a memory worker."""
-
-    def __init__(self, order: StartOrder, nature: TaskNature, now: float) -> None:
-        self.order = order
-        self.nature = nature
-        self.started_s = now
-        self.done_s = saved_s(order.checkpoint) if nature.checkpointing else 0.0
-        self.touched_s = now
-        self.stop_s = float("inf")
-        self.fails_s = now + FAIL_AFTER_S
-        self.percent_allowed = 100
-
-    def work(self, now: float, speed: float) -> None:
-        """Takes in the time that has passed, at a speed."""
-        passed_s = max(now - self.touched_s, 0.0)
-        self.done_s += passed_s * speed * self.percent_allowed / 100
-        self.touched_s = now
-
-    def percent(self) -> int:
-        """Returns the share of the work that is done; a lasting task is at work."""
-        if self.nature.duration_s == float("inf"):
-            return self.percent_allowed
-        return min(int(self.done_s / self.nature.duration_s * 100), 100)
-
-    def checkpoint(self) -> str:
-        """Returns the saved progress, or an empty text."""
-        if not self.nature.checkpointing or self.done_s < 1:
-            return ""
-        return f"{int(self.done_s)}"
-
-
-def saved_s(checkpoint: str) -> float:
-    """Returns the seconds of work that a checkpoint holds."""
-    return float(checkpoint) if checkpoint else 0.0
-
-
 class MemoryWorker:
     """One life of a worker.
 
@@ -200,6 +131,12 @@
 
     def start(self, order: StartOrder) -> Refusal | None:
         """Carries out an order to start a run."""
+        refusal = self.try_start(order)
+        self.park.note_order(self, "start", order.fence, refusal, order.task, order.run)
+        return refusal
+
+    def try_start(self, order: StartOrder) -> Refusal | None:
+        """Starts a run if nothing speaks against it."""
         self.park.running()
         if order.fence < self.fence:
             return Refusal.FENCED
@@ -224,8 +161,10 @@
     def stop(self, task: TaskId, run: int, fence: int) -> Refusal | None:
         """Carries out an order to stop a run."""
         self.advance()
-        if fence < self.fence:
-            return Refusal.FENCED
+        refusal = Refusal.FENCED if fence < self.fence else None
+        self.park.note_order(self, "stop", fence, refusal, task, run)
+        if refusal is not None:
+            return refusal
         self.fence = fence
         self.close_run(task, run)
         found = self.runs.get((task, run))
@@ -269,6 +208,7 @@
         records: Every run that was started.
         settled: Tasks whose success a worker was told to forget.
         violations: Broken promises, as texts.
+        orders: The newest orders that workers took, the oldest first.
         measure: Returns the measure of a run on a worker.
     """
 
@@ -281,6 +221,7 @@
         self.records: list[RunRecord] = []
         self.settled: set[TaskId] = set()
         self.violations: list[str] = []
+        self.orders: deque[OrderNote] = deque(maxlen=MAX_ORDERS)
         self.event = asyncio.Event()
         self.late: set[asyncio.Task[None]] = set()
         self.starts = 0
@@ -340,10 +281,18 @@
         for record in self.records:
             if record.task != task:
                 continue
+            known = f"run {record.run} on {record.worker.worker_id}"
+            fresh = f"run {number} on {worker.listing.key.worker_id}"
             if record.ended_s == float("inf"):
-                self.violations.append(f"{task} runs twice")
+                started = f"{known} since {self.wall_of(record.started_s):.3f}"
+                at = f"{fresh} at {self.clock.wall():.3f}"
+                self.violations.append(f"{task} runs twice: {started}, {at}")
             if record.kind is EndKind.SUCCEEDED and task in self.settled:
-                self.violations.append(f"{task} starts after its success")
+                ended = f"{known} until {self.wall_of(record.ended_s):.3f}"
+                at = f"{fresh} at {self.clock.wall():.3f}"
+                self.violations.append(
+                    f"{task} starts after its success: {ended}, {at}"
+                )
         self.records.append(
             RunRecord(
                 task,
@@ -355,6 +304,24 @@
             )
         )
 
+    def note_order(
+        self,
+        worker: MemoryWorker,
+        order: str,
+        fence: int,
+        refusal: Refusal | None = None,
+        task: TaskId | None = None,
+        run: int = 0,
+    ) -> None:
+        """Records an order that a worker took."""
+        outcome = "done" if refusal is None else refusal.value
+        key, now = worker.listing.key, self.clock.wall()
+        self.orders.append(OrderNote(now, key, order, task, run, fence, outcome))
+
+    def wall_of(self, clock_s: float) -> float:
+        """Returns the Unix time of a clock time."""
+        return clock_s - self.clock.now() + self.clock.wall()
+
     def note_end(self, worker: MemoryWorker, run: MemoryRun, kind: EndKind) -> None:
         """Records an end."""
         self.replace_record(worker, run, self.clock.now(), kind)
@@ -498,7 +465,10 @@
             await self.clock.sleep(timeout_s)
             raise WorkerSilentError(f"{worker.key.worker_id} is silent")
         if order.fence < found.fence:
+            self.note_order(found, "obey", order.fence, Refusal.FENCED)
             raise WorkerFencedError(f"{worker.key.worker_id} obeys a later holder")
+        if order.fence > found.fence:
+            self.note_order(found, "obey", order.fence)
         found.fence = order.fence
         found.advance()
         if order.lease_until_ms:
--- a/libs/standins/burdockthread_standins/emulation.py
+++ b/libs/standins/burdockthread_standins/emulation.py
@@ -5,11 +5,14 @@
 import signal
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from contextvars import ContextVar
+from pathlib import Path
 from typing import NamedTuple
 
 from burdockthread_scheduling.machines import Wave
 from burdockthread_scheduling.workers import WorkerKey
 
+from burdockthread_standins.broken_run import FaultSpan, keep_broken_run
 from burdockthread_standins.emulated_site import EmulatedSite, EntryProcess, SitePlan
 from burdockthread_standins.forwarder import Direction
 from burdockthread_standins.job_audit import audit
@@ -19,6 +22,8 @@
 PAUSE_S = (0.5, 3.0)
 # Series of faults that go on side by side, so that faults overlap.
 SERIES = 2
+# The fault that the series at work injects.
+struck: ContextVar[FaultSpan] = ContextVar("struck")
 
 
 class EmulationResult(NamedTuple):
@@ -28,17 +33,30 @@
         lines: Outcomes and latencies, for people.
         faults: Faults that were injected, in order.
         broken: Broken promises.
+        kept: Folder with the logs of a run that broke a promise, or None.
     """
 
     lines: list[str]
     faults: list[str]
     broken: list[str]
+    kept: Path | None = None
 
 
 class Emulation:
-    """A deployment, its callers and, on request, faults drawn from a seed."""
+    """A deployment, its callers and, on request, faults drawn from a seed.
 
-    def __init__(self, site: SitePlan, load: LoadPlan, seed: int) -> None:
+    Attributes:
+        faults: Kinds of the faults injected, in order.
+        spans: The same with their times and what they struck.
+        keep: Folder for the logs of runs that break a promise, or None.
+    """
+
+    def __init__(
+        self, site: SitePlan, load: LoadPlan, seed: int, keep: Path | None = None
+    ) -> None:
+        self.seed = seed
+        self.keep = keep
+        self.spans: list[FaultSpan] = []
         self.site = EmulatedSite(site)
         self.load = JobLoad(load, self.urls, self.site.clock, seed)
         self.random = random.Random(seed)
@@ -66,7 +84,14 @@
                     await injecting
             lines = [*self.load.table(), f"{'calls of the store':24} {self.calls():6}"]
             broken = audit(self.load.records, self.site.park)
-            return EmulationResult(lines, self.faults, broken)
+            kept = self.keep_logs(broken)
+            return EmulationResult(lines, self.faults, broken, kept)
+
+    def keep_logs(self, broken: list[str]) -> Path | None:
+        """Keeps the logs of a run that broke a promise; returns where."""
+        if self.keep is None or not broken:
+            return None
+        return keep_broken_run(self.keep, self.seed, self.site, self.spans, broken)
 
     def calls(self) -> int:
         """Returns the calls that the store has served."""
@@ -97,15 +122,25 @@
             await asyncio.sleep(self.random.uniform(*PAUSE_S))
             kind = self.random.choice(tuple(kinds))
             self.faults.append(kind)
-            await kinds[kind]()
+            span = FaultSpan(kind, self.site.clock.wall())
+            self.spans.append(span)
+            struck.set(span)
+            try:
+                await kinds[kind]()
+            finally:
+                span.ended_s = self.site.clock.wall()
 
     def any_entry(self) -> EntryProcess:
         """Returns an entry by chance."""
-        return self.random.choice(self.site.entries)
+        found = self.random.choice(self.site.entries)
+        struck.get().target = found.name
+        return found
 
     def any_worker(self) -> WorkerKey:
         """Returns a worker by chance."""
-        return self.random.choice(tuple(self.site.park.by_key))
+        found = self.random.choice(tuple(self.site.park.by_key))
+        struck.get().target = found.worker_id
+        return found
 
     async def kill_entry(self) -> None:
         """Kills an entry and starts it again."""
--- a/scripts/soak_jobs.py
+++ b/scripts/soak_jobs.py
@@ -3,6 +3,7 @@
 import argparse
 import sys
 import time
+from pathlib import Path
 
 import uvloop
 from burdockthread_standins.emulated_site import SitePlan
@@ -10,6 +11,7 @@
 from burdockthread_standins.job_load import LoadPlan
 
 PATIENCE_S = 60.0
+KEPT = Path(__file__).resolve().parent.parent / "target" / "soak"
 
 
 def main() -> int:
@@ -19,6 +21,9 @@
     parser.add_argument("--first", type=int, default=None, help="first seed")
     parser.add_argument("--jobs", type=int, default=80, help="jobs of each run")
     parser.add_argument("--rate", type=float, default=8.0, help="jobs a second")
+    parser.add_argument(
+        "--keep", type=Path, default=KEPT, help="folder for logs of broken seeds"
+    )
     options = parser.parse_args()
     first = int(time.time()) if options.first is None else options.first
     broken = 0
@@ -26,10 +31,13 @@
         load = LoadPlan(
             options.jobs, options.rate, cancelled=0.1, patience_s=PATIENCE_S
         )
-        result = uvloop.run(Emulation(SitePlan(), load, seed).run(faults=True))
+        emulation = Emulation(SitePlan(), load, seed, options.keep)
+        result = uvloop.run(emulation.run(faults=True))
         broken += bool(result.broken)
         outcome = "; ".join(result.broken) or "whole"
         print(f"seed {seed}: {outcome} ({', '.join(result.faults)})", flush=True)
+        if result.kept is not None:
+            print(f"seed {seed}: logs in {result.kept}", flush=True)
     print(f"{options.seeds - broken} passed, {broken} failed")
     return int(broken > 0)
 
--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -3,11 +3,13 @@
 import asyncio
 import json
 import signal
+from pathlib import Path
 
 import aiohttp
 import pytest
 from burdockthread.explain import explain, read_lines
 from burdockthread_scheduling.machines import Wave
+from burdockthread_standins.broken_run import FaultSpan, keep_broken_run
 from burdockthread_standins.emulated_site import EmulatedSite, SitePlan
 from burdockthread_standins.emulation import Emulation
 from burdockthread_standins.job_audit import audit
@@ -27,6 +29,12 @@
         yield found
 
 
+@pytest.fixture
+def kept_logs(request, tmp_path):
+    """The folder for the logs of a broken seed."""
+    return Path(request.config.getoption("--keep-logs") or tmp_path)
+
+
 def load_of(site, jobs=40, jobs_per_s=8.0, **fields):
     plan = LoadPlan(jobs, jobs_per_s, patience_s=40.0, **fields)
     return JobLoad(plan, lambda: [entry.url for entry in site.entries], site.clock, 1)
@@ -154,6 +162,20 @@
         await until(lambda: "settings_not_valid" in entry.log.read_text())
 
 
+async def test_run_that_broke_a_promise_leaves_its_logs(site, tmp_path):
+    load = load_of(site, jobs=4)
+    await load.run()
+    fault = FaultSpan("pause", 1.0)
+    kept = keep_broken_run(tmp_path, 7, site, [fault], ["a promise"])
+    names = {path.name for path in kept.iterdir()}
+    assert {entry.log.name for entry in site.entries} < names
+    assert (kept / "findings.txt").read_text() == "a promise\n"
+    assert "ended=inf" in (kept / "faults.txt").read_text()
+    starts = [note for note in site.park.orders if note.order == "start"]
+    assert len(starts) == len((kept / "runs.txt").read_text().splitlines())
+    assert starts[0].line() in (kept / "orders.txt").read_text()
+
+
 async def request(site, method, path, body=None):
     """Makes one request at the first entry."""
     url = site.entries[0].url + path
@@ -197,7 +219,8 @@
 
 
 @pytest.mark.parametrize("seed", [*REGRESSION_SEEDS, *FRESH_SEEDS])
-async def test_random_faults_break_no_promise(seed):
+async def test_random_faults_break_no_promise(seed, kept_logs):
     load = LoadPlan(jobs=80, jobs_per_s=6.0, cancelled=0.1, patience_s=60.0)
-    result = await Emulation(SitePlan(), load, seed).run(faults=True)
-    assert result.broken == [], result.faults
+    emulation = Emulation(SitePlan(), load, seed, kept_logs)
+    result = await emulation.run(faults=True)
+    assert result.broken == [], (result.faults, f"logs in {result.kept}")
