Start no job that came while another entry may have the pool

What could happen: an entry goes on with its pool for up to 8 s without its lease, and while it offers the pool. Jobs that both entries know of wait at the next holder until every worker of the last one has answered it. A job that was accepted after the next holder had read the pool does not wait there, and the last holder may hear of it too, since jobs and holders come by two watches: a frozen entry that wakes, or one whose link heals, reads the job before it reads that the pool is another's. On a worker that the next holder has not reached yet, the last one's start counts, so that the job's tasks run twice at once.

Change: a holder holds a job back that it hears of while it is not certain that no other entry has the pool (its lease is over, or the pool is offered), and starts it once it is certain: a lease that still holds after the job came shows that no entry has taken the pool between. Jobs known before go on; the next holder finds them.

--- a/libs/scheduling/burdockthread_scheduling/board.py
+++ b/libs/scheduling/burdockthread_scheduling/board.py
@@ -114,6 +114,8 @@
         begun: Whether a task has started.
         end: How it ended, or None.
         adopted: Whether an earlier holder may have started tasks of it.
+        held_back: Whether it came when another entry may have had the pool; the
+            next holder would start it at once.
         dirty: Whether its progress is not yet stored.
         has_progress_key: Whether its progress may be in the store.
     """
@@ -130,6 +132,7 @@
         self.begun = False
         self.end: JobEnd | None = None
         self.adopted = adopted
+        self.held_back = False
         self.dirty = False
         self.has_progress_key = False
         if not spec.repetitions:
--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from contextlib import suppress
+from functools import partial
 
 import xxhash
 from burdockthread_model.clock import Clock
@@ -439,7 +440,8 @@
     ) -> None:
         """Starts the work of a duty that this entry holds."""
         guard = Guard(duty_key(name), fence)
-        tenure = Tenure(name, fence, guard, term, inherited)
+        lease_left_s = partial(self.lease.remaining_in_term_s, term)
+        tenure = Tenure(name, fence, guard, term, inherited, lease_left_s)
         self.worked[name] = fence
         self.held[name] = HeldDuty(tenure, factory(tenure))
         self.note_holding()
--- a/libs/scheduling/burdockthread_scheduling/duty.py
+++ b/libs/scheduling/burdockthread_scheduling/duty.py
@@ -8,6 +8,11 @@
 from burdockthread_store.store import Guard
 
 
+def unbounded() -> float:
+    """Returns the time left of a duty that no lease bounds."""
+    return float("inf")
+
+
 class Tenure(NamedTuple):
     """A duty as held.
 
@@ -17,6 +22,8 @@
         guard: Condition that fences a write to the store.
         term: Term of the lease under which it was taken.
         inherited: What its last holder passed on with its offer, or empty.
+        lease_left_s: Returns the seconds for which the lease that it was taken
+            under surely lasts; zero or less once that is in doubt.
     """
 
     duty: str
@@ -24,6 +31,7 @@
     guard: Guard
     term: str = ""
     inherited: bytes = b""
+    lease_left_s: Callable[[], float] = unbounded
 
 
 class Duty(ABC):
--- a/libs/scheduling/burdockthread_scheduling/pool_core.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_core.py
@@ -71,6 +71,7 @@
         order: Which jobs are served first.
         health: Which workers are sick.
         lost: Why the duty is lost, or empty.
+        offered: Whether the duty is offered to another entry, which may have it.
         wake: Set when there may be something to decide.
     """
 
@@ -87,6 +88,7 @@
         self.order = JobOrder(self.estimates, self.clock)
         self.health = WorkerHealth(self.clock, self.metrics, self.log)
         self.lost = ""
+        self.offered = False
         self.wake = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -107,6 +109,10 @@
             self.log.error("pool_work_failed", pool=self.pool, reason=repr(error))
             self.lose(repr(error))
 
+    def is_certain(self) -> bool:
+        """Returns whether no other entry has the duty now."""
+        return not self.offered and self.tenure.lease_left_s() > 0
+
     def lose(self, reason: str) -> None:
         """Ends the duty."""
         self.lost = reason
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -50,6 +50,7 @@
         core: What the parts share.
         workers: The workers of the pool.
         progress: Progress of jobs that have not been read yet, by job.
+        held_back: Jobs that came when another entry may have had the pool.
         loaded: Whether all that earlier holders left has been read.
     """
 
@@ -77,6 +78,7 @@
         )
         self.cache.listeners.append(self.on_work)
         self.progress: dict[str, JobProgress] = {}
+        self.held_back: list[JobRun] = []
         self.loaded = False
         self.closing = False
 
@@ -109,11 +111,23 @@
         self.workers.expire_leases()
         if self.closing:
             return
+        self.release_held_back()
         self.workers.assign()
         self.evacuation.step()
         self.placer.step()
         self.pacing.step()
 
+    def release_held_back(self) -> None:
+        """Lets jobs start that came in doubt, once no other entry has the pool.
+
+        None has had it since the lease began, so that none knows of them.
+        """
+        if self.held_back and self.core.is_certain():
+            self.log.info("jobs_released", pool=self.core.pool, n=len(self.held_back))
+            for job in self.held_back:
+                job.held_back = False
+            self.held_back.clear()
+
     async def take_over(self) -> None:
         """Reads what earlier holders left, until the store has answered."""
         while True:
@@ -169,6 +183,9 @@
         if progress is not None:
             job.restore(progress)
         self.core.board.jobs[job_id] = job
+        if not self.core.is_certain():
+            job.held_back = True
+            self.held_back.append(job)
         if not job.adopted:
             self.planner.note_arrival(job)
         if job.end is not None:
@@ -180,6 +197,7 @@
             revision=job.revision,
             steps=" ".join(step.summary() for step in job.spec.steps),
             age_ms=int(self.clock.wall() * 1000) - job.spec.accepted_ms,
+            held_back=job.held_back,
         )
 
     def on_cancelled(self, job_id: str) -> None:
@@ -210,11 +228,17 @@
             self.log.info("cancelled_job_not_removed", job=job_id, reason=error)
 
     async def pause(self) -> bytes:
-        """Goes on, since the workers refuse orders of an earlier holder."""
+        """Goes on with the jobs that a successor finds when it takes over.
+
+        The workers that the successor has reached refuse its orders.
+        """
+        self.core.offered = True
         return b""
 
     def resume(self) -> None:
         """Goes on as before."""
+        self.core.offered = False
+        self.core.wake.set()
 
     async def hand_over(self) -> None:
         """Gives no more orders, then stores what has ended and what runs where."""
--- a/libs/scheduling/burdockthread_scheduling/task_placer.py
+++ b/libs/scheduling/burdockthread_scheduling/task_placer.py
@@ -69,7 +69,9 @@
         wall_ms = core.clock.wall() * 1000
         jobs = []
         for job in core.board.jobs.values():
-            if job.end is not None or (job.adopted and self.workers.unreached):
+            if job.end is not None or job.held_back:
+                continue
+            if job.adopted and self.workers.unreached:
                 continue
             job.open_due(wall_ms)
             if any(
--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -86,23 +86,33 @@
         """The store as one entry uses it."""
         return SettledStore(self.faulty, entry, self.clock, self.metrics)
 
-    async def holder(self, entry="entry-1", process="process-1"):
+    async def holder(
+        self,
+        entry="entry-1",
+        process="process-1",
+        gateway=None,
+        clock=None,
+        roster=None,
+        lease_left=None,
+    ):
         """Makes an entry the holder and starts its work."""
         key = duty_key(f"pool:{POOL}")
         change = Change(key, entry.encode(), ANY_REVISION)
         fence = await self.memory.write([change])
         tenure = Tenure(f"pool:{POOL}", fence, Guard(key, fence))
+        if lease_left is not None:
+            tenure = tenure._replace(lease_left_s=lease_left)
         parts = PoolParts(
             entry=entry,
             address=entry,
             process=process,
             store=self.store_of(entry),
             jobs=self.index,
-            roster=self.park,
-            gateway=self.park,
+            roster=roster or self.park,
+            gateway=gateway or self.park,
             policy=self.policy,
             configuration=lambda: self.configuration,
-            clock=self.clock,
+            clock=clock or self.clock,
             metrics=self.metrics,
             log=self.log,
             report=self.report,
