--- a/libs/scheduling/tests/test_task_twice.py
+++ b/libs/scheduling/tests/test_task_twice.py
@@ -1,13 +1,63 @@
-"""No task runs twice while two holders overlap."""
+"""No task runs twice while holders overlap."""
+
+import asyncio
 
 import pytest
+from burdockthread_model.clock import Clock
+from burdockthread_scheduling.memory_runs import TaskNature
 from burdockthread_scheduling.records import JobPhase
-from burdockthread_scheduling.workers import WorkerKey
+from burdockthread_scheduling.workers import WorkerGateway, WorkerKey
 from pool_site import POOL, step
 
+FOREVER = TaskNature(duration_s=float("inf"))
 ONE, TWO, THREE = (WorkerKey(f"w{number}", 1) for number in (1, 2, 3))
 
 
+class Freezer(WorkerGateway, Clock):
+    """The clock of one entry and its way to the workers, which stand still at will."""
+
+    def __init__(self, site):
+        self.gateway = site.park
+        self.clock = site.clock
+        self.awake = asyncio.Event()
+        self.awake.set()
+
+    async def thaw(self, call):
+        """Waits for a call, and until the entry is awake, before and after it."""
+        await self.awake.wait()
+        try:
+            return await call
+        finally:
+            await self.awake.wait()
+
+    async def start(self, *order):
+        return await self.thaw(self.gateway.start(*order))
+
+    async def stop(self, *order):
+        return await self.thaw(self.gateway.stop(*order))
+
+    async def hold(self, *order):
+        return await self.thaw(self.gateway.hold(*order))
+
+    async def pace(self, *order):
+        return await self.thaw(self.gateway.pace(*order))
+
+    async def close(self):
+        await self.gateway.close()
+
+    def now(self):
+        return self.clock.now()
+
+    def wall(self):
+        return self.clock.wall()
+
+    async def sleep(self, seconds):
+        await self.thaw(self.clock.sleep(seconds))
+
+    def timeout(self, seconds):
+        return self.clock.timeout(seconds)
+
+
 @pytest.fixture
 def workers(site):
     for key in (ONE, TWO, THREE):
@@ -53,3 +103,44 @@
     assert site.runs(job) == []
     lease_left_s = 2.0
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=2.0)
+
+
+# A third holder asked only the second whether the first still gives orders.
+@pytest.mark.parametrize("third", ["process-2", "process-3"])
+async def test_third_holder_waits_for_the_first_too(site, workers, third):
+    freezer = Freezer(site)
+    await site.holder(gateway=freezer, clock=freezer)
+    await site.pass_time(0.5)
+    await site.submit(step(3, lasting=True), nature=FOREVER)
+    freezer.awake.clear()
+    workers[ONE].silent = workers[TWO].silent = True
+    second = await site.holder("entry-2", "process-2")
+    await site.pass_time(1.0)
+    await site.kill(second)
+    site.processes["entry-2"] = third
+    await site.holder("entry-2", third)
+    await site.pass_time(4.5)
+    freezer.awake.set()
+    workers[TWO].silent = False
+    await site.pass_time(3.0)
+    assert len(site.park.running()) == 3
+
+
+# A planned stop of the second holder told the third that all orders were given.
+async def test_hand_over_tells_of_a_holder_before_that_may_still_act(site, workers):
+    freezer = Freezer(site)
+    await site.holder(gateway=freezer, clock=freezer)
+    await site.pass_time(0.5)
+    await site.submit(step(3, lasting=True), nature=FOREVER)
+    freezer.awake.clear()
+    workers[ONE].silent = workers[TWO].silent = True
+    second = await site.holder("entry-2", "process-2")
+    await site.pass_time(1.0)
+    await second.hand_over()
+    await site.kill(second)
+    await site.holder("entry-3", "process-3")
+    await site.pass_time(4.5)
+    freezer.awake.set()
+    workers[TWO].silent = False
+    await site.pass_time(3.0)
+    assert len(site.park.running()) == 3
