Give no start once the lease of a pool is too long in doubt

A frozen entry that wakes runs what was due in the order in which it fell due, so that starts may go out before its own check of the lease drops the pool.

Found by reading.

--- a/libs/scheduling/tests/test_task_twice.py
+++ b/libs/scheduling/tests/test_task_twice.py
@@ -4,6 +4,7 @@
 
 import pytest
 from burdockthread_model.clock import Clock
+from burdockthread_scheduling.duties import DOUBT_LIMIT_S
 from burdockthread_scheduling.memory_runs import TaskNature
 from burdockthread_scheduling.records import JobPhase
 from burdockthread_scheduling.workers import WorkerGateway, WorkerKey
@@ -144,3 +145,15 @@
     workers[TWO].silent = False
     await site.pass_time(3.0)
     assert len(site.park.running()) == 3
+
+
+# A frozen entry woke long after its lease and gave orders before it looked up.
+async def test_holder_long_without_a_lease_orders_nothing(site):
+    lease_left_s = 2.0
+    holder = await site.holder(lease_left=lambda: lease_left_s)
+    job = await site.submit(step(1))
+    lease_left_s = -DOUBT_LIMIT_S - 0.1
+    site.park.add("w1", POOL)
+    await site.pass_time(1.0)
+    assert site.runs(job) == []
+    assert holder.work.done()
