Take a worker with runs not as ended on the planner's word

What could happen: the planner of machines names workers that its orders have ended by their id, for up to 8 s. The next life under that id, or one that the order did not end, had its runs taken as lost while they went on, and they were started elsewhere: twice at once. The planner gives orders only to workers that are said to be empty, so that one with runs is another life; it shows by its answers whether it lives, and its lease lapses if not.

--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -73,6 +73,7 @@
         earlier: Earlier holders that may still give orders to those.
         assigned: Workers that the store names as having runs.
         ended_by_planner: Workers that an order to their machine has ended.
+        doubted_ends: Workers that an order is said to have ended, but has not.
         wishes_known: Workers of which the planner has said to this holder whether
             it wants them empty.
         wishes_due_s: Clock time from which no earlier wish is acted upon.
@@ -93,6 +94,7 @@
         self.assigned_s = float("-inf")
         self.assigning = False
         self.ended_by_planner: set[str] = set()
+        self.doubted_ends: set[str] = set()
         self.wishes_known: set[str] = set()
         self.wishes_due_s = core.clock.now() + WISHES_TIMEOUT_S
         self.vacating_until_s: dict[str, float] = {}
@@ -214,16 +216,21 @@
 
         Their registrations stay for some heartbeats. The planner takes its word
         back if the platform still lists the worker; it was empty, so that nothing
-        was started elsewhere, and is spoken to anew.
+        was started elsewhere, and is spoken to anew. One with runs is not the life
+        that the planner was told is empty, and shows by itself whether it lives.
         """
         for worker in tuple(self.core.workers.values()):
             worker_id = worker.worker_id
-            if worker_id in worker_ids and not worker.replaced:
+            if worker_id in worker_ids and worker.placements:
+                if worker_id not in self.doubted_ends:
+                    self.log.info("worker_end_doubted", worker=worker_id)
+            elif worker_id in worker_ids and not worker.replaced:
                 self.ended_by_planner.add(worker_id)
                 self.replaced(worker)
             elif worker_id in self.ended_by_planner and worker_id not in worker_ids:
                 self.ended_by_planner.discard(worker_id)
                 self.drop(worker, "the planner takes its end back")
+        self.doubted_ends = set(worker_ids) - self.ended_by_planner
 
     def reached(self, worker: WorkerState) -> None:
         """Takes in that a worker has answered this holder."""
--- a/libs/scheduling/tests/test_task_twice.py
+++ b/libs/scheduling/tests/test_task_twice.py
@@ -157,3 +157,17 @@
     await site.pass_time(1.0)
     assert site.runs(job) == []
     assert holder.work.done()
+
+
+# The planner's word that it had ended a worker was taken for its next life.
+async def test_life_after_the_one_that_the_planner_ended_keeps_its_runs(site, workers):
+    await site.holder()
+    site.park.remove(THREE)
+    await site.pass_time(0.5)
+    job = await site.submit(step(20, lasting=True), nature=FOREVER)
+    await site.until(lambda: len(site.runs(job)) == 20)
+    site.park.add("w3", POOL, born_ms=2)
+    await site.pass_time(0.5)
+    site.ended = ("w2",)
+    await site.pass_time(2.0)
+    assert len(site.runs(job)) == 20
