Keep a start that the next life of a worker took

What could happen: orders name a worker by its id. A worker that has started again under its id, at the same address, takes a start that was meant for its last life, and knows no token yet. The next look shows another time of its start; the holder then took all runs of the last life as ended, the one just started with them, and started it elsewhere, while the next life worked on it: twice at once, until that life was registered and reached.

Change: when a look shows that a worker has started again, only the runs of which the last life had surely known end with it. The others pass to the next life, which lists or stops them, and end after the longest lease if it never registers in the pool. Workers of an earlier holder that have started again are waited for as their next life.

The stand-in hid this: it answered orders to the last life as from another worker, and gave each life a port of its own. The next life now takes the orders of the last, at its port.

--- a/libs/scheduling/burdockthread_scheduling/memory_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_workers.py
@@ -29,7 +29,6 @@
     WorkerKey,
     WorkerListing,
     WorkerRefusedError,
-    WorkerReplacedError,
     WorkerSilentError,
 )
 
@@ -367,14 +366,21 @@
 
     # Orders
 
+    def life_of(self, worker_id: str) -> MemoryWorker | None:
+        """Returns the worker that lives under an id."""
+        lives = (w for key, w in self.by_key.items() if key.worker_id == worker_id)
+        return next(lives, None)
+
     def reach(self, worker: WorkerListing) -> MemoryWorker:
-        """Returns the worker that a call reaches."""
-        found = self.by_key.get(worker.key)
+        """Returns the worker that a call reaches.
+
+        A call names the id that it is meant for, so that another life under the
+        same id takes it.
+        """
+        worker_id = worker.key.worker_id
+        found = self.by_key.get(worker.key) or self.life_of(worker_id)
         if found is None:
-            replaced = any(key.worker_id == worker.key.worker_id for key in self.by_key)
-            if replaced:
-                raise WorkerReplacedError(f"{worker.key.worker_id} is another now")
-            raise WorkerRefusedError(f"{worker.key.worker_id} has ended")
+            raise WorkerRefusedError(f"{worker_id} has ended")
         if found.refusing:
             raise WorkerRefusedError(f"{worker.key.worker_id} refuses")
         return found
@@ -477,7 +483,9 @@
         give_up_s = self.clock.now() + order.wait_ms / 1000
         while not found.ended and self.clock.now() < give_up_s:
             await self.clock.sleep(POLL_S)
-            if self.reach(worker).silent:
+            if found.refusing or not found.alive:
+                raise WorkerSilentError(f"{worker.key.worker_id} broke off")
+            if found.silent:
                 await self.clock.sleep(timeout_s)
                 raise WorkerSilentError(f"{worker.key.worker_id} is silent")
             found.advance()
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -16,16 +16,21 @@
 from burdockthread_scheduling.pool_status import STATUS_MAX_AGE_S
 from burdockthread_scheduling.records import decode, encode
 from burdockthread_scheduling.sessions import ReportListener, WorkerSession
+from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.worker_state import (
     CLOCK_RATE_BOUND,
     LAPSE_MARGIN_S,
+    MAX_LEASE_MS,
     RUN_LEASE_MS,
+    Placement,
     WorkerState,
 )
 from burdockthread_scheduling.workers import WorkerKey
 
 # By then every lease has lapsed that a worker was given before.
 LEASE_BOUND_S = RUN_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
+# By then what the next life of a worker took has ended, if nobody prolongs it.
+HEIR_BOUND_S = MAX_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
 ASSIGN_INTERVAL_S = 0.5
 RETRY_S = 0.1
 ASK_INTERVAL_S = 0.2
@@ -191,6 +196,7 @@
             core.log,
         )
         self.sessions[key] = (session, core.spawn(session.run()))
+        self.pass_on(worker)
         self.log.info("worker_seen", worker=worker.worker_id, pool=core.pool)
 
     def drop(self, worker: WorkerState, reason: str) -> None:
@@ -203,7 +209,7 @@
         self.log.info("worker_dropped", worker=worker.worker_id, reason=reason)
 
     def replaced(self, worker: WorkerState) -> None:
-        """Takes in that a worker has ended; all its runs have ended with it."""
+        """Takes in that a worker is gone; all its runs have ended with it."""
         self.log.info("worker_replaced", worker=worker.worker_id)
         worker.replaced = True
         self.assigned_dirty = True
@@ -211,6 +217,52 @@
         self.lose_runs(worker)
         self.core.wake.set()
 
+    def restarted(self, worker: WorkerState, born_ms: int) -> None:
+        """Takes in that a worker has started again.
+
+        What it had has ended. A start that this holder was not sure of before its
+        last answer may have been taken by its next life, which knows no token yet;
+        that one lists it once it is registered.
+        """
+        key = WorkerKey(worker.worker_id, born_ms)
+        sure_s = worker.contact_s
+        for placement in tuple(worker.placements.values()):
+            if placement.certain_s <= sure_s:
+                worker.remove(placement)
+        self.log.info(
+            "worker_restarted", worker=worker.worker_id, doubtful=len(worker.placements)
+        )
+        worker.replaced = True
+        worker.heir_due_s = self.clock.now() + HEIR_BOUND_S
+        self.assigned_dirty = True
+        until_s = self.unreached.pop(worker.listing.key, None)
+        heir = self.core.workers.get(key)
+        if until_s is not None and (heir is None or not heir.contacted):
+            self.unreached[key] = until_s
+        if heir is not None:
+            self.pass_on(heir)
+        self.core.wake.set()
+
+    def pass_on(self, heir: WorkerState) -> None:
+        """Passes to a worker what it may have taken instead of its last life."""
+        for worker in self.core.workers.values():
+            if worker.worker_id == heir.worker_id and worker.replaced:
+                for placement in tuple(worker.placements.values()):
+                    worker.pass_on(placement, heir)
+
+    def placement(
+        self, worker: WorkerState, task: TaskId, run: int
+    ) -> Placement | None:
+        """Returns a run of a worker, also one that was meant for its last life."""
+        key = (task, run)
+        if key in worker.placements:
+            return worker.placements[key]
+        for other in self.core.workers.values():
+            if other.worker_id == worker.worker_id and key in other.placements:
+                other.pass_on(other.placements[key], worker)
+                return worker.placements[key]
+        return None
+
     def take_ended(self, worker_ids: tuple[str, ...]) -> None:
         """Takes in which workers the planner has ended with an order.
 
@@ -247,7 +299,17 @@
         """Takes the runs on unreachable workers as ended once leases lapsed."""
         now = self.clock.now()
         for worker in self.core.workers.values():
-            if worker.placements and worker.failed_calls and now > worker.lapse_s():
+            if not worker.placements:
+                continue
+            if worker.replaced:
+                if now > worker.heir_due_s:
+                    self.log.warning(
+                        "restarted_worker_lapsed",
+                        worker=worker.worker_id,
+                        runs=len(worker.placements),
+                    )
+                    self.lose_runs(worker)
+            elif worker.failed_calls and now > worker.lapse_s():
                 self.log.warning(
                     "worker_leases_lapsed",
                     worker=worker.worker_id,
--- a/libs/scheduling/burdockthread_scheduling/run_orders.py
+++ b/libs/scheduling/burdockthread_scheduling/run_orders.py
@@ -209,8 +209,11 @@
         """Sends a stop once; returns whether nothing is left to do."""
         worker = placement.worker
         key = (placement.task_id, placement.run)
-        if worker.placements.get(key) is not placement or worker.replaced:
+        if worker.placements.get(key) is not placement:
             return True
+        if worker.replaced:
+            # Its next life may have the run and is not registered yet.
+            return False
         fence = self.core.tenure.fence
         try:
             answer = await self.core.parts.gateway.stop(
--- a/libs/scheduling/burdockthread_scheduling/run_reports.py
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -46,9 +46,13 @@
         self.core.lose(f"fenced by {worker.worker_id}")
 
     def on_replaced(self, worker: WorkerState) -> None:
-        """Takes in that another life of the worker answers."""
+        """Takes in that another worker answers."""
         self.workers.replaced(worker)
 
+    def on_restarted(self, worker: WorkerState, born_ms: int) -> None:
+        """Takes in that the worker has started again, and when."""
+        self.workers.restarted(worker, born_ms)
+
     def on_report(self, worker: WorkerState, report: HoldReport, sent_s: float) -> None:
         """Takes in a worker's lists."""
         self.workers.reached(worker)
@@ -70,7 +74,7 @@
     def on_running(self, worker: WorkerState, run: RunReport) -> None:
         """Takes in a run that goes on."""
         now = self.clock.now()
-        placement = worker.placements.get((run.task, run.run))
+        placement = self.workers.placement(worker, run.task, run.run)
         if placement is None:
             placement = self.adopt(worker, run)
         placement.confirm(now)
@@ -120,7 +124,7 @@
 
     def on_end(self, worker: WorkerState, end: EndReport) -> None:
         """Takes in a run that has ended."""
-        placement = worker.placements.get((end.task, end.run))
+        placement = self.workers.placement(worker, end.task, end.run)
         if placement is not None:
             worker.remove(placement)
         core = self.core
--- a/libs/scheduling/burdockthread_scheduling/sessions.py
+++ b/libs/scheduling/burdockthread_scheduling/sessions.py
@@ -16,6 +16,7 @@
     WorkerFencedError,
     WorkerGateway,
     WorkerReplacedError,
+    WorkerRestartedError,
 )
 
 # An answer waits this long for an end; a quarter of the lease of the runs.
@@ -40,7 +41,11 @@
 
     @abstractmethod
     def on_replaced(self, worker: WorkerState) -> None:
-        """Takes in that another life of the worker answers."""
+        """Takes in that another worker answers."""
+
+    @abstractmethod
+    def on_restarted(self, worker: WorkerState, born_ms: int) -> None:
+        """Takes in that the worker has started again, and when."""
 
 
 class WorkerSession:
@@ -76,6 +81,9 @@
             except WorkerFencedError:
                 self.listener.on_fenced(self.worker)
                 return
+            except WorkerRestartedError as error:
+                self.listener.on_restarted(self.worker, error.born_ms)
+                return
             except WorkerReplacedError:
                 self.listener.on_replaced(self.worker)
                 return
@@ -118,7 +126,8 @@
         report = await self.gateway.hold(worker.listing, order, timeout_s)
         now = self.clock.now()
         if report.born_ms and worker.listing.key.born_ms not in (0, report.born_ms):
-            raise WorkerReplacedError(f"{worker.worker_id} has started again")
+            message = f"{worker.worker_id} has started again"
+            raise WorkerRestartedError(message, report.born_ms)
         self.metrics.timing("worker.look", now - sent_s)
         if worker.failed_calls:
             self.log.info("worker_reached", worker=worker.worker_id)
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -11,6 +11,8 @@
 # Lease of the runs on a worker; a worker that cannot be reached holds up its
 # tasks for as long, and a change of the holder must fit into it.
 RUN_LEASE_MS = 3_000
+# The longest lease that a worker grants; holdMaxMs of the sites.
+MAX_LEASE_MS = 6_000
 # A worker's clock may be slow by two per cent.
 CLOCK_RATE_BOUND = 1.0205
 LAPSE_MARGIN_S = 0.1
@@ -122,7 +124,8 @@
         placements: Runs that may exist on it, by task and run.
         contacted: Whether it has answered this holder, so that it refuses
             orders of earlier ones.
-        replaced: Whether another life answers at its address.
+        replaced: Whether another life or worker answers at its address.
+        heir_due_s: Clock time by which runs are over that its next life took.
         clock_ms: Its clock at the last answer.
         clock_read_s: Clock time of that answer.
         lease_until_ms: Latest end of the lease that any order may have set.
@@ -142,6 +145,7 @@
         self.placements: dict[tuple[TaskId, int], Placement] = {}
         self.contacted = False
         self.replaced = False
+        self.heir_due_s = float("-inf")
         self.clock_ms = 0
         self.clock_read_s = now
         self.lease_until_ms = 0
@@ -176,6 +180,15 @@
         if task is not None and placement in task.placements:
             task.placements.remove(placement)
 
+    def pass_on(self, placement: Placement, heir: "WorkerState") -> None:
+        """Counts a run on the next life of this worker, which may have taken it."""
+        del self.placements[placement.task_id, placement.run]
+        self.count(placement, -1)
+        placement.worker = heir
+        heir.add(placement)
+        heir.lease_until_ms = max(heir.lease_until_ms, heir.clock_ms + MAX_LEASE_MS)
+        heir.wake.set()
+
     def hold_room(self, task: TaskRun) -> Callable[[], None]:
         """Counts a task as if it were here; returns what takes it back."""
         placement = Placement(task, task.task, 0, self, task.size, 0.0)
--- a/libs/scheduling/burdockthread_scheduling/workers.py
+++ b/libs/scheduling/burdockthread_scheduling/workers.py
@@ -197,6 +197,18 @@
     verdict = Verdict.NOT_RUN
 
 
+class WorkerRestartedError(WorkerReplacedError):
+    """The worker has started again under its id; it takes orders meant for before.
+
+    Attributes:
+        born_ms: Unix time in milliseconds of its start.
+    """
+
+    def __init__(self, message: str, born_ms: int) -> None:
+        super().__init__(message)
+        self.born_ms = born_ms
+
+
 class WorkerRefusedError(PlatformError):
     """The worker did not take the order, or it never left."""
 
--- a/libs/scheduling/tests/test_task_twice.py
+++ b/libs/scheduling/tests/test_task_twice.py
@@ -1,4 +1,4 @@
-"""No task runs twice while holders overlap."""
+"""No task runs twice: holders that overlap, and workers that start again."""
 
 import asyncio
 
@@ -7,6 +7,7 @@
 from burdockthread_scheduling.duties import DOUBT_LIMIT_S
 from burdockthread_scheduling.memory_runs import TaskNature
 from burdockthread_scheduling.records import JobPhase
+from burdockthread_scheduling.roster import WorkerRoster
 from burdockthread_scheduling.workers import WorkerGateway, WorkerKey
 from pool_site import POOL, step
 
@@ -59,6 +60,20 @@
         return self.clock.timeout(seconds)
 
 
+class LateRoster(WorkerRoster):
+    """The registrations, which stay as they were while `known` holds them."""
+
+    def __init__(self, park):
+        self.park = park
+        self.known = None
+
+    def workers(self, pool):
+        return self.park.workers(pool) if self.known is None else self.known
+
+    def changed(self):
+        return self.park.changed()
+
+
 @pytest.fixture
 def workers(site):
     for key in (ONE, TWO, THREE):
@@ -171,3 +186,32 @@
     site.ended = ("w2",)
     await site.pass_time(2.0)
     assert len(site.runs(job)) == 20
+
+
+# A worker that started again took a start meant for its last life; that life's runs
+# were taken as lost, this one with them, and it was started elsewhere.
+async def test_start_that_the_next_life_of_a_worker_took_is_not_doubled(site, workers):
+    roster = LateRoster(site.park)
+    await site.holder(roster=roster)
+    await site.pass_time(0.5)
+    roster.known = dict(roster.workers(POOL))
+    site.park.add("w1", POOL, born_ms=2)
+    job = await site.submit(step(4))
+    await site.pass_time(1.0)
+    roster.known = None
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
+
+
+# The same, where the next life of the worker never registers in the pool.
+async def test_start_on_an_unlisted_life_is_given_up_once_its_lease_is_over(
+    site, workers
+):
+    roster = LateRoster(site.park)
+    await site.holder(roster=roster)
+    await site.pass_time(0.5)
+    roster.known = dict(roster.workers(POOL))
+    site.park.add("w1", POOL, born_ms=2)
+    job = await site.submit(step(4), nature=TaskNature(duration_s=2.0))
+    await site.pass_time(0.3)
+    roster.known.pop(ONE)
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=15.0)
--- a/libs/standins/burdockthread_standins/emulated_workers.py
+++ b/libs/standins/burdockthread_standins/emulated_workers.py
@@ -56,6 +56,7 @@
     Attributes:
         park: The workers.
         ports: Address of each life of a worker.
+        last_ports: Address of the last life by id; the next one has the same.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         self.clock = clock
         self.host = host
         self.ports: dict[WorkerKey, int] = {}
+        self.last_ports: dict[str, int] = {}
         self.stacks: dict[WorkerKey, AsyncExitStack] = {}
         self.sequence = 0
 
@@ -86,29 +88,35 @@
 
     async def sync(self) -> None:
         """Opens and closes ports, and registers the workers."""
-        for key, worker in tuple(self.park.by_key.items()):
-            if key not in self.ports:
-                await self.open_port(worker)
-            if not worker.silent:
-                await self.register(worker)
         for key in tuple(self.ports):
             if key not in self.park.by_key:
                 del self.ports[key]
                 await self.stacks.pop(key).aclose()
                 change = Change(f"servers/{key.worker_id}", None, ANY_REVISION)
                 await self.write(change)
+        for key, worker in tuple(self.park.by_key.items()):
+            if key not in self.ports:
+                await self.open_port(worker)
+            if not worker.silent:
+                await self.register(worker)
 
     async def open_port(self, worker: MemoryWorker) -> None:
-        """Serves one worker at a port that the kernel chooses."""
+        """Serves one worker, at the port of its last life if it had one."""
         key = worker.listing.key
         handler = web.Server(lambda request: self.serve(worker, request))
         loop = asyncio.get_running_loop()
-        listener = await loop.create_server(handler, self.host, 0)
+        port = self.last_ports.get(key.worker_id, 0)
+        try:
+            listener = await loop.create_server(handler, self.host, port)
+        except OSError:
+            # A connection has taken the port meanwhile.
+            listener = await loop.create_server(handler, self.host, 0)
         stack = AsyncExitStack()
         stack.push_async_callback(handler.shutdown, SHUTDOWN_S)
         stack.callback(listener.close)
         self.stacks[key] = stack
         self.ports[key] = listener.sockets[0].getsockname()[1]
+        self.last_ports[key.worker_id] = self.ports[key]
 
     async def register(self, worker: MemoryWorker) -> None:
         """Writes the registration of a worker."""
