--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -16,16 +16,21 @@
 from burdockthread_scheduling.pool_status import STATUS_MAX_AGE_S
 from burdockthread_scheduling.records import decode, encode
 from burdockthread_scheduling.sessions import ReportListener, WorkerSession
+from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.worker_state import (
     CLOCK_RATE_BOUND,
     LAPSE_MARGIN_S,
+    MAX_LEASE_MS,
     RUN_LEASE_MS,
+    Placement,
     WorkerState,
 )
 from burdockthread_scheduling.workers import WorkerKey
 
 # By then every lease has lapsed that a worker was given before.
 LEASE_BOUND_S = RUN_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
+# By then what the next life of a worker took has ended, if nobody prolongs it.
+HEIR_BOUND_S = MAX_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
 ASSIGN_INTERVAL_S = 0.5
 RETRY_S = 0.1
 ASK_INTERVAL_S = 0.2
@@ -33,6 +38,18 @@
 WISHES_TIMEOUT_S = STATUS_MAX_AGE_S + 0.2
 
 
+class EarlierHolder(NamedTuple):
+    """A holder of before, which may not know yet that it is none any more.
+
+    Attributes:
+        address: Its address for other entries.
+        process: Id of its process.
+    """
+
+    address: str
+    process: str
+
+
 class AssignedWorkers(NamedTuple):
     """Workers on which runs of a pool may exist, kept at ``assigned/<pool>``.
 
@@ -41,12 +58,14 @@
         address: Address of the holder for other entries.
         process: Id of the holder's process.
         released: Whether the holder has given its last order.
+        earlier: Holders before it that may still give orders.
     """
 
     workers: tuple[WorkerKey, ...]
     address: str
     process: str
     released: bool
+    earlier: tuple[EarlierHolder, ...] = ()
 
 
 class PoolWorkers:
@@ -56,8 +75,10 @@
         sessions: Session and its task by worker.
         unreached: Workers of earlier holders that have not answered yet; tasks
             of theirs may run there until the clock time given.
+        earlier: Earlier holders that may still give orders to those.
         assigned: Workers that the store names as having runs.
         ended_by_planner: Workers that an order to their machine has ended.
+        doubted_ends: Workers that an order is said to have ended, but has not.
         wishes_known: Workers of which the planner has said to this holder whether
             it wants them empty.
         wishes_due_s: Clock time from which no earlier wish is acted upon.
@@ -72,11 +93,13 @@
         self.listener = listener
         self.sessions: dict[WorkerKey, tuple[WorkerSession, asyncio.Task[None]]] = {}
         self.unreached: dict[WorkerKey, float] = {}
+        self.earlier: set[EarlierHolder] = set()
         self.assigned: set[WorkerKey] = set()
         self.assigned_dirty = True
         self.assigned_s = float("-inf")
         self.assigning = False
         self.ended_by_planner: set[str] = set()
+        self.doubted_ends: set[str] = set()
         self.wishes_known: set[str] = set()
         self.wishes_due_s = core.clock.now() + WISHES_TIMEOUT_S
         self.vacating_until_s: dict[str, float] = {}
@@ -93,34 +116,43 @@
         if found is None:
             return
         left = decode(found.value, AssignedWorkers)
-        silent_s = 0.0 if left.released else DOUBT_LIMIT_S
+        self.earlier = {EarlierHolder(*holder) for holder in left.earlier}
+        if not left.released:
+            self.earlier.add(EarlierHolder(left.address, left.process))
+        # This process gives no orders but those of its present term.
+        own = self.core.parts.process
+        self.earlier = {holder for holder in self.earlier if holder.process != own}
+        silent_s = DOUBT_LIMIT_S if self.earlier else 0.0
         lapsed_s = self.clock.now() + silent_s + LEASE_BOUND_S
         for key in left.workers:
             self.unreached[WorkerKey(*key)] = lapsed_s
-        if not left.released and self.unreached:
-            self.core.spawn(self.ask_predecessor(left))
+        for holder in self.earlier:
+            self.core.spawn(self.ask_earlier(holder))
 
-    async def ask_predecessor(self, left: AssignedWorkers) -> None:
-        """Makes sure that the last holder gives no more orders.
+    async def ask_earlier(self, holder: EarlierHolder) -> None:
+        """Makes sure that an earlier holder gives no more orders.
 
         A process that answers under another id is its successor, so that the
         holder has ended.
         """
         parts, core = self.core.parts, self.core
-        while self.unreached and left.process != parts.process:
+        while self.unreached:
             try:
                 fence = core.tenure.fence
-                process = await parts.release(left.address, core.pool, fence)
+                process = await parts.release(holder.address, core.pool, fence)
             except PeerUnavailableError:
                 await self.clock.sleep(ASK_INTERVAL_S)
                 continue
             self.log.info(
                 "predecessor_silent",
                 pool=core.pool,
-                address=left.address,
-                restarted=process != left.process,
+                address=holder.address,
+                restarted=process != holder.process,
             )
             break
+        self.earlier.discard(holder)
+        if self.earlier:
+            return
         lapsed_s = self.clock.now() + LEASE_BOUND_S
         for key, until_s in self.unreached.items():
             self.unreached[key] = min(until_s, lapsed_s)
@@ -164,6 +196,7 @@
             core.log,
         )
         self.sessions[key] = (session, core.spawn(session.run()))
+        self.pass_on(worker)
         self.log.info("worker_seen", worker=worker.worker_id, pool=core.pool)
 
     def drop(self, worker: WorkerState, reason: str) -> None:
@@ -176,7 +209,7 @@
         self.log.info("worker_dropped", worker=worker.worker_id, reason=reason)
 
     def replaced(self, worker: WorkerState) -> None:
-        """Takes in that a worker has ended; all its runs have ended with it."""
+        """Takes in that a worker is gone; all its runs have ended with it."""
         self.log.info("worker_replaced", worker=worker.worker_id)
         worker.replaced = True
         self.assigned_dirty = True
@@ -184,21 +217,72 @@
         self.lose_runs(worker)
         self.core.wake.set()
 
+    def restarted(self, worker: WorkerState, born_ms: int) -> None:
+        """Takes in that a worker has started again.
+
+        What it had has ended. A start that this holder was not sure of before its
+        last answer may have been taken by its next life, which knows no token yet;
+        that one lists it once it is registered.
+        """
+        key = WorkerKey(worker.worker_id, born_ms)
+        sure_s = worker.contact_s
+        for placement in tuple(worker.placements.values()):
+            if placement.certain_s <= sure_s:
+                worker.remove(placement)
+        self.log.info(
+            "worker_restarted", worker=worker.worker_id, doubtful=len(worker.placements)
+        )
+        worker.replaced = True
+        worker.heir_due_s = self.clock.now() + HEIR_BOUND_S
+        self.assigned_dirty = True
+        until_s = self.unreached.pop(worker.listing.key, None)
+        heir = self.core.workers.get(key)
+        if until_s is not None and (heir is None or not heir.contacted):
+            self.unreached[key] = until_s
+        if heir is not None:
+            self.pass_on(heir)
+        self.core.wake.set()
+
+    def pass_on(self, heir: WorkerState) -> None:
+        """Passes to a worker what it may have taken instead of its last life."""
+        for worker in self.core.workers.values():
+            if worker.worker_id == heir.worker_id and worker.replaced:
+                for placement in tuple(worker.placements.values()):
+                    worker.pass_on(placement, heir)
+
+    def placement(
+        self, worker: WorkerState, task: TaskId, run: int
+    ) -> Placement | None:
+        """Returns a run of a worker, also one that was meant for its last life."""
+        key = (task, run)
+        if key in worker.placements:
+            return worker.placements[key]
+        for other in self.core.workers.values():
+            if other.worker_id == worker.worker_id and key in other.placements:
+                other.pass_on(other.placements[key], worker)
+                return worker.placements[key]
+        return None
+
     def take_ended(self, worker_ids: tuple[str, ...]) -> None:
         """Takes in which workers the planner has ended with an order.
 
         Their registrations stay for some heartbeats. The planner takes its word
         back if the platform still lists the worker; it was empty, so that nothing
-        was started elsewhere, and is spoken to anew.
+        was started elsewhere, and is spoken to anew. One with runs is not the life
+        that the planner was told is empty, and shows by itself whether it lives.
         """
         for worker in tuple(self.core.workers.values()):
             worker_id = worker.worker_id
-            if worker_id in worker_ids and not worker.replaced:
+            if worker_id in worker_ids and worker.placements:
+                if worker_id not in self.doubted_ends:
+                    self.log.info("worker_end_doubted", worker=worker_id)
+            elif worker_id in worker_ids and not worker.replaced:
                 self.ended_by_planner.add(worker_id)
                 self.replaced(worker)
             elif worker_id in self.ended_by_planner and worker_id not in worker_ids:
                 self.ended_by_planner.discard(worker_id)
                 self.drop(worker, "the planner takes its end back")
+        self.doubted_ends = set(worker_ids) - self.ended_by_planner
 
     def reached(self, worker: WorkerState) -> None:
         """Takes in that a worker has answered this holder."""
@@ -215,7 +299,17 @@
         """Takes the runs on unreachable workers as ended once leases lapsed."""
         now = self.clock.now()
         for worker in self.core.workers.values():
-            if worker.placements and worker.failed_calls and now > worker.lapse_s():
+            if not worker.placements:
+                continue
+            if worker.replaced:
+                if now > worker.heir_due_s:
+                    self.log.warning(
+                        "restarted_worker_lapsed",
+                        worker=worker.worker_id,
+                        runs=len(worker.placements),
+                    )
+                    self.lose_runs(worker)
+            elif worker.failed_calls and now > worker.lapse_s():
                 self.log.warning(
                     "worker_leases_lapsed",
                     worker=worker.worker_id,
@@ -294,7 +388,8 @@
         """Writes the workers on which runs may exist."""
         parts = self.core.parts
         kept = tuple(sorted(workers | self.unreached.keys()))
-        record = AssignedWorkers(kept, parts.address, parts.process, released)
+        earlier = tuple(sorted(self.earlier)) if self.unreached else ()
+        record = AssignedWorkers(kept, parts.address, parts.process, released, earlier)
         change = Change(f"assigned/{self.core.pool}", encode(record), ANY_REVISION)
         await parts.store.write([change], [self.core.tenure.guard])
 
