Stand-in: end a restarted worker with its machine

An order to a machine ended only the first life of its worker. One that had started again lived on, registered, while the planner told the holders that it had ended: a holder then took live runs as lost. PROTOCOL.md: on 200 everything on the machine ends. A worker that was lost also came back after its machine had moved; it does not any more. A lost worker may now come back at once, as the protocol allows.

Test: test_order_to_a_machine_ends_its_worker_in_whichever_life, red before.

--- a/libs/scheduling/burdockthread_scheduling/memory_machines.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_machines.py
@@ -16,7 +16,7 @@
     WaveBoard,
 )
 from burdockthread_scheduling.memory_workers import DEFAULT_CAPACITY, MemoryWorkers
-from burdockthread_scheduling.workers import Capacity, WorkerKey
+from burdockthread_scheduling.workers import Capacity
 
 
 class OrderRecord:
@@ -136,10 +136,10 @@
     def take_down(self, machine: Machine, state: MachineState) -> None:
         """Ends the worker of a machine with all that runs on it."""
         if machine.worker_id:
-            key = WorkerKey(machine.worker_id, 1)
-            if key in self.park.by_key:
-                self.interrupted += len(self.park.by_key[key].runs)
-                self.park.remove(key)
+            worker = self.park.life_of(machine.worker_id)
+            if worker is not None:
+                self.interrupted += len(worker.runs)
+                self.park.remove(worker.listing.key)
         self.by_name[machine.name] = machine._replace(state=state, worker_id="")
 
     def later(self, name: str, delay_s: float) -> None:
--- a/libs/scheduling/tests/test_machine_planner.py
+++ b/libs/scheduling/tests/test_machine_planner.py
@@ -270,3 +270,12 @@
     started_s = site.clock.now()
     await site.until(lambda: len(site.machines.orders) > before)
     assert site.machines.orders[before].given_s - started_s < SPACING_S
+
+
+# The stand-in let a worker that had started again live on after such an order.
+async def test_order_to_a_machine_ends_its_worker_in_whichever_life(site):
+    machine = next(m for m in site.machines.by_name.values() if m.worker_id)
+    site.park.add(machine.worker_id, POOL, born_ms=2)
+    await site.machines.maintain(machine.name, 1, "entry-9", 1)
+    lives = [key.worker_id for key in site.park.by_key]
+    assert machine.worker_id not in lives
--- a/libs/standins/burdockthread_standins/emulation.py
+++ b/libs/standins/burdockthread_standins/emulation.py
@@ -177,12 +177,13 @@
         self.site.store.faulty.set_faults({"compact": True})
 
     async def worker_lost(self) -> None:
-        """Ends a worker; it comes back as another life of it."""
+        """Ends a worker; it comes back as another life, unless its machine went."""
         key = self.any_worker()
         listing = self.site.park.by_key[key].listing
         self.site.park.remove(key)
-        await asyncio.sleep(self.random.uniform(0.2, 3.0))
-        if not any(k.worker_id == key.worker_id for k in self.site.park.by_key):
+        await asyncio.sleep(self.random.uniform(0.0, 3.0))
+        machines = self.site.machines.by_name.values()
+        if any(machine.worker_id == key.worker_id for machine in machines):
             self.site.park.add(
                 key.worker_id,
                 listing.pool,
