Ask a worker again that refused a call while it had no runs

What happened: a start or a look that a worker refused left it with a failed call and no run, so that the session saw no reason to look at it again; a worker with failed calls gets no tasks. A sound worker stayed unused until its holder changed or it started again.

Evidence: test_idle_worker_that_refused_a_call_serves_again: its job did not run within five seconds before.

--- a/libs/scheduling/burdockthread_scheduling/sessions.py
+++ b/libs/scheduling/burdockthread_scheduling/sessions.py
@@ -96,7 +96,8 @@
         """Returns whether there is a reason to look at the worker."""
         worker = self.worker
         unsettled = worker.seen_end > worker.settled_end
-        return not worker.contacted or bool(worker.placements) or unsettled
+        unsure = not worker.contacted or worker.failed_calls > 0
+        return unsure or bool(worker.placements) or unsettled
 
     async def wait_for_need(self) -> None:
         """Waits until there is a reason to look, and for ends to be stored."""
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -279,3 +279,15 @@
     site.ended = ()
     await site.pass_time(1.0)
     assert any(w.worker_id == "w1" for w in holder.workers.ready())
+
+
+# A worker that refused a connection while it had no runs was never asked again.
+async def test_idle_worker_that_refused_a_call_serves_again(site):
+    worker = site.park.add("w1", POOL)
+    await site.holder()
+    await site.pass_time(0.5)
+    worker.refusing = True
+    job = await site.submit(step(1))
+    await site.pass_time(2.0)
+    worker.refusing = False
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=5.0)
