Believe no refusal of an offer after one without an answer

What could happen: an entry without the store offers a duty, another takes it and the answer is lost; the duty rests. 0.4 s later it is offered again. If the entry that has it is not asked or not reached then, and the others refuse, the first one went on as the holder, for the planner of machines with orders under a lease that had not run out yet. An offer without an answer now counts until the store has shown who holds the duty.

Evidence: test_refused_offer_does_not_outweigh_one_without_an_answer, red before.

--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -305,20 +305,19 @@
         held.paused = True
         state = await held.duty.pause()
         offer = DutyOffer(name, held.tenure.fence, state)
-        certain = True
         for entry, address in self.successors(name):
             try:
                 taken = await self.send_offer(address, offer)
             except PeerUnavailableError as error:
                 self.log.info("offer_unanswered", duty=name, entry=entry, reason=error)
-                certain = False
+                held.unanswered = True
                 continue
             self.log.info("duty_offered", duty=name, entry=entry, taken=taken)
             if taken:
                 self.give_up(name, held, f"taken by {entry}")
                 return
         held.offering = False
-        if certain:
+        if not held.unanswered:
             held.paused = False
             held.duty.resume()
 
@@ -364,7 +363,7 @@
             if found is None or found.revision != held.tenure.fence:
                 self.give_up(name, held, "taken over while it was offered")
                 continue
-            held.paused = False
+            held.paused = held.unanswered = False
             held.duty.resume()
 
     def give_up(self, name: str, held: HeldDuty, reason: str) -> None:
--- a/libs/scheduling/burdockthread_scheduling/duty.py
+++ b/libs/scheduling/burdockthread_scheduling/duty.py
@@ -82,6 +82,7 @@
     Attributes:
         offering: Whether it is being offered to another entry.
         paused: Whether it waits for certainty that no other entry has it.
+        unanswered: Whether another entry may have taken it without an answer.
     """
 
     def __init__(self, tenure: Tenure, duty: Duty) -> None:
@@ -89,4 +90,5 @@
         self.duty = duty
         self.offering = False
         self.paused = False
+        self.unanswered = False
         self.work = asyncio.create_task(duty.run())
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -335,3 +335,25 @@
     assert await entries.duties[other].take_offer(DutyOffer(name, fence - 1, b""))
     await entries.pass_time(0.5)
     assert entries.held()[name] == [holder]
+
+
+# An offer was taken without an answer; refusals of later offers were believed.
+async def test_refused_offer_does_not_outweigh_one_without_an_answer(entries):
+    name, (holder,) = next(iter(entries.held().items()))
+    duties = entries.duties[holder]
+    send = duties.send_offer
+    offered = []
+
+    async def lost_then_refused(address, offer):
+        offered.append(offer.duty)
+        if offered.count(name) > 1 or offer.duty != name:
+            return False
+        await send(address, offer)
+        raise PeerUnavailableError(address)
+
+    duties.send_offer = lost_then_refused
+    held = duties.held[name]
+    entries.stores[holder].set_faults({"down": True})
+    await entries.pass_time(1.8)
+    assert offered.count(name) > 3
+    assert not held.duty.working
