Look at a worker before a start while another entry may have the pool

What could happen: a frozen holder woke without its lease, found a worker idle as it had left it and started tasks there. Workers that the next holder has reached refuse that; one that has started again since has seen no token and took it, so that tasks which the next holder had started ran twice at once.

Change: a holder that is not certain that no other entry has the pool starts runs only on workers whose answer to a look of its own is less than 0.8 s old, and looks at all of them each 0.3 s. A worker that has started again shows it by the look, and one that obeys the next holder ends the old one's work. During an outage of the store for all, holders go on with the workers that answer.

Left open: a start that the old holder had sent before it froze, or that a worker carries out late, on a life that knows no token.

--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -112,6 +112,7 @@
         if self.closing:
             return
         self.release_held_back()
+        self.workers.look_in_doubt()
         self.workers.assign()
         self.evacuation.step()
         self.placer.step()
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -31,6 +31,8 @@
 LEASE_BOUND_S = RUN_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
 # By then what the next life of a worker took has ended, if nobody prolongs it.
 HEIR_BOUND_S = MAX_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
+# A look waits for up to 0.3 s, and the next one is due 0.3 s after it was sent.
+OBEYED_AGE_S = 0.8
 ASSIGN_INTERVAL_S = 0.5
 RETRY_S = 0.1
 ASK_INTERVAL_S = 0.2
@@ -194,6 +196,7 @@
             core.clock,
             core.metrics,
             core.log,
+            core.is_certain,
         )
         self.sessions[key] = (session, core.spawn(session.run()))
         self.pass_on(worker)
@@ -343,6 +346,7 @@
             and not self.core.health.is_rested(worker)
             and worker.worker_id not in self.vacating_until_s
             and self.is_wish_known(worker)
+            and self.is_obeyed(worker)
             and self.clock.now() >= worker.full_until_s
             and (not worker.unknown_runs or self.core.spec().refuses_overload)
         )
@@ -352,6 +356,21 @@
         known = worker.worker_id in self.wishes_known
         return known or self.clock.now() >= self.wishes_due_s
 
+    def is_obeyed(self, worker: WorkerState) -> bool:
+        """Returns whether a worker obeys this holder, not one that may follow it.
+
+        A worker that has started again knows of no holder; only a look shows that.
+        """
+        age_s = self.clock.now() - worker.asked_s
+        return age_s < OBEYED_AGE_S or self.core.is_certain()
+
+    def look_in_doubt(self) -> None:
+        """Has all workers looked at while another entry may have the pool."""
+        if self.core.is_certain():
+            return
+        for worker in self.core.workers.values():
+            worker.wake.set()
+
     def ready(self) -> list[WorkerState]:
         """Returns the workers that take orders now."""
         return [w for w in self.core.workers.values() if self.is_ready(w)]
--- a/libs/scheduling/burdockthread_scheduling/sessions.py
+++ b/libs/scheduling/burdockthread_scheduling/sessions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from contextlib import suppress
 
 from burdockthread_model.clock import Clock
@@ -21,6 +22,9 @@
 
 # An answer waits this long for an end; a quarter of the lease of the runs.
 HOLD_WAIT_MS = 700
+# While another entry may have the pool, a look at each worker is at most this old.
+DOUBT_WAIT_MS = 300
+DOUBT_LOOK_S = 0.3
 CALL_TIMEOUT_S = 0.5
 RETRY_FIRST_S = 0.05
 RETRY_MAX_S = 0.4
@@ -60,7 +64,9 @@
         clock: Clock,
         metrics: Metrics,
         log: EventLog,
+        is_certain: Callable[[], bool],
     ) -> None:
+        self.is_certain = is_certain
         self.worker = worker
         self.fence = fence
         self.gateway = gateway
@@ -97,7 +103,13 @@
         worker = self.worker
         unsettled = worker.seen_end > worker.settled_end
         unsure = not worker.contacted or worker.failed_calls > 0
-        return unsure or bool(worker.placements) or unsettled
+        return unsure or bool(worker.placements) or unsettled or self.is_look_due()
+
+    def is_look_due(self) -> bool:
+        """Returns whether the worker may obey another holder since the last look."""
+        if self.is_certain():
+            return False
+        return self.clock.now() - self.worker.asked_s >= DOUBT_LOOK_S
 
     async def wait_for_need(self) -> None:
         """Waits until there is a reason to look, and for ends to be stored."""
@@ -121,7 +133,7 @@
         if worker.contacted and not worker.failed_calls:
             lease_until_ms = worker.next_lease_ms(sent_s)
             if worker.seen_end <= worker.settled_end and worker.placements:
-                wait_ms = HOLD_WAIT_MS
+                wait_ms = HOLD_WAIT_MS if self.is_certain() else DOUBT_WAIT_MS
         order = HoldOrder(self.fence, worker.settled_end, lease_until_ms, wait_ms)
         timeout_s = wait_ms / 1000 + CALL_TIMEOUT_S
         report = await self.gateway.hold(worker.listing, order, timeout_s)
@@ -133,6 +145,7 @@
         if worker.failed_calls:
             self.log.info("worker_reached", worker=worker.worker_id)
         worker.read_clock(report.clock_ms, now)
+        worker.asked_s = sent_s
         self.listener.on_report(worker, report, sent_s)
 
     def note_failure(self, error: PlatformError) -> None:
--- a/libs/scheduling/tests/test_task_twice.py
+++ b/libs/scheduling/tests/test_task_twice.py
@@ -215,3 +215,37 @@
     await site.pass_time(0.3)
     roster.known.pop(ONE)
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=15.0)
+
+
+# A holder that woke without its lease started a task on a worker that had started
+# again since, and so knew no token of the next holder yet.
+async def test_holder_in_doubt_starts_nothing_where_it_has_not_looked(site, workers):
+    freezer, roster = Freezer(site), LateRoster(site.park)
+    lease_left_s = 2.0
+    roster.known = {THREE: workers[THREE].listing}
+    await site.holder(
+        gateway=freezer, clock=freezer, roster=roster, lease_left=lambda: lease_left_s
+    )
+    await site.pass_time(0.5)
+    freezer.awake.clear()
+    await site.pass_time(0.5)
+    await site.submit(step(4, lasting=True), nature=FOREVER)
+    lease_left_s = -1.0
+    late = LateRoster(site.park)
+    await site.holder("entry-2", "process-2", roster=late)
+    await site.pass_time(2.0)
+    late.known = dict(late.workers(POOL))
+    site.park.add(THREE.worker_id, POOL, born_ms=2)
+    freezer.awake.set()
+    await site.pass_time(2.0)
+    assert len(site.park.running()) == 4
+
+
+# Doubt must not keep a holder from the workers that answer it: the store may be out.
+async def test_holder_in_doubt_goes_on_with_workers_that_answer(site, workers):
+    lease_left_s = 2.0
+    await site.holder(lease_left=lambda: lease_left_s)
+    job = await site.submit(step(40, cpu_milli=4_000))
+    await site.until(lambda: len(site.runs(job)) == 12)
+    lease_left_s = -1.0
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=6.0)
