Stand-in: one process an entry, whatever faults strike it

Two faults that struck one entry at the same time each started it again. Of the two processes one was forgotten: it was not ended with the run, and went on trying the store's port of its site. On that port a later run, also of another soak, may listen, and then two entries of one name work in it, which the platform never does. A fault now waits for the other.

Test: test_entry_that_two_faults_strike_is_one_process, a process left before.

--- a/libs/standins/burdockthread_standins/emulated_site.py
+++ b/libs/standins/burdockthread_standins/emulated_site.py
@@ -90,6 +90,7 @@
         callers: Port for callers.
         log: File with what it has written.
         links: Its own links to the store and to the control of machines.
+        striking: Held while the process is down on purpose.
     """
 
     def __init__(self, name: str, host: str, folder: Path, links: "EntryLinks"):
@@ -111,6 +112,7 @@
             )
         )
         self.process: asyncio.subprocess.Process | None = None
+        self.striking = asyncio.Lock()
 
     @property
     def url(self) -> str:
@@ -135,6 +137,17 @@
                 stderr=log,
             )
 
+    @asynccontextmanager
+    async def down(self, number: signal.Signals) -> AsyncIterator[None]:
+        """Ends the process for the block, then starts it again.
+
+        Another that wants it down waits, so that there is one process at a time.
+        """
+        async with self.striking:
+            await self.stop(number)
+            yield
+            await self.start()
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process, if it runs."""
         if self.process is not None and self.process.returncode is None:
--- a/libs/standins/burdockthread_standins/emulation.py
+++ b/libs/standins/burdockthread_standins/emulation.py
@@ -144,16 +144,13 @@
 
     async def kill_entry(self) -> None:
         """Kills an entry and starts it again."""
-        entry = self.any_entry()
-        await entry.stop(signal.SIGKILL)
-        await asyncio.sleep(self.random.uniform(0.2, 2.0))
-        await entry.start()
+        async with self.any_entry().down(signal.SIGKILL):
+            await asyncio.sleep(self.random.uniform(0.2, 2.0))
 
     async def stop_entry(self) -> None:
         """Stops an entry as planned and starts it again."""
-        entry = self.any_entry()
-        await entry.stop()
-        await entry.start()
+        async with self.any_entry().down(signal.SIGTERM):
+            pass
 
     async def pause_entry(self) -> None:
         """Freezes an entry for some seconds."""
--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+from contextlib import suppress
 from pathlib import Path
 
 import aiohttp
@@ -162,6 +163,31 @@
         await until(lambda: "settings_not_valid" in entry.log.read_text())
 
 
+def processes_of(entry):
+    """How many processes run with the settings of an entry."""
+    settings = str(entry.settings).encode()
+    found = 0
+    for path in Path("/proc").glob("[0-9]*/environ"):
+        with suppress(OSError):
+            found += settings in path.read_bytes()
+    return found
+
+
+# Two faults that struck one entry left a process behind, which joined later sites.
+async def test_entry_that_two_faults_strike_is_one_process(site):
+    entry = site.entries[0]
+
+    async def strike(number, pause_s):
+        async with entry.down(number):
+            await asyncio.sleep(pause_s)
+
+    await asyncio.gather(strike(signal.SIGKILL, 0.5), strike(signal.SIGTERM, 0.1))
+    await asyncio.sleep(1.0)
+    assert processes_of(entry) == 1
+    await entry.stop()
+    assert processes_of(entry) == 0
+
+
 async def test_run_that_broke_a_promise_leaves_its_logs(site, tmp_path):
     load = load_of(site, jobs=4)
     await load.run()
