--- a/libs/standins/burdockthread_standins/emulation.py
+++ b/libs/standins/burdockthread_standins/emulation.py
@@ -144,16 +144,13 @@
 
     async def kill_entry(self) -> None:
         """Kills an entry and starts it again."""
-        entry = self.any_entry()
-        await entry.stop(signal.SIGKILL)
-        await asyncio.sleep(self.random.uniform(0.2, 2.0))
-        await entry.start()
+        async with self.any_entry().down(signal.SIGKILL):
+            await asyncio.sleep(self.random.uniform(0.2, 2.0))
 
     async def stop_entry(self) -> None:
         """Stops an entry as planned and starts it again."""
-        entry = self.any_entry()
-        await entry.stop()
-        await entry.start()
+        async with self.any_entry().down(signal.SIGTERM):
+            pass
 
     async def pause_entry(self) -> None:
         """Freezes an entry for some seconds."""
@@ -177,12 +174,13 @@
         self.site.store.faulty.set_faults({"compact": True})
 
     async def worker_lost(self) -> None:
-        """Ends a worker; it comes back as another life of it."""
+        """Ends a worker; it comes back as another life, unless its machine went."""
         key = self.any_worker()
         listing = self.site.park.by_key[key].listing
         self.site.park.remove(key)
-        await asyncio.sleep(self.random.uniform(0.2, 3.0))
-        if not any(k.worker_id == key.worker_id for k in self.site.park.by_key):
+        await asyncio.sleep(self.random.uniform(0.0, 3.0))
+        machines = self.site.machines.by_name.values()
+        if any(machine.worker_id == key.worker_id for machine in machines):
             self.site.park.add(
                 key.worker_id,
                 listing.pool,
