Pass on what a planner has not ordered itself when it stops

A planner that was stopped wrote the record of the planner with released=true, whatever it knew. Stopped before it had read the record, it wrote an empty one: the waves' machines and the last orders were forgotten. Stopped while it kept apart from a lost planner, it told the next that it need not wait. After a hand-over it passed on its own orders only, so that the last planner but one was forgotten; so did one that had started again. Cut off before it had read anything, it offered an empty record. In each case the next planner could order a machine within the time that two holders' orders have to keep apart, as entries that are restarted one after the other make likely.

The record now also has the young orders of the planners before, and the time until which orders may be unknown; both are passed on unchanged, so that a chain of planners does not add up margins. A planner that has read nothing leaves the record as it is, and offers what it was given. Times from the record are bounded by the time to rest, so that a clock that went ahead stalls nobody.

--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -53,6 +53,9 @@
         ordered_ms: Unix time in milliseconds of the last order by machine.
         maintained: Machines whose upkeep has begun, by wave.
         seen_ms: Unix time in milliseconds at which each wave was first seen.
+        earlier_ms: As `ordered_ms`, of the planners before it.
+        wait_until_ms: Unix time in milliseconds until which orders of planners
+            before it may be unknown.
     """
 
     holder: str
@@ -60,6 +63,8 @@
     ordered_ms: dict[str, int]
     maintained: dict[int, tuple[str, ...]]
     seen_ms: dict[int, int]
+    earlier_ms: tuple[tuple[str, int], ...] = ()
+    wait_until_ms: int = 0
 
 
 class MachineTimes(NamedTuple):
@@ -97,6 +102,10 @@
     Attributes:
         ledger: What is known and intended.
         ordered_ms: Unix time in milliseconds of the last order by machine.
+        earlier_ms: As `ordered_ms`, of the planners before this one.
+        wait_until_ms: Unix time in milliseconds until which orders of planners
+            before this one may be unknown.
+        record_read: Whether it is known what the last planner left.
         ready_s: Clock time before which no order is given.
         paused: Whether the duty is being offered to another entry.
     """
@@ -113,6 +122,9 @@
             self.ledger, parts.waves, parts.times.upkeep_s, parts.clock, parts.log
         )
         self.ordered_ms: dict[str, int] = {}
+        self.earlier_ms: dict[str, int] = {}
+        self.wait_until_ms = 0
+        self.record_read = False
         self.ready_s = float("inf")
         self.giving = False
         self.closing = False
@@ -149,9 +161,13 @@
         tells its orders. It may also have been an earlier process of this entry.
         """
         spacing_s = self.parts.times.spacing_s + SPACING_MARGIN_S
-        self.ready_s = started_s + spacing_s
         found = await self.parts.store.get(RECORD_KEY)
+        self.record_read = True
         record = self.last_record(None if found is None else found.value)
+        self.ready_s = started_s + spacing_s
+        if record is None or not record.released:
+            left_s = self.ready_s - self.clock.now()
+            self.wait_until_ms = int((self.clock.wall() + left_s) * 1000)
         if record is None:
             return
         if record.holder == self.parts.entry:
@@ -159,7 +175,7 @@
             self.ready_s = started_s + MIN_LEASE_S
         elif record.released:
             self.ready_s = self.clock.now()
-            self.rest_ordered(record.ordered_ms, spacing_s + WALL_MARGIN_S)
+        self.take_orders(record, spacing_s + WALL_MARGIN_S)
         wall_s = self.clock.wall()
         for wave, names in record.maintained.items():
             self.waves.done(wave).update(names)
@@ -183,13 +199,26 @@
                 self.log.error("record_unreadable", store_key=RECORD_KEY, reason=error)
         return None
 
-    def rest_ordered(self, ordered_ms: dict[str, int], rest_s: float) -> None:
-        """Gives no orders for a while to machines that had some lately."""
+    def take_orders(self, record: PlannerRecord, rest_s: float) -> None:
+        """Keeps apart from the orders that a record tells of, and passes them on.
+
+        A planner need not keep apart from orders of its own entry.
+        """
         wall_s, now = self.clock.wall(), self.clock.now()
-        for name, at_ms in ordered_ms.items():
-            left_s = at_ms / 1000 + rest_s - wall_s
+        known = dict(record.earlier_ms)
+        if record.holder == self.parts.entry:
+            self.ordered_ms.update(record.ordered_ms)
+        else:
+            known.update(record.ordered_ms)
+        for name, at_ms in known.items():
+            left_s = min(at_ms / 1000 - wall_s, 0.0) + rest_s
             if left_s > 0:
+                self.earlier_ms[name] = at_ms
                 self.ledger.resting[name] = now + left_s
+        left_s = record.wait_until_ms / 1000 + WALL_MARGIN_S - wall_s
+        if left_s > 0:
+            self.wait_until_ms = max(self.wait_until_ms, record.wait_until_ms)
+            self.ready_s = max(self.ready_s, now + min(left_s, rest_s))
 
     def record(self, *, released: bool) -> PlannerRecord:
         """Returns what the next planner has to know."""
@@ -203,6 +232,8 @@
                 wave: int((wall_s - (now - seen_s)) * 1000)
                 for wave, seen_s in self.waves.seen_s.items()
             },
+            tuple(self.earlier_ms.items()),
+            self.wait_until_ms,
         )
 
     async def write_record(self, *, released: bool) -> None:
@@ -215,6 +246,8 @@
         """Gives no more orders; returns those given."""
         self.paused = True
         await self.until_orders_end()
+        if not self.record_read:
+            return self.tenure.inherited
         return encode(self.record(released=True))
 
     def resume(self) -> None:
@@ -227,8 +260,13 @@
             await self.clock.sleep(PLAN_INTERVAL_S / 10)
 
     async def hand_over(self) -> None:
-        """Gives no more orders and writes down those given."""
+        """Gives no more orders and writes down those given.
+
+        A planner that has not read the record yet leaves it to its successor.
+        """
         self.closing = True
+        if not self.record_read:
+            return
         try:
             async with self.clock.timeout(MIN_LEASE_S):
                 await self.until_orders_end()
--- a/libs/scheduling/tests/test_machine_planner.py
+++ b/libs/scheduling/tests/test_machine_planner.py
@@ -270,3 +270,107 @@
     started_s = site.clock.now()
     await site.until(lambda: len(site.machines.orders) > before)
     assert site.machines.orders[before].given_s - started_s < SPACING_S
+
+
+async def orders_of_next(site, entry, seconds):
+    """Starts a planner, lets time pass and returns the orders given meanwhile."""
+    before = len(site.machines.orders)
+    await site.planner(entry)
+    await site.pass_time(seconds)
+    return site.machines.orders[before:]
+
+
+async def never_answered(key):
+    """Waits for an answer of the store that does not come."""
+    await asyncio.Event().wait()
+
+
+# A planner stopped before it had read the record wrote an empty one in its place.
+async def test_planner_stopped_while_it_takes_over_leaves_the_record_as_it_was(site):
+    names = tuple(f"m{number}" for number in range(10))
+    site.waves.asked.append(Wave(1, names, 20.0, 2))
+    await site.until(lambda: len(site.machines.orders) >= 3)
+    await site.kill(site.planners[0])
+    last_s = site.machines.orders[-1].given_s
+    done = set(site.planners[0].waves.done(1))
+    stopped = await site.planner("entry-8")
+    stopped.parts.store.get = never_answered
+    await site.pass_time(0.1)
+    await stopped.hand_over()
+    await site.kill(stopped)
+    orders = await orders_of_next(site, "entry-7", 5.0)
+    assert orders[0].given_s - last_s > SPACING_S
+    assert done <= site.planners[-1].waves.done(1)
+
+
+# A planner stopped while it kept apart from a lost one let the next order at once.
+async def test_planner_stopped_while_it_waits_passes_the_wait_on(site):
+    names = tuple(f"m{number}" for number in range(10))
+    site.waves.asked.append(Wave(1, names, 20.0, 2))
+    await site.until(lambda: len(site.machines.orders) >= 3)
+    await site.kill(site.planners[0])
+    last_s = site.machines.orders[-1].given_s
+    stopped = await site.planner("entry-8")
+    await site.pass_time(0.5)
+    await stopped.hand_over()
+    await site.kill(stopped)
+    orders = await orders_of_next(site, "entry-7", 2 * SPACING_S + 1.0)
+    assert orders[0].given_s - last_s > SPACING_S
+
+
+# A planner that was itself started again took its predecessor's wait for its own.
+async def test_planner_started_again_still_keeps_apart_from_a_lost_one(site):
+    names = tuple(f"m{number}" for number in range(10))
+    site.waves.asked.append(Wave(1, names, 20.0, 2))
+    await site.until(lambda: len(site.machines.orders) >= 3)
+    await site.kill(site.planners[0])
+    last_s = site.machines.orders[-1].given_s
+    killed = await site.planner("entry-8")
+    await site.pass_time(0.2)
+    await site.kill(killed)
+    orders = await orders_of_next(site, "entry-8", 2 * SPACING_S)
+    assert orders[0].given_s - last_s > SPACING_S
+
+
+# Orders of the last planner but one were forgotten when the last one stopped.
+async def test_orders_of_the_last_planner_but_one_keep_apart(site):
+    names = tuple(f"m{number}" for number in range(10))
+    site.waves.asked.append(Wave(1, names, 20.0, 2))
+    await site.until(lambda: len(site.machines.orders) >= 3)
+    given_s = {order.machine: order.given_s for order in site.machines.orders}
+    for entry in ("entry-8", "entry-7"):
+        await site.planners[-1].hand_over()
+        await site.kill(site.planners[-1])
+        await site.planner(entry)
+        await site.pass_time(0.1)
+    ledger = site.planners[-1].ledger
+    young = {n for n, s in given_s.items() if site.clock.now() - s < SPACING_S}
+    assert young
+    assert young <= ledger.resting.keys()
+
+
+# A planner killed and started again passed on none of its own earlier orders.
+async def test_next_planner_keeps_apart_from_one_that_was_started_again(site):
+    names = tuple(f"m{number}" for number in range(10))
+    site.waves.asked.append(Wave(1, names, 20.0, 2))
+    await site.until(lambda: len(site.machines.orders) >= 3)
+    last_s = site.machines.orders[-1].given_s
+    await site.kill(site.planners[0])
+    restarted = await site.planner()
+    await site.pass_time(0.2)
+    await restarted.hand_over()
+    await site.kill(restarted)
+    orders = await orders_of_next(site, "entry-8", 2 * SPACING_S + 1.0)
+    assert orders[0].given_s - last_s > SPACING_S
+
+
+# A planner cut off before it had read the record offered an empty one.
+async def test_planner_that_has_read_nothing_offers_what_it_inherited(site):
+    passed_on = await site.planners[0].pause()
+    await site.kill(site.planners[0])
+    site.faulty.set_faults({"down": True})
+    cut_off = await site.planner("entry-8", passed_on)
+    await site.pass_time(0.2)
+    assert await cut_off.pause() == passed_on
+    nothing_read = await site.planner("entry-7")
+    assert await nothing_read.pause() == b""
