Leave the list of workers alone in a hand-over before it was read

A holder that was stopped while it took a pool over wrote, as its last word, the workers on which it knew of runs, and that no order was out. Before it has read the list of its predecessor it knows of none, so it wrote an empty list in place of theirs. The next holder then waited for nobody: a task whose worker did not answer was started a second time beside its run.

A holder that has not read all has given no orders. It now leaves what is stored to its successor. Such a take-over lasts as long as the store does not answer, so the time for this is not only the few reads of a calm take-over.

The test is red on the code before: the task has two runs, and the park of workers names it as running twice.

--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -217,8 +217,15 @@
         """Goes on as before."""
 
     async def hand_over(self) -> None:
-        """Gives no more orders, then stores what has ended and what runs where."""
+        """Gives no more orders, then stores what has ended and what runs where.
+
+        A holder that has not read all yet has given no orders, and leaves what
+        is stored to its successor.
+        """
         self.closing = True
+        if not self.loaded:
+            self.log.info("pool_handed_over", pool=self.core.pool, jobs=0)
+            return
         try:
             async with self.clock.timeout(HAND_OVER_TIMEOUT_S):
                 while self.orders.starting:
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -1,5 +1,7 @@
 """The holder of a pool: starts, ends, lost workers and changes of the holder."""
 
+import asyncio
+
 import pytest
 from burdockthread_scheduling.memory_workers import TaskNature
 from burdockthread_scheduling.records import JobPhase
@@ -18,6 +20,11 @@
     return found
 
 
+async def never_answered(prefix):
+    """Waits for an answer of the store that does not come."""
+    await asyncio.Event().wait()
+
+
 async def test_job_runs_step_by_step_and_is_recorded_as_completed(site, holder):
     job = await site.submit(step(3), step(2, after=(0,)))
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
@@ -279,3 +286,22 @@
     site.ended = ()
     await site.pass_time(1.0)
     assert any(w.worker_id == "w1" for w in holder.workers.ready())
+
+
+# A holder stopped before it had read who has runs wrote that nobody has any.
+async def test_holder_stopped_while_it_takes_over_leaves_the_list_of_workers(
+    site, holder
+):
+    job = await site.submit(step(1), nature=FOREVER)
+    await site.until(lambda: len(site.park.running()) == 1)
+    key = site.runs(job)[0].worker
+    await site.kill(holder)
+    site.park.by_key[key].silent = True
+    stopped = await site.holder("entry-2", "process-2")
+    stopped.core.parts.store.list = never_answered
+    await site.pass_time(0.2)
+    await stopped.hand_over()
+    await site.kill(stopped)
+    await site.holder("entry-3", "process-3")
+    await site.pass_time(2.0)
+    assert len(site.runs(job)) == 1
