Wait for the write of ends under way before the hand-over writes them

The hand-over of a pool stored what had ended while the pool's writer was storing the same ends. The second write failed on the first, was taken for a change by another entry, and the hand-over was given up before its last word: the next holder did not know that no order was out, and had to ask a process that was about to end. Progress could also be written twice at once, the older state last.

One flush goes on at a time now. The test is red on the code before (the log has hand_over_incomplete, and the list of workers stays as of before).

--- a/libs/scheduling/burdockthread_scheduling/progress_writer.py
+++ b/libs/scheduling/burdockthread_scheduling/progress_writer.py
@@ -42,6 +42,7 @@
         dirty: Jobs with progress that is not stored.
         cleared: Jobs whose keys are no longer needed.
         note: Takes in the state of a job that was recorded, and its revision.
+        flushing: Held by a flush; two at once would write the same jobs twice.
     """
 
     def __init__(self, core: PoolCore, marks: Callable[[], Callable[[], None]]) -> None:
@@ -59,6 +60,7 @@
         self.dirty: dict[str, JobRun] = {}
         self.cleared: dict[str, JobRun] = {}
         self.work = asyncio.Event()
+        self.flushing = asyncio.Lock()
         self.reported: PoolReport | None = None
         self.reported_s = float("-inf")
 
@@ -101,11 +103,12 @@
             StoreError: Some of it may not be stored; it stays queued.
             LeaseLostError: Another entry has the duty.
         """
-        settle = self.marks()
-        queued = {**self.dirty, **self.cleared}
-        for batch in batches(queued.values(), self.entries_of):
-            await self.write(batch)
-        settle()
+        async with self.flushing:
+            settle = self.marks()
+            queued = {**self.dirty, **self.cleared}
+            for batch in batches(queued.values(), self.entries_of):
+                await self.write(batch)
+            settle()
 
     def entries_of(self, job: JobRun) -> int:
         """Returns how many entries of a write a job takes."""
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -4,7 +4,8 @@
 
 import pytest
 from burdockthread_scheduling.memory_workers import TaskNature
-from burdockthread_scheduling.records import JobPhase
+from burdockthread_scheduling.pool_workers import AssignedWorkers
+from burdockthread_scheduling.records import JobPhase, decode
 from burdockthread_scheduling.workers import Capacity, EndKind, WorkerKey
 from pool_site import POOL, step
 
@@ -305,3 +306,25 @@
     await site.holder("entry-3", "process-3")
     await site.pass_time(2.0)
     assert len(site.runs(job)) == 1
+
+
+# Ends that were being written at the hand-over were written twice at once, which
+# the holder took for a change by another entry and gave the hand-over up.
+async def test_hand_over_waits_for_the_write_of_ends_under_way(site, holder):
+    job = await site.submit(step(1))
+    write = holder.core.parts.store.write
+    writing = []
+
+    async def slow_write(changes, guards=()):
+        writing.append(changes)
+        await site.clock.sleep(0.15)
+        return await write(changes, guards)
+
+    holder.core.parts.store.write = slow_write
+    await site.until(lambda: any(job in str(changes) for changes in writing))
+    stopping = asyncio.create_task(holder.hand_over())
+    await site.pass_time(1.0)
+    await stopping
+    record = await site.memory.get(f"assigned/{POOL}")
+    assert decode(record.value, AssignedWorkers).released
+    assert site.phase(job) is JobPhase.COMPLETED
