Begin no duty once the hand-over of duties has started

A planned stop handed over the duties that the entry did at that moment. A write that made the entry the holder of one more, sent just before for a vacant duty or for an offer, was answered afterwards, and the duty was begun: nobody handed it over, and after the lease was given up it was done beside its successor until the watch told of that. The round that looks for vacant duties also went on to the next of them after the stop had begun.

What is won while the entry stops is not begun now; its record is bound to the lease, which the stop gives up. Whoever offered the duty is still told that it is taken, since its token is no longer the newest.

Both tests are red on the code before: the stopping entry holds the duty. Green after it, three runs of libs/scheduling.

--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -248,7 +248,7 @@
         process has worked is written anew: what that work has sent may still
         take effect, and a higher token keeps it out.
         """
-        if owner.entry != self.entry or self.lease.remaining_s() <= 0:
+        if owner.entry != self.entry or self.lease.remaining_s() <= 0 or self.stopping:
             return
         if revision <= self.given_up.get(name, -1):
             return
@@ -400,7 +400,7 @@
     ) -> None:
         """Tries to take a duty whose record has a revision, 0 if there is none."""
         lease = self.lease.lease
-        if lease is None or self.lease.remaining_s() <= 0:
+        if lease is None or self.lease.remaining_s() <= 0 or self.stopping:
             return
         self.campaigning.add(name)
         try:
@@ -427,6 +427,10 @@
             self.vacant_since_s.pop(name, None)
             return
         self.owners[name] = (record, fence)
+        if self.stopping:
+            # The hand-over has begun without it; the record goes with the lease.
+            self.log.info("duty_not_taken", duty=name, reason="the entry stops")
+            return
         self.take(name, factory, fence, record.term, inherited)
 
     def take(
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -335,3 +335,51 @@
     assert await entries.duties[other].take_offer(DutyOffer(name, fence - 1, b""))
     await entries.pass_time(0.5)
     assert entries.held()[name] == [holder]
+
+
+def answer_late(entries, duties, seconds):
+    """Lets answers to the writes of an entry come late."""
+    write = duties.store.write
+
+    async def write_late(changes, guards=()):
+        revision = await write(changes, guards)
+        await entries.clock.sleep(seconds)
+        return revision
+
+    duties.store.write = write_late
+
+
+# An entry took a duty on after its hand-over, and did it beside its successor.
+async def test_duty_won_while_the_entry_stops_is_not_begun(entries):
+    name, (holder,) = next(iter(entries.held().items()))
+    heir = next(entry for entry in entries.duties if entry != holder)
+    duties = entries.duties[heir]
+    for entry in set(entries.duties) - {heir}:
+        entries.duties[entry].stopping = True
+    answer_late(entries, duties, 0.4)
+    await entries.duties[holder].hand_over()
+    await entries.pass_time(0.2)
+    assert name in duties.campaigning
+    await duties.hand_over()
+    for _ in range(12):
+        await entries.clock.advance(0.05)
+        assert duties.held == {}
+    assert name not in IdleDuty.at_work
+
+
+# A duty offered to an entry that stopped meanwhile was begun there after its hand-over.
+async def test_duty_taken_from_an_offer_while_the_entry_stops_is_not_begun(entries):
+    name, (holder,) = next(iter(entries.held().items()))
+    fence = entries.duties[holder].held[name].tenure.fence
+    other = next(entry for entry in entries.duties if entry != holder)
+    duties = entries.duties[other]
+    answer_late(entries, duties, 0.4)
+    taking = asyncio.create_task(duties.take_offer(DutyOffer(name, fence, b"")))
+    await entries.pass_time(0.1)
+    assert name in duties.campaigning
+    await duties.hand_over()
+    for _ in range(30):
+        await entries.clock.advance(0.05)
+        assert name not in duties.held
+    assert await taking
+    assert IdleDuty.at_work.count(name) == 1
