Keep the lease until the duties are handed over, and end it for certain

Three gaps at the end of a planned stop, found by reading: - The lease was not renewed from the start of the hand-over on. After an outage of the store just before, it lapsed during the hand-over, and the last writes of the duties (ends, workers with runs) were refused. - One call without an answer, and the lease was left to lapse: for up to its 2 s nobody did the duties. It is ended anew now until it has lapsed anyway. - The error of a duty's hand-over was dropped without a line in the log.

New event: hand_over_failed.

--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -468,19 +468,24 @@
         return "" if entry is None else entry.address
 
     async def hand_over(self) -> None:
-        """Gives all duties up, for a planned stop."""
+        """Gives all duties up, for a planned stop; keeps the lease until then."""
         self.stopping = True
-        if self.keeper is not None:
-            self.keeper.cancel()
+        try:
+            await self.hand_over_held()
+        finally:
+            if self.keeper is not None:
+                self.keeper.cancel()
+        await self.lease.end()
+
+    async def hand_over_held(self) -> None:
+        """Ends the orders under way of all duties, then the duties."""
         held = tuple(self.held.items())
-        await asyncio.gather(
+        results = await asyncio.gather(
             *(entry.duty.hand_over() for _, entry in held), return_exceptions=True
         )
-        for name, entry in held:
+        for (name, entry), error in zip(held, results, strict=True):
             entry.work.cancel()
             self.held.pop(name, None)
+            if error is not None:
+                self.log.error("hand_over_failed", duty=name, reason=repr(error))
             self.log.info("duty_handed_over", duty=name, fence=entry.tenure.fence)
-        try:
-            await self.lease.end()
-        except (StoreError, ConflictError) as error:
-            self.log.info("lease_not_ended", reason=error)
--- a/libs/scheduling/burdockthread_scheduling/entry_lease.py
+++ b/libs/scheduling/burdockthread_scheduling/entry_lease.py
@@ -3,11 +3,13 @@
 import secrets
 
 from burdockthread_model.clock import Clock
-from burdockthread_model.errors import LeaseLostError
+from burdockthread_model.errors import LeaseLostError, StoreError
 from burdockthread_model.events import EventLog
 from burdockthread_store.store import ConfigurationStore, Lease
 
 LEASE_TTL_S = 2.0
+# Short against the time that a stop leaves to the hand-over.
+END_RETRY_S = 0.15
 TERM_BYTES = 8
 
 
@@ -58,7 +60,14 @@
         return False
 
     async def end(self) -> None:
-        """Gives the lease up."""
+        """Gives the lease up; tries again until it has lapsed anyway."""
         lease, self.lease = self.lease, None
-        if lease is not None:
-            await self.store.revoke_lease(lease)
+        while lease is not None and lease.expires_s > self.clock.now():
+            try:
+                await self.store.revoke_lease(lease)
+                return
+            except LeaseLostError:
+                return
+            except StoreError as error:
+                self.log.info("lease_not_ended", lease=lease.lease_id, reason=error)
+                await self.clock.sleep(END_RETRY_S)
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -383,3 +383,56 @@
         assert name not in duties.held
     assert await taking
     assert IdleDuty.at_work.count(name) == 1
+
+
+# A lease that was due for renewal lapsed during the hand-over, and the last writes
+# of the duty were refused.
+async def test_lease_is_kept_while_duties_are_handed_over(entries):
+    name, (holder,) = next(iter(entries.held().items()))
+    duties = entries.duties[holder]
+    tenure = duties.held[name].tenure
+    found = []
+
+    async def hand_over_slowly():
+        await entries.clock.sleep(1.0)
+        found.append(await entries.memory.get(tenure.guard.key))
+
+    duties.held[name].duty.hand_over = hand_over_slowly
+    entries.links_cut = True
+    entries.stores[holder].set_faults({"down": True})
+    await entries.pass_time(1.2)
+    entries.stores[holder].set_faults({"down": False})
+    stopping = asyncio.create_task(duties.hand_over())
+    await entries.pass_time(1.5)
+    await stopping
+    assert found[0] is not None
+    assert found[0].revision == tenure.fence
+    await entries.pass_time(0.5)
+    assert holder not in entries.held()[name]
+
+
+# One lost call at the end left the duties without a holder until the lease lapsed.
+async def test_duties_are_passed_on_though_the_store_is_out_at_the_end(entries):
+    name, (holder,) = next(iter(entries.held().items()))
+    duties = entries.duties[holder]
+    entries.stores[holder].set_faults({"down": True})
+    stopping = asyncio.create_task(duties.hand_over())
+    await entries.pass_time(0.2)
+    entries.stores[holder].set_faults({"down": False})
+    await entries.pass_time(1.0)
+    await stopping
+    assert len(entries.held()[name]) == 1
+
+
+# An error of one duty's hand-over was dropped without a line.
+async def test_hand_over_that_fails_is_logged(entries, caplog):
+    caplog.set_level("INFO")
+    name, (holder,) = next(iter(entries.held().items()))
+
+    async def fail():
+        raise ValueError("broken")
+
+    entries.duties[holder].held[name].duty.hand_over = fail
+    await entries.duties[holder].hand_over()
+    events = [record.getMessage() for record in caplog.records]
+    assert any("event=hand_over_failed" in event for event in events)
