Answer the submissions of a batch whose write ends in an unknown error

The writer of accepted jobs knew two errors. Any other, such as a stored record that cannot be read, ended it without a word: the jobs of its batch were never answered, jobs behind them waited for the next submission, and each later try of the same job joined the dead one and ended in 504 until the process was restarted.

Such an error is logged now and answered as unsettled. The test is red on the code before (the submission waits on). New event: intake_failed.

--- a/libs/scheduling/burdockthread_scheduling/intake.py
+++ b/libs/scheduling/burdockthread_scheduling/intake.py
@@ -125,9 +125,16 @@
             try:
                 await self.write(batch)
             except (StoreUnavailableError, StoreUnknownError) as error:
-                self.metrics.count("intake.writes_failed")
-                for submission in batch:
-                    submission.fail(error)
+                self.fail(batch, error)
+            except Exception as error:
+                self.log.error("intake_failed", jobs=len(batch), reason=repr(error))
+                self.fail(batch, StoreUnknownError(f"the write failed: {error}"))
+
+    def fail(self, batch: Sequence[Submission], error: Exception) -> None:
+        """Ends the wait of a batch with an error."""
+        self.metrics.count("intake.writes_failed")
+        for submission in batch:
+            submission.fail(error)
 
     async def write(self, batch: Sequence[Submission]) -> None:
         """Writes a batch; jobs that are stored already are left out."""
--- /dev/null
+++ b/libs/scheduling/tests/test_intake.py
@@ -0,0 +1,45 @@
+"""How jobs are accepted when the store or a record is at fault."""
+
+import asyncio
+
+import pytest
+from burdockthread_model.errors import StoreUnavailableError, StoreUnknownError
+from burdockthread_scheduling.records import JobPhase, job_key
+from burdockthread_scheduling.specs import JobSpec
+from burdockthread_store.store import ANY_REVISION, Change
+from pool_site import POOL, QUEUE, step
+
+JOB = "00000000000000aa"
+
+
+def job(job_id):
+    """A job of one task."""
+    return JobSpec(job_id, QUEUE, "text", (step(),), accepted_ms=1)
+
+
+async def submitted(site, job_id, seconds=1.0):
+    """Submits a job and lets time pass; returns the submission."""
+    waiting = asyncio.create_task(site.intake.submit(job(job_id), POOL))
+    await site.pass_time(seconds)
+    return waiting
+
+
+# An error that the writer did not know ended it: its jobs, and those behind them,
+# were never answered, nor was any later try.
+async def test_submission_beside_an_unreadable_record_is_answered(site):
+    await site.memory.write([Change(job_key(JOB), b"broken", ANY_REVISION)])
+    waiting = await submitted(site, JOB)
+    assert waiting.done()
+    with pytest.raises(StoreUnknownError):
+        await waiting
+    assert site.intake.unsettled == {}
+    other = await submitted(site, "00000000000000bb")
+    assert other.done()
+    assert site.phase("00000000000000bb") is JobPhase.ACCEPTED
+
+
+async def test_submission_that_the_store_never_saw_is_refused(site):
+    site.faulty.set_faults({"down": True})
+    waiting = await submitted(site, JOB)
+    with pytest.raises(StoreUnavailableError):
+        await waiting
