Refuse no job as not stored that another entry may have stored

A write that found a job there already asked the store which one, and a store that did not answer then made the whole batch 'not stored': 503 for a job that an earlier try had stored and that ran. It is 504 now, so that the caller asks again.

The test is red on the code before (StoreUnavailableError).

--- a/libs/scheduling/burdockthread_scheduling/intake.py
+++ b/libs/scheduling/burdockthread_scheduling/intake.py
@@ -169,10 +169,20 @@
         return changes
 
     async def without_stored(self, batch: Sequence[Submission]) -> list[Submission]:
-        """Settles the submissions that are stored; returns the others."""
+        """Settles the submissions that are stored; returns the others.
+
+        Raises:
+            StoreUnknownError: It cannot be told; one of them may be stored.
+        """
         left = []
         for submission in batch:
-            if await self.index.find(submission.job.job_id) is None:
+            job_id = submission.job.job_id
+            try:
+                known = await self.index.find(job_id)
+            except StoreUnavailableError as error:
+                reason = f"job {job_id} may be stored: {error}"
+                raise StoreUnknownError(reason) from error
+            if known is None:
                 left.append(submission)
             else:
                 submission.succeed()
--- a/libs/scheduling/tests/test_intake.py
+++ b/libs/scheduling/tests/test_intake.py
@@ -43,3 +43,20 @@
     waiting = await submitted(site, JOB)
     with pytest.raises(StoreUnavailableError):
         await waiting
+
+
+# A job that another entry had stored was refused as not stored.
+async def test_job_that_may_be_stored_already_is_not_refused(site):
+    await submitted(site, JOB)
+    site.index.jobs.pop(JOB)
+    get = site.intake.store.store.get
+
+    async def without_an_answer(key):
+        if key == job_key(JOB):
+            raise StoreUnavailableError("no answer")
+        return await get(key)
+
+    site.intake.store.store.get = without_an_answer
+    waiting = await submitted(site, JOB)
+    with pytest.raises(StoreUnknownError):
+        await waiting
