--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -249,7 +249,7 @@
         process has worked is written anew: what that work has sent may still
         take effect, and a higher token keeps it out.
         """
-        if owner.entry != self.entry or self.lease.remaining_s() <= 0:
+        if owner.entry != self.entry or self.lease.remaining_s() <= 0 or self.stopping:
             return
         if revision <= self.given_up.get(name, -1):
             return
@@ -400,7 +400,7 @@
     ) -> None:
         """Tries to take a duty whose record has a revision, 0 if there is none."""
         lease = self.lease.lease
-        if lease is None or self.lease.remaining_s() <= 0:
+        if lease is None or self.lease.remaining_s() <= 0 or self.stopping:
             return
         self.campaigning.add(name)
         try:
@@ -427,6 +427,10 @@
             self.vacant_since_s.pop(name, None)
             return
         self.owners[name] = (record, fence)
+        if self.stopping:
+            # The hand-over has begun without it; the record goes with the lease.
+            self.log.info("duty_not_taken", duty=name, reason="the entry stops")
+            return
         self.take(name, factory, fence, record.term, inherited)
 
     def take(
@@ -465,19 +469,24 @@
         return "" if entry is None else entry.address
 
     async def hand_over(self) -> None:
-        """Gives all duties up, for a planned stop."""
+        """Gives all duties up, for a planned stop; keeps the lease until then."""
         self.stopping = True
-        if self.keeper is not None:
-            self.keeper.cancel()
+        try:
+            await self.hand_over_held()
+        finally:
+            if self.keeper is not None:
+                self.keeper.cancel()
+        await self.lease.end()
+
+    async def hand_over_held(self) -> None:
+        """Ends the orders under way of all duties, then the duties."""
         held = tuple(self.held.items())
-        await asyncio.gather(
+        results = await asyncio.gather(
             *(entry.duty.hand_over() for _, entry in held), return_exceptions=True
         )
-        for name, entry in held:
+        for (name, entry), error in zip(held, results, strict=True):
             entry.work.cancel()
             self.held.pop(name, None)
+            if error is not None:
+                self.log.error("hand_over_failed", duty=name, reason=repr(error))
             self.log.info("duty_handed_over", duty=name, fence=entry.tenure.fence)
-        try:
-            await self.lease.end()
-        except (StoreError, ConflictError) as error:
-            self.log.info("lease_not_ended", reason=error)
--- a/libs/scheduling/burdockthread_scheduling/intake.py
+++ b/libs/scheduling/burdockthread_scheduling/intake.py
@@ -125,9 +125,16 @@
             try:
                 await self.write(batch)
             except (StoreUnavailableError, StoreUnknownError) as error:
-                self.metrics.count("intake.writes_failed")
-                for submission in batch:
-                    submission.fail(error)
+                self.fail(batch, error)
+            except Exception as error:
+                self.log.error("intake_failed", jobs=len(batch), reason=repr(error))
+                self.fail(batch, StoreUnknownError(f"the write failed: {error}"))
+
+    def fail(self, batch: Sequence[Submission], error: Exception) -> None:
+        """Ends the wait of a batch with an error."""
+        self.metrics.count("intake.writes_failed")
+        for submission in batch:
+            submission.fail(error)
 
     async def write(self, batch: Sequence[Submission]) -> None:
         """Writes a batch; jobs that are stored already are left out."""
@@ -162,10 +169,20 @@
         return changes
 
     async def without_stored(self, batch: Sequence[Submission]) -> list[Submission]:
-        """Settles the submissions that are stored; returns the others."""
+        """Settles the submissions that are stored; returns the others.
+
+        Raises:
+            StoreUnknownError: It cannot be told; one of them may be stored.
+        """
         left = []
         for submission in batch:
-            if await self.index.find(submission.job.job_id) is None:
+            job_id = submission.job.job_id
+            try:
+                known = await self.index.find(job_id)
+            except StoreUnavailableError as error:
+                reason = f"job {job_id} may be stored: {error}"
+                raise StoreUnknownError(reason) from error
+            if known is None:
                 left.append(submission)
             else:
                 submission.succeed()
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -357,3 +357,104 @@
     await entries.pass_time(1.8)
     assert offered.count(name) > 3
     assert not held.duty.working
+
+
+def answer_late(entries, duties, seconds):
+    """Lets answers to the writes of an entry come late."""
+    write = duties.store.write
+
+    async def write_late(changes, guards=()):
+        revision = await write(changes, guards)
+        await entries.clock.sleep(seconds)
+        return revision
+
+    duties.store.write = write_late
+
+
+# An entry took a duty on after its hand-over, and did it beside its successor.
+async def test_duty_won_while_the_entry_stops_is_not_begun(entries):
+    name, (holder,) = next(iter(entries.held().items()))
+    heir = next(entry for entry in entries.duties if entry != holder)
+    duties = entries.duties[heir]
+    for entry in set(entries.duties) - {heir}:
+        entries.duties[entry].stopping = True
+    answer_late(entries, duties, 0.4)
+    await entries.duties[holder].hand_over()
+    await entries.pass_time(0.2)
+    assert name in duties.campaigning
+    await duties.hand_over()
+    for _ in range(12):
+        await entries.clock.advance(0.05)
+        assert duties.held == {}
+    assert name not in IdleDuty.at_work
+
+
+# A duty offered to an entry that stopped meanwhile was begun there after its hand-over.
+async def test_duty_taken_from_an_offer_while_the_entry_stops_is_not_begun(entries):
+    name, (holder,) = next(iter(entries.held().items()))
+    fence = entries.duties[holder].held[name].tenure.fence
+    other = next(entry for entry in entries.duties if entry != holder)
+    duties = entries.duties[other]
+    answer_late(entries, duties, 0.4)
+    taking = asyncio.create_task(duties.take_offer(DutyOffer(name, fence, b"")))
+    await entries.pass_time(0.1)
+    assert name in duties.campaigning
+    await duties.hand_over()
+    for _ in range(30):
+        await entries.clock.advance(0.05)
+        assert name not in duties.held
+    assert await taking
+    assert IdleDuty.at_work.count(name) == 1
+
+
+# A lease that was due for renewal lapsed during the hand-over, and the last writes
+# of the duty were refused.
+async def test_lease_is_kept_while_duties_are_handed_over(entries):
+    name, (holder,) = next(iter(entries.held().items()))
+    duties = entries.duties[holder]
+    tenure = duties.held[name].tenure
+    found = []
+
+    async def hand_over_slowly():
+        await entries.clock.sleep(1.0)
+        found.append(await entries.memory.get(tenure.guard.key))
+
+    duties.held[name].duty.hand_over = hand_over_slowly
+    entries.links_cut = True
+    entries.stores[holder].set_faults({"down": True})
+    await entries.pass_time(1.2)
+    entries.stores[holder].set_faults({"down": False})
+    stopping = asyncio.create_task(duties.hand_over())
+    await entries.pass_time(1.5)
+    await stopping
+    assert found[0] is not None
+    assert found[0].revision == tenure.fence
+    await entries.pass_time(0.5)
+    assert holder not in entries.held()[name]
+
+
+# One lost call at the end left the duties without a holder until the lease lapsed.
+async def test_duties_are_passed_on_though_the_store_is_out_at_the_end(entries):
+    name, (holder,) = next(iter(entries.held().items()))
+    duties = entries.duties[holder]
+    entries.stores[holder].set_faults({"down": True})
+    stopping = asyncio.create_task(duties.hand_over())
+    await entries.pass_time(0.2)
+    entries.stores[holder].set_faults({"down": False})
+    await entries.pass_time(1.0)
+    await stopping
+    assert len(entries.held()[name]) == 1
+
+
+# An error of one duty's hand-over was dropped without a line.
+async def test_hand_over_that_fails_is_logged(entries, caplog):
+    caplog.set_level("INFO")
+    name, (holder,) = next(iter(entries.held().items()))
+
+    async def fail():
+        raise ValueError("broken")
+
+    entries.duties[holder].held[name].duty.hand_over = fail
+    await entries.duties[holder].hand_over()
+    events = [record.getMessage() for record in caplog.records]
+    assert any("event=hand_over_failed" in event for event in events)
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -1,8 +1,11 @@
 """The holder of a pool: starts, ends, lost workers and changes of the holder."""
 
+import asyncio
+
 import pytest
 from burdockthread_scheduling.memory_runs import TaskNature
-from burdockthread_scheduling.records import JobPhase
+from burdockthread_scheduling.pool_workers import AssignedWorkers
+from burdockthread_scheduling.records import JobPhase, decode
 from burdockthread_scheduling.workers import Capacity, EndKind, WorkerKey
 from pool_site import POOL, step
 
@@ -18,6 +21,11 @@
     return found
 
 
+async def never_answered(prefix):
+    """Waits for an answer of the store that does not come."""
+    await asyncio.Event().wait()
+
+
 async def test_job_runs_step_by_step_and_is_recorded_as_completed(site, holder):
     job = await site.submit(step(3), step(2, after=(0,)))
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
@@ -291,3 +299,44 @@
     await site.pass_time(2.0)
     worker.refusing = False
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=5.0)
+
+
+# A holder stopped before it had read who has runs wrote that nobody has any.
+async def test_holder_stopped_while_it_takes_over_leaves_the_list_of_workers(
+    site, holder
+):
+    job = await site.submit(step(1), nature=FOREVER)
+    await site.until(lambda: len(site.park.running()) == 1)
+    key = site.runs(job)[0].worker
+    await site.kill(holder)
+    site.park.by_key[key].silent = True
+    stopped = await site.holder("entry-2", "process-2")
+    stopped.core.parts.store.list = never_answered
+    await site.pass_time(0.2)
+    await stopped.hand_over()
+    await site.kill(stopped)
+    await site.holder("entry-3", "process-3")
+    await site.pass_time(2.0)
+    assert len(site.runs(job)) == 1
+
+
+# Ends that were being written at the hand-over were written twice at once, which
+# the holder took for a change by another entry and gave the hand-over up.
+async def test_hand_over_waits_for_the_write_of_ends_under_way(site, holder):
+    job = await site.submit(step(1))
+    write = holder.core.parts.store.write
+    writing = []
+
+    async def slow_write(changes, guards=()):
+        writing.append(changes)
+        await site.clock.sleep(0.15)
+        return await write(changes, guards)
+
+    holder.core.parts.store.write = slow_write
+    await site.until(lambda: any(job in str(changes) for changes in writing))
+    stopping = asyncio.create_task(holder.hand_over())
+    await site.pass_time(1.0)
+    await stopping
+    record = await site.memory.get(f"assigned/{POOL}")
+    assert decode(record.value, AssignedWorkers).released
+    assert site.phase(job) is JobPhase.COMPLETED
