Write log lines in pieces that a pipe takes whole

A flush wrote up to 512 lines at once, and the reader keeps at most 8 KiB of a write.

Ruled out: a decision without a line in the code. All stops of runs go through RunOrders.stop, which logs before it sends.

Change: a write holds whole lines up to PIPE_BUF (4,096 bytes), a longer line alone. Test: many lines at once, on a pipe that keeps writes apart (red before: a write ended within a line).

--- a/libs/model/burdockthread_model/stdout_log.py
+++ b/libs/model/burdockthread_model/stdout_log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import select
 from collections import deque
 
 from burdockthread_model.events import EventLog
@@ -9,7 +10,8 @@
 FLUSH_INTERVAL_S = 0.05
 # About four megabytes of lines; more is dropped and counted.
 MAX_WAITING_LINES = 16_384
-MAX_WRITE_LINES = 512
+# A pipe takes so much in one piece; readers may cut longer writes off.
+MAX_WRITE_BYTES = select.PIPE_BUF
 
 
 class StdoutLog(EventLog):
@@ -66,14 +68,23 @@
         self.scheduled = True
         loop.call_later(FLUSH_INTERVAL_S, self.flush)
 
+    def next_lines(self) -> bytes:
+        """Returns as many waiting lines as one write holds, at least one."""
+        found = b""
+        while self.waiting:
+            line = f"{self.waiting[0]}\n".encode()
+            if found and len(found) + len(line) > MAX_WRITE_BYTES:
+                break
+            found += line
+            self.waiting.popleft()
+        return found
+
     def flush(self) -> None:
         """Writes as much as the reader takes now."""
         self.scheduled = False
         while self.unwritten or self.waiting:
             if not self.unwritten:
-                count = min(len(self.waiting), MAX_WRITE_LINES)
-                lines = [self.waiting.popleft() for _ in range(count)]
-                self.unwritten = ("\n".join(lines) + "\n").encode()
+                self.unwritten = self.next_lines()
             try:
                 written = os.write(self.descriptor, self.unwritten)
             except BlockingIOError:
