Audit in the stand-ins how many tasks of a lasting step orders take out

The workers in memory check each order that ends a run at work, a stop or one to its machine, against the other tasks of the step: away are those that an order took out and that are not back, and those missing for 4.5 s. The time that a stop takes is a field, and lasting tasks may have a start-up time.

--- a/libs/burdockthread/burdockthread/bench_scheduling.py
+++ b/libs/burdockthread/burdockthread/bench_scheduling.py
@@ -13,7 +13,8 @@
 from burdockthread_scheduling.duty import Tenure
 from burdockthread_scheduling.intake import JobIntake
 from burdockthread_scheduling.job_index import JobIndex
-from burdockthread_scheduling.memory_workers import MemoryWorkers, TaskNature
+from burdockthread_scheduling.memory_runs import TaskNature
+from burdockthread_scheduling.memory_workers import MemoryWorkers
 from burdockthread_scheduling.placement_policy import NoPolicyService
 from burdockthread_scheduling.pool_core import PoolParts
 from burdockthread_scheduling.pool_scheduler import PoolScheduler
--- a/libs/scheduling/burdockthread_scheduling/memory_machines.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_machines.py
@@ -138,7 +138,10 @@
         if machine.worker_id:
             key = WorkerKey(machine.worker_id, 1)
             if key in self.park.by_key:
-                self.interrupted += len(self.park.by_key[key].runs)
+                worker = self.park.by_key[key]
+                self.interrupted += len(worker.runs)
+                for run in worker.runs.values():
+                    self.park.note_order(worker, run)
                 self.park.remove(key)
         self.by_name[machine.name] = machine._replace(state=state, worker_id="")
 
--- a/libs/scheduling/burdockthread_scheduling/memory_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_workers.py
@@ -2,10 +2,16 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from typing import NamedTuple
 
 from burdockthread_model.clock import Clock
 
+from burdockthread_scheduling.memory_absences import AbsenceAudit
+from burdockthread_scheduling.memory_runs import (
+    AT_WORK_PERCENT,
+    MemoryRun,
+    RunRecord,
+    TaskNature,
+)
 from burdockthread_scheduling.roster import WorkerRoster
 from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.workers import (
@@ -31,87 +37,10 @@
 MAX_LISTED = 500
 STOP_S = 0.2
 GANG_WAIT_S = 3.0
-FAIL_AFTER_S = 0.1
 POLL_S = 0.02
-DEFAULT_TASK_S = 1.0
 DEFAULT_CAPACITY = Capacity(16_000, 65_536)
 
 
-class TaskNature(NamedTuple):
-    """How a task behaves on a sound worker.
-
-    Attributes:
-        duration_s: Seconds of work; infinity for a task that lasts.
-        size: What it takes up.
-        fails: Whether each run of it fails.
-        checkpointing: Whether it saves its progress each second.
-        gang: Number of tasks that only work together, or 0.
-    """
-
-    duration_s: float = DEFAULT_TASK_S
-    size: Capacity = Capacity(1_000, 256)
-    fails: bool = False
-    checkpointing: bool = False
-    gang: int = 0
-
-
-class RunRecord(NamedTuple):
-    """One run as it really was.
-
-    Attributes:
-        task: The task.
-        run: Number of the run.
-        worker: Where it ran.
-        started_s: Clock time of its start.
-        ended_s: Clock time of its end, or infinity.
-        kind: How it ended, or None.
-    """
-
-    task: TaskId
-    run: int
-    worker: WorkerKey
-    started_s: float
-    ended_s: float
-    kind: EndKind | None
-
-
-class MemoryRun:
-    """A run on a memory worker."""
-
-    def __init__(self, order: StartOrder, nature: TaskNature, now: float) -> None:
-        self.order = order
-        self.nature = nature
-        self.started_s = now
-        self.done_s = saved_s(order.checkpoint) if nature.checkpointing else 0.0
-        self.touched_s = now
-        self.stop_s = float("inf")
-        self.fails_s = now + FAIL_AFTER_S
-        self.percent_allowed = 100
-
-    def work(self, now: float, speed: float) -> None:
-        """Takes in the time that has passed, at a speed."""
-        passed_s = max(now - self.touched_s, 0.0)
-        self.done_s += passed_s * speed * self.percent_allowed / 100
-        self.touched_s = now
-
-    def percent(self) -> int:
-        """Returns the share of the work that is done; a lasting task is at work."""
-        if self.nature.duration_s == float("inf"):
-            return self.percent_allowed
-        return min(int(self.done_s / self.nature.duration_s * 100), 100)
-
-    def checkpoint(self) -> str:
-        """Returns the saved progress, or an empty text."""
-        if not self.nature.checkpointing or self.done_s < 1:
-            return ""
-        return f"{int(self.done_s)}"
-
-
-def saved_s(checkpoint: str) -> float:
-    """Returns the seconds of work that a checkpoint holds."""
-    return float(checkpoint) if checkpoint else 0.0
-
-
 class MemoryWorker:
     """One life of a worker.
 
@@ -230,7 +159,8 @@
         self.close_run(task, run)
         found = self.runs.get((task, run))
         if found is not None:
-            found.stop_s = min(found.stop_s, self.park.clock.now() + STOP_S)
+            self.park.note_order(self, found)
+            found.stop_s = min(found.stop_s, self.park.clock.now() + self.park.stop_s)
         return None
 
     def report(self) -> HoldReport:
@@ -269,6 +199,8 @@
         records: Every run that was started.
         settled: Tasks whose success a worker was told to forget.
         violations: Broken promises, as texts.
+        absences: What orders took out of lasting steps.
+        stop_s: Seconds from a stop until the run has ended.
         measure: Returns the measure of a run on a worker.
     """
 
@@ -281,6 +213,8 @@
         self.records: list[RunRecord] = []
         self.settled: set[TaskId] = set()
         self.violations: list[str] = []
+        self.absences = AbsenceAudit(self.records)
+        self.stop_s = STOP_S
         self.event = asyncio.Event()
         self.late: set[asyncio.Task[None]] = set()
         self.starts = 0
@@ -352,9 +286,19 @@
                 run.started_s,
                 float("inf"),
                 None,
+                run.started_s + run.nature.startup_s,
             )
         )
 
+    def note_order(self, worker: MemoryWorker, run: MemoryRun) -> None:
+        """Records an order that ends a run, and whether it broke a promise."""
+        if run.percent() < AT_WORK_PERCENT or worker.listing.draining:
+            return
+        now = self.clock.now()
+        broken = self.absences.take_out(run.order.task, run.order.run, now)
+        if broken:
+            self.violations.append(broken)
+
     def note_end(self, worker: MemoryWorker, run: MemoryRun, kind: EndKind) -> None:
         """Records an end."""
         self.replace_record(worker, run, self.clock.now(), kind)
--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -9,7 +9,8 @@
 from burdockthread_scheduling.duty import Tenure
 from burdockthread_scheduling.intake import JobIntake
 from burdockthread_scheduling.job_index import JobIndex
-from burdockthread_scheduling.memory_workers import MemoryWorkers, TaskNature
+from burdockthread_scheduling.memory_runs import TaskNature
+from burdockthread_scheduling.memory_workers import MemoryWorkers
 from burdockthread_scheduling.placement_policy import MemoryPolicyService
 from burdockthread_scheduling.pool_core import PoolParts
 from burdockthread_scheduling.pool_scheduler import PoolScheduler
@@ -144,6 +145,7 @@
             accepted_ms=int(self.clock.wall() * 1000),
             **fields,
         )
+        self.park.absences.watch(job_id, job.steps)
         waiting = asyncio.create_task(self.intake.submit(job, POOL))
         await self.pass_time(0.1)
         await waiting
--- a/libs/scheduling/tests/test_machine_planner.py
+++ b/libs/scheduling/tests/test_machine_planner.py
@@ -12,7 +12,7 @@
 )
 from burdockthread_scheduling.machines import Wave
 from burdockthread_scheduling.memory_machines import MemoryMachines, MemoryWaves
-from burdockthread_scheduling.memory_workers import TaskNature
+from burdockthread_scheduling.memory_runs import TaskNature
 from burdockthread_scheduling.records import JobPhase
 from burdockthread_scheduling.workers import Capacity
 from burdockthread_store.store import ANY_REVISION, Change, Guard
--- a/libs/scheduling/tests/test_pacing.py
+++ b/libs/scheduling/tests/test_pacing.py
@@ -1,7 +1,7 @@
 """Tasks that fill are slowed before they harm the tasks that serve."""
 
 import pytest
-from burdockthread_scheduling.memory_workers import TaskNature
+from burdockthread_scheduling.memory_runs import TaskNature
 from burdockthread_scheduling.workers import Capacity
 from pool_site import POOL, step
 
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -1,7 +1,7 @@
 """The holder of a pool: starts, ends, lost workers and changes of the holder."""
 
 import pytest
-from burdockthread_scheduling.memory_workers import TaskNature
+from burdockthread_scheduling.memory_runs import TaskNature
 from burdockthread_scheduling.records import JobPhase
 from burdockthread_scheduling.workers import Capacity, EndKind, WorkerKey
 from pool_site import POOL, step
--- a/libs/scheduling/tests/test_task_placer.py
+++ b/libs/scheduling/tests/test_task_placer.py
@@ -1,7 +1,7 @@
 """Placement of gangs, by racks and labels, by policy, in copies and in time."""
 
 import pytest
-from burdockthread_scheduling.memory_workers import TaskNature
+from burdockthread_scheduling.memory_runs import TaskNature
 from burdockthread_scheduling.records import JobPhase
 from burdockthread_scheduling.specs import PlacementPolicyTimes
 from burdockthread_scheduling.worker_state import WorkerState
--- a/libs/standins/burdockthread_standins/emulated_site.py
+++ b/libs/standins/burdockthread_standins/emulated_site.py
@@ -16,7 +16,8 @@
 from burdockthread_model.clock import Clock, SystemClock
 from burdockthread_scheduling.machines import Wave
 from burdockthread_scheduling.memory_machines import MemoryMachines
-from burdockthread_scheduling.memory_workers import MemoryWorkers, TaskNature
+from burdockthread_scheduling.memory_runs import TaskNature
+from burdockthread_scheduling.memory_workers import MemoryWorkers
 from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.workers import Capacity
 from burdockthread_store.store import ANY_REVISION, Change
--- a/libs/standins/burdockthread_standins/job_audit.py
+++ b/libs/standins/burdockthread_standins/job_audit.py
@@ -2,7 +2,8 @@
 
 from collections import defaultdict
 
-from burdockthread_scheduling.memory_workers import MemoryWorkers, RunRecord
+from burdockthread_scheduling.memory_runs import RunRecord
+from burdockthread_scheduling.memory_workers import MemoryWorkers
 from burdockthread_scheduling.workers import EndKind
 
 from burdockthread_standins.job_load import CallerRecord
