Let a new holder take out no lasting task that its predecessor may be stopping

Cause: a stop takes up to 900 ms there, and a worker lists the run as running until it has ended. The new holder adopted it as at work, counted none of the step as away and stopped the next one that it was asked to move. Nothing told it of the order, and nothing can if the predecessor is killed or cut off.

Telling the orders in the hand-over or in a record before each stop: the first says nothing of killed and cut-off holders, the second costs a write before each stop and does not tell whether the worker got the order.

Change: a worker refuses orders of the earlier holder from its first answer to the new one on, and a stop that it took before has ended within the platform's bound (bounds.stopMs, a setting now). So an adopted run is in doubt until the worker lists it at a time on its own clock that is later than that bound after its first answer, and a task in doubt counts as away for planned moves. An answer of a worker with lasting tasks in doubt waits only until the doubt can end. No call of the store; one more look at such a worker for each takeover.

Also: run_stopping of a moved task says how many were away and allowed, run_ended and run_missing whether this holder had told the run to stop, run_adopted for how long it is in doubt, so that each end leads to its decision across holders.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -262,6 +262,7 @@
             log=self.log,
             report=self.report_status,
             release=self.ask_release,
+            stop_s=self.settings.run_stop_s,
         )
         return PoolScheduler(pool, tenure, parts)
 
--- a/libs/platform/burdockthread_platform/settings.py
+++ b/libs/platform/burdockthread_platform/settings.py
@@ -43,6 +43,7 @@
         stop_timeout_s: Seconds from the signal to stop until the kill.
         order_spacing_s: Seconds that two holders' orders to machines keep apart.
         max_lease_s: Longest lease of a run in seconds.
+        run_stop_s: Seconds that a run takes at most to end once told to stop.
         absence_notice_s: Seconds for which an absence counts after its cause.
         move_s: Seconds that a machine takes to change its pool.
         upkeep_s: Seconds that the upkeep of a machine takes.
@@ -71,6 +72,7 @@
     stop_timeout_s: float
     order_spacing_s: float
     max_lease_s: float
+    run_stop_s: float
     absence_notice_s: float
     move_s: float
     upkeep_s: float
@@ -118,6 +120,7 @@
             stop_timeout_s=fields.number("bounds.graceS"),
             order_spacing_s=fields.number("bounds.leaseMs", 3000) / 1000,
             max_lease_s=fields.number("bounds.holdMaxMs", 6000) / 1000,
+            run_stop_s=fields.number("bounds.stopMs", 1000) / 1000,
             absence_notice_s=fields.number("bounds.noticeMs", 4500) / 1000,
             move_s=fields.number("bounds.moveS", 1.5),
             upkeep_s=fields.number("bounds.upkeepS", 2.0),
--- a/libs/platform/tests/test_settings.py
+++ b/libs/platform/tests/test_settings.py
@@ -16,6 +16,7 @@
 limits.memoryMb=300
 heartbeatMs=1500
 bounds.graceS=6
+bounds.stopMs=900
 advice=10.200.1.9:8621
 platform.address=10.200.1.7:8621
 platform.writesPerS=400
@@ -33,6 +34,7 @@
     assert settings.first_port == 7060
     assert settings.cores == pytest.approx(1.074)
     assert settings.policy == Address("10.200.1.9", 8621)
+    assert settings.run_stop_s == pytest.approx(0.9)
 
 
 @pytest.mark.parametrize(
--- a/libs/scheduling/burdockthread_scheduling/evacuation.py
+++ b/libs/scheduling/burdockthread_scheduling/evacuation.py
@@ -97,10 +97,12 @@
         if choose_worker(task, self.workers.ready(), self.core.health) is None:
             self.waiting = True
             return
-        missing = sum(not is_at_work(other) for other in step.open_tasks.values())
-        leaving = placement.worker.listing.draining
-        if leaving or missing < max(task.step.max_unavailable, 1):
-            self.orders.stop(placement, "worker is to be emptied")
+        away = sum(not is_at_work(other) for other in step.open_tasks.values())
+        allowed = max(task.step.max_unavailable, 1)
+        if placement.worker.listing.draining or away < allowed:
+            self.orders.stop(
+                placement, "worker is to be emptied", away=away, allowed=allowed
+            )
 
     def without_reserved(self, ready: list[WorkerState]) -> list[WorkerState]:
         """Leaves out the emptiest worker while a lasting task waits for room."""
@@ -111,9 +113,10 @@
 
 
 def is_at_work(task: TaskRun) -> bool:
-    """Returns whether a lasting task works and is not about to be stopped."""
+    """Returns whether a lasting task works and no holder has told it to stop."""
     return any(
         placement.phase is PlacementPhase.CONFIRMED
+        and not placement.doubtful_until_ms
         and placement.percent >= AT_WORK_PERCENT
         and not placement.worker.failed_calls
         for placement in task.placements
--- a/libs/scheduling/burdockthread_scheduling/pool_core.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_core.py
@@ -43,6 +43,7 @@
             None if it cannot be reached.
         release: Asks the entry at an address to give no more orders for a pool
             under fencing tokens below one; returns the id of its process.
+        stop_s: Seconds that a run takes at most to end once it is told to stop.
     """
 
     entry: str
@@ -59,6 +60,7 @@
     log: EventLog
     report: Callable[[PoolStatus], Awaitable[PlannerAnswer | None]]
     release: Callable[[str, str, int], Awaitable[str]]
+    stop_s: float
 
 
 class PoolCore:
--- a/libs/scheduling/burdockthread_scheduling/run_orders.py
+++ b/libs/scheduling/burdockthread_scheduling/run_orders.py
@@ -181,8 +181,14 @@
                 if placement.run == run:
                     self.stop(placement, reason)
 
-    def stop(self, placement: Placement, reason: str) -> None:
-        """Stops a run, or keeps one from starting later."""
+    def stop(self, placement: Placement, reason: str, **inputs: object) -> None:
+        """Stops a run, or keeps one from starting later.
+
+        Args:
+            placement: The run.
+            reason: Why.
+            inputs: What decided it, for the log.
+        """
         if placement.phase is PlacementPhase.STOPPING:
             return
         placement.phase = PlacementPhase.STOPPING
@@ -193,6 +199,7 @@
             run=placement.run,
             worker=placement.worker.worker_id,
             reason=reason,
+            **inputs,
         )
         self.core.spawn(self.send_stop(placement))
 
--- a/libs/scheduling/burdockthread_scheduling/run_reports.py
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -9,7 +9,12 @@
 from burdockthread_scheduling.run_orders import RunOrders
 from burdockthread_scheduling.sessions import ReportListener
 from burdockthread_scheduling.specs import TaskId
-from burdockthread_scheduling.worker_state import Placement, WorkerState
+from burdockthread_scheduling.worker_state import (
+    CLOCK_RATE_BOUND,
+    Placement,
+    PlacementPhase,
+    WorkerState,
+)
 from burdockthread_scheduling.workers import (
     Capacity,
     EndKind,
@@ -21,6 +26,8 @@
 # A list that is as long may have been cut.
 FULL_LIST = 500
 AT_WORK_PERCENT = 100
+# A stopped run may be listed as running a little after it has ended.
+STOP_MARGIN_MS = 50
 
 
 class RunReports(ReportListener):
@@ -55,25 +62,26 @@
         listed = set()
         for run in report.running:
             listed.add((run.task, run.run))
-            self.on_running(worker, run)
+            self.on_running(worker, run, report.clock_ms)
         for end in report.ended:
             listed.add((end.task, end.run))
             if end.number > worker.seen_end:
                 worker.seen_end = end.number
                 self.on_end(worker, end)
         if len(report.ended) < FULL_LIST and len(report.running) < FULL_LIST:
-            drop_missing(worker, listed, sent_s)
+            self.drop_missing(worker, listed, sent_s)
         if worker.seen_end > worker.settled_end:
             self.writer.work.set()
         self.core.wake.set()
 
-    def on_running(self, worker: WorkerState, run: RunReport) -> None:
-        """Takes in a run that goes on."""
+    def on_running(self, worker: WorkerState, run: RunReport, clock_ms: int) -> None:
+        """Takes in a run that goes on at a time on the worker's clock."""
         now = self.clock.now()
         placement = worker.placements.get((run.task, run.run))
         if placement is None:
-            placement = self.adopt(worker, run)
+            placement = self.adopt(worker, run, clock_ms)
         placement.confirm(now)
+        placement.settle(clock_ms)
         placement.measure = run.measure
         placement.measured_s = now
         task = placement.task
@@ -86,8 +94,12 @@
         if task is not None and run.checkpoint:
             task.checkpoint = run.checkpoint
 
-    def adopt(self, worker: WorkerState, run: RunReport) -> Placement:
-        """Takes over a run that an earlier holder has started."""
+    def adopt(self, worker: WorkerState, run: RunReport, clock_ms: int) -> Placement:
+        """Takes over a run that an earlier holder has started.
+
+        The earlier holder may have told it to stop, which the lists do not show.
+        The worker has refused its orders since the first answer to this holder.
+        """
         task = self.core.board.find(run.task)
         wanted = task is not None and (
             not task.placements
@@ -102,6 +114,8 @@
             size,
             self.clock.now(),
         )
+        stop_ms = self.core.parts.stop_s * 1000 * CLOCK_RATE_BOUND + STOP_MARGIN_MS
+        placement.doubtful_until_ms = int(clock_ms + stop_ms)
         worker.add(placement)
         if task is not None and wanted:
             task.placements.append(placement)
@@ -115,6 +129,7 @@
             run=run.run,
             worker=worker.worker_id,
             wanted=wanted,
+            doubtful_ms=int(stop_ms),
         )
         return placement
 
@@ -132,6 +147,7 @@
             worker=worker.worker_id,
             how=end.kind.value,
             number=end.number,
+            stopped_here=is_stopping(placement),
         )
         job = core.board.jobs.get(end.task.job_id)
         task = core.board.find(end.task)
@@ -147,6 +163,22 @@
         elif end.checkpoint:
             task.checkpoint = end.checkpoint
 
+    def drop_missing(
+        self, worker: WorkerState, listed: set[tuple[TaskId, int]], sent_s: float
+    ) -> None:
+        """Drops the runs that a worker knew of before it was asked and has no more."""
+        for key, placement in tuple(worker.placements.items()):
+            if key in listed or placement.certain_s >= sent_s:
+                continue
+            worker.remove(placement)
+            self.log.info(
+                "run_missing",
+                task=placement.task_id,
+                run=placement.run,
+                worker=worker.worker_id,
+                stopped_here=is_stopping(placement),
+            )
+
     def succeed(self, job: JobRun, task_id: TaskId) -> None:
         """Notes that a task has succeeded, and with it all members of a gang."""
         for task in job.succeed(task_id):
@@ -193,10 +225,6 @@
         return settle
 
 
-def drop_missing(
-    worker: WorkerState, listed: set[tuple[TaskId, int]], sent_s: float
-) -> None:
-    """Drops the runs that a worker knew of before it was asked and has no more."""
-    for key, placement in tuple(worker.placements.items()):
-        if key not in listed and placement.certain_s < sent_s:
-            worker.remove(placement)
+def is_stopping(placement: Placement | None) -> bool:
+    """Returns whether this holder has told a run to stop."""
+    return placement is not None and placement.phase is PlacementPhase.STOPPING
--- a/libs/scheduling/burdockthread_scheduling/sessions.py
+++ b/libs/scheduling/burdockthread_scheduling/sessions.py
@@ -1,6 +1,7 @@
 """Keeps one worker's lease and takes its lists in."""
 
 import asyncio
+import math
 from abc import ABC, abstractmethod
 from contextlib import suppress
 
@@ -9,7 +10,7 @@
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import Metrics
 
-from burdockthread_scheduling.worker_state import WorkerState
+from burdockthread_scheduling.worker_state import CLOCK_RATE_BOUND, WorkerState
 from burdockthread_scheduling.workers import (
     HoldOrder,
     HoldReport,
@@ -112,7 +113,7 @@
         if worker.contacted and not worker.failed_calls:
             lease_until_ms = worker.next_lease_ms(sent_s)
             if worker.seen_end <= worker.settled_end and worker.placements:
-                wait_ms = HOLD_WAIT_MS
+                wait_ms = self.wait_ms(sent_s)
         order = HoldOrder(self.fence, worker.settled_end, lease_until_ms, wait_ms)
         timeout_s = wait_ms / 1000 + CALL_TIMEOUT_S
         report = await self.gateway.hold(worker.listing, order, timeout_s)
@@ -125,6 +126,13 @@
         worker.read_clock(report.clock_ms, now)
         self.listener.on_report(worker, report, sent_s)
 
+    def wait_ms(self, now: float) -> int:
+        """Returns how long an answer may wait, to be in time to end a doubt."""
+        doubtful_ms = self.worker.doubtful_ms(now)
+        if not doubtful_ms:
+            return HOLD_WAIT_MS
+        return min(HOLD_WAIT_MS, math.ceil(doubtful_ms * CLOCK_RATE_BOUND))
+
     def note_failure(self, error: PlatformError) -> None:
         """Counts a call without an answer."""
         worker = self.worker
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -46,10 +46,13 @@
         measure: Last measure reported.
         measured_s: Clock time of that report.
         pace: Share, 0 to 100, at which it was last told to work.
+        doubtful_until_ms: Worker's clock until which a stop of an earlier holder
+            may be under way; 0 if none can be.
     """
 
     __slots__ = (
         "certain_s",
+        "doubtful_until_ms",
         "measure",
         "measured_s",
         "ordered_s",
@@ -88,6 +91,7 @@
         self.measure = 0.0
         self.measured_s = float("-inf")
         self.pace = 100
+        self.doubtful_until_ms = 0
 
     def confirm(self, now: float) -> None:
         """Notes that the worker has the run."""
@@ -95,6 +99,11 @@
             self.phase = PlacementPhase.CONFIRMED
         self.certain_s = min(self.certain_s, now)
 
+    def settle(self, clock_ms: int) -> None:
+        """Notes that the worker lists the run at a time on its clock."""
+        if clock_ms >= self.doubtful_until_ms:
+            self.doubtful_until_ms = 0
+
     def advance(self, percent: int, now: float) -> None:
         """Takes in how far the run has come."""
         passed_s = now - self.progress_s
@@ -223,10 +232,25 @@
         self.contact_s = now
         self.failed_calls = 0
 
+    def now_ms(self, now: float) -> float:
+        """Returns the worker's clock as far as it is known."""
+        return self.clock_ms + (now - self.clock_read_s) * 1000
+
+    def doubtful_ms(self, now: float) -> float:
+        """Returns the milliseconds until all its lasting tasks are certain."""
+        until_ms = max(
+            (
+                placement.doubtful_until_ms
+                for placement in self.placements.values()
+                if placement.task is not None and placement.task.step.lasting
+            ),
+            default=0,
+        )
+        return max(until_ms - self.now_ms(now), 0.0)
+
     def next_lease_ms(self, now: float) -> int:
         """Returns the end of a new lease on the worker's clock, and notes it."""
-        worker_now_ms = self.clock_ms + (now - self.clock_read_s) * 1000
-        until_ms = int(worker_now_ms + RUN_LEASE_MS)
+        until_ms = int(self.now_ms(now) + RUN_LEASE_MS)
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
         return until_ms
 
--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -107,6 +107,7 @@
             log=self.log,
             report=self.report,
             release=self.release,
+            stop_s=self.park.stop_s,
         )
         scheduler = PoolScheduler(POOL, tenure, parts)
         scheduler.work = asyncio.create_task(scheduler.run())
--- a/libs/standins/burdockthread_standins/emulated_site.py
+++ b/libs/standins/burdockthread_standins/emulated_site.py
@@ -45,6 +45,7 @@
 limits.memoryMb=300
 heartbeatMs=1500
 bounds.graceS=6
+bounds.stopMs=200
 platform.address={store}
 platform.writesPerS=400
 platform.readsPerS=2000
