Tell the planner that a worker is vacated only while that outlasts its order

Found by reading, as a place of the same kind: the status of a pool called a worker vacated up to the moment at which the holder gave it tasks again, while the planner acts on a status for 0.8 s and its call takes up to 1.0 s. A planner that had just taken over, or that chose the machine again, could end a task that had started meanwhile.

Change: a worker counts as vacated in a status only if it gets no tasks for as long as an order that follows from that status may take. One constant each for the time of a call between entries and of an order to a machine.

--- a/libs/platform/burdockthread_platform/machines_http.py
+++ b/libs/platform/burdockthread_platform/machines_http.py
@@ -11,12 +11,12 @@
     MachineRefusedError,
     MachineState,
 )
+from burdockthread_scheduling.pool_status import MACHINE_ORDER_TIMEOUT_S
 
 from burdockthread_platform import wire
 from burdockthread_platform.registrations import parse_capacity
 from burdockthread_platform.settings import Address
 
-CALL_TIMEOUT_S = 1.0
 MAX_PAGES = 100
 OVER_RATE = 429
 REFUSALS = {
@@ -32,7 +32,7 @@
     def __init__(self, address: Address, session: aiohttp.ClientSession) -> None:
         self.base_url = f"http://{address}"
         self.session = session
-        self.timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        self.timeout = aiohttp.ClientTimeout(total=MACHINE_ORDER_TIMEOUT_S)
 
     async def call(
         self,
--- a/libs/scheduling/burdockthread_scheduling/entry_link.py
+++ b/libs/scheduling/burdockthread_scheduling/entry_link.py
@@ -11,6 +11,7 @@
 
 from burdockthread_scheduling.duty import DutyOffer
 from burdockthread_scheduling.pool_status import (
+    LINK_TIMEOUT_S,
     PlannerAnswer,
     PoolStatus,
     ReleaseAnswer,
@@ -20,7 +21,6 @@
 STATUS_PATH = "/pool-status"
 RELEASE_PATH = "/pool-release"
 OFFER_PATH = "/duty-offer"
-CALL_TIMEOUT_S = 0.5
 NOT_PLANNER = 409
 
 StatusHandler = Callable[[PoolStatus], PlannerAnswer | None]
@@ -81,7 +81,7 @@
         self.on_status = on_status
         self.on_release = on_release
         self.on_offer = on_offer
-        self.timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        self.timeout = aiohttp.ClientTimeout(total=LINK_TIMEOUT_S)
 
     async def call(
         self, address: str, path: str, message: object, kind: type[Answer]
--- a/libs/scheduling/burdockthread_scheduling/planner_link.py
+++ b/libs/scheduling/burdockthread_scheduling/planner_link.py
@@ -6,6 +6,9 @@
 from burdockthread_scheduling.job_order import Lateness
 from burdockthread_scheduling.pool_core import PoolCore
 from burdockthread_scheduling.pool_status import (
+    LINK_TIMEOUT_S,
+    MACHINE_ORDER_TIMEOUT_S,
+    STATUS_MAX_AGE_S,
     PlannerAnswer,
     PoolStatus,
     WorkerStatus,
@@ -16,6 +19,9 @@
 STATUS_INTERVAL_S = 0.1
 # A new holder has taken the registrations in by then.
 FIRST_STATUS_S = 0.02
+# An order that follows from a status has ended by then: the way of the status, the
+# time for which the planner acts on it, and the call.
+STATUS_EFFECT_S = LINK_TIMEOUT_S + STATUS_MAX_AGE_S + MACHINE_ORDER_TIMEOUT_S
 # Work that ends late anyway draws fewer machines than work in time.
 LATE_WORK_WEIGHTS = {
     Lateness.IN_TIME: 1.0,
@@ -93,7 +99,7 @@
             used_milli=worker.used_cpu,
             runs=len(worker.placements),
             lasting=worker.lasting(),
-            vacating=worker.worker_id in self.workers.vacating_until_s,
+            vacating=self.workers.vacating_s(worker) >= STATUS_EFFECT_S,
             usable=self.workers.is_usable(worker),
             idle_s=now - worker.busy_s,
         )
--- a/libs/scheduling/burdockthread_scheduling/pool_status.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_status.py
@@ -4,6 +4,10 @@
 
 # The planner acts on a status for so long.
 STATUS_MAX_AGE_S = 0.8
+# A call between entries is answered or given up within this time.
+LINK_TIMEOUT_S = 0.5
+# By then an order to a machine has been answered or given up.
+MACHINE_ORDER_TIMEOUT_S = 1.0
 
 
 class WorkerStatus(NamedTuple):
@@ -15,7 +19,8 @@
         used_milli: Processors that its runs take up.
         runs: Runs that may exist on it.
         lasting: Those of them that are of lasting tasks.
-        vacating: Whether it gets no more tasks at the planner's wish.
+        vacating: Whether it gets no tasks, at the planner's wish, for as long as
+            the planner may act on this status.
         usable: Whether it takes orders.
         idle_s: Seconds since it has had nothing to do.
     """
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -253,6 +253,11 @@
             and (not worker.unknown_runs or self.core.spec().refuses_overload)
         )
 
+    def vacating_s(self, worker: WorkerState) -> float:
+        """Returns for how long a worker gets no tasks at the planner's wish."""
+        until_s = self.vacating_until_s.get(worker.worker_id, float("-inf"))
+        return until_s - self.clock.now()
+
     def is_wish_known(self, worker: WorkerState) -> bool:
         """Returns whether no wish to the last holder to empty a worker stands."""
         known = worker.worker_id in self.wishes_known
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -2,6 +2,10 @@
 
 import pytest
 from burdockthread_scheduling.memory_runs import TaskNature
+from burdockthread_scheduling.pool_status import (
+    MACHINE_ORDER_TIMEOUT_S,
+    STATUS_MAX_AGE_S,
+)
 from burdockthread_scheduling.records import JobPhase
 from burdockthread_scheduling.workers import Capacity, EndKind, WorkerKey
 from pool_site import POOL, step
@@ -279,3 +283,23 @@
     site.ended = ()
     await site.pass_time(1.0)
     assert any(w.worker_id == "w1" for w in holder.workers.ready())
+
+
+# Guards against tasks on a worker whose machine an order is on its way to.
+async def test_nothing_starts_while_the_planner_may_act_on_the_last_status(
+    site, holder
+):
+    site.vacate = ("w1",)
+    await site.pass_time(0.5)
+    await site.submit(step(40), nature=FOREVER)
+    site.vacate = ()
+    worker = site.park.by_key[WorkerKey("w1", 1)]
+    told_s, last = site.clock.now(), site.status
+    while not worker.runs:
+        await site.pass_time(0.02)
+        if site.status is not last:
+            last = site.status
+            if any(w.vacating for w in last.workers if w.worker_id == "w1"):
+                told_s = site.clock.now()
+    quiet_s = STATUS_MAX_AGE_S + MACHINE_ORDER_TIMEOUT_S
+    assert site.clock.now() - told_s >= quiet_s
