Stop lasting tasks whose pace cannot be set only within what may be missing

Found by reading, as a place of the same kind: a run that fills, whose pace stayed uncertain for 1.5 s, was stopped however many of its step were away. For lasting tasks whose step says how many may be missing, workers that leave such calls unanswered lost all at once.

Change: the count of the absent tasks is a part of its own, used for moves and for the pace. It counts the others of the step: whether the task itself is in doubt or starting up says nothing on how many are missing without it. A run that is certain to be slowed is not at work, so that ending it takes nothing out.

--- a/libs/scheduling/burdockthread_scheduling/evacuation.py
+++ b/libs/scheduling/burdockthread_scheduling/evacuation.py
@@ -1,11 +1,11 @@
 """Moves tasks off workers that leave, or that the planner wants empty."""
 
+from burdockthread_scheduling.absences import Absences
 from burdockthread_scheduling.board import TaskRun
 from burdockthread_scheduling.placement import choose_worker
 from burdockthread_scheduling.pool_core import PoolCore
 from burdockthread_scheduling.pool_workers import PoolWorkers
 from burdockthread_scheduling.run_orders import RunOrders
-from burdockthread_scheduling.run_reports import AT_WORK_PERCENT
 from burdockthread_scheduling.worker_state import (
     Placement,
     PlacementPhase,
@@ -91,18 +91,12 @@
 
     def move_lasting(self, placement: Placement, task: TaskRun) -> None:
         """Moves a lasting task if so many of its step may be missing."""
-        step = task.job.step_run(task.task.occurrence, task.task.step)
-        if step is None:
-            return
         if choose_worker(task, self.workers.ready(), self.core.health) is None:
             self.waiting = True
             return
-        away = sum(not is_at_work(other) for other in step.open_tasks.values())
-        allowed = max(task.step.max_unavailable, 1)
-        if placement.worker.listing.draining or away < allowed:
-            self.orders.stop(
-                placement, "worker is to be emptied", away=away, allowed=allowed
-            )
+        absences = Absences.beside(task)
+        if placement.worker.listing.draining or absences.one_more():
+            self.orders.stop(placement, "worker is to be emptied", **absences._asdict())
 
     def without_reserved(self, ready: list[WorkerState]) -> list[WorkerState]:
         """Leaves out the emptiest worker while a lasting task waits for room."""
@@ -110,14 +104,3 @@
             return ready
         emptiest = min(ready, key=lambda worker: worker.used_cpu)
         return [worker for worker in ready if worker is not emptiest]
-
-
-def is_at_work(task: TaskRun) -> bool:
-    """Returns whether a lasting task works and no holder has told it to stop."""
-    return any(
-        placement.phase is PlacementPhase.CONFIRMED
-        and not placement.doubtful_until_ms
-        and placement.percent >= AT_WORK_PERCENT
-        and not placement.worker.failed_calls
-        for placement in task.placements
-    )
--- a/libs/scheduling/burdockthread_scheduling/pacing.py
+++ b/libs/scheduling/burdockthread_scheduling/pacing.py
@@ -1,5 +1,6 @@
 """Slows tasks that fill down before they harm the tasks that serve beside them."""
 
+from burdockthread_scheduling.absences import Absences
 from burdockthread_scheduling.pool_core import PoolCore
 from burdockthread_scheduling.run_orders import RunOrders
 from burdockthread_scheduling.worker_state import (
@@ -93,9 +94,8 @@
         if placement in self.sending:
             return
         since_s = self.uncertain_s.setdefault(placement, now)
-        if now - since_s > UNCERTAIN_S:
+        if now - since_s > UNCERTAIN_S and self.stop(placement):
             self.uncertain_s.pop(placement, None)
-            self.orders.stop(placement, "its pace cannot be set")
             return
         self.sending.add(placement)
         self.changed_s[placement.worker.worker_id] = now
@@ -109,6 +109,22 @@
         )
         self.core.spawn(self.send(placement, percent))
 
+    def stop(self, placement: Placement) -> bool:
+        """Ends a run whose pace is not certain; returns whether it did.
+
+        A lasting task that works at full pace counts as at work, so that it goes on
+        while too many others of its step are away.
+        """
+        task, reason = placement.task, "its pace cannot be set"
+        slowed = placement.pace < FULL_PERCENT
+        if task is None or not task.step.lasting or slowed:
+            self.orders.stop(placement, reason)
+            return True
+        absences = Absences.beside(task)
+        if absences.one_more():
+            self.orders.stop(placement, reason, **absences._asdict())
+        return absences.one_more()
+
     async def send(self, placement: Placement, percent: int) -> None:
         """Sends a pace and notes whether it is certain."""
         try:
--- a/libs/scheduling/burdockthread_scheduling/run_reports.py
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from burdockthread_scheduling.absences import AT_WORK_PERCENT
 from burdockthread_scheduling.board import JobEnd, JobRun, TaskRun
 from burdockthread_scheduling.pool_core import PoolCore
 from burdockthread_scheduling.pool_workers import PoolWorkers
@@ -25,7 +26,6 @@
 
 # A list that is as long may have been cut.
 FULL_LIST = 500
-AT_WORK_PERCENT = 100
 # A stopped run may be listed as running a little after it has ended.
 STOP_MARGIN_MS = 50
 
--- a/libs/scheduling/tests/test_pacing.py
+++ b/libs/scheduling/tests/test_pacing.py
@@ -2,7 +2,7 @@
 
 import pytest
 from burdockthread_scheduling.memory_runs import TaskNature
-from burdockthread_scheduling.workers import Capacity
+from burdockthread_scheduling.workers import Capacity, WorkerSilentError
 from pool_site import POOL, step
 
 FOREVER = TaskNature(duration_s=float("inf"))
@@ -76,8 +76,6 @@
 
 async def test_run_whose_pace_cannot_be_set_is_stopped(site, holder):
     async def unanswered(*_):
-        from burdockthread_scheduling.workers import WorkerSilentError
-
         raise WorkerSilentError("no answer")
 
     site.park.pace = unanswered
@@ -89,3 +87,25 @@
         nature=FOREVER,
     )
     await site.until(lambda: site.metrics.counters["runs.stopped"] > 0, seconds=HARM_S)
+
+
+# Guards against runs ended for their pace without regard to those missing already.
+async def test_runs_whose_pace_cannot_be_set_are_stopped_within_what_may_be_missing(
+    site, holder
+):
+    async def unanswered(*_):
+        raise WorkerSilentError("no answer")
+
+    site.park.stop_s = 0.9
+    for number in range(2, 5):
+        site.park.add(f"w{number}", POOL, Capacity(8_000, 65_536))
+    neighbours = Neighbours(site, 1.0)
+    site.park.measure = neighbours.measure
+    site.park.pace = unanswered
+    await site.submit(
+        step(3, lasting=True, target_ms=TARGET_MS, max_per_worker=1),
+        step(3, lasting=True, fills=True, max_per_worker=1, max_unavailable=1),
+        nature=FOREVER._replace(startup_s=0.5),
+    )
+    await site.until(lambda: site.metrics.counters["runs.stopped"] > 1, seconds=15.0)
+    assert site.park.violations == []
