Set the pace of runs that an earlier holder may have slowed

Found by reading, as a place of the same kind: a new holder took an adopted run that fills for one at full pace. Left alone on its worker, a run that its predecessor had slowed was never told to work fully again.

Change: the pace of an adopted run is unknown, so that the first round sets it. A run counts as slowed only if its worker says so as well, since a raise may have lost its answer.

Test: test_next_holder_speeds_up_what_its_predecessor_has_slowed (red before).

--- a/libs/scheduling/burdockthread_scheduling/pacing.py
+++ b/libs/scheduling/burdockthread_scheduling/pacing.py
@@ -55,10 +55,8 @@
         now = self.clock.now()
         serving = [p for p in worker.placements.values() if is_serving(p)]
         for placement in filling:
-            fresh = (
-                placement.pace == FULL_PERCENT and now - placement.ordered_s < SETTLE_S
-            )
-            if serving and fresh:
+            fresh = now - placement.ordered_s < SETTLE_S
+            if serving and fresh and placement.pace in (FULL_PERCENT, None):
                 self.set(placement, FIRST_PERCENT)
         changed_s = self.changed_s.get(worker.worker_id, float("-inf"))
         load = max((self.load(p, changed_s) for p in serving), default=0.0)
@@ -75,12 +73,14 @@
             return 0.0
         return placement.measure / placement.task.step.target_ms
 
-    def next_percent(self, percent: int, load: float, *, alone: bool) -> int:
+    def next_percent(self, percent: int | None, load: float, *, alone: bool) -> int:
         """Returns the pace that follows from the load of the tasks that serve."""
         if alone:
             return FULL_PERCENT
         if load >= STOP_SHARE:
             return 0
+        if percent is None:
+            return FIRST_PERCENT
         if load >= SLOW_SHARE:
             slower = int(percent * SLOW_FACTOR)
             return slower if slower >= MIN_PERCENT else 0
@@ -116,7 +116,7 @@
         while too many others of its step are away.
         """
         task, reason = placement.task, "its pace cannot be set"
-        slowed = placement.pace < FULL_PERCENT
+        slowed = is_slowed(placement)
         if task is None or not task.step.lasting or slowed:
             self.orders.stop(placement, reason)
             return True
@@ -143,6 +143,12 @@
     return confirmed and task is not None and task.step.fills
 
 
+def is_slowed(placement: Placement) -> bool:
+    """Returns whether a run was told to work less, and its worker says that it does."""
+    told = placement.pace is not None and placement.pace < FULL_PERCENT
+    return told and placement.percent < FULL_PERCENT
+
+
 def is_serving(placement: Placement) -> bool:
     """Returns whether a run serves users of its own within a target."""
     task = placement.task
--- a/libs/scheduling/burdockthread_scheduling/run_reports.py
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -115,6 +115,7 @@
             self.clock.now(),
         )
         stop_ms = self.core.parts.stop_s * 1000 * CLOCK_RATE_BOUND + STOP_MARGIN_MS
+        placement.pace = None
         placement.doubtful_until_ms = int(clock_ms + stop_ms)
         worker.add(placement)
         if task is not None and wanted:
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -45,7 +45,8 @@
         progress_s: Clock time at which `percent` was reported.
         measure: Last measure reported.
         measured_s: Clock time of that report.
-        pace: Share, 0 to 100, at which it was last told to work.
+        pace: Share, 0 to 100, at which it was last told to work, or None if an
+            earlier holder may have told it one.
         doubtful_until_ms: Worker's clock until which a stop of an earlier holder
             may be under way; 0 if none can be.
     """
@@ -90,7 +91,7 @@
         self.progress_s = ordered_s
         self.measure = 0.0
         self.measured_s = float("-inf")
-        self.pace = 100
+        self.pace: int | None = 100
         self.doubtful_until_ms = 0
 
     def confirm(self, now: float) -> None:
--- a/libs/scheduling/tests/test_pacing.py
+++ b/libs/scheduling/tests/test_pacing.py
@@ -109,3 +109,23 @@
     )
     await site.until(lambda: site.metrics.counters["runs.stopped"] > 1, seconds=15.0)
     assert site.park.violations == []
+
+
+# Guards against a task that was slowed by an earlier holder and stays slow alone.
+async def test_next_holder_speeds_up_what_its_predecessor_has_slowed(site, holder):
+    neighbours = Neighbours(site, 1.0)
+    site.park.measure = neighbours.measure
+    serving = await site.submit(
+        step(1, lasting=True, target_ms=TARGET_MS), nature=FOREVER
+    )
+    await site.submit(step(1, lasting=True, fills=True), nature=FOREVER)
+    (worker,) = site.park.by_key.values()
+    await site.until(lambda: any(r.percent_allowed < 100 for r in worker.runs.values()))
+    await site.kill(holder)
+    await site.intake.cancel(serving)
+    await site.holder("entry-2", "process-2")
+    await site.until(lambda: len(worker.runs) == 1)
+    await site.until(
+        lambda: all(r.percent_allowed == 100 for r in worker.runs.values()),
+        seconds=2.0,
+    )
