--- a/libs/scheduling/burdockthread_scheduling/memory_machines.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_machines.py
@@ -139,6 +139,8 @@
             worker = self.park.life_of(machine.worker_id)
             if worker is not None:
                 self.interrupted += len(worker.runs)
+                for run in worker.runs.values():
+                    self.park.note_taken_out(worker, run)
                 self.park.remove(worker.listing.key)
         self.by_name[machine.name] = machine._replace(state=state, worker_id="")
 
--- a/libs/scheduling/burdockthread_scheduling/memory_runs.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_runs.py
@@ -3,15 +3,11 @@
 from typing import NamedTuple
 
 from burdockthread_scheduling.specs import TaskId
-from burdockthread_scheduling.workers import (
-    Capacity,
-    EndKind,
-    StartOrder,
-    WorkerKey,
-)
+from burdockthread_scheduling.workers import Capacity, EndKind, StartOrder, WorkerKey
 
 FAIL_AFTER_S = 0.1
 DEFAULT_TASK_S = 1.0
+AT_WORK_PERCENT = 100
 
 
 class TaskNature(NamedTuple):
@@ -23,6 +19,7 @@
         fails: Whether each run of it fails.
         checkpointing: Whether it saves its progress each second.
         gang: Number of tasks that only work together, or 0.
+        startup_s: Seconds after its start before a lasting task is at work.
     """
 
     duration_s: float = DEFAULT_TASK_S
@@ -30,6 +27,7 @@
     fails: bool = False
     checkpointing: bool = False
     gang: int = 0
+    startup_s: float = 0.0
 
 
 class RunRecord(NamedTuple):
@@ -42,6 +40,7 @@
         started_s: Clock time of its start.
         ended_s: Clock time of its end, or infinity.
         kind: How it ended, or None.
+        at_work_s: Clock time from which it was at work, if it went on until then.
     """
 
     task: TaskId
@@ -50,6 +49,7 @@
     started_s: float
     ended_s: float
     kind: EndKind | None
+    at_work_s: float
 
 
 class OrderNote(NamedTuple):
@@ -104,7 +104,8 @@
     def percent(self) -> int:
         """Returns the share of the work that is done; a lasting task is at work."""
         if self.nature.duration_s == float("inf"):
-            return self.percent_allowed
+            starting = self.done_s < self.nature.startup_s
+            return 0 if starting else self.percent_allowed
         return min(int(self.done_s / self.nature.duration_s * 100), 100)
 
     def checkpoint(self) -> str:
--- a/libs/scheduling/burdockthread_scheduling/memory_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_workers.py
@@ -6,7 +6,9 @@
 
 from burdockthread_model.clock import Clock
 
+from burdockthread_scheduling.memory_absences import AbsenceAudit
 from burdockthread_scheduling.memory_runs import (
+    AT_WORK_PERCENT,
     MemoryRun,
     OrderNote,
     RunRecord,
@@ -168,7 +170,8 @@
         self.close_run(task, run)
         found = self.runs.get((task, run))
         if found is not None:
-            found.stop_s = min(found.stop_s, self.park.clock.now() + STOP_S)
+            self.park.note_taken_out(self, found)
+            found.stop_s = min(found.stop_s, self.park.clock.now() + self.park.stop_s)
         return None
 
     def report(self) -> HoldReport:
@@ -208,6 +211,8 @@
         settled: Tasks whose success a worker was told to forget.
         violations: Broken promises, as texts.
         orders: The newest orders that workers took, the oldest first.
+        absences: What orders took out of lasting steps.
+        stop_s: Seconds from a stop until the run has ended.
         measure: Returns the measure of a run on a worker.
     """
 
@@ -221,6 +226,8 @@
         self.settled: set[TaskId] = set()
         self.violations: list[str] = []
         self.orders: deque[OrderNote] = deque(maxlen=MAX_ORDERS)
+        self.absences = AbsenceAudit(self.records)
+        self.stop_s = STOP_S
         self.event = asyncio.Event()
         self.late: set[asyncio.Task[None]] = set()
         self.starts = 0
@@ -300,6 +307,7 @@
                 run.started_s,
                 float("inf"),
                 None,
+                run.started_s + run.nature.startup_s,
             )
         )
 
@@ -321,6 +329,15 @@
         """Returns the Unix time of a clock time."""
         return clock_s - self.clock.now() + self.clock.wall()
 
+    def note_taken_out(self, worker: MemoryWorker, run: MemoryRun) -> None:
+        """Records an order that ends a run, and whether it broke a promise."""
+        if run.percent() < AT_WORK_PERCENT or worker.listing.draining:
+            return
+        now = self.clock.now()
+        broken = self.absences.take_out(run.order.task, run.order.run, now)
+        if broken:
+            self.violations.append(broken)
+
     def note_end(self, worker: MemoryWorker, run: MemoryRun, kind: EndKind) -> None:
         """Records an end."""
         self.replace_record(worker, run, self.clock.now(), kind)
--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -117,6 +117,7 @@
             log=self.log,
             report=self.report,
             release=self.release,
+            stop_s=self.park.stop_s,
         )
         scheduler = PoolScheduler(POOL, tenure, parts)
         scheduler.work = asyncio.create_task(scheduler.run())
@@ -155,6 +156,7 @@
             accepted_ms=int(self.clock.wall() * 1000),
             **fields,
         )
+        self.park.absences.watch(job_id, job.steps)
         waiting = asyncio.create_task(self.intake.submit(job, POOL))
         await self.pass_time(0.1)
         await waiting
