Write the last lines of the log after the ports have closed

The log was written out before the ports closed, and the process ended before the next interval of 50 ms: 4 callers answered 504, no request_given_up and no port_closing of three ports in the log. It is written out last now. The test of the real entry asks for one line a caller; red before.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -304,6 +304,8 @@
             tasks = [asyncio.create_task(work) for work in self.background()]
             for task in tasks:
                 task.add_done_callback(self.on_work_ended)
+            # The last lines tell what became of the requests that were open.
+            stack.callback(self.log.flush)
             stack.callback(lambda: [task.cancel() for task in tasks])
             metrics_address = Address(self.settings.host, self.metrics_port)
             finish_s = self.settings.stop_timeout_s * FINISH_SHARE
--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -134,6 +134,7 @@
         for _, writer in connections:
             writer.close()
     assert {answer[:12] for answer in answers} == {b"HTTP/1.1 504"}
+    assert entry.log.read_text().count("event=request_given_up") == len(connections)
 
 
 async def test_frozen_holder_is_replaced_and_harmless_when_it_wakes(site):
