Start no task while a run of it, met before its job was known, goes on

What callers could see: a task twice at once, on one worker or two. A holder that met runs of a job that it had not heard of stopped them; a stop takes 0.2 s. When it heard of the job meanwhile, it counted its tasks as free and started them.

Runs met before their job count as its own when it is heard of, and its tasks start once they have ended. Test: test_runs_met_before_their_job_is_known_end_before_others_start, red before.

--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -184,6 +184,7 @@
         if progress is not None:
             job.restore(progress)
         self.core.board.jobs[job_id] = job
+        self.reports.claim(job)
         if not self.core.is_certain():
             job.held_back = True
             self.held_back.append(job)
--- a/libs/scheduling/burdockthread_scheduling/run_reports.py
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -30,6 +30,7 @@
         workers: The workers; set by the holder.
         orders: Orders to workers; set by the holder.
         writer: Stores what has ended; set by the holder.
+        unclaimed: Runs of jobs that this holder has not heard of, by job.
     """
 
     workers: PoolWorkers
@@ -40,6 +41,7 @@
         self.core = core
         self.clock = core.clock
         self.log = core.log
+        self.unclaimed: dict[str, list[Placement]] = {}
 
     def on_fenced(self, worker: WorkerState) -> None:
         """Takes in that a worker obeys a later holder."""
@@ -112,6 +114,8 @@
             task.last_run = max(task.last_run, run.run)
             task.job.begun = True
         else:
+            if run.task.job_id not in self.core.board.jobs:
+                self.unclaimed.setdefault(run.task.job_id, []).append(placement)
             self.orders.stop(placement, "not wanted")
         self.log.info(
             "run_adopted",
@@ -122,6 +126,27 @@
         )
         return placement
 
+    def claim(self, job: JobRun) -> None:
+        """Counts runs that were met before their job was heard of as the job's.
+
+        They are being stopped; its tasks start once they have ended.
+        """
+        job.open_due(self.clock.wall() * 1000)
+        for placement in self.unclaimed.pop(job.spec.job_id, ()):
+            worker = placement.worker
+            task = job.find(placement.task_id)
+            key = (placement.task_id, placement.run)
+            if task is None or worker.placements.get(key) is not placement:
+                continue
+            worker.claim(placement, task)
+            task.last_run = max(task.last_run, placement.run)
+            self.log.info(
+                "run_claimed",
+                task=placement.task_id,
+                run=placement.run,
+                worker=worker.worker_id,
+            )
+
     def on_end(self, worker: WorkerState, end: EndReport) -> None:
         """Takes in a run that has ended."""
         placement = self.workers.placement(worker, end.task, end.run)
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -182,6 +182,14 @@
         if task is not None and placement in task.placements:
             task.placements.remove(placement)
 
+    def claim(self, placement: Placement, task: TaskRun) -> None:
+        """Counts a run as one of a task."""
+        self.count(placement, -1)
+        placement.task = task
+        placement.size = task.size
+        self.count(placement, 1)
+        task.placements.append(placement)
+
     def pass_on(self, placement: Placement, heir: "WorkerState") -> None:
         """Counts a run on the next life of this worker, which may have taken it."""
         del self.placements[placement.task_id, placement.run]
--- a/libs/scheduling/tests/test_task_twice.py
+++ b/libs/scheduling/tests/test_task_twice.py
@@ -8,7 +8,8 @@
 from burdockthread_scheduling.memory_runs import TaskNature
 from burdockthread_scheduling.records import JobPhase
 from burdockthread_scheduling.roster import WorkerRoster
-from burdockthread_scheduling.workers import WorkerGateway, WorkerKey
+from burdockthread_scheduling.specs import TaskId
+from burdockthread_scheduling.workers import StartOrder, WorkerGateway, WorkerKey
 from pool_site import POOL, step
 
 FOREVER = TaskNature(duration_s=float("inf"))
@@ -249,3 +250,17 @@
     await site.until(lambda: len(site.runs(job)) == 12)
     lease_left_s = -1.0
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=6.0)
+
+
+# A holder met runs of a job that it had not heard of yet, stopped them, and started
+# the job's tasks when it heard of it, before those had ended.
+async def test_runs_met_before_their_job_is_known_end_before_others_start(site):
+    worker = site.park.add("w1", POOL)
+    tasks = [TaskId(f"{1:016x}", 0, 0, number) for number in range(3)]
+    for task in tasks:
+        worker.start(StartOrder(task, 1, "text", 3_000, 0))
+    await site.holder()
+    await site.pass_time(0.1)
+    job = await site.submit(step(3))
+    assert job == tasks[0].job_id
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
