Use no worker that a failed write of the assigned ones may have left out

The next holder waits for the workers that the store names. A write that left out a worker which had lost its registration could take effect and still fail for the holder, which went on to use the worker when it registered again, until it wrote anew. After a failed write only the workers of both sets count as recorded.

Evidence: test_worker_that_a_failed_write_left_out_gets_no_runs, red before.

--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -394,6 +394,8 @@
             await self.write_assigned(workers, released=False)
         except (StoreError, ConflictError) as error:
             self.assigned_dirty = True
+            # The store may name either set.
+            self.assigned &= workers
             self.log.info("workers_not_assigned", pool=self.core.pool, reason=error)
             await self.clock.sleep(RETRY_S)
             return
--- a/libs/scheduling/tests/test_task_twice.py
+++ b/libs/scheduling/tests/test_task_twice.py
@@ -4,6 +4,7 @@
 
 import pytest
 from burdockthread_model.clock import Clock
+from burdockthread_model.errors import StoreUnknownError
 from burdockthread_scheduling.duties import DOUBT_LIMIT_S
 from burdockthread_scheduling.memory_runs import TaskNature
 from burdockthread_scheduling.records import JobPhase
@@ -264,3 +265,25 @@
     job = await site.submit(step(3))
     assert job == tasks[0].job_id
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
+
+
+# A write of the assigned workers took effect, but failed for its holder, which used
+# a worker that the store did not name any more.
+async def test_worker_that_a_failed_write_left_out_gets_no_runs(site):
+    site.park.add("w1", POOL)
+    site.park.add("w2", POOL)
+    holder = await site.holder()
+    await site.pass_time(1.0)
+    write = holder.workers.write_assigned
+
+    async def write_and_fail(workers, *, released):
+        await write(workers, released=released)
+        raise StoreUnknownError("the answer was lost")
+
+    holder.workers.write_assigned = write_and_fail
+    site.park.remove(TWO)
+    await site.pass_time(0.3)
+    site.park.add("w2", POOL)
+    await site.pass_time(0.3)
+    assert TWO in holder.core.workers
+    assert TWO not in holder.workers.assigned
