Stand-in: a loopback network for each emulated site

Sites that ran side by side, or one after another, shared the addresses of their entries, of the store and of the workers, and their names. A port that one gave up (an entry that was stopped, a port picked and not yet bound) could be taken by another, whose entries then answered its orders, offers and releases. Each site now draws a network of its own from the loopback addresses.

--- a/libs/standins/burdockthread_standins/emulated_site.py
+++ b/libs/standins/burdockthread_standins/emulated_site.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import secrets
 import signal
 import socket
 import sys
@@ -27,7 +28,7 @@
 from burdockthread_standins.emulated_workers import EmulatedWorkers
 from burdockthread_standins.forwarder import Forwarder
 
-HOST = "127.0.0.1"
+HOST_OF_PLATFORM = 254
 SPARE_POOL = "pool-off"
 STOP_TIMEOUT_S = 8.0
 START_TIMEOUT_S = 15.0
@@ -107,8 +108,8 @@
                 callers=self.callers,
                 ready=self.ready,
                 internal=self.internal,
-                store=f"{HOST}:{links.store.port}",
-                machines=f"{HOST}:{links.machines.port}",
+                store=f"{links.store.host}:{links.store.port}",
+                machines=f"{links.machines.host}:{links.machines.port}",
             )
         )
         self.process: asyncio.subprocess.Process | None = None
@@ -175,6 +176,9 @@
         park: The workers.
         machines: The machines.
         entries: The entries.
+        network: Loopback network of its own, so that nothing of another site, or
+            left of one, reaches it.
+        host: Address of the platform.
     """
 
     def __init__(self, plan: SitePlan, clock: Clock | None = None) -> None:
@@ -183,7 +187,11 @@
         self.store = EmulatedStore(self.clock)
         self.park = MemoryWorkers(self.clock, plan.nature)
         self.machines = MemoryMachines(self.park, self.clock, SPARE_POOL)
-        self.workers = EmulatedWorkers(self.park, self.store.store, self.clock, HOST)
+        self.network = loopback_network()
+        self.host = f"{self.network}.{HOST_OF_PLATFORM}"
+        self.workers = EmulatedWorkers(
+            self.park, self.store.store, self.clock, self.host
+        )
         self.entries: list[EntryProcess] = []
 
     @asynccontextmanager
@@ -201,10 +209,12 @@
             stack.callback(following.cancel)
             stack.push_async_callback(self.stop_entries)
             for number in range(self.plan.entries):
-                name, host = f"entry-{number + 1}", f"127.0.1.{number + 1}"
+                name, host = f"entry-{number + 1}", f"{self.network}.{number + 1}"
                 links = EntryLinks(
                     *[
-                        await stack.enter_async_context(Forwarder(HOST, port).running())
+                        await stack.enter_async_context(
+                            Forwarder(self.host, port).running()
+                        )
                         for port in (store, control)
                     ]
                 )
@@ -223,7 +233,7 @@
         runner = web.AppRunner(app, shutdown_timeout=0.1)
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
-        await web.TCPSite(runner, HOST, 0).start()
+        await web.TCPSite(runner, self.host, 0).start()
         return int(runner.addresses[0][1])
 
     def add_machines(self) -> None:
@@ -287,6 +297,11 @@
             await self.clock.sleep(POLL_S)
 
 
+def loopback_network() -> str:
+    """Returns the first three parts of loopback addresses, drawn by chance."""
+    return f"127.{secrets.randbelow(254) + 1}.{secrets.randbelow(256)}"
+
+
 async def listens(host: str, port: int) -> bool:
     """Returns whether a port takes connections."""
     try:
