Soak: stop entries amid other faults, and count the requests that this cuts

The soak may stop entries as planned in turn (--stops), beside more series of faults (--series). The callers, which keep their connections, note each request whose connection ends without a whole answer.

--- a/libs/standins/burdockthread_standins/emulation.py
+++ b/libs/standins/burdockthread_standins/emulation.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
 from contextvars import ContextVar
 from pathlib import Path
@@ -16,12 +16,12 @@
 from burdockthread_standins.emulated_site import EmulatedSite, EntryProcess, SitePlan
 from burdockthread_standins.forwarder import Direction
 from burdockthread_standins.job_audit import audit
-from burdockthread_standins.job_load import JobLoad, LoadPlan
+from burdockthread_standins.job_load import CutRequest, JobLoad, LoadPlan
+from burdockthread_standins.stop_audit import STOP, cut_by_stops, is_excused
 
 SETTLE_S = 2.0
 PAUSE_S = (0.5, 3.0)
-# Series of faults that go on side by side, so that faults overlap.
-SERIES = 2
+STOP_PAUSE_S = (0.5, 4.0)
 # The fault that the series at work injects.
 struck: ContextVar[FaultSpan] = ContextVar("struck")
 
@@ -42,6 +42,18 @@
     kept: Path | None = None
 
 
+class FaultPlan(NamedTuple):
+    """How many faults go on at a time.
+
+    Attributes:
+        series: Series of faults that go on side by side, so that faults overlap.
+        stops: Whether entries are also stopped as planned, one after the other.
+    """
+
+    series: int = 2
+    stops: bool = False
+
+
 class Emulation:
     """A deployment, its callers and, on request, faults drawn from a seed.
 
@@ -49,11 +61,18 @@
         faults: Kinds of the faults injected, in order.
         spans: The same with their times and what they struck.
         keep: Folder for the logs of runs that break a promise, or None.
+        plan: How many faults go on at a time.
     """
 
     def __init__(
-        self, site: SitePlan, load: LoadPlan, seed: int, keep: Path | None = None
+        self,
+        site: SitePlan,
+        load: LoadPlan,
+        seed: int,
+        keep: Path | None = None,
+        plan: FaultPlan | None = None,
     ) -> None:
+        self.plan = plan or FaultPlan()
         self.seed = seed
         self.keep = keep
         self.spans: list[FaultSpan] = []
@@ -74,19 +93,52 @@
         """
         async with self.site.running():
             await asyncio.sleep(SETTLE_S)
-            series = [self.inject() for _ in range(SERIES)] if faults else [idle()]
-            injecting = asyncio.gather(*series)
+            injecting = asyncio.gather(*self.series(faults))
             try:
                 await self.load.run()
             finally:
                 injecting.cancel()
                 with suppress(asyncio.CancelledError):
                     await injecting
-            lines = [*self.load.table(), f"{'calls of the store':24} {self.calls():6}"]
+            stopped = self.cut_by_stops()
+            lines = [
+                *self.load.table(),
+                f"{'calls of the store':24} {self.calls():6}",
+                f"{'requests cut by stops':24} {len(stopped):6}",
+            ]
             broken = audit(self.load.records, self.site.park)
+            broken += [
+                f"{cut.method} {cut.job} was read and not answered: sent "
+                f"{cut.sent_s:.3f}, cut {cut.cut_s:.3f} by {cut.url}"
+                for cut in stopped
+                if not is_excused(cut, self.spans)
+            ]
             kept = self.keep_logs(broken)
             return EmulationResult(lines, self.faults, broken, kept)
 
+    def cut_by_stops(self) -> list[CutRequest]:
+        """Returns the requests that a planned stop has cut."""
+        names = {entry.url: entry.name for entry in self.site.entries}
+        return cut_by_stops(self.load.cut, self.spans, names)
+
+    def series(self, faults: bool) -> list[Coroutine[None, None, None]]:
+        """Returns what injects faults side by side."""
+        found = [self.inject() for _ in range(self.plan.series)] if faults else []
+        if self.plan.stops:
+            found.append(self.stop_in_turn())
+        return found or [idle()]
+
+    async def stop_in_turn(self) -> None:
+        """Stops one entry after another as planned until cancelled."""
+        while True:
+            for entry in self.site.entries:
+                await asyncio.sleep(self.random.uniform(*STOP_PAUSE_S))
+                span = FaultSpan(STOP, self.site.clock.wall())
+                span.target = entry.name
+                self.spans.append(span)
+                async with entry.down(signal.SIGTERM):
+                    span.ended_s = self.site.clock.wall()
+
     def keep_logs(self, broken: list[str]) -> Path | None:
         """Keeps the logs of a run that broke a promise; returns where."""
         if self.keep is None or not broken:
@@ -101,7 +153,7 @@
         """Injects one fault after another until cancelled."""
         kinds: dict[str, Callable[[], Awaitable[None]]] = {
             "kill": self.kill_entry,
-            "stop": self.stop_entry,
+            STOP: self.stop_entry,
             "pause": self.pause_entry,
             "store out": self.store_out,
             "store loses answers": self.store_loses_answers,
--- a/libs/standins/burdockthread_standins/job_load.py
+++ b/libs/standins/burdockthread_standins/job_load.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import types
 from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
@@ -23,6 +24,26 @@
 PERCENTILES = (50, 95, 99)
 
 
+class CutRequest(NamedTuple):
+    """A request whose connection ended without a whole answer.
+
+    Attributes:
+        url: Address of the entry that it went to.
+        job: The job that it was about.
+        method: Its method.
+        sent_s: Unix time at which it was made.
+        cut_s: Unix time at which its connection ended.
+        held: Whether its connection had carried a request before.
+    """
+
+    url: str
+    job: str
+    method: str
+    sent_s: float
+    cut_s: float
+    held: bool
+
+
 class LoadPlan(NamedTuple):
     """What callers ask for.
 
@@ -67,6 +88,7 @@
     Attributes:
         records: What each caller was told.
         outcomes: Answers and ends by kind.
+        cut: Requests whose connections ended without a whole answer.
         accept_ms: Milliseconds until an acceptance.
         end_ms: Milliseconds until a job was shown as ended.
     """
@@ -84,6 +106,7 @@
         self.random = random.Random(seed)
         self.records: list[CallerRecord] = []
         self.outcomes: Counter[str] = Counter()
+        self.cut: list[CutRequest] = []
         self.accept_ms = HdrHistogram(1, MAX_LATENCY_MS, 3)
         self.end_ms = HdrHistogram(1, MAX_LATENCY_MS, 3)
 
@@ -91,7 +114,9 @@
         """Submits all jobs and waits for their ends."""
         timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S)
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            aiohttp.ClientSession(
+                timeout=timeout, trace_configs=[trace_of_connections()]
+            ) as session,
             asyncio.TaskGroup() as group,
         ):
             for _ in range(self.plan.jobs):
@@ -141,13 +166,20 @@
         body: object = None,
     ) -> tuple[int, dict[str, object]]:
         """Makes one request at a random entry; status 0 if it was not answered."""
-        url = f"{self.random.choice(self.urls())}/{record.pool}/{record.job}"
+        entry = self.random.choice(self.urls())
+        url = f"{entry}/{record.pool}/{record.job}"
+        sent_s = self.clock.wall()
+        used: dict[str, bool] = {}
         try:
             async with session.request(
-                method, url, json=body, headers=HOST_HEADER
+                method, url, json=body, headers=HOST_HEADER, trace_request_ctx=used
             ) as answer:
                 return answer.status, await answer.json()
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            if is_cut(error):
+                cut_s, held = self.clock.wall(), "held" in used
+                cut = CutRequest(entry, record.job, method, sent_s, cut_s, held)
+                self.cut.append(cut)
             return 0, {}
 
     async def submit(
@@ -200,3 +232,25 @@
             figures = " ".join(f"{value:6}" for value in values)
             lines.append(f"{name + ' ms p50 p95 p99':24} {figures}")
         return lines
+
+
+def is_cut(error: Exception) -> bool:
+    """Returns whether a connection that stood ended before a whole answer."""
+    if isinstance(error, aiohttp.ClientConnectorError | TimeoutError):
+        return False
+    return isinstance(error, aiohttp.ClientConnectionError | aiohttp.ClientPayloadError)
+
+
+def trace_of_connections() -> aiohttp.TraceConfig:
+    """Returns what notes whether a request got a connection that was held open."""
+
+    async def note_held(
+        _: aiohttp.ClientSession,
+        context: types.SimpleNamespace,
+        __: aiohttp.TraceConnectionReuseconnParams,
+    ) -> None:
+        context.trace_request_ctx["held"] = True
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_reuseconn.append(note_held)
+    return trace
--- a/scripts/soak_jobs.py
+++ b/scripts/soak_jobs.py
@@ -7,7 +7,7 @@
 
 import uvloop
 from burdockthread_standins.emulated_site import SitePlan
-from burdockthread_standins.emulation import Emulation
+from burdockthread_standins.emulation import Emulation, FaultPlan
 from burdockthread_standins.job_load import LoadPlan
 
 PATIENCE_S = 60.0
@@ -24,6 +24,10 @@
     parser.add_argument(
         "--keep", type=Path, default=KEPT, help="folder for logs of broken seeds"
     )
+    parser.add_argument("--series", type=int, default=2, help="faults side by side")
+    parser.add_argument(
+        "--stops", action="store_true", help="also stop entries in turn, as planned"
+    )
     options = parser.parse_args()
     first = int(time.time()) if options.first is None else options.first
     broken = 0
@@ -31,10 +35,13 @@
         load = LoadPlan(
             options.jobs, options.rate, cancelled=0.1, patience_s=PATIENCE_S
         )
-        emulation = Emulation(SitePlan(), load, seed, options.keep)
+        plan = FaultPlan(options.series, options.stops)
+        emulation = Emulation(SitePlan(), load, seed, options.keep, plan)
         result = uvloop.run(emulation.run(faults=True))
         broken += bool(result.broken)
         outcome = "; ".join(result.broken) or "whole"
+        if options.stops:
+            print("\n".join(line for line in result.lines if "cut" in line))
         print(f"seed {seed}: {outcome} ({', '.join(result.faults)})", flush=True)
         if result.kept is not None:
             print(f"seed {seed}: logs in {result.kept}", flush=True)
