--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -17,7 +17,7 @@
 from burdockthread_standins.job_load import HOST_HEADER, JobLoad, LoadPlan
 
 SETTLE_S = 2.0
-# Seeds that have failed once. 1009: a task ran twice at once; not traced yet.
+# Seeds that have failed once. 1009: a task ran twice at once.
 REGRESSION_SEEDS = (1009,)
 FRESH_SEEDS = (11, 12)
 
