Stand-in: let looks that wait end before the port of their worker closes

The port of a worker that has gone waited 10 ms for the calls under way, which look each 20 ms whether it has gone; the server's library then wrote errors of a waiter that was already done into the soak's output.

--- a/libs/standins/burdockthread_standins/emulated_workers.py
+++ b/libs/standins/burdockthread_standins/emulated_workers.py
@@ -29,8 +29,8 @@
 HEARTBEAT_S = 1.5
 MISSED_HEARTBEATS = 3
 SILENCE_S = 5.0
-# Zero would wait for the requests in flight.
-SHUTDOWN_S = 0.01
+# Looks that wait see within 0.02 s that the worker has gone; zero waits for all.
+SHUTDOWN_S = 0.05
 REASONS = {
     Refusal.FENCED: "fence",
     Refusal.STALE_RUN: "old",
