Name a restarted worker as assigned while its next life may have runs

The next holder waits for the workers that the store names. One that had started again was left out at once, with runs that its next life might have taken.

Evidence: test_start_on_an_unlisted_life_is_given_up_once_its_lease_is_over, red before.

--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -380,7 +380,11 @@
     def assign(self) -> None:
         """Records the workers that may get orders before they get any."""
         now = self.clock.now()
-        living = {key for key, w in self.core.workers.items() if not w.replaced}
+        living = {
+            key
+            for key, worker in self.core.workers.items()
+            if worker.placements or not worker.replaced
+        }
         missing = living - self.assigned
         stale = self.assigned_dirty and now - self.assigned_s >= ASSIGN_INTERVAL_S
         if (missing or stale) and not self.assigning:
--- a/libs/scheduling/tests/test_task_twice.py
+++ b/libs/scheduling/tests/test_task_twice.py
@@ -209,13 +209,15 @@
     site, workers
 ):
     roster = LateRoster(site.park)
-    await site.holder(roster=roster)
+    holder = await site.holder(roster=roster)
     await site.pass_time(0.5)
     roster.known = dict(roster.workers(POOL))
     site.park.add("w1", POOL, born_ms=2)
     job = await site.submit(step(4), nature=TaskNature(duration_s=2.0))
     await site.pass_time(0.3)
     roster.known.pop(ONE)
+    await site.pass_time(2.0)
+    assert ONE in holder.workers.assigned
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=15.0)
 
 
