Pass on that a holder before the last may still give orders

A holder of a pool that was stopped said, as its last word, that no order was out, also while it waited for workers that an earlier holder, cut off from the store, may have kept alive. The next holder waited only for the lease of the runs there (3 s) in place of the 8 s that a holder goes on without the store, and started the task a second time. A cut between parts of the network that lasts, and a planned restart in it, are enough; so is a second loss, since each record named only the last holder.

The list of workers now also names the holders before that were not heard to be silent, and the next one asks them all. Last fields with their defaults are left out of stored records, so that an entry of the version before reads this one and the planner's unless the new fields are in use.

The test is red on the code before: a second run within 7.5 s of the hand-over, beside the first, which was still kept alive.

--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -33,6 +33,13 @@
 WISHES_TIMEOUT_S = STATUS_MAX_AGE_S + 0.2
 
 
+class HolderProcess(NamedTuple):
+    """A process that has held a pool, and its address for other entries."""
+
+    address: str
+    process: str
+
+
 class AssignedWorkers(NamedTuple):
     """Workers on which runs of a pool may exist, kept at ``assigned/<pool>``.
 
@@ -41,12 +48,14 @@
         address: Address of the holder for other entries.
         process: Id of the holder's process.
         released: Whether the holder has given its last order.
+        unsilenced: Holders before it that may still give orders to some of them.
     """
 
     workers: tuple[WorkerKey, ...]
     address: str
     process: str
     released: bool
+    unsilenced: tuple[HolderProcess, ...] = ()
 
 
 class PoolWorkers:
@@ -56,6 +65,7 @@
         sessions: Session and its task by worker.
         unreached: Workers of earlier holders that have not answered yet; tasks
             of theirs may run there until the clock time given.
+        unsilenced: Earlier holders that may still give orders to these.
         assigned: Workers that the store names as having runs.
         ended_by_planner: Workers that an order to their machine has ended.
         wishes_known: Workers of which the planner has said to this holder whether
@@ -72,6 +82,7 @@
         self.listener = listener
         self.sessions: dict[WorkerKey, tuple[WorkerSession, asyncio.Task[None]]] = {}
         self.unreached: dict[WorkerKey, float] = {}
+        self.unsilenced: set[HolderProcess] = set()
         self.assigned: set[WorkerKey] = set()
         self.assigned_dirty = True
         self.assigned_s = float("-inf")
@@ -93,34 +104,41 @@
         if found is None:
             return
         left = decode(found.value, AssignedWorkers)
-        silent_s = 0.0 if left.released else DOUBT_LIMIT_S
+        self.unsilenced.update(left.unsilenced)
+        if not left.released:
+            self.unsilenced.add(HolderProcess(left.address, left.process))
+        silent_s = DOUBT_LIMIT_S if self.unsilenced else 0.0
         lapsed_s = self.clock.now() + silent_s + LEASE_BOUND_S
         for key in left.workers:
             self.unreached[WorkerKey(*key)] = lapsed_s
-        if not left.released and self.unreached:
-            self.core.spawn(self.ask_predecessor(left))
+        if self.unreached:
+            for holder in tuple(self.unsilenced):
+                self.core.spawn(self.ask_predecessor(holder))
 
-    async def ask_predecessor(self, left: AssignedWorkers) -> None:
-        """Makes sure that the last holder gives no more orders.
+    async def ask_predecessor(self, holder: HolderProcess) -> None:
+        """Makes sure that an earlier holder gives no more orders.
 
         A process that answers under another id is its successor, so that the
         holder has ended.
         """
         parts, core = self.core.parts, self.core
-        while self.unreached and left.process != parts.process:
+        while self.unreached and holder.process != parts.process:
             try:
                 fence = core.tenure.fence
-                process = await parts.release(left.address, core.pool, fence)
+                process = await parts.release(holder.address, core.pool, fence)
             except PeerUnavailableError:
                 await self.clock.sleep(ASK_INTERVAL_S)
                 continue
             self.log.info(
                 "predecessor_silent",
                 pool=core.pool,
-                address=left.address,
-                restarted=process != left.process,
+                address=holder.address,
+                restarted=process != holder.process,
             )
             break
+        self.unsilenced.discard(holder)
+        if self.unsilenced:
+            return
         lapsed_s = self.clock.now() + LEASE_BOUND_S
         for key, until_s in self.unreached.items():
             self.unreached[key] = min(until_s, lapsed_s)
@@ -294,7 +312,10 @@
         """Writes the workers on which runs may exist."""
         parts = self.core.parts
         kept = tuple(sorted(workers | self.unreached.keys()))
-        record = AssignedWorkers(kept, parts.address, parts.process, released)
+        unsilenced = tuple(sorted(self.unsilenced)) if self.unreached else ()
+        record = AssignedWorkers(
+            kept, parts.address, parts.process, released, unsilenced
+        )
         change = Change(f"assigned/{self.core.pool}", encode(record), ANY_REVISION)
         await parts.store.write([change], [self.core.tenure.guard])
 
--- a/libs/scheduling/burdockthread_scheduling/records.py
+++ b/libs/scheduling/burdockthread_scheduling/records.py
@@ -147,8 +147,20 @@
 
 
 def encode(record: tuple[object, ...]) -> bytes:
-    """Returns a record as a JSON array in the order of its fields."""
-    return msgspec.json.encode(record)
+    """Returns a record as a JSON array in the order of its fields.
+
+    The last fields are left out as long as they have their defaults, so that a
+    version without them reads the record.
+    """
+    defaults: dict[str, object] = getattr(record, "_field_defaults", {})
+    kept = len(record)
+    for value, default in zip(
+        reversed(record), reversed(defaults.values()), strict=False
+    ):
+        if value != default:
+            break
+        kept -= 1
+    return msgspec.json.encode(record[:kept])
 
 
 def decode(data: bytes, kind: type[Record]) -> Record:
--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -73,6 +73,7 @@
         self.policy = MemoryPolicyService()
         self.configuration = CONFIGURATION
         self.processes = {}
+        self.gateways = {}
         self.tasks = []
         self.jobs = 0
         store = self.store_of("entry-1")
@@ -98,7 +99,7 @@
             store=self.store_of(entry),
             jobs=self.index,
             roster=self.park,
-            gateway=self.park,
+            gateway=self.gateways.get(entry, self.park),
             policy=self.policy,
             configuration=lambda: self.configuration,
             clock=self.clock,
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -3,6 +3,8 @@
 import asyncio
 
 import pytest
+from burdockthread_model.errors import PlatformError, StoreUnavailableError
+from burdockthread_scheduling.duties import DOUBT_LIMIT_S
 from burdockthread_scheduling.memory_workers import TaskNature
 from burdockthread_scheduling.pool_workers import AssignedWorkers
 from burdockthread_scheduling.records import JobPhase, decode
@@ -328,3 +330,50 @@
     record = await site.memory.get(f"assigned/{POOL}")
     assert decode(record.value, AssignedWorkers).released
     assert site.phase(job) is JobPhase.COMPLETED
+
+
+class CutGateway:
+    """Reaches all workers of a park but one."""
+
+    def __init__(self, park, cut_off):
+        self.park = park
+        self.cut_off = cut_off
+
+    def __getattr__(self, name):
+        call = getattr(self.park, name)
+
+        async def reach(listing, *args):
+            if listing.key == self.cut_off:
+                raise PlatformError("no way there")
+            return await call(listing, *args)
+
+        return reach
+
+
+async def unreachable(*args):
+    """Fails as a store without a way there."""
+    raise StoreUnavailableError("no way there")
+
+
+# The last word of a holder that was stopped hid that the one before it, cut off with
+# one of the workers, still kept the runs there alive.
+async def test_stopped_holder_passes_on_that_an_earlier_one_may_still_act(site, holder):
+    job = await site.submit(step(1), nature=FOREVER)
+    await site.until(lambda: len(site.park.running()) == 1)
+    key = site.runs(job)[0].worker
+    holder.core.parts.store.write = unreachable
+    holder.core.parts.store.get = unreachable
+    for entry in ("entry-2", "entry-3"):
+        site.gateways[entry] = CutGateway(site.park, key)
+    stopped = await site.holder("entry-2", "process-2")
+    await site.pass_time(0.5)
+    assert key in stopped.workers.unreached
+    await stopped.hand_over()
+    await site.kill(stopped)
+    site.processes["entry-2"] = "process-2-restarted"
+    await site.holder("entry-3", "process-3")
+    await site.pass_time(DOUBT_LIMIT_S - 0.5)
+    assert len(site.runs(job)) == 1
+    await site.kill(holder)
+    site.processes["entry-1"] = "process-1-restarted"
+    await site.until(lambda: len(site.runs(job)) == 2, seconds=5.0)
