Let a closing port read the bodies of its requests, and answer all it gives up

On the operators' port, which has no drain before, a request whose head had been read and whose body had not was cut off after the closing time. On both ports a request that took longer than the closing time was cut off without an answer.

A port now first lets its requests end with open eyes, each answer the last of its connection, then gives up those left: they are answered 504 with the verdict 'unknown'. Only then does the library close. The work of a request that is given up ends as for a caller who hangs up.

--- a/libs/operators/burdockthread_operators/operators_api.py
+++ b/libs/operators/burdockthread_operators/operators_api.py
@@ -19,7 +19,7 @@
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.rendering import to_plain
 from burdockthread_model.verdict import Verdict
-from burdockthread_routing.http_port import BusyConnections
+from burdockthread_routing.http_port import BusyConnections, GivenUpError
 
 from burdockthread_operators.authentication import Authenticator, Operator
 from burdockthread_operators.changes import TemplateChanges
@@ -44,6 +44,7 @@
     (ConflictError, 409),
     (TemplateError, 422),
     (StoreError, 503),
+    (GivenUpError, GivenUpError.status),
 )
 
 
@@ -109,7 +110,10 @@
     ) -> web.StreamResponse:
         """Turns errors into answers with one line that names the cause."""
         with self.busy.marked(request):
-            return await self.answer(request, handler)
+            response = await self.answer(request, handler)
+        if self.busy.closing:
+            response.force_close()
+        return response
 
     async def answer(
         self, request: web.Request, handler: Handler
@@ -119,7 +123,10 @@
             return self.refuse(503, "too many requests under way", Verdict.NOT_RUN)
         self.in_flight += 1
         try:
-            async with self.clock.timeout(REQUEST_TIMEOUT_S):
+            async with (
+                self.clock.timeout(REQUEST_TIMEOUT_S),
+                self.busy.may_be_given_up(),
+            ):
                 return await handler(request)
         except BurdockthreadError as error:
             status = status_of(error)
--- a/libs/operators/tests/test_operators_api.py
+++ b/libs/operators/tests/test_operators_api.py
@@ -290,3 +290,61 @@
         with pytest.raises(BurdockthreadError) as raised:
             await client.accept("yard:1", "")
     assert raised.value.verdict is Verdict.NOT_RUN
+
+
+async def begun(api):
+    """Waits until a request is under way."""
+    for _ in range(200):
+        if api.busy:
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("no request came")
+
+
+# The rest of a body was dropped once the port stopped, and its request cut off.
+async def test_request_half_read_when_the_port_stops_is_answered(api, clock, metrics):
+    app = api.application()
+    at = ("127.0.0.1", 0)
+    port = http_port("operators", app, api.busy, clock, metrics, *at, LIMITS)
+    number = await port.__aenter__()
+    reader, writer = await asyncio.open_connection("127.0.0.1", number)
+    writer.write(
+        b"POST /v1/changes/c1/review HTTP/1.1\r\nHost: a\r\n"
+        b"Authorization: Bearer token-ben\r\nContent-Length: 17\r\n\r\n"
+    )
+    writer.write(b'{"approve"')
+    await begun(api)
+    stopping = asyncio.create_task(port.__aexit__(None, None, None))
+    await asyncio.sleep(0.05)
+    writer.write(b": true}")
+    answer = await asyncio.wait_for(reader.read(), 5.0)
+    await stopping
+    writer.close()
+    assert answer.startswith(b"HTTP/1.1 404 ")
+    assert b"\r\nConnection: close\r\n" in answer
+
+
+# A request that took longer than the port waited was cut off without an answer.
+async def test_request_under_way_when_the_port_gives_up_is_answered(
+    api, clock, metrics
+):
+    async def never_ends(job_id):
+        await asyncio.Event().wait()
+
+    api.jobs.cancel = never_ends
+    app = api.application()
+    at = ("127.0.0.1", 0)
+    limits = PortLimits(connections=5, stop_timeout_s=0.1)
+    async with http_port(
+        "operators", app, api.busy, clock, metrics, *at, limits
+    ) as number:
+        reader, writer = await asyncio.open_connection("127.0.0.1", number)
+        writer.write(
+            b"POST /v1/jobs/job-1/cancel HTTP/1.1\r\nHost: a\r\n"
+            b"Authorization: Bearer token-ann\r\n\r\n"
+        )
+        await begun(api)
+    answer = await asyncio.wait_for(reader.read(), 5.0)
+    writer.close()
+    assert answer.startswith(b"HTTP/1.1 504 ")
+    assert b'"verdict": "unknown"' in answer
--- a/libs/routing/burdockthread_routing/callers_api.py
+++ b/libs/routing/burdockthread_routing/callers_api.py
@@ -138,7 +138,7 @@
         """Turns errors into answers that carry the verdict."""
         with self.busy.marked(request):
             response = await self.answer(request, handler)
-        if self.stopping:
+        if self.stopping or self.busy.closing:
             response.force_close()
         return response
 
@@ -149,7 +149,8 @@
         try:
             if self.stopping and request.path not in PROBES:
                 raise StoppingError("this entry is stopping", retry_after_s=1.0)
-            return await handler(request)
+            async with self.busy.may_be_given_up():
+                return await handler(request)
         except RequestError as error:
             return self.refuse(error)
         except web.HTTPException as error:
--- a/libs/routing/burdockthread_routing/http_port.py
+++ b/libs/routing/burdockthread_routing/http_port.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator, Container, Iterator
-from contextlib import asynccontextmanager, contextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager, suppress
 from typing import Any, NamedTuple, cast
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 from burdockthread_model.clock import Clock
+from burdockthread_model.errors import RequestError
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.verdict import Verdict
 
@@ -18,6 +19,8 @@
 IDLE_TIMEOUT_S = 15.0
 SWEEP_INTERVAL_S = 1.0
 LINGERING_TIME_S = 0.5
+# A request that is given up at the end is answered within this time.
+GIVE_UP_S = 1.0
 BAD_REQUEST = 400
 CONNECTION_OPTIONS: dict[str, Any] = {
     "access_log": None,
@@ -51,27 +54,74 @@
     idle_timeout_s: float = IDLE_TIMEOUT_S
 
 
+class GivenUpError(RequestError):
+    """A request that was still under way when its port closed; it may have run."""
+
+    status = 504
+
+    def __init__(self) -> None:
+        super().__init__("this entry has stopped", verdict=Verdict.UNKNOWN)
+
+
 class BusyConnections:
     """Connections with a request under way.
 
     Attributes:
         requests: Requests under way by connection.
+        none_left: Set while there are none.
+        closing: Whether each answer is the last of its connection.
+        limits: Limits of the requests that may be given up.
     """
 
     def __init__(self) -> None:
         self.requests: Counter[RequestHandler] = Counter()
+        self.none_left = asyncio.Event()
+        self.none_left.set()
+        self.closing = False
+        self.limits: set[asyncio.Timeout] = set()
 
     @contextmanager
     def marked(self, request: web.Request) -> Iterator[None]:
         """Marks the connection of a request while that is under way."""
         connection = request.protocol
         self.requests[connection] += 1
+        self.none_left.clear()
         try:
             yield
         finally:
             self.requests[connection] -= 1
             if not self.requests[connection]:
                 del self.requests[connection]
+            if not self.requests:
+                self.none_left.set()
+
+    @asynccontextmanager
+    async def may_be_given_up(self) -> AsyncIterator[None]:
+        """Ends the work on a request within the block once it is given up.
+
+        Raises:
+            GivenUpError: The port closes.
+        """
+        limit = asyncio.timeout(None)
+        try:
+            async with limit:
+                self.limits.add(limit)
+                yield
+        except TimeoutError:
+            if limit.expired():
+                raise GivenUpError from None
+            raise
+        finally:
+            self.limits.discard(limit)
+
+    async def end(self, timeout_s: float) -> None:
+        """Lets the requests under way end, and gives up those that do not."""
+        self.closing = True
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.none_left.wait()
+        for limit in self.limits:
+            limit.reschedule(asyncio.get_running_loop().time())
 
     def __contains__(self, connection: object) -> bool:
         """Returns whether a connection has a request under way."""
@@ -116,7 +166,7 @@
 async def http_port(
     name: str,
     app: web.Application,
-    busy: Container[RequestHandler],
+    busy: BusyConnections,
     clock: Clock,
     metrics: Metrics,
     host: str,
@@ -145,7 +195,7 @@
     runner = web.AppRunner(
         app,
         handler_cancellation=handler_cancellation,
-        shutdown_timeout=limits.stop_timeout_s,
+        shutdown_timeout=GIVE_UP_S,
     )
     await runner.setup()
     server = runner.server
@@ -183,4 +233,6 @@
     finally:
         sweeper.cancel()
         listener.close()
+        # The library drops what it reads once it closes: bodies come in before.
+        await busy.end(limits.stop_timeout_s)
         await runner.cleanup()
--- a/libs/routing/tests/test_callers_port.py
+++ b/libs/routing/tests/test_callers_port.py
@@ -236,3 +236,27 @@
     assert {answer[3]["Connection"] for answer in answers} == {"close"}
     await settle()
     assert not api.busy
+
+
+# A request that took longer than the port waited was cut off without an answer.
+async def test_request_under_way_when_the_port_gives_up_is_answered(
+    api, add_vm, script, router, clock
+):
+    add_vm("vm-0")
+
+    async def hold(attempt):
+        await asyncio.Event().wait()
+
+    script.by_vm["vm-0"] = hold
+    limits = PortLimits(connections=5, stop_timeout_s=0.1)
+    async with callers_port(api, clock, "127.0.0.1", 0, BODY_BYTES, limits) as port:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        head = "".join(f"{name}: {value}\r\n" for name, value in HEADERS.items())
+        writer.write(f"POST /services/svc/a HTTP/1.1\r\nHost: a\r\n{head}".encode())
+        writer.write(b"Content-Length: 1\r\n\r\nx")
+        assert await reached(lambda: router.in_flight == 1)
+        api.stop_accepting()
+    answer = await asyncio.wait_for(reader.read(), 5.0)
+    writer.close()
+    assert answer.startswith(b"HTTP/1.1 504 ")
+    assert b"Burdockthread-Verdict: unknown\r\n" in answer
