Answer the orders of operators and callers whose write fails unexpectedly

Such an error is logged (job_orders_failed) and answered as unknown now.

The test is red on the code before (the cancel waits on).

--- a/libs/fleet/burdockthread_fleet/job_directory.py
+++ b/libs/fleet/burdockthread_fleet/job_directory.py
@@ -205,6 +205,10 @@
                 if isinstance(failure, StoreUnknownError) and self.answer(orders):
                     return
                 break
+            except Exception as failure:
+                self.log.error("job_orders_failed", reason=repr(failure))
+                error = StoreUnknownError(f"the write failed: {failure!r}")
+                break
             if self.answer(orders):
                 return
         for order in orders:
--- a/libs/fleet/tests/test_job_directory.py
+++ b/libs/fleet/tests/test_job_directory.py
@@ -164,3 +164,26 @@
         new_job("e", JobState.DONE),
     ]
     assert jobs_report(jobs, 100.0, {"vm-2": "3 jobs failed"}, ["org"]) == snapshot
+
+
+# An unexpected error ended the writer: its orders and all later ones were never
+# answered.
+async def test_order_whose_write_fails_unexpectedly_is_answered(
+    store, clock, directory
+):
+    await write_segment(store, "s", new_job("a"))
+    await clock.advance(0.1)
+    commit = directory.segments.commit
+
+    async def broken(changes):
+        directory.segments.commit = commit
+        raise ValueError("broken")
+
+    directory.segments.commit = broken
+    waiting = asyncio.create_task(directory.cancel("a"))
+    await clock.advance(3.0)
+    assert waiting.done()
+    with pytest.raises(StoreUnknownError):
+        await waiting
+    (job,) = await order(clock, directory.cancel("a"))
+    assert job.state is JobState.CANCELLED
