Take the connections that wait while a port closes, and answer them

A connection that waited to be taken when the listener closed was reset. One that was taken in that turn of the event loop was missing from the connections that the HTTP library closes: its request was neither answered nor its connection closed as long as the process went on, and it was dropped with the process.

A closing port of the product now goes on taking connections for a moment, and waits another one for those just taken to be known, before it lets the requests end. Connections made after that are refused by the kernel.

--- a/libs/routing/burdockthread_routing/http_port.py
+++ b/libs/routing/burdockthread_routing/http_port.py
@@ -19,6 +19,8 @@
 IDLE_TIMEOUT_S = 15.0
 SWEEP_INTERVAL_S = 1.0
 LINGERING_TIME_S = 0.5
+# Some turns of a busy event loop, within which a connection is taken and read.
+LAST_TAKEN_S = 0.02
 # A request that is given up at the end is answered within this time.
 GIVE_UP_S = 1.0
 BAD_REQUEST = 400
@@ -116,7 +118,6 @@
 
     async def end(self, timeout_s: float) -> None:
         """Lets the requests under way end, and gives up those that do not."""
-        self.closing = True
         with suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 await self.none_left.wait()
@@ -232,7 +233,11 @@
         yield listener.sockets[0].getsockname()[1]
     finally:
         sweeper.cancel()
+        busy.closing = True
+        # Who waits to be taken is reset by the close, and who was just taken is
+        # not known yet to the library; it drops what it reads once it closes.
+        await asyncio.sleep(LAST_TAKEN_S)
         listener.close()
-        # The library drops what it reads once it closes: bodies come in before.
+        await asyncio.sleep(LAST_TAKEN_S)
         await busy.end(limits.stop_timeout_s)
         await runner.cleanup()
--- a/libs/routing/tests/test_http_port.py
+++ b/libs/routing/tests/test_http_port.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 
 import pytest
 import uvloop
@@ -36,3 +37,46 @@
         answer = runner.run(refused_answer())
     assert answer.startswith(b"HTTP/1.1 503 ")
     assert answer.endswith(b'"verdict": "not_run"}')
+
+
+async def answers_at_the_end(turns):
+    """Returns the answer to a request on a connection made as the port closes.
+
+    Args:
+        turns: Turns of the event loop between the request and the close.
+    """
+    busy = BusyConnections()
+
+    @web.middleware
+    async def mark(request, handler):
+        with busy.marked(request):
+            return await handler(request)
+
+    async def greet(request):
+        return web.Response(text="hello")
+
+    app = web.Application(middlewares=[mark])
+    app.router.add_get("/", greet)
+    clock, metrics = SystemClock(), MemoryMetrics()
+    at = ("127.0.0.1", 0)
+    async with http_port("callers", app, busy, clock, metrics, *at, LIMITS) as number:
+        caller = socket.create_connection(("127.0.0.1", number))
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        for _ in range(turns):
+            await asyncio.sleep(0)
+    caller.settimeout(5.0)
+    with caller:
+        try:
+            return caller.recv(100)
+        except ConnectionError:
+            return b""
+
+
+# A connection that was taken while the port closed was missing from those it waited
+# for; one that waited to be taken was reset.
+@pytest.mark.parametrize("turns", range(6))
+@pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_request_on_a_connection_made_as_the_port_closes_is_answered(new_loop, turns):
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        answer = runner.run(answers_at_the_end(turns))
+    assert answer.startswith(b"HTTP/1.1 200 ")
