Write a planner's last word after the words before it

The record of an upkeep could still be on its way to the store when the hand-over wrote that the last order was given; whichever came last stood. If it was the older one, the next planner took the last for lost and gave no order for 3.3 s.

Records are written one after the other now. The test is red on the code before (released stays false).

--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -126,6 +126,7 @@
         self.wait_until_ms = 0
         self.record_read = False
         self.ready_s = float("inf")
+        self.writing = asyncio.Lock()
         self.giving = False
         self.closing = False
         self.paused = False
@@ -237,10 +238,11 @@
         )
 
     async def write_record(self, *, released: bool) -> None:
-        """Writes what the next planner has to know."""
-        record = self.record(released=released)
-        change = Change(RECORD_KEY, encode(record), ANY_REVISION)
-        await self.parts.store.write([change], [self.tenure.guard])
+        """Writes what the next planner has to know, one word after the other."""
+        async with self.writing:
+            record = self.record(released=released)
+            change = Change(RECORD_KEY, encode(record), ANY_REVISION)
+            await self.parts.store.write([change], [self.tenure.guard])
 
     async def pause(self) -> bytes:
         """Gives no more orders; returns those given."""
--- a/libs/scheduling/tests/test_machine_planner.py
+++ b/libs/scheduling/tests/test_machine_planner.py
@@ -6,14 +6,16 @@
 from burdockthread_model.errors import PeerUnavailableError
 from burdockthread_scheduling.duty import Tenure
 from burdockthread_scheduling.machine_planner import (
+    RECORD_KEY,
     MachinePlanner,
     MachineTimes,
     PlannerParts,
+    PlannerRecord,
 )
 from burdockthread_scheduling.machines import Wave
 from burdockthread_scheduling.memory_machines import MemoryMachines, MemoryWaves
 from burdockthread_scheduling.memory_workers import TaskNature
-from burdockthread_scheduling.records import JobPhase
+from burdockthread_scheduling.records import JobPhase, decode
 from burdockthread_scheduling.workers import Capacity
 from burdockthread_store.store import ANY_REVISION, Change, Guard
 from pool_site import CONFIGURATION, POOL, PoolSite, step
@@ -374,3 +376,24 @@
     assert await cut_off.pause() == passed_on
     nothing_read = await site.planner("entry-7")
     assert await nothing_read.pause() == b""
+
+
+# The record of an upkeep was still being written at the hand-over, and came last.
+async def test_last_word_of_a_planner_is_not_overtaken(site):
+    planner = site.planners[0]
+    write = planner.parts.store.write
+    writing = []
+
+    async def slow_write(changes, guards=()):
+        writing.append(changes)
+        await site.clock.sleep(0.3 if len(writing) == 1 else 0.05)
+        return await write(changes, guards)
+
+    planner.parts.store.write = slow_write
+    site.waves.asked.append(Wave(1, ("m8",), 20.0, 1))
+    await site.until(lambda: writing)
+    stopping = asyncio.create_task(planner.hand_over())
+    await site.pass_time(1.0)
+    await stopping
+    found = await site.memory.get(RECORD_KEY)
+    assert decode(found.value, PlannerRecord).released
