Write a holder's last word on its workers after those before it

As for the planner: a list of workers that was on its way to the store at the hand-over could come after the one that says that no order is out. The next holder then asked a process that was about to end, and waited for workers as after a loss.

The test is red on the code before (released stays false).

--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -87,6 +87,7 @@
         self.assigned_dirty = True
         self.assigned_s = float("-inf")
         self.assigning = False
+        self.writing = asyncio.Lock()
         self.ended_by_planner: set[str] = set()
         self.wishes_known: set[str] = set()
         self.wishes_due_s = core.clock.now() + WISHES_TIMEOUT_S
@@ -309,7 +310,7 @@
         self.core.wake.set()
 
     async def write_assigned(self, workers: set[WorkerKey], *, released: bool) -> None:
-        """Writes the workers on which runs may exist."""
+        """Writes the workers on which runs may exist, one list after the other."""
         parts = self.core.parts
         kept = tuple(sorted(workers | self.unreached.keys()))
         unsilenced = tuple(sorted(self.unsilenced)) if self.unreached else ()
@@ -317,7 +318,8 @@
             kept, parts.address, parts.process, released, unsilenced
         )
         change = Change(f"assigned/{self.core.pool}", encode(record), ANY_REVISION)
-        await parts.store.write([change], [self.core.tenure.guard])
+        async with self.writing:
+            await parts.store.write([change], [self.core.tenure.guard])
 
     def end_sessions(self) -> None:
         """Looks at no worker any more."""
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -377,3 +377,25 @@
     await site.kill(holder)
     site.processes["entry-1"] = "process-1-restarted"
     await site.until(lambda: len(site.runs(job)) == 2, seconds=5.0)
+
+
+# The list of workers was still being written at the hand-over, and came last.
+async def test_last_word_of_a_holder_is_not_overtaken(site, holder):
+    write = holder.core.parts.store.write
+    writing = []
+
+    async def slow_write(changes, guards=()):
+        if not changes[0].key.startswith("assigned/"):
+            return await write(changes, guards)
+        writing.append(changes)
+        await site.clock.sleep(0.3 if len(writing) == 1 else 0.05)
+        return await write(changes, guards)
+
+    holder.core.parts.store.write = slow_write
+    site.park.add("w3", POOL)
+    await site.until(lambda: writing)
+    stopping = asyncio.create_task(holder.hand_over())
+    await site.pass_time(1.0)
+    await stopping
+    record = await site.memory.get(f"assigned/{POOL}")
+    assert decode(record.value, AssignedWorkers).released
