--- a/libs/scheduling/burdockthread_scheduling/entry_link.py
+++ b/libs/scheduling/burdockthread_scheduling/entry_link.py
@@ -7,10 +7,14 @@
 import aiohttp
 import msgspec
 from aiohttp import web
+from burdockthread_model.clock import Clock
 from burdockthread_model.errors import PeerUnavailableError
+from burdockthread_model.events import EventLog
+from burdockthread_model.http_server import GracefulServer
 
 from burdockthread_scheduling.duty import DutyOffer
 from burdockthread_scheduling.pool_status import (
+    LINK_TIMEOUT_S,
     PlannerAnswer,
     PoolStatus,
     ReleaseAnswer,
@@ -20,7 +24,6 @@
 STATUS_PATH = "/pool-status"
 RELEASE_PATH = "/pool-release"
 OFFER_PATH = "/duty-offer"
-CALL_TIMEOUT_S = 0.5
 NOT_PLANNER = 409
 
 StatusHandler = Callable[[PoolStatus], PlannerAnswer | None]
@@ -81,7 +84,7 @@
         self.on_status = on_status
         self.on_release = on_release
         self.on_offer = on_offer
-        self.timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        self.timeout = aiohttp.ClientTimeout(total=LINK_TIMEOUT_S)
 
     async def call(
         self, address: str, path: str, message: object, kind: type[Answer]
@@ -132,9 +135,9 @@
             return web.Response(status=400, text=str(error))
         return web.Response(status=404)
 
-    def handler(self) -> web.Server:
+    def server(self, clock: Clock, log: EventLog) -> GracefulServer:
         """Returns what serves the connections of other entries."""
-        return web.Server(self.answer, access_log=None)
+        return GracefulServer("entries", self.answer, clock, log)
 
 
 def encoded(message: object) -> web.Response:
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -16,16 +16,23 @@
 from burdockthread_scheduling.pool_status import STATUS_MAX_AGE_S
 from burdockthread_scheduling.records import decode, encode
 from burdockthread_scheduling.sessions import ReportListener, WorkerSession
+from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.worker_state import (
     CLOCK_RATE_BOUND,
     LAPSE_MARGIN_S,
+    MAX_LEASE_MS,
     RUN_LEASE_MS,
+    Placement,
     WorkerState,
 )
 from burdockthread_scheduling.workers import WorkerKey
 
 # By then every lease has lapsed that a worker was given before.
 LEASE_BOUND_S = RUN_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
+# By then what the next life of a worker took has ended, if nobody prolongs it.
+HEIR_BOUND_S = MAX_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
+# A look waits for up to 0.3 s, and the next one is due 0.3 s after it was sent.
+OBEYED_AGE_S = 0.8
 ASSIGN_INTERVAL_S = 0.5
 RETRY_S = 0.1
 ASK_INTERVAL_S = 0.2
@@ -33,8 +40,13 @@
 WISHES_TIMEOUT_S = STATUS_MAX_AGE_S + 0.2
 
 
-class HolderProcess(NamedTuple):
-    """A process that has held a pool, and its address for other entries."""
+class EarlierHolder(NamedTuple):
+    """A holder of before, which may not know yet that it is none any more.
+
+    Attributes:
+        address: Its address for other entries.
+        process: Id of its process.
+    """
 
     address: str
     process: str
@@ -48,14 +60,14 @@
         address: Address of the holder for other entries.
         process: Id of the holder's process.
         released: Whether the holder has given its last order.
-        unsilenced: Holders before it that may still give orders to some of them.
+        earlier: Holders before it that may still give orders.
     """
 
     workers: tuple[WorkerKey, ...]
     address: str
     process: str
     released: bool
-    unsilenced: tuple[HolderProcess, ...] = ()
+    earlier: tuple[EarlierHolder, ...] = ()
 
 
 class PoolWorkers:
@@ -65,9 +77,10 @@
         sessions: Session and its task by worker.
         unreached: Workers of earlier holders that have not answered yet; tasks
             of theirs may run there until the clock time given.
-        unsilenced: Earlier holders that may still give orders to these.
+        earlier: Earlier holders that may still give orders to those.
         assigned: Workers that the store names as having runs.
         ended_by_planner: Workers that an order to their machine has ended.
+        doubted_ends: Workers that an order is said to have ended, but has not.
         wishes_known: Workers of which the planner has said to this holder whether
             it wants them empty.
         wishes_due_s: Clock time from which no earlier wish is acted upon.
@@ -82,13 +95,14 @@
         self.listener = listener
         self.sessions: dict[WorkerKey, tuple[WorkerSession, asyncio.Task[None]]] = {}
         self.unreached: dict[WorkerKey, float] = {}
-        self.unsilenced: set[HolderProcess] = set()
+        self.earlier: set[EarlierHolder] = set()
         self.assigned: set[WorkerKey] = set()
         self.assigned_dirty = True
         self.assigned_s = float("-inf")
         self.assigning = False
         self.writing = asyncio.Lock()
         self.ended_by_planner: set[str] = set()
+        self.doubted_ends: set[str] = set()
         self.wishes_known: set[str] = set()
         self.wishes_due_s = core.clock.now() + WISHES_TIMEOUT_S
         self.vacating_until_s: dict[str, float] = {}
@@ -105,25 +119,27 @@
         if found is None:
             return
         left = decode(found.value, AssignedWorkers)
-        self.unsilenced.update(left.unsilenced)
+        self.earlier = {EarlierHolder(*holder) for holder in left.earlier}
         if not left.released:
-            self.unsilenced.add(HolderProcess(left.address, left.process))
-        silent_s = DOUBT_LIMIT_S if self.unsilenced else 0.0
+            self.earlier.add(EarlierHolder(left.address, left.process))
+        # This process gives no orders but those of its present term.
+        own = self.core.parts.process
+        self.earlier = {holder for holder in self.earlier if holder.process != own}
+        silent_s = DOUBT_LIMIT_S if self.earlier else 0.0
         lapsed_s = self.clock.now() + silent_s + LEASE_BOUND_S
         for key in left.workers:
             self.unreached[WorkerKey(*key)] = lapsed_s
-        if self.unreached:
-            for holder in tuple(self.unsilenced):
-                self.core.spawn(self.ask_predecessor(holder))
+        for holder in self.earlier:
+            self.core.spawn(self.ask_earlier(holder))
 
-    async def ask_predecessor(self, holder: HolderProcess) -> None:
+    async def ask_earlier(self, holder: EarlierHolder) -> None:
         """Makes sure that an earlier holder gives no more orders.
 
         A process that answers under another id is its successor, so that the
         holder has ended.
         """
         parts, core = self.core.parts, self.core
-        while self.unreached and holder.process != parts.process:
+        while self.unreached:
             try:
                 fence = core.tenure.fence
                 process = await parts.release(holder.address, core.pool, fence)
@@ -137,8 +153,8 @@
                 restarted=process != holder.process,
             )
             break
-        self.unsilenced.discard(holder)
-        if self.unsilenced:
+        self.earlier.discard(holder)
+        if self.earlier:
             return
         lapsed_s = self.clock.now() + LEASE_BOUND_S
         for key, until_s in self.unreached.items():
@@ -181,8 +197,10 @@
             core.clock,
             core.metrics,
             core.log,
+            core.is_certain,
         )
         self.sessions[key] = (session, core.spawn(session.run()))
+        self.pass_on(worker)
         self.log.info("worker_seen", worker=worker.worker_id, pool=core.pool)
 
     def drop(self, worker: WorkerState, reason: str) -> None:
@@ -195,7 +213,7 @@
         self.log.info("worker_dropped", worker=worker.worker_id, reason=reason)
 
     def replaced(self, worker: WorkerState) -> None:
-        """Takes in that a worker has ended; all its runs have ended with it."""
+        """Takes in that a worker is gone; all its runs have ended with it."""
         self.log.info("worker_replaced", worker=worker.worker_id)
         worker.replaced = True
         self.assigned_dirty = True
@@ -203,21 +221,72 @@
         self.lose_runs(worker)
         self.core.wake.set()
 
+    def restarted(self, worker: WorkerState, born_ms: int) -> None:
+        """Takes in that a worker has started again.
+
+        What it had has ended. A start that this holder was not sure of before its
+        last answer may have been taken by its next life, which knows no token yet;
+        that one lists it once it is registered.
+        """
+        key = WorkerKey(worker.worker_id, born_ms)
+        sure_s = worker.contact_s
+        for placement in tuple(worker.placements.values()):
+            if placement.certain_s <= sure_s:
+                worker.remove(placement)
+        self.log.info(
+            "worker_restarted", worker=worker.worker_id, doubtful=len(worker.placements)
+        )
+        worker.replaced = True
+        worker.heir_due_s = self.clock.now() + HEIR_BOUND_S
+        self.assigned_dirty = True
+        until_s = self.unreached.pop(worker.listing.key, None)
+        heir = self.core.workers.get(key)
+        if until_s is not None and (heir is None or not heir.contacted):
+            self.unreached[key] = until_s
+        if heir is not None:
+            self.pass_on(heir)
+        self.core.wake.set()
+
+    def pass_on(self, heir: WorkerState) -> None:
+        """Passes to a worker what it may have taken instead of its last life."""
+        for worker in self.core.workers.values():
+            if worker.worker_id == heir.worker_id and worker.replaced:
+                for placement in tuple(worker.placements.values()):
+                    worker.pass_on(placement, heir)
+
+    def placement(
+        self, worker: WorkerState, task: TaskId, run: int
+    ) -> Placement | None:
+        """Returns a run of a worker, also one that was meant for its last life."""
+        key = (task, run)
+        if key in worker.placements:
+            return worker.placements[key]
+        for other in self.core.workers.values():
+            if other.worker_id == worker.worker_id and key in other.placements:
+                other.pass_on(other.placements[key], worker)
+                return worker.placements[key]
+        return None
+
     def take_ended(self, worker_ids: tuple[str, ...]) -> None:
         """Takes in which workers the planner has ended with an order.
 
         Their registrations stay for some heartbeats. The planner takes its word
         back if the platform still lists the worker; it was empty, so that nothing
-        was started elsewhere, and is spoken to anew.
+        was started elsewhere, and is spoken to anew. One with runs is not the life
+        that the planner was told is empty, and shows by itself whether it lives.
         """
         for worker in tuple(self.core.workers.values()):
             worker_id = worker.worker_id
-            if worker_id in worker_ids and not worker.replaced:
+            if worker_id in worker_ids and worker.placements:
+                if worker_id not in self.doubted_ends:
+                    self.log.info("worker_end_doubted", worker=worker_id)
+            elif worker_id in worker_ids and not worker.replaced:
                 self.ended_by_planner.add(worker_id)
                 self.replaced(worker)
             elif worker_id in self.ended_by_planner and worker_id not in worker_ids:
                 self.ended_by_planner.discard(worker_id)
                 self.drop(worker, "the planner takes its end back")
+        self.doubted_ends = set(worker_ids) - self.ended_by_planner
 
     def reached(self, worker: WorkerState) -> None:
         """Takes in that a worker has answered this holder."""
@@ -234,7 +303,17 @@
         """Takes the runs on unreachable workers as ended once leases lapsed."""
         now = self.clock.now()
         for worker in self.core.workers.values():
-            if worker.placements and worker.failed_calls and now > worker.lapse_s():
+            if not worker.placements:
+                continue
+            if worker.replaced:
+                if now > worker.heir_due_s:
+                    self.log.warning(
+                        "restarted_worker_lapsed",
+                        worker=worker.worker_id,
+                        runs=len(worker.placements),
+                    )
+                    self.lose_runs(worker)
+            elif worker.failed_calls and now > worker.lapse_s():
                 self.log.warning(
                     "worker_leases_lapsed",
                     worker=worker.worker_id,
@@ -268,15 +347,36 @@
             and not self.core.health.is_rested(worker)
             and worker.worker_id not in self.vacating_until_s
             and self.is_wish_known(worker)
+            and self.is_obeyed(worker)
             and self.clock.now() >= worker.full_until_s
             and (not worker.unknown_runs or self.core.spec().refuses_overload)
         )
 
+    def vacating_s(self, worker: WorkerState) -> float:
+        """Returns for how long a worker gets no tasks at the planner's wish."""
+        until_s = self.vacating_until_s.get(worker.worker_id, float("-inf"))
+        return until_s - self.clock.now()
+
     def is_wish_known(self, worker: WorkerState) -> bool:
         """Returns whether no wish to the last holder to empty a worker stands."""
         known = worker.worker_id in self.wishes_known
         return known or self.clock.now() >= self.wishes_due_s
 
+    def is_obeyed(self, worker: WorkerState) -> bool:
+        """Returns whether a worker obeys this holder, not one that may follow it.
+
+        A worker that has started again knows of no holder; only a look shows that.
+        """
+        age_s = self.clock.now() - worker.asked_s
+        return age_s < OBEYED_AGE_S or self.core.is_certain()
+
+    def look_in_doubt(self) -> None:
+        """Has all workers looked at while another entry may have the pool."""
+        if self.core.is_certain():
+            return
+        for worker in self.core.workers.values():
+            worker.wake.set()
+
     def ready(self) -> list[WorkerState]:
         """Returns the workers that take orders now."""
         return [w for w in self.core.workers.values() if self.is_ready(w)]
@@ -313,10 +413,8 @@
         """Writes the workers on which runs may exist, one list after the other."""
         parts = self.core.parts
         kept = tuple(sorted(workers | self.unreached.keys()))
-        unsilenced = tuple(sorted(self.unsilenced)) if self.unreached else ()
-        record = AssignedWorkers(
-            kept, parts.address, parts.process, released, unsilenced
-        )
+        earlier = tuple(sorted(self.earlier)) if self.unreached else ()
+        record = AssignedWorkers(kept, parts.address, parts.process, released, earlier)
         change = Change(f"assigned/{self.core.pool}", encode(record), ANY_REVISION)
         async with self.writing:
             await parts.store.write([change], [self.core.tenure.guard])
--- a/libs/scheduling/burdockthread_scheduling/run_orders.py
+++ b/libs/scheduling/burdockthread_scheduling/run_orders.py
@@ -5,6 +5,7 @@
 from burdockthread_model.errors import PlatformError
 
 from burdockthread_scheduling.board import TaskRun
+from burdockthread_scheduling.duties import DOUBT_LIMIT_S
 from burdockthread_scheduling.placement_policy import PolicyTickets
 from burdockthread_scheduling.pool_core import PoolCore
 from burdockthread_scheduling.sessions import CALL_TIMEOUT_S
@@ -86,6 +87,9 @@
         worker = placement.worker
         if placement.phase is not PlacementPhase.ORDERED:
             return
+        if self.core.tenure.lease_left_s() < -DOUBT_LIMIT_S:
+            self.core.lose("lease in doubt")
+            return
         order = StartOrder(
             task=task.task,
             run=placement.run,
@@ -181,8 +185,14 @@
                 if placement.run == run:
                     self.stop(placement, reason)
 
-    def stop(self, placement: Placement, reason: str) -> None:
-        """Stops a run, or keeps one from starting later."""
+    def stop(self, placement: Placement, reason: str, **inputs: object) -> None:
+        """Stops a run, or keeps one from starting later.
+
+        Args:
+            placement: The run.
+            reason: Why.
+            inputs: What decided it, for the log.
+        """
         if placement.phase is PlacementPhase.STOPPING:
             return
         placement.phase = PlacementPhase.STOPPING
@@ -193,6 +203,7 @@
             run=placement.run,
             worker=placement.worker.worker_id,
             reason=reason,
+            **inputs,
         )
         self.core.spawn(self.send_stop(placement))
 
@@ -205,8 +216,11 @@
         """Sends a stop once; returns whether nothing is left to do."""
         worker = placement.worker
         key = (placement.task_id, placement.run)
-        if worker.placements.get(key) is not placement or worker.replaced:
+        if worker.placements.get(key) is not placement:
             return True
+        if worker.replaced:
+            # Its next life may have the run and is not registered yet.
+            return False
         fence = self.core.tenure.fence
         try:
             answer = await self.core.parts.gateway.stop(
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -11,6 +11,8 @@
 # Lease of the runs on a worker; a worker that cannot be reached holds up its
 # tasks for as long, and a change of the holder must fit into it.
 RUN_LEASE_MS = 3_000
+# The longest lease that a worker grants; holdMaxMs of the sites.
+MAX_LEASE_MS = 6_000
 # A worker's clock may be slow by two per cent.
 CLOCK_RATE_BOUND = 1.0205
 LAPSE_MARGIN_S = 0.1
@@ -45,11 +47,15 @@
         progress_s: Clock time at which `percent` was reported.
         measure: Last measure reported.
         measured_s: Clock time of that report.
-        pace: Share, 0 to 100, at which it was last told to work.
+        pace: Share, 0 to 100, at which it was last told to work, or None if an
+            earlier holder may have told it one.
+        doubtful_until_ms: Worker's clock until which a stop of an earlier holder
+            may be under way; 0 if none can be.
     """
 
     __slots__ = (
         "certain_s",
+        "doubtful_until_ms",
         "measure",
         "measured_s",
         "ordered_s",
@@ -87,7 +93,8 @@
         self.progress_s = ordered_s
         self.measure = 0.0
         self.measured_s = float("-inf")
-        self.pace = 100
+        self.pace: int | None = 100
+        self.doubtful_until_ms = 0
 
     def confirm(self, now: float) -> None:
         """Notes that the worker has the run."""
@@ -95,6 +102,11 @@
             self.phase = PlacementPhase.CONFIRMED
         self.certain_s = min(self.certain_s, now)
 
+    def settle(self, clock_ms: int) -> None:
+        """Notes that the worker lists the run at a time on its clock."""
+        if clock_ms >= self.doubtful_until_ms:
+            self.doubtful_until_ms = 0
+
     def advance(self, percent: int, now: float) -> None:
         """Takes in how far the run has come."""
         passed_s = now - self.progress_s
@@ -122,11 +134,13 @@
         placements: Runs that may exist on it, by task and run.
         contacted: Whether it has answered this holder, so that it refuses
             orders of earlier ones.
-        replaced: Whether another life answers at its address.
+        replaced: Whether another life or worker answers at its address.
+        heir_due_s: Clock time by which runs are over that its next life took.
         clock_ms: Its clock at the last answer.
         clock_read_s: Clock time of that answer.
         lease_until_ms: Latest end of the lease that any order may have set.
         contact_s: Clock time of the last answer.
+        asked_s: Clock time at which the last look that was answered was sent.
         failed_calls: Calls in a row without an answer.
         seen_end: Number of the last end taken in.
         settled_end: Number up to which ends are stored.
@@ -142,10 +156,12 @@
         self.placements: dict[tuple[TaskId, int], Placement] = {}
         self.contacted = False
         self.replaced = False
+        self.heir_due_s = float("-inf")
         self.clock_ms = 0
         self.clock_read_s = now
         self.lease_until_ms = 0
         self.contact_s = now
+        self.asked_s = float("-inf")
         self.failed_calls = 0
         self.seen_end = 0
         self.settled_end = 0
@@ -176,6 +192,15 @@
         if task is not None and placement in task.placements:
             task.placements.remove(placement)
 
+    def pass_on(self, placement: Placement, heir: "WorkerState") -> None:
+        """Counts a run on the next life of this worker, which may have taken it."""
+        del self.placements[placement.task_id, placement.run]
+        self.count(placement, -1)
+        placement.worker = heir
+        heir.add(placement)
+        heir.lease_until_ms = max(heir.lease_until_ms, heir.clock_ms + MAX_LEASE_MS)
+        heir.wake.set()
+
     def hold_room(self, task: TaskRun) -> Callable[[], None]:
         """Counts a task as if it were here; returns what takes it back."""
         placement = Placement(task, task.task, 0, self, task.size, 0.0)
@@ -223,10 +248,25 @@
         self.contact_s = now
         self.failed_calls = 0
 
+    def now_ms(self, now: float) -> float:
+        """Returns the worker's clock as far as it is known."""
+        return self.clock_ms + (now - self.clock_read_s) * 1000
+
+    def doubtful_ms(self, now: float) -> float:
+        """Returns the milliseconds until all its lasting tasks are certain."""
+        until_ms = max(
+            (
+                placement.doubtful_until_ms
+                for placement in self.placements.values()
+                if placement.task is not None and placement.task.step.lasting
+            ),
+            default=0,
+        )
+        return max(until_ms - self.now_ms(now), 0.0)
+
     def next_lease_ms(self, now: float) -> int:
         """Returns the end of a new lease on the worker's clock, and notes it."""
-        worker_now_ms = self.clock_ms + (now - self.clock_read_s) * 1000
-        until_ms = int(worker_now_ms + RUN_LEASE_MS)
+        until_ms = int(self.now_ms(now) + RUN_LEASE_MS)
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
         return until_ms
 
--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -9,7 +9,8 @@
 from burdockthread_scheduling.duty import Tenure
 from burdockthread_scheduling.intake import JobIntake
 from burdockthread_scheduling.job_index import JobIndex
-from burdockthread_scheduling.memory_workers import MemoryWorkers, TaskNature
+from burdockthread_scheduling.memory_runs import TaskNature
+from burdockthread_scheduling.memory_workers import MemoryWorkers
 from burdockthread_scheduling.placement_policy import MemoryPolicyService
 from burdockthread_scheduling.pool_core import PoolParts
 from burdockthread_scheduling.pool_scheduler import PoolScheduler
@@ -73,7 +74,6 @@
         self.policy = MemoryPolicyService()
         self.configuration = CONFIGURATION
         self.processes = {}
-        self.gateways = {}
         self.tasks = []
         self.jobs = 0
         store = self.store_of("entry-1")
@@ -86,27 +86,38 @@
         """The store as one entry uses it."""
         return SettledStore(self.faulty, entry, self.clock, self.metrics)
 
-    async def holder(self, entry="entry-1", process="process-1"):
+    async def holder(
+        self,
+        entry="entry-1",
+        process="process-1",
+        gateway=None,
+        clock=None,
+        roster=None,
+        lease_left=None,
+    ):
         """Makes an entry the holder and starts its work."""
         key = duty_key(f"pool:{POOL}")
         change = Change(key, entry.encode(), ANY_REVISION)
         fence = await self.memory.write([change])
         tenure = Tenure(f"pool:{POOL}", fence, Guard(key, fence))
+        if lease_left is not None:
+            tenure = tenure._replace(lease_left_s=lease_left)
         parts = PoolParts(
             entry=entry,
             address=entry,
             process=process,
             store=self.store_of(entry),
             jobs=self.index,
-            roster=self.park,
-            gateway=self.gateways.get(entry, self.park),
+            roster=roster or self.park,
+            gateway=gateway or self.park,
             policy=self.policy,
             configuration=lambda: self.configuration,
-            clock=self.clock,
+            clock=clock or self.clock,
             metrics=self.metrics,
             log=self.log,
             report=self.report,
             release=self.release,
+            stop_s=self.park.stop_s,
         )
         scheduler = PoolScheduler(POOL, tenure, parts)
         scheduler.work = asyncio.create_task(scheduler.run())
@@ -145,6 +156,7 @@
             accepted_ms=int(self.clock.wall() * 1000),
             **fields,
         )
+        self.park.absences.watch(job_id, job.steps)
         waiting = asyncio.create_task(self.intake.submit(job, POOL))
         await self.pass_time(0.1)
         await waiting
--- a/libs/scheduling/tests/test_machine_planner.py
+++ b/libs/scheduling/tests/test_machine_planner.py
@@ -14,7 +14,7 @@
 )
 from burdockthread_scheduling.machines import Wave
 from burdockthread_scheduling.memory_machines import MemoryMachines, MemoryWaves
-from burdockthread_scheduling.memory_workers import TaskNature
+from burdockthread_scheduling.memory_runs import TaskNature
 from burdockthread_scheduling.records import JobPhase, decode
 from burdockthread_scheduling.workers import Capacity
 from burdockthread_store.store import ANY_REVISION, Change, Guard
@@ -274,6 +274,15 @@
     assert site.machines.orders[before].given_s - started_s < SPACING_S
 
 
+# The stand-in let a worker that had started again live on after such an order.
+async def test_order_to_a_machine_ends_its_worker_in_whichever_life(site):
+    machine = next(m for m in site.machines.by_name.values() if m.worker_id)
+    site.park.add(machine.worker_id, POOL, born_ms=2)
+    await site.machines.maintain(machine.name, 1, "entry-9", 1)
+    lives = [key.worker_id for key in site.park.by_key]
+    assert machine.worker_id not in lives
+
+
 async def orders_of_next(site, entry, seconds):
     """Starts a planner, lets time pass and returns the orders given meanwhile."""
     before = len(site.machines.orders)
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -5,7 +5,11 @@
 import pytest
 from burdockthread_model.errors import PlatformError, StoreUnavailableError
 from burdockthread_scheduling.duties import DOUBT_LIMIT_S
-from burdockthread_scheduling.memory_workers import TaskNature
+from burdockthread_scheduling.memory_runs import TaskNature
+from burdockthread_scheduling.pool_status import (
+    MACHINE_ORDER_TIMEOUT_S,
+    STATUS_MAX_AGE_S,
+)
 from burdockthread_scheduling.pool_workers import AssignedWorkers
 from burdockthread_scheduling.records import JobPhase, decode
 from burdockthread_scheduling.workers import Capacity, EndKind, WorkerKey
@@ -291,6 +295,18 @@
     assert any(w.worker_id == "w1" for w in holder.workers.ready())
 
 
+# A worker that refused a connection while it had no runs was never asked again.
+async def test_idle_worker_that_refused_a_call_serves_again(site):
+    worker = site.park.add("w1", POOL)
+    await site.holder()
+    await site.pass_time(0.5)
+    worker.refusing = True
+    job = await site.submit(step(1))
+    await site.pass_time(2.0)
+    worker.refusing = False
+    await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=5.0)
+
+
 # A holder stopped before it had read who has runs wrote that nobody has any.
 async def test_holder_stopped_while_it_takes_over_leaves_the_list_of_workers(
     site, holder
@@ -363,15 +379,14 @@
     key = site.runs(job)[0].worker
     holder.core.parts.store.write = unreachable
     holder.core.parts.store.get = unreachable
-    for entry in ("entry-2", "entry-3"):
-        site.gateways[entry] = CutGateway(site.park, key)
-    stopped = await site.holder("entry-2", "process-2")
+    gateway = CutGateway(site.park, key)
+    stopped = await site.holder("entry-2", "process-2", gateway=gateway)
     await site.pass_time(0.5)
     assert key in stopped.workers.unreached
     await stopped.hand_over()
     await site.kill(stopped)
     site.processes["entry-2"] = "process-2-restarted"
-    await site.holder("entry-3", "process-3")
+    await site.holder("entry-3", "process-3", gateway=gateway)
     await site.pass_time(DOUBT_LIMIT_S - 0.5)
     assert len(site.runs(job)) == 1
     await site.kill(holder)
@@ -399,3 +414,23 @@
     await stopping
     record = await site.memory.get(f"assigned/{POOL}")
     assert decode(record.value, AssignedWorkers).released
+
+
+# Guards against tasks on a worker whose machine an order is on its way to.
+async def test_nothing_starts_while_the_planner_may_act_on_the_last_status(
+    site, holder
+):
+    site.vacate = ("w1",)
+    await site.pass_time(0.5)
+    await site.submit(step(40), nature=FOREVER)
+    site.vacate = ()
+    worker = site.park.by_key[WorkerKey("w1", 1)]
+    told_s, last = site.clock.now(), site.status
+    while not worker.runs:
+        await site.pass_time(0.02)
+        if site.status is not last:
+            last = site.status
+            if any(w.vacating for w in last.workers if w.worker_id == "w1"):
+                told_s = site.clock.now()
+    quiet_s = STATUS_MAX_AGE_S + MACHINE_ORDER_TIMEOUT_S
+    assert site.clock.now() - told_s >= quiet_s
--- a/libs/standins/burdockthread_standins/emulated_site.py
+++ b/libs/standins/burdockthread_standins/emulated_site.py
@@ -16,7 +16,8 @@
 from burdockthread_model.clock import Clock, SystemClock
 from burdockthread_scheduling.machines import Wave
 from burdockthread_scheduling.memory_machines import MemoryMachines
-from burdockthread_scheduling.memory_workers import MemoryWorkers, TaskNature
+from burdockthread_scheduling.memory_runs import TaskNature
+from burdockthread_scheduling.memory_workers import MemoryWorkers
 from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.workers import Capacity
 from burdockthread_store.store import ANY_REVISION, Change
@@ -44,6 +45,7 @@
 limits.memoryMb=300
 heartbeatMs=1500
 bounds.graceS=6
+bounds.stopMs=200
 platform.address={store}
 platform.writesPerS=400
 platform.readsPerS=2000
@@ -89,6 +91,7 @@
         callers: Port for callers.
         log: File with what it has written.
         links: Its own links to the store and to the control of machines.
+        striking: Held while the process is down on purpose.
     """
 
     def __init__(self, name: str, host: str, folder: Path, links: "EntryLinks"):
@@ -110,6 +113,7 @@
             )
         )
         self.process: asyncio.subprocess.Process | None = None
+        self.striking = asyncio.Lock()
 
     @property
     def url(self) -> str:
@@ -134,6 +138,17 @@
                 stderr=log,
             )
 
+    @asynccontextmanager
+    async def down(self, number: signal.Signals) -> AsyncIterator[None]:
+        """Ends the process for the block, then starts it again.
+
+        Another that wants it down waits, so that there is one process at a time.
+        """
+        async with self.striking:
+            await self.stop(number)
+            yield
+            await self.start()
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process, if it runs."""
         if self.process is not None and self.process.returncode is None:
--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -3,17 +3,23 @@
 import asyncio
 import json
 import signal
+from contextlib import suppress
+from pathlib import Path
 
 import aiohttp
 import pytest
 from burdockthread.explain import explain, read_lines
 from burdockthread_scheduling.machines import Wave
+from burdockthread_standins.broken_run import FaultSpan, keep_broken_run
 from burdockthread_standins.emulated_site import EmulatedSite, SitePlan
 from burdockthread_standins.emulation import Emulation
+from burdockthread_standins.forwarder import Direction
 from burdockthread_standins.job_audit import audit
 from burdockthread_standins.job_load import HOST_HEADER, JobLoad, LoadPlan
 
 SETTLE_S = 2.0
+# A request made then has most of its time left when the port closes.
+LATE_IN_STOP_S = 2.2
 # Seeds that have failed once. 1009: a task ran twice at once; not traced yet.
 REGRESSION_SEEDS = (1009,)
 FRESH_SEEDS = (11, 12)
@@ -27,6 +33,12 @@
         yield found
 
 
+@pytest.fixture
+def kept_logs(request, tmp_path):
+    """The folder for the logs of a broken seed."""
+    return Path(request.config.getoption("--keep-logs") or tmp_path)
+
+
 def load_of(site, jobs=40, jobs_per_s=8.0, **fields):
     plan = LoadPlan(jobs, jobs_per_s, patience_s=40.0, **fields)
     return JobLoad(plan, lambda: [entry.url for entry in site.entries], site.clock, 1)
@@ -91,6 +103,36 @@
     await finish(site, load, running)
 
 
+async def ask_on(connection, job_number):
+    """Sends one submission on an open connection; returns the first line."""
+    reader, writer = connection
+    body = json.dumps({"specification": "", "steps": [{"count": 1}]})
+    headers = {**HOST_HEADER, "Content-Length": str(len(body))}
+    lines = [f"POST /pool-a/{job_number:016x} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    writer.write("\r\n".join([*lines, "", body]).encode())
+    return await reader.readline()
+
+
+# Guards against a stopping entry that reads requests on open connections and
+# ends without an answer, here since the store is silent from then on.
+async def test_stopping_entry_answers_callers_on_open_connections(site):
+    entry = site.entries[0]
+    opening = [asyncio.open_connection(entry.host, entry.callers) for _ in range(12)]
+    connections = await asyncio.gather(*opening)
+    stopping = asyncio.create_task(entry.stop())
+    await asyncio.sleep(LATE_IN_STOP_S)
+    for direction in Direction:
+        entry.links.store.hold(direction)
+    asking = [ask_on(connection, n) for n, connection in enumerate(connections)]
+    answers = await asyncio.gather(*asking)
+    await stopping
+    entry.links.store.heal()
+    assert {answer.split()[1] for answer in answers} == {b"504"}
+    for _, writer in connections:
+        writer.close()
+
+
 async def test_frozen_holder_is_replaced_and_harmless_when_it_wakes(site):
     load = load_of(site, jobs=60)
     running = asyncio.create_task(load.run())
@@ -154,6 +196,45 @@
         await until(lambda: "settings_not_valid" in entry.log.read_text())
 
 
+def processes_of(entry):
+    """How many processes run with the settings of an entry."""
+    settings = str(entry.settings).encode()
+    found = 0
+    for path in Path("/proc").glob("[0-9]*/environ"):
+        with suppress(OSError):
+            found += settings in path.read_bytes()
+    return found
+
+
+# Two faults that struck one entry left a process behind, which joined later sites.
+async def test_entry_that_two_faults_strike_is_one_process(site):
+    entry = site.entries[0]
+
+    async def strike(number, pause_s):
+        async with entry.down(number):
+            await asyncio.sleep(pause_s)
+
+    await asyncio.gather(strike(signal.SIGKILL, 0.5), strike(signal.SIGTERM, 0.1))
+    await asyncio.sleep(1.0)
+    assert processes_of(entry) == 1
+    await entry.stop()
+    assert processes_of(entry) == 0
+
+
+async def test_run_that_broke_a_promise_leaves_its_logs(site, tmp_path):
+    load = load_of(site, jobs=4)
+    await load.run()
+    fault = FaultSpan("pause", 1.0)
+    kept = keep_broken_run(tmp_path, 7, site, [fault], ["a promise"])
+    names = {path.name for path in kept.iterdir()}
+    assert {entry.log.name for entry in site.entries} < names
+    assert (kept / "findings.txt").read_text() == "a promise\n"
+    assert "ended=inf" in (kept / "faults.txt").read_text()
+    starts = [note for note in site.park.orders if note.order == "start"]
+    assert len(starts) == len((kept / "runs.txt").read_text().splitlines())
+    assert starts[0].line() in (kept / "orders.txt").read_text()
+
+
 async def request(site, method, path, body=None):
     """Makes one request at the first entry."""
     url = site.entries[0].url + path
@@ -197,7 +278,8 @@
 
 
 @pytest.mark.parametrize("seed", [*REGRESSION_SEEDS, *FRESH_SEEDS])
-async def test_random_faults_break_no_promise(seed):
+async def test_random_faults_break_no_promise(seed, kept_logs):
     load = LoadPlan(jobs=80, jobs_per_s=6.0, cancelled=0.1, patience_s=60.0)
-    result = await Emulation(SitePlan(), load, seed).run(faults=True)
-    assert result.broken == [], result.faults
+    emulation = Emulation(SitePlan(), load, seed, kept_logs)
+    result = await emulation.run(faults=True)
+    assert result.broken == [], (result.faults, f"logs in {result.kept}")
