Fence what a planner tells the operators of a wave

Each planner tells of a wave when it first sees it, and when it is completed. These were the only writes of a duty without its fencing token: a planner that had lost the duty, with a write on its way or frozen before it, could say 'running' after its successor had said 'completed', and nobody would say that again.

The write carries the planner's guard now.

--- a/libs/platform/burdockthread_platform/waves.py
+++ b/libs/platform/burdockthread_platform/waves.py
@@ -9,6 +9,7 @@
     ANY_REVISION,
     Change,
     ConfigurationStore,
+    Guard,
     KeyValue,
 )
 
@@ -51,13 +52,13 @@
         """Returns the waves that are asked for."""
         return tuple(sorted(self.known.values()))
 
-    async def tell(self, wave: int, *, completed: bool) -> None:
+    async def tell(self, wave: int, guard: Guard, *, completed: bool) -> None:
         """Writes the status of a wave."""
         state = "completed" if completed else "running"
         value = json.dumps({"state": state}).encode()
         change = Change(f"{STATUS_PREFIX}{wave}", value, ANY_REVISION)
         try:
-            await self.store.write([change])
+            await self.store.write([change], [guard])
         except ConflictError as error:
             raise StoreError(f"wave {wave}: {error}") from error
 
--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -120,7 +120,12 @@
         self.demand = DemandTurns()
         self.sizer = PoolSizer(self.ledger, self.demand, parts.clock, parts.log)
         self.waves = WavePlanner(
-            self.ledger, parts.waves, parts.times.upkeep_s, parts.clock, parts.log
+            self.ledger,
+            parts.waves,
+            tenure.guard,
+            parts.times.upkeep_s,
+            parts.clock,
+            parts.log,
         )
         self.ordered_ms: dict[str, int] = {}
         self.earlier_ms: dict[str, int] = {}
--- a/libs/scheduling/burdockthread_scheduling/machines.py
+++ b/libs/scheduling/burdockthread_scheduling/machines.py
@@ -6,6 +6,7 @@
 
 from burdockthread_model.errors import PlatformError
 from burdockthread_model.verdict import Verdict
+from burdockthread_store.store import Guard
 
 from burdockthread_scheduling.workers import Capacity
 
@@ -117,9 +118,14 @@
         """Returns the waves that are asked for."""
 
     @abstractmethod
-    async def tell(self, wave: int, *, completed: bool) -> None:
+    async def tell(self, wave: int, guard: Guard, *, completed: bool) -> None:
         """Tells the operators how far a wave has come.
 
+        Args:
+            wave: Its number.
+            guard: Condition that keeps out the word of an earlier planner.
+            completed: Whether all its machines have been out.
+
         Raises:
             StoreError: It may not be recorded.
         """
--- a/libs/scheduling/burdockthread_scheduling/memory_machines.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_machines.py
@@ -5,6 +5,7 @@
 
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import PlatformError
+from burdockthread_store.store import Guard
 
 from burdockthread_scheduling.machines import (
     Machine,
@@ -172,6 +173,6 @@
         """Returns the waves that are asked for."""
         return tuple(self.asked)
 
-    async def tell(self, wave: int, *, completed: bool) -> None:
+    async def tell(self, wave: int, guard: Guard, *, completed: bool) -> None:
         """Keeps the word on a wave."""
         self.told[wave] = completed
--- a/libs/scheduling/burdockthread_scheduling/wave_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/wave_planner.py
@@ -5,6 +5,7 @@
 
 from burdockthread_model.clock import Clock
 from burdockthread_model.events import EventLog
+from burdockthread_store.store import Guard
 
 from burdockthread_scheduling.machine_ledger import Intent, MachineLedger, Purpose
 from burdockthread_scheduling.machines import (
@@ -42,6 +43,7 @@
     """Picks the machines of the waves.
 
     Attributes:
+        guard: Condition that fences what the operators are told.
         maintained: Machines whose upkeep has begun, by wave.
         seen_s: Clock time at which each wave was first seen.
         told: Whether the operators know that a wave is completed.
@@ -52,12 +54,14 @@
         self,
         ledger: MachineLedger,
         waves: WaveBoard,
+        guard: Guard,
         upkeep_s: float,
         clock: Clock,
         log: EventLog,
     ) -> None:
         self.ledger = ledger
         self.waves = waves
+        self.guard = guard
         self.upkeep_s = upkeep_s
         self.clock = clock
         self.log = log
@@ -107,7 +111,7 @@
         """Tells the operators how far a wave has come, if that has changed."""
         if self.told.get(wave.number) is completed:
             return
-        await self.waves.tell(wave.number, completed=completed)
+        await self.waves.tell(wave.number, self.guard, completed=completed)
         self.told[wave.number] = completed
         self.log.info("wave_status", wave=wave.number, completed=completed)
 
--- a/libs/scheduling/tests/test_wave_planner.py
+++ b/libs/scheduling/tests/test_wave_planner.py
@@ -10,6 +10,7 @@
 from burdockthread_scheduling.specs import FleetConfiguration, PoolSpec, QueueSpec
 from burdockthread_scheduling.wave_planner import Hurry, WavePlanner
 from burdockthread_scheduling.workers import Capacity
+from burdockthread_store.store import Guard
 
 POOLS = ("busy", "idle")
 CONFIGURATION = FleetConfiguration(
@@ -47,7 +48,8 @@
 
 @pytest.fixture
 def planner(ledger, clock):
-    return WavePlanner(ledger, MemoryWaves(), 2.0, clock, EventLog("test"))
+    guard = Guard("duty", 1)
+    return WavePlanner(ledger, MemoryWaves(), guard, 2.0, clock, EventLog("test"))
 
 
 def chosen(planner, ledger, duration_s):
