--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -105,6 +105,7 @@
         earlier_ms: As `ordered_ms`, of the planners before this one.
         wait_until_ms: Unix time in milliseconds until which orders of planners
             before this one may be unknown.
+        all_known_s: Clock time from which that is over.
         record_read: Whether it is known what the last planner left.
         ready_s: Clock time before which no order is given.
         paused: Whether the duty is being offered to another entry.
@@ -119,13 +120,20 @@
         self.demand = DemandTurns()
         self.sizer = PoolSizer(self.ledger, self.demand, parts.clock, parts.log)
         self.waves = WavePlanner(
-            self.ledger, parts.waves, parts.times.upkeep_s, parts.clock, parts.log
+            self.ledger,
+            parts.waves,
+            tenure.guard,
+            parts.times.upkeep_s,
+            parts.clock,
+            parts.log,
         )
         self.ordered_ms: dict[str, int] = {}
         self.earlier_ms: dict[str, int] = {}
         self.wait_until_ms = 0
+        self.all_known_s = float("-inf")
         self.record_read = False
         self.ready_s = float("inf")
+        self.writing = asyncio.Lock()
         self.giving = False
         self.closing = False
         self.paused = False
@@ -166,6 +174,7 @@
         record = self.last_record(None if found is None else found.value)
         self.ready_s = started_s + spacing_s
         if record is None or not record.released:
+            self.all_known_s = self.ready_s
             left_s = self.ready_s - self.clock.now()
             self.wait_until_ms = int((self.clock.wall() + left_s) * 1000)
         if record is None:
@@ -219,6 +228,7 @@
         if left_s > 0:
             self.wait_until_ms = max(self.wait_until_ms, record.wait_until_ms)
             self.ready_s = max(self.ready_s, now + min(left_s, rest_s))
+            self.all_known_s = max(self.all_known_s, self.ready_s)
 
     def record(self, *, released: bool) -> PlannerRecord:
         """Returns what the next planner has to know."""
@@ -233,14 +243,15 @@
                 for wave, seen_s in self.waves.seen_s.items()
             },
             tuple(self.earlier_ms.items()),
-            self.wait_until_ms,
+            self.wait_until_ms if now < self.all_known_s else 0,
         )
 
     async def write_record(self, *, released: bool) -> None:
-        """Writes what the next planner has to know."""
-        record = self.record(released=released)
-        change = Change(RECORD_KEY, encode(record), ANY_REVISION)
-        await self.parts.store.write([change], [self.tenure.guard])
+        """Writes what the next planner has to know, one word after the other."""
+        async with self.writing:
+            record = self.record(released=released)
+            change = Change(RECORD_KEY, encode(record), ANY_REVISION)
+            await self.parts.store.write([change], [self.tenure.guard])
 
     async def pause(self) -> bytes:
         """Gives no more orders; returns those given."""
--- a/libs/scheduling/tests/test_machine_planner.py
+++ b/libs/scheduling/tests/test_machine_planner.py
@@ -6,14 +6,16 @@
 from burdockthread_model.errors import PeerUnavailableError
 from burdockthread_scheduling.duty import Tenure
 from burdockthread_scheduling.machine_planner import (
+    RECORD_KEY,
     MachinePlanner,
     MachineTimes,
     PlannerParts,
+    PlannerRecord,
 )
 from burdockthread_scheduling.machines import Wave
 from burdockthread_scheduling.memory_machines import MemoryMachines, MemoryWaves
 from burdockthread_scheduling.memory_runs import TaskNature
-from burdockthread_scheduling.records import JobPhase
+from burdockthread_scheduling.records import JobPhase, decode
 from burdockthread_scheduling.workers import Capacity
 from burdockthread_store.store import ANY_REVISION, Change, Guard
 from pool_site import CONFIGURATION, POOL, PoolSite, step
@@ -383,3 +385,39 @@
     assert await cut_off.pause() == passed_on
     nothing_read = await site.planner("entry-7")
     assert await nothing_read.pause() == b""
+
+
+# The record of an upkeep was still being written at the hand-over, and came last.
+async def test_last_word_of_a_planner_is_not_overtaken(site):
+    planner = site.planners[0]
+    write = planner.parts.store.write
+    writing = []
+
+    async def slow_write(changes, guards=()):
+        writing.append(changes)
+        await site.clock.sleep(0.3 if len(writing) == 1 else 0.05)
+        return await write(changes, guards)
+
+    planner.parts.store.write = slow_write
+    site.waves.asked.append(Wave(1, ("m8",), 20.0, 1))
+    await site.until(lambda: writing)
+    stopping = asyncio.create_task(planner.hand_over())
+    await site.pass_time(1.0)
+    await stopping
+    found = await site.memory.get(RECORD_KEY)
+    assert decode(found.value, PlannerRecord).released
+
+
+async def test_wait_that_is_over_is_not_passed_on(site):
+    site.waves.asked.append(Wave(1, ("m8", "m9"), 20.0, 1))
+    await site.until(lambda: len(site.machines.orders) >= 3)
+    await site.kill(site.planners[0])
+    second = await site.planner("entry-8")
+    await site.pass_time(SPACING_S + 0.6)
+    await second.hand_over()
+    await site.kill(second)
+    handed_s = site.clock.now()
+    site.waves.asked.append(Wave(2, ("m7",), 20.0, 1))
+    await site.planner("entry-7")
+    await site.until(lambda: "m7" in site.machines.maintained.get(2, ()))
+    assert site.clock.now() - handed_s < 1.0
