Replace holders in a wave on the emulated site, with lasting tasks

A job of five lasting tasks, one of which may be missing, runs through a wave over all machines while the holder of its pool is stopped, or killed, each time it has told a task to stop; a stop takes 0.9 s. The stand-ins list runs newest first: with the order of their starts a new holder met the same task first and only repeated its predecessor's stop.

--- a/libs/scheduling/burdockthread_scheduling/memory_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_workers.py
@@ -174,7 +174,8 @@
                 run.percent(),
                 self.park.measure(self, run),
             )
-            for (task, number), run in self.runs.items()
+            # Newest first, since no order is promised.
+            for (task, number), run in reversed(self.runs.items())
         )
         return HoldReport(
             self.clock_ms(),
--- a/libs/standins/burdockthread_standins/emulated_site.py
+++ b/libs/standins/burdockthread_standins/emulated_site.py
@@ -17,7 +17,7 @@
 from burdockthread_scheduling.machines import Wave
 from burdockthread_scheduling.memory_machines import MemoryMachines
 from burdockthread_scheduling.memory_runs import TaskNature
-from burdockthread_scheduling.memory_workers import MemoryWorkers
+from burdockthread_scheduling.memory_workers import STOP_S, MemoryWorkers
 from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.workers import Capacity
 from burdockthread_store.store import ANY_REVISION, Change
@@ -45,7 +45,7 @@
 limits.memoryMb=300
 heartbeatMs=1500
 bounds.graceS=6
-bounds.stopMs=200
+bounds.stopMs={stop_ms}
 platform.address={store}
 platform.writesPerS=400
 platform.readsPerS=2000
@@ -65,6 +65,7 @@
         spare: Machines that are off at the start.
         capacity: What each machine has.
         nature: How tasks behave.
+        stop_s: Seconds from a stop until the run has ended.
     """
 
     entries: int = 3
@@ -73,6 +74,7 @@
     spare: int = 2
     capacity: Capacity = Capacity(16_000, 65_536)
     nature: Callable[[TaskId], TaskNature] = lambda _: TaskNature()
+    stop_s: float = STOP_S
 
 
 class EntryLinks(NamedTuple):
@@ -93,7 +95,9 @@
         links: Its own links to the store and to the control of machines.
     """
 
-    def __init__(self, name: str, host: str, folder: Path, links: "EntryLinks"):
+    def __init__(
+        self, name: str, host: str, folder: Path, links: "EntryLinks", stop_s: float
+    ) -> None:
         self.name = name
         self.links = links
         self.host = host
@@ -107,6 +111,7 @@
                 callers=self.callers,
                 ready=self.ready,
                 internal=self.internal,
+                stop_ms=int(stop_s * 1000),
                 store=f"{HOST}:{links.store.port}",
                 machines=f"{HOST}:{links.machines.port}",
             )
@@ -170,6 +175,7 @@
         self.clock = clock or SystemClock()
         self.store = EmulatedStore(self.clock)
         self.park = MemoryWorkers(self.clock, plan.nature)
+        self.park.stop_s = plan.stop_s
         self.machines = MemoryMachines(self.park, self.clock, SPARE_POOL)
         self.workers = EmulatedWorkers(self.park, self.store.store, self.clock, HOST)
         self.entries: list[EntryProcess] = []
@@ -196,7 +202,7 @@
                         for port in (store, control)
                     ]
                 )
-                entry = EntryProcess(name, host, folder, links)
+                entry = EntryProcess(name, host, folder, links, self.plan.stop_s)
                 self.entries.append(entry)
                 await entry.start()
             await self.until_ready()
--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -8,6 +8,8 @@
 import pytest
 from burdockthread.explain import explain, read_lines
 from burdockthread_scheduling.machines import Wave
+from burdockthread_scheduling.memory_runs import TaskNature
+from burdockthread_scheduling.specs import StepSpec
 from burdockthread_standins.emulated_site import EmulatedSite, SitePlan
 from burdockthread_standins.emulation import Emulation
 from burdockthread_standins.job_audit import audit
@@ -134,6 +136,47 @@
     assert site.machines.most_out <= 3
 
 
+# Guards against a holder that counts a run that its predecessor is stopping as one at
+# work, and takes out another task of its step.
+@pytest.mark.parametrize("how", [signal.SIGTERM, signal.SIGKILL])
+async def test_holders_replaced_in_a_wave_keep_lasting_tasks_at_work(how):
+    serving = TaskNature(duration_s=float("inf"), startup_s=0.5)
+    plan = SitePlan(nature=lambda _: serving, stop_s=0.9)
+    steps = [
+        {
+            "count": 5,
+            "cpu": 1000,
+            "memMb": 256,
+            "longRunning": True,
+            "mayMiss": 1,
+            "antiAffinity": 2,
+        }
+    ]
+    site = EmulatedSite(plan)
+    async with site.running():
+        await asyncio.sleep(SETTLE_S)
+        job = "a" * 16
+        body = {"specification": "text", "steps": steps}
+        status, _ = await request(site, "POST", f"/pool-a/{job}", body)
+        assert status == 200
+        site.park.absences.watch(job, (StepSpec(5, lasting=True, max_unavailable=1),))
+        async with asyncio.timeout(10.0):
+            await until(lambda: len(site.park.running()) == 5)
+        await asyncio.sleep(1.0)
+        names = tuple(site.machines.by_name)
+        await site.ask_for_wave(Wave(1, names, 30.0, 3))
+        for _ in range(4):
+            ordered = len(site.park.absences.ordered)
+            async with asyncio.timeout(20.0):
+                await until(lambda n=ordered: len(site.park.absences.ordered) > n)
+            holder = holder_of(site, "pool-a")
+            await holder.stop(how)
+            await holder.start()
+        async with asyncio.timeout(30.0):
+            await until(lambda: len(site.machines.maintained.get(1, ())) == len(names))
+        assert site.park.violations == []
+
+
 async def until(condition):
     """Waits until a condition holds."""
     done = condition()
