Count a turn of demand once it has lasted, so that a pool keeps its reserve for it

Cause: a pool counted as in its turn as soon as it asked for two fifths of what it has, over 0.4 s, and its floor fell to two workers at once. The class of fault: a reading of a moment taken as a state that lasts.

A turn now counts once a pool has asked for as much for as long as the machines that it draws take to come (onset and move); until then its rank and floor stay.

--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -14,6 +14,7 @@
 from burdockthread_scheduling.demand_turns import DemandTurns
 from burdockthread_scheduling.duty import Duty, Tenure
 from burdockthread_scheduling.entry_lease import EntryLease
+from burdockthread_scheduling.estimates import ONSET_S
 from burdockthread_scheduling.machine_ledger import (
     GivenOrder,
     Intent,
@@ -107,7 +108,7 @@
         self.clock = parts.clock
         self.log = parts.log
         self.ledger = MachineLedger(parts.configuration, parts.clock)
-        self.demand = DemandTurns()
+        self.demand = DemandTurns(ONSET_S + parts.times.move_s, parts.log)
         self.sizer = PoolSizer(self.ledger, self.demand, parts.clock, parts.log)
         self.waves = WavePlanner(
             self.ledger, parts.waves, parts.times.upkeep_s, parts.clock, parts.log
--- /dev/null
+++ b/libs/scheduling/tests/test_demand_turns.py
@@ -0,0 +1,101 @@
+"""Which pool had its turn of high demand, and what a pool keeps for its next."""
+
+import pytest
+from burdockthread_model.events import EventLog
+from burdockthread_scheduling.demand_turns import DemandTurns
+from burdockthread_scheduling.memory_workers import TaskNature
+from burdockthread_scheduling.pool_status import PoolStatus, WorkerStatus
+from burdockthread_scheduling.records import JobPhase
+from burdockthread_scheduling.workers import Capacity
+from pool_site import POOL, step
+from test_machine_planner import SPACING_S, PlannedSite
+
+CONFIRMED_S = 2.0
+REPORT_S = 0.1
+RESERVE = 4
+
+
+@pytest.fixture
+async def site():
+    found = PlannedSite()
+    await found.pass_time(0.1)
+    await found.planner()
+    await found.holder()
+    await found.until(lambda: found.workers() == RESERVE)
+    await found.pass_time(SPACING_S)
+    yield found
+    await found.close()
+    assert found.park.violations == []
+    assert found.machines.interrupted == 0
+
+
+@pytest.fixture
+def turns():
+    return DemandTurns(CONFIRMED_S, EventLog("test"))
+
+
+def status(inflow_milli, pool=POOL):
+    """A pool of ten workers with sixteen cores each."""
+    workers = tuple(
+        WorkerStatus(f"{pool}-{n}", 16_000, 0, 0, 0, False, True, 0.0)
+        for n in range(10)
+    )
+    return PoolStatus(pool, 1, 0, 0, 0.0, inflow_milli, workers, {})
+
+
+def note(turns, inflow_milli, from_s, until_s, pool=POOL):
+    """Reports the same inflow for a while."""
+    for number in range(round((until_s - from_s) / REPORT_S) + 1):
+        turns.note(status(inflow_milli, pool), from_s + number * REPORT_S)
+
+
+async def fewest_workers(site, seconds):
+    """Lets time pass and returns the fewest workers that the pool had."""
+    fewest = site.workers()
+    left_s = seconds
+    while left_s > 0:
+        await site.pass_time(REPORT_S)
+        left_s -= REPORT_S
+        fewest = min(fewest, site.workers())
+    return fewest
+
+
+# Guards against a pool that switches its reserve off when one wide job arrives.
+async def test_one_wide_job_does_not_cost_a_pool_its_reserve(site):
+    nature = TaskNature(duration_s=0.5, size=Capacity(1_000, 256))
+    job = await site.submit(step(16, estimated_ms=2_000), nature=nature)
+    assert await fewest_workers(site, 6.0) == RESERVE
+    assert site.phase(job) is JobPhase.COMPLETED
+
+
+# Guards against a pool that switches its reserve off as its own turn begins.
+async def test_pool_keeps_its_reserve_while_its_turn_begins(site):
+    nature = TaskNature(duration_s=0.5, size=Capacity(1_000, 256))
+    await site.submit(step(16, estimated_ms=2_000), nature=nature)
+    await site.pass_time(0.6)
+    fewest = RESERVE
+    for _ in range(4):
+        await site.submit(step(24, estimated_ms=1_000), nature=nature)
+        fewest = min(fewest, await fewest_workers(site, 0.2))
+    assert fewest >= RESERVE
+
+
+def test_turn_counts_once_demand_has_lasted(turns):
+    note(turns, 100_000, 0.0, CONFIRMED_S - REPORT_S)
+    assert POOL not in turns.last_turn_s
+    note(turns, 100_000, CONFIRMED_S, CONFIRMED_S + 1.0)
+    assert turns.last_turn_s[POOL] == pytest.approx(CONFIRMED_S + 1.0)
+
+
+def test_short_peaks_far_apart_are_no_turn(turns):
+    for second in range(10):
+        note(turns, 100_000, second, second + 0.3)
+        note(turns, 0, second + 0.4, second + 0.9)
+    assert turns.ranks([POOL]) == {POOL: 1.0}
+
+
+def test_lull_within_a_turn_does_not_end_it(turns):
+    note(turns, 100_000, 0.0, 1.0)
+    note(turns, 0, 1.1, 1.3)
+    note(turns, 100_000, 1.4, CONFIRMED_S)
+    assert POOL in turns.last_turn_s
