Keep the address for other entries when the settings change

Found by reading, as a place where what an entry has taken on is not passed on: the address came from the settings in force, but the port stays where it was at the start. After a changed host or first port, new holders recorded an address at which nobody listens, so that the next holder could not ask them to be silent and waited for 8 s and the leases. The address is taken once, and availability_zone and cores are named among the settings that need a restart.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -66,7 +66,15 @@
 POOL_DUTY = "pool:"
 MACHINES_DUTY = "machines"
 # A change of these takes effect only when the process starts again.
-FIXED_SETTINGS = ("name", "host", "callers", "readiness", "first_port")
+FIXED_SETTINGS = (
+    "name",
+    "host",
+    "availability_zone",
+    "callers",
+    "readiness",
+    "first_port",
+    "cores",
+)
 # A job that has not ended is read anew for each caller, and counts may be two
 # seconds old; a worker that leaves is to be seen within two seconds.
 WATCH_PAUSES_S = {SHARED_PREFIX: 0.5, REGISTRATION_PREFIX: 0.25}
@@ -105,6 +113,8 @@
     ) -> None:
         self.metrics_port = metrics_port
         self.settings = settings
+        # Other entries go on calling the address that this process listens at.
+        self.address = Address(settings.host, settings.first_port)
         self.clock = SuspendClock()
         self.log = StdoutLog(settings.name)
         self.metrics = HistogramMetrics()
@@ -155,7 +165,7 @@
         )
         self.duties = Duties(
             settings.name,
-            str(self.link_address()),
+            str(self.address),
             settings.availability_zone,
             settings.cores,
             self.store,
@@ -173,10 +183,6 @@
         """Returns a copy of the keys below a prefix."""
         return PrefixCache(self.store, prefix, self.clock, STORE_RETRY_MAX_S)
 
-    def link_address(self) -> Address:
-        """Returns the address for other entries."""
-        return Address(self.settings.host, self.settings.first_port)
-
     def on_status(self, status: PoolStatus) -> PlannerAnswer | None:
         """Passes the status of a pool to the planner, if that works here."""
         planner = self.duties.held_duty(MACHINES_DUTY)
@@ -204,7 +210,7 @@
         if answer is not None:
             return answer
         address = self.duties.holder_address(MACHINES_DUTY)
-        if not address or address == str(self.link_address()):
+        if not address or address == str(self.address):
             return None
         try:
             return await self.link.report(address, status)
@@ -250,7 +256,7 @@
         """Returns the work of the holder of a pool."""
         parts = PoolParts(
             entry=self.settings.name,
-            address=str(self.link_address()),
+            address=str(self.address),
             process=self.process,
             store=self.store,
             jobs=self.index,
@@ -315,7 +321,7 @@
             self.log.info(
                 "entry_started",
                 callers=self.settings.callers,
-                entries=self.link_address(),
+                entries=self.address,
                 metrics=metrics_address,
                 store=self.settings.store,
                 memory_mb=self.settings.memory_mb,
@@ -329,7 +335,7 @@
         clock, log, settings = self.clock, self.log, self.settings
         readiness = readiness_server(self.is_ready, clock, log)
         return (
-            ListeningPort(self.link.server(clock, log), *self.link_address()),
+            ListeningPort(self.link.server(clock, log), *self.address),
             ListeningPort(text_server(self.metrics.text, clock, log), *metrics),
             ListeningPort(readiness, *settings.readiness),
             ListeningPort(self.port.server, *settings.callers),
