Run the jobs of a pool whose last queue a configuration has removed

What callers would have seen: accepted jobs that never end (LOST). Found by reading, as a place where what an entry has taken on is given up: the duties wanted were those of pools to which a queue leads. Once a version removed the last queue of a pool, its holder dropped the pool as not wanted, without a hand-over, and no other took it.

Change: the pools with jobs that have not ended are wanted too, as long as the configuration knows the pool; the index of jobs counts them. The planner of machines takes in each fresh status, so that such a pool keeps its machines.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -224,8 +224,13 @@
         return self.configuration.current or FleetConfiguration(-1, {}, {})
 
     def wanted_duties(self) -> Mapping[str, DutyFactory]:
-        """Returns the duties that the configuration asks for."""
-        pools = self.current_configuration().worker_pools()
+        """Returns the duties that the configuration and the open jobs ask for.
+
+        Jobs of a queue that is no more are accepted and have to be run.
+        """
+        configuration = self.current_configuration()
+        open_pools = self.index.open_pools() & configuration.pools.keys()
+        pools = sorted(open_pools.union(configuration.worker_pools()))
         duties: dict[str, DutyFactory] = {
             POOL_DUTY + pool: partial(self.pool_duty, pool) for pool in pools
         }
--- a/libs/scheduling/burdockthread_scheduling/intake.py
+++ b/libs/scheduling/burdockthread_scheduling/intake.py
@@ -205,7 +205,7 @@
             try:
                 await self.write_cancel(job_id, known)
             except ConflictError:
-                self.index.jobs.pop(job_id, None)
+                self.index.forget(job_id)
                 continue
             return
         raise StoreUnavailableError(f"job {job_id}: other writers were always first")
--- a/libs/scheduling/burdockthread_scheduling/job_index.py
+++ b/libs/scheduling/burdockthread_scheduling/job_index.py
@@ -1,5 +1,6 @@
 """What every entry knows of all jobs, followed from the store."""
 
+from collections import Counter
 from collections.abc import Iterator
 from enum import StrEnum
 
@@ -49,6 +50,7 @@
 
     Attributes:
         jobs: Known jobs by id.
+        open_jobs: Number of known jobs that have not ended, by pool.
         reports: Newest report of each pool.
     """
 
@@ -64,6 +66,7 @@
         self.clock = clock
         self.log = log
         self.jobs: dict[str, KnownJob] = {}
+        self.open_jobs: Counter[str] = Counter()
         self.reports: dict[str, PoolReport] = {}
         cache.listeners.append(self.on_change)
 
@@ -80,7 +83,7 @@
     def on_job(self, job_id: str, item: KeyValue | None) -> None:
         """Takes in the state of a job."""
         if item is None:
-            self.jobs.pop(job_id, None)
+            self.forget(job_id)
             return
         self.note(job_id, decode(item.value, JobRecord), item.revision)
 
@@ -94,9 +97,27 @@
         known = self.jobs.get(job_id)
         if known is None:
             self.jobs[job_id] = KnownJob(record, revision)
+            self.count(record, 1)
         elif known.revision < revision:
+            self.count(known.record, -1)
             known.record = record
             known.revision = revision
+            self.count(record, 1)
+
+    def forget(self, job_id: str) -> None:
+        """Drops what is known of a job."""
+        known = self.jobs.pop(job_id, None)
+        if known is not None:
+            self.count(known.record, -1)
+
+    def count(self, record: JobRecord, change: int) -> None:
+        """Counts a job that has not ended."""
+        if record.phase is JobPhase.ACCEPTED:
+            self.open_jobs[record.pool] += change
+
+    def open_pools(self) -> set[str]:
+        """Returns the pools with jobs that have not ended."""
+        return {pool for pool, number in self.open_jobs.items() if number}
 
     async def find(self, job_id: str) -> KnownJob | None:
         """Returns a job, asking the store if this entry has not heard of it.
--- a/libs/scheduling/burdockthread_scheduling/machine_ledger.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_ledger.py
@@ -121,8 +121,11 @@
         return known[0]
 
     def fresh_pools(self) -> list[PoolStatus]:
-        """Returns the statuses that are not old, of pools that run jobs."""
-        found = (self.fresh(pool) for pool in self.configuration().worker_pools())
+        """Returns the statuses that are not old, of pools that run jobs.
+
+        A pool to which no queue leads any more may still have jobs.
+        """
+        found = (self.fresh(pool) for pool in sorted(self.statuses))
         return [status for status in found if status is not None]
 
     def spare_pool(self) -> str:
--- a/libs/scheduling/tests/test_intake.py
+++ b/libs/scheduling/tests/test_intake.py
@@ -48,7 +48,7 @@
 # A job that another entry had stored was refused as not stored.
 async def test_job_that_may_be_stored_already_is_not_refused(site):
     await submitted(site, JOB)
-    site.index.jobs.pop(JOB)
+    site.index.forget(JOB)
     get = site.intake.store.store.get
 
     async def without_an_answer(key):
@@ -60,3 +60,19 @@
     waiting = await submitted(site, JOB)
     with pytest.raises(StoreUnknownError):
         await waiting
+
+
+# The pools with open jobs decide which pools have a holder.
+async def test_open_jobs_are_counted_until_they_end_or_are_gone(site):
+    other = "00000000000000bb"
+    for job_id in (JOB, other):
+        await submitted(site, job_id)
+        await submitted(site, job_id)
+    assert site.index.open_jobs[POOL] == 2
+    await site.intake.cancel(JOB)
+    await site.pass_time(0.5)
+    assert site.index.open_jobs[POOL] == 1
+    assert site.index.open_pools() == {POOL}
+    site.index.forget(other)
+    site.index.forget(other)
+    assert site.index.open_pools() == set()
--- a/libs/standins/burdockthread_standins/emulated_site.py
+++ b/libs/standins/burdockthread_standins/emulated_site.py
@@ -253,8 +253,15 @@
                 self.machines.add(f"m{number:03d}", pool, self.plan.capacity, rack)
                 number += 1
 
-    async def configure(self, version: int) -> None:
-        """Writes a version of the configuration."""
+    async def configure(
+        self, version: int, pools: tuple[str, ...] | None = None
+    ) -> None:
+        """Writes a version of the configuration.
+
+        Args:
+            version: Its number.
+            pools: Pools to which a queue leads; all that run jobs if left out.
+        """
         body = {
             "version": version,
             "routes": [
@@ -270,7 +277,7 @@
                     "maxAttempts": 4,
                     "stretch": 1.6,
                 }
-                for pool in self.plan.pools
+                for pool in (self.plan.pools if pools is None else pools)
             ],
             "services": [
                 {"name": pool, "rejectsOverload": True, "spare": pool == SPARE_POOL}
--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -11,6 +11,7 @@
 from burdockthread.explain import explain, read_lines
 from burdockthread_scheduling.machines import Wave
 from burdockthread_scheduling.memory_runs import TaskNature
+from burdockthread_scheduling.records import JobPhase, JobRecord, decode
 from burdockthread_scheduling.specs import StepSpec
 from burdockthread_standins.broken_run import FaultSpan, keep_broken_run
 from burdockthread_standins.emulated_site import EmulatedSite, SitePlan
@@ -282,6 +283,24 @@
     assert starts[0].line() in (kept / "orders.txt").read_text()
 
 
+def phase(site, job_id):
+    """The phase of a job as the store has it."""
+    stored = site.store.store.values[f"shared/job/{job_id}"]
+    return decode(stored.value, JobRecord).phase
+
+
+# Guards against accepted jobs that nobody runs once their pool's last queue is gone.
+async def test_jobs_of_a_removed_queue_are_completed(site):
+    body = {"specification": "", "steps": [{"count": 60}, {"count": 60, "after": [0]}]}
+    jobs = [f"{number:016x}" for number in range(4)]
+    for job in jobs:
+        assert (await request(site, "POST", f"/pool-b/{job}", body))[0] == 200
+    await site.configure(2, pools=("pool-a",))
+    async with asyncio.timeout(20.0):
+        await until(lambda: {phase(site, job) for job in jobs} == {JobPhase.COMPLETED})
+    assert site.park.violations == []
+
+
 async def request(site, method, path, body=None):
     """Makes one request at the first entry."""
     url = site.entries[0].url + path
