Install the signal handlers of an entry before its first port listens

Callers saw: connections cut when SIGTERM reached an entry right after it had logged its ports (exit code -15). Cause: aiomisc sets its handlers only after the services have started. The service now sets them itself before the entry starts; a signal during the start stops the entry once it has started.

--- a/libs/burdockthread/burdockthread/actions.py
+++ b/libs/burdockthread/burdockthread/actions.py
@@ -45,14 +45,18 @@
     settings = load_settings(path)
     set_log_level(settings.get("log_level", "info"))
     limits = Limits.from_settings(settings)
-    service = EntryService(settings=settings, clock=SystemClock())
+    service = EntryService(
+        settings=settings,
+        clock=SystemClock(),
+        stop_timeout_s=limits.stop_timeout_s + STOP_MARGIN_S,
+    )
     with entrypoint(
         service,
         log_config=False,
         loop_factory=uvloop.new_event_loop,
-        shutdown_timeout=limits.stop_timeout_s + STOP_MARGIN_S,
+        catch_signals=(),
     ) as loop:
-        loop.run_forever()
+        loop.run_until_complete(service.stop_requested.wait())
 
 
 def set_log_level(level: str) -> None:
