--- a/libs/burdockthread/burdockthread/bench_scheduling.py
+++ b/libs/burdockthread/burdockthread/bench_scheduling.py
@@ -27,6 +27,7 @@
     QueueSpec,
     StepSpec,
 )
+from burdockthread_scheduling.store_contact import StoreContact
 from burdockthread_scheduling.workers import Capacity
 from burdockthread_store.memory_store import MemoryStore
 from burdockthread_store.prefix_cache import PrefixCache
@@ -99,7 +100,8 @@
         stop_s=STOP_S,
     )
     holder = PoolScheduler(POOL, Tenure(POOL, fence, Guard(key, fence)), parts)
-    intake = JobIntake(store, index, clock, metrics, log)
+    contact = StoreContact(clock, clock.now)
+    intake = JobIntake(store, index, contact, clock, metrics, log)
     tasks = [asyncio.create_task(work) for work in (cache.run(), holder.run())]
     try:
         await pass_time(clock, SETTLE_S)
--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -59,7 +59,13 @@
     ReleaseOrder,
 )
 from burdockthread_scheduling.records import CLUSTER_PREFIX, SHARED_PREFIX
+from burdockthread_scheduling.request_relay import (
+    CallerAnswer,
+    CallerRequest,
+    RequestRelay,
+)
 from burdockthread_scheduling.specs import FleetConfiguration
+from burdockthread_scheduling.store_contact import StoreContact
 from burdockthread_store.prefix_cache import PrefixCache
 from burdockthread_store.settled_store import SettledStore
 
@@ -147,8 +153,14 @@
         self.operator_cache.listeners.append(self.waves.on_change)
         self.roster = RegisteredWorkers(self.registration_cache, self.log)
         self.job_index = JobIndex(self.shared_cache, self.store, self.clock, self.log)
+        self.contact = StoreContact(self.clock, lambda: self.platform.contact_s)
         self.intake = JobIntake(
-            self.store, self.job_index, self.clock, self.metrics, self.log
+            self.store,
+            self.job_index,
+            self.contact,
+            self.clock,
+            self.metrics,
+            self.log,
         )
         self.desk = JobDesk(
             self.configuration,
@@ -161,7 +173,7 @@
         self.gateway = HttpWorkerGateway(session)
         self.process = secrets.token_hex(PROCESS_ID_BYTES)
         self.link = HttpEntryLink(
-            session, self.on_status, self.on_release, self.on_offer
+            session, self.on_status, self.on_release, self.on_offer, self.on_request
         )
         self.policy: PolicyService = (
             NoPolicyService()
@@ -186,7 +198,16 @@
             self.wanted_duties,
             self.link.offer,
         )
-        self.port = JobsPort(self.desk, self.clock)
+        relay = RequestRelay(
+            self.link,
+            self.duties.other_addresses,
+            self.contact,
+            self.intake.refuse_unsent,
+            self.clock,
+            self.metrics,
+            self.log,
+        )
+        self.port = JobsPort(self.desk, self.clock, relay)
         self.stopping = False
 
     def prefix_cache(self, prefix: str) -> PrefixCache:
@@ -212,6 +233,10 @@
         """Takes over a duty that another entry offers; returns whether it did."""
         return await self.duties.accept_offer(offer)
 
+    async def on_request(self, request: CallerRequest) -> CallerAnswer:
+        """Answers a caller's request that another entry passes on."""
+        return await self.port.handle(request)
+
     async def ask_release(self, address: str, pool: str, fence: int) -> str:
         """Asks an earlier holder to release a pool; returns the id of its process."""
         answer = await self.link.release(address, ReleaseOrder(pool, fence))
@@ -296,12 +321,11 @@
 
     def is_ready(self) -> bool:
         """Returns whether the platform should send callers to this entry."""
-        contact_age_s = self.clock.now() - self.platform.contact_s
         return (
             not self.stopping
             and self.configuration.current is not None
             and self.shared_cache.synced
-            and contact_age_s < MAX_STORE_SILENCE_S
+            and self.contact.age_s() < MAX_STORE_SILENCE_S
         )
 
     def background_work(self) -> tuple[Coroutine[None, None, None], ...]:
--- a/libs/platform/burdockthread_platform/jobs_http.py
+++ b/libs/platform/burdockthread_platform/jobs_http.py
@@ -17,6 +17,11 @@
     NotReadyError,
     UnsettledError,
 )
+from burdockthread_scheduling.request_relay import (
+    CallerAnswer,
+    CallerRequest,
+    RequestRelay,
+)
 from burdockthread_scheduling.specs import JobSpec, QueueSpec, StepSpec
 
 from burdockthread_platform import wire
@@ -25,6 +30,7 @@
 BAD_REQUEST = 400
 # The outcome is unknown; the caller may send the same request again.
 UNSETTLED = 504
+CHANGING_METHODS = ("POST", "DELETE")
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 MAX_PAYLOAD_BYTES = 4_000
 MAX_STEPS = 256
@@ -57,20 +63,24 @@
     """Handles the requests of callers.
 
     Attributes:
+        relay: Passes requests on to other entries, or None if there are none.
         server: HTTP server of the callers' connections.
         answered_s: Clock time of the last answer.
     """
 
-    def __init__(self, desk: JobDesk, clock: Clock) -> None:
+    def __init__(
+        self, desk: JobDesk, clock: Clock, relay: RequestRelay | None = None
+    ) -> None:
         self.desk = desk
         self.clock = clock
+        self.relay = relay
         self.last_answer_s = float("-inf")
         self.server = CallerServer("callers", self.answer, clock, desk.log)
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handles one request; every failure is turned into an error response."""
         try:
-            response = await self.dispatch(request)
+            response = web_response(await self.dispatch(request))
         except RequestError as error:
             response = error_response(error)
         except ConnectionError as error:
@@ -90,43 +100,64 @@
             self.last_answer_s = self.clock.now()
         return response
 
-    async def dispatch(self, request: web.BaseRequest) -> web.Response:
-        """Routes a request to the desk by method and path.
+    async def dispatch(self, request: web.BaseRequest) -> CallerAnswer:
+        """Reads a request and has it answered here or by another entry.
+
+        Raises:
+            RequestError: The request is malformed, or its outcome is unknown.
+        """
+        received = CallerRequest(
+            method=request.method,
+            host=request.headers.get("Host", "").partition(":")[0],
+            path=request.path,
+            body=await request.read(),
+            timeout_s=caller_timeout_s(request),
+        )
+        if request.method in CHANGING_METHODS:
+            request[VERDICT] = Verdict.UNKNOWN
+        if self.relay is None:
+            return await self.handle(received)
+        return await self.relay.answer(received, self.handle)
+
+    async def handle(self, request: CallerRequest) -> CallerAnswer:
+        """Answers a request from this entry's store."""
+        try:
+            return json_answer(await self.run(request))
+        except RequestError as error:
+            return error_answer(error)
+
+    async def run(self, request: CallerRequest) -> wire.JsonObject:
+        """Routes a request to the desk by method and path; returns the body.
 
         Raises:
             RequestError: The request is malformed or the desk refused it.
         """
-        host = request.headers.get("Host", "").partition(":")[0]
-        queue = await self.desk.queue(host, request.path)
+        queue = await self.desk.queue(request.host, request.path)
         job_id = request.path[len(queue.path) :]
-        wait_s = caller_timeout_s(request)
         if request.method == "GET" and not job_id:
-            return web.json_response({"waiting": self.desk.waiting(queue)})
+            return {"waiting": self.desk.waiting(queue)}
         if not JOB_ID.fullmatch(job_id):
             raise BadRequestError(
                 "the path does not end with a job id of 16 hexadecimal digits"
             )
         if request.method == "POST":
-            job = await self.read_job(request, queue, job_id)
-            request[VERDICT] = Verdict.UNKNOWN
-            await self.desk.submit(queue, job, wait_s)
-            return web.json_response({})
+            job = self.read_job(request, queue, job_id)
+            await self.desk.submit(queue, job, request.timeout_s)
+            return {}
         if request.method == "GET":
-            state = await self.desk.state(job_id, wait_s)
-            return web.json_response({"state": state.value})
+            state = await self.desk.state(job_id, request.timeout_s)
+            return {"state": state.value}
         if request.method == "DELETE":
-            request[VERDICT] = Verdict.UNKNOWN
-            await self.desk.cancel(job_id, wait_s)
-            return web.json_response({})
+            await self.desk.cancel(job_id, request.timeout_s)
+            return {}
         raise BadRequestError(f"method {request.method} is not supported")
 
-    async def read_job(
-        self, request: web.BaseRequest, queue: QueueSpec, job_id: str
+    def read_job(
+        self, request: CallerRequest, queue: QueueSpec, job_id: str
     ) -> JobSpec:
         """Decodes the body of a submission and stamps the time of acceptance."""
         try:
-            body = wire.parse_object(await request.read())
-            job = parse_job(body, queue.name, job_id)
+            job = parse_job(wire.parse_object(request.body), queue.name, job_id)
         except wire.WireError as error:
             raise BadRequestError(str(error)) from error
         return job._replace(accepted_ms=int(self.clock.wall() * 1000))
@@ -146,13 +177,35 @@
     return int(value) / 1000
 
 
-def error_response(error: RequestError) -> web.Response:
-    """Returns the response for a request that failed with an error."""
+def json_answer(
+    body: wire.JsonObject, status: int = 200, retry_after_s: float | None = None
+) -> CallerAnswer:
+    """Returns an answer with a JSON body."""
+    return CallerAnswer(status, json.dumps(body).encode(), retry_after_s)
+
+
+def error_answer(error: RequestError) -> CallerAnswer:
+    """Returns the answer to a request that failed with an error."""
     body = {"error": str(error), "verdict": error.verdict.value}
+    return json_answer(body, error.status, error.retry_after_s)
+
+
+def web_response(answer: CallerAnswer) -> web.Response:
+    """Returns the HTTP response for an answer."""
     headers = {}
-    if error.retry_after_s is not None:
-        headers["Retry-After"] = str(max(round(error.retry_after_s), 1))
-    return web.json_response(body, status=error.status, headers=headers)
+    if answer.retry_after_s is not None:
+        headers["Retry-After"] = str(max(round(answer.retry_after_s), 1))
+    return web.Response(
+        status=answer.status,
+        body=answer.body,
+        content_type="application/json",
+        headers=headers,
+    )
+
+
+def error_response(error: RequestError) -> web.Response:
+    """Returns the response for a request that failed with an error."""
+    return web_response(error_answer(error))
 
 
 def parse_job(body: wire.JsonObject, queue: str, job_id: str) -> JobSpec:
--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -493,6 +493,14 @@
         entry = None if owner is None else self.entries.get(owner[0].entry)
         return "" if entry is None else entry.address
 
+    def other_addresses(self) -> list[str]:
+        """Returns the addresses of the other live entries."""
+        return [
+            record.address
+            for entry, record in self.entries.items()
+            if entry != self.entry
+        ]
+
     async def hand_over(self) -> None:
         """Hands over all duties for a planned stop, then ends the lease.
 
--- a/libs/scheduling/burdockthread_scheduling/entry_link.py
+++ b/libs/scheduling/burdockthread_scheduling/entry_link.py
@@ -1,6 +1,6 @@
 """Calls between entries: msgpack bodies over HTTP."""
 
-from abc import ABC, abstractmethod
+from abc import abstractmethod
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -8,7 +8,7 @@
 import msgspec
 from aiohttp import web
 from burdockthread_model.clock import Clock
-from burdockthread_model.errors import PeerUnavailableError
+from burdockthread_model.errors import PeerTimeoutError, PeerUnavailableError
 from burdockthread_model.events import EventLog
 from burdockthread_model.http_server import GracefulServer
 
@@ -20,10 +20,17 @@
     ReleaseAnswer,
     ReleaseOrder,
 )
+from burdockthread_scheduling.request_relay import (
+    CallerAnswer,
+    CallerRequest,
+    RelayLink,
+    RequestHandler,
+)
 
 STATUS_PATH = "/pool-status"
 RELEASE_PATH = "/pool-release"
 OFFER_PATH = "/duty-offer"
+RELAY_PATH = "/caller-request"
 NOT_PLANNER = 409
 
 StatusHandler = Callable[[PoolStatus], PlannerAnswer | None]
@@ -32,7 +39,7 @@
 Answer = TypeVar("Answer")
 
 
-class EntryLink(ABC):
+class EntryLink(RelayLink):
     """Calls to other entries."""
 
     @abstractmethod
@@ -73,6 +80,7 @@
         on_release: Drops a pool that another entry now holds.
         on_offer: Handles an offered duty; returns whether the offering entry no
             longer holds it.
+        on_request: Answers a caller's request that another entry passes on.
     """
 
     def __init__(
@@ -81,11 +89,13 @@
         on_status: StatusHandler,
         on_release: ReleaseHandler,
         on_offer: OfferHandler,
+        on_request: RequestHandler,
     ) -> None:
         self.session = session
         self.on_status = on_status
         self.on_release = on_release
         self.on_offer = on_offer
+        self.on_request = on_request
         self.timeout = aiohttp.ClientTimeout(total=LINK_TIMEOUT_S)
 
     async def call(
@@ -125,6 +135,24 @@
         """Offers a duty; returns whether another entry than the caller now holds it."""
         return await self.call(address, OFFER_PATH, offer, bool)
 
+    async def relay(self, address: str, request: CallerRequest) -> CallerAnswer:
+        """Has another entry answer a caller's request from its own store."""
+        url = f"http://{address}{RELAY_PATH}"
+        body = msgspec.msgpack.encode(request)
+        timeout = aiohttp.ClientTimeout(total=request.timeout_s)
+        try:
+            async with self.session.post(url, data=body, timeout=timeout) as answer:
+                data = await answer.read()
+        except aiohttp.ClientConnectorError as error:
+            raise PeerUnavailableError(f"{address}: {error}") from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise PeerTimeoutError(f"{address}: {type(error).__name__}") from error
+        try:
+            return msgspec.msgpack.decode(data, type=CallerAnswer)
+        except msgspec.MsgspecError as error:
+            reason = f"{address} answered {answer.status}: {error}"
+            raise PeerTimeoutError(reason) from error
+
     async def answer(self, request: web.BaseRequest) -> web.Response:
         """Handles a request of another entry by its path."""
         body = await request.read()
@@ -138,6 +166,9 @@
             if request.path == OFFER_PATH:
                 offer = msgspec.msgpack.decode(body, type=DutyOffer)
                 return encoded(await self.on_offer(offer))
+            if request.path == RELAY_PATH:
+                passed = msgspec.msgpack.decode(body, type=CallerRequest)
+                return encoded(await self.on_request(passed))
         except msgspec.MsgspecError as error:
             return web.Response(status=400, text=str(error))
         return web.Response(status=404)
--- a/libs/scheduling/burdockthread_scheduling/intake.py
+++ b/libs/scheduling/burdockthread_scheduling/intake.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from typing import Any
 
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import (
@@ -24,6 +25,7 @@
     work_prefix,
 )
 from burdockthread_scheduling.specs import JobSpec
+from burdockthread_scheduling.store_contact import StoreContact
 
 # A job takes three of the 32 entries of a write; the write's marker takes two.
 MAX_JOBS_PER_WRITE = 9
@@ -55,7 +57,7 @@
             self.stored.set_result(None)
 
 
-def consume_error(future: asyncio.Future[None]) -> None:
+def consume_error(future: asyncio.Future[Any]) -> None:
     """Retrieves a future's error, so that asyncio does not log it as unhandled.
 
     The caller that awaited the future may have been cancelled.
@@ -71,18 +73,21 @@
         waiting: Submissions that are not part of a write yet.
         unsettled: Submissions whose outcome is not known yet, by job.
         writers: Tasks that write batches.
+        contact: Tells whether this entry reaches the store.
     """
 
     def __init__(
         self,
         store: ConfigurationStore,
         index: JobIndex,
+        contact: StoreContact,
         clock: Clock,
         metrics: Metrics,
         log: EventLog,
     ) -> None:
         self.store = store
         self.index = index
+        self.contact = contact
         self.clock = clock
         self.metrics = metrics
         self.log = log
@@ -105,9 +110,27 @@
             return
         submission = self.unsettled.get(job.job_id)
         if submission is None:
+            self.expect_contact()
             submission = self.enqueue(Submission(job, pool))
         await asyncio.shield(submission.stored)
 
+    def expect_contact(self) -> None:
+        """Checks that the store has answered this entry recently.
+
+        Raises:
+            StoreUnavailableError: It has not; a write would probably fail.
+        """
+        if not self.contact.is_recent():
+            age_s = self.contact.age_s()
+            raise StoreUnavailableError(f"no answer of the store for {age_s:.1f} s")
+
+    def refuse_unsent(self) -> None:
+        """Refuses the submissions of which nothing was sent to the store."""
+        unsent, self.waiting = self.waiting, []
+        if unsent:
+            self.log.info("submissions_refused", jobs=len(unsent))
+            self.fail(unsent, StoreUnavailableError("the store does not answer"))
+
     def enqueue(self, submission: Submission) -> Submission:
         """Queues a submission for the next write."""
         job_id = submission.job.job_id
@@ -218,6 +241,7 @@
                 raise NotFoundError(f"no job {job_id}")
             if known.record.phase is not JobPhase.ACCEPTED:
                 return
+            self.expect_contact()
             try:
                 await self.write_cancel(job_id, known)
             except ConflictError:
--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -23,6 +23,7 @@
     QueueSpec,
     StepSpec,
 )
+from burdockthread_scheduling.store_contact import StoreContact
 from burdockthread_store.faulty_store import FaultyStore
 from burdockthread_store.memory_store import MemoryStore
 from burdockthread_store.prefix_cache import PrefixCache
@@ -79,7 +80,13 @@
         store = self.store_of("entry-1")
         self.cache = PrefixCache(store, SHARED_PREFIX, self.clock, 0.3)
         self.index = JobIndex(self.cache, store, self.clock, self.log)
-        self.intake = JobIntake(store, self.index, self.clock, self.metrics, self.log)
+        self.store_silent_s = 0.0
+        contact = StoreContact(
+            self.clock, lambda: self.clock.now() - self.store_silent_s
+        )
+        self.intake = JobIntake(
+            store, self.index, contact, self.clock, self.metrics, self.log
+        )
         self.tasks.append(asyncio.create_task(self.cache.run()))
 
     def store_of(self, entry):
--- a/libs/scheduling/tests/test_intake.py
+++ b/libs/scheduling/tests/test_intake.py
@@ -4,8 +4,10 @@
 
 import pytest
 from burdockthread_model.errors import StoreUnavailableError, StoreUnknownError
+from burdockthread_scheduling.intake import MAX_JOBS_PER_WRITE, MAX_WRITES_AT_ONCE
 from burdockthread_scheduling.records import JobPhase, job_key
 from burdockthread_scheduling.specs import JobSpec
+from burdockthread_scheduling.store_contact import STORE_SILENT_S
 from burdockthread_store.store import ANY_REVISION, Change
 from pool_site import POOL, QUEUE, step
 
@@ -76,3 +78,35 @@
     site.index.forget(other)
     site.index.forget(other)
     assert site.index.open_pools() == set()
+
+
+# Guards against submissions that wait for their deadline while the store is known to
+# be silent.
+async def test_submission_without_contact_is_refused_at_once(site):
+    site.store_silent_s = STORE_SILENT_S
+    waiting = await submitted(site, JOB, 0.0)
+    with pytest.raises(StoreUnavailableError):
+        await waiting
+    assert site.phase(JOB) is None
+
+
+async def test_stored_job_is_confirmed_without_contact(site):
+    await submitted(site, JOB)
+    site.store_silent_s = STORE_SILENT_S
+    waiting = await submitted(site, JOB, 0.0)
+    await waiting
+
+
+# Guards against submissions answered as unsettled of which nothing was sent.
+async def test_submissions_that_wait_for_a_writer_are_refused(site):
+    jobs = [f"{n:016x}" for n in range(MAX_JOBS_PER_WRITE * MAX_WRITES_AT_ONCE + 1)]
+    site.faulty.set_faults({"slow_s": 60.0})
+    waiting = [asyncio.create_task(site.intake.submit(job(j), POOL)) for j in jobs]
+    await site.pass_time(0.1)
+    assert len(site.intake.waiting) == 1
+    site.intake.refuse_unsent()
+    with pytest.raises(StoreUnavailableError):
+        await waiting[-1]
+    assert not any(task.done() for task in waiting[:-1])
+    for task in waiting:
+        task.cancel()
--- /dev/null
+++ b/libs/scheduling/tests/test_request_relay.py
@@ -0,0 +1,186 @@
+"""Callers at entries that the store turns away, or that a partition cuts from it.
+
+The pattern: the store serves some entries and not others for seconds, or nobody, while
+callers keep coming to all of them.
+"""
+
+import asyncio
+
+import pytest
+from burdockthread_model.errors import PeerTimeoutError, PeerUnavailableError
+from burdockthread_scheduling.desk import UnsettledError
+from burdockthread_scheduling.request_relay import (
+    MAX_RELAYS,
+    CallerAnswer,
+    CallerRequest,
+    RelayLink,
+    RequestRelay,
+)
+from burdockthread_scheduling.store_contact import STORE_SILENT_S, StoreContact
+
+TIMEOUT_S = 3.0
+REQUEST = CallerRequest("POST", "a.example", "/a/00000000000000aa", b"{}", TIMEOUT_S)
+ACCEPTED = CallerAnswer(200, b"{}")
+REFUSED = CallerAnswer(503, b"{}", 1.0)
+PEERS = [f"10.0.0.{n}:7000" for n in range(8)]
+
+
+class MemoryRelayLink(RelayLink):
+    """Other entries, each with the answer or the error that it gives.
+
+    Attributes:
+        entries: Answer or error by address.
+        asked: Addresses in the order in which they were asked.
+        delay_s: Seconds that each answer takes.
+    """
+
+    def __init__(self, clock, entries):
+        self.clock = clock
+        self.entries = entries
+        self.asked = []
+        self.delay_s = 0.01
+
+    async def relay(self, address, request):
+        self.asked.append(address)
+        await self.clock.sleep(self.delay_s)
+        found = self.entries[address]
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+
+class CutEntry:
+    """An entry, what it answers from its own store, and the other entries."""
+
+    def __init__(self, clock, metrics, log, entries):
+        self.clock = clock
+        self.contact_s = clock.now()
+        self.link = MemoryRelayLink(clock, entries)
+        self.unsent_refused = 0
+        self.own = ACCEPTED
+        self.relay = RequestRelay(
+            self.link,
+            lambda: list(entries),
+            StoreContact(clock, lambda: self.contact_s),
+            self.refuse_unsent,
+            clock,
+            metrics,
+            log,
+        )
+
+    def refuse_unsent(self):
+        self.unsent_refused += 1
+
+    async def handle(self, request):
+        if self.own is None:
+            await self.clock.sleep(request.timeout_s - 0.25)
+            return CallerAnswer(504, b"{}", 1.0)
+        return self.own
+
+    async def ask(self, request=REQUEST):
+        """Sends a request; returns its answer and the seconds that it took."""
+        started_s = self.clock.now()
+        task = asyncio.create_task(self.relay.answer(request, self.handle))
+        ended_s = None
+        while self.clock.now() < started_s + TIMEOUT_S:
+            await self.clock.advance(0.01)
+            if task.done():
+                ended_s = self.clock.now()
+                break
+        assert ended_s is not None
+        return await task, ended_s - started_s
+
+    def lose_contact(self):
+        self.contact_s = self.clock.now() - STORE_SILENT_S
+
+
+@pytest.fixture
+def entry(clock, metrics, log):
+    return CutEntry(clock, metrics, log, dict.fromkeys(PEERS, ACCEPTED))
+
+
+async def test_entry_that_reaches_the_store_answers_itself(entry):
+    assert (await entry.ask())[0] == ACCEPTED
+    assert entry.link.asked == []
+
+
+# Guards against callers turned away by an entry that the store turns away, while
+# others could serve them: each such caller lost the second until it came back.
+async def test_request_refused_by_the_store_here_is_served_by_another_entry(entry):
+    entry.own = REFUSED
+    answer, seconds = await entry.ask()
+    assert answer == ACCEPTED
+    assert seconds < 0.1
+
+
+# Guards against requests held until their deadline by an entry that knows that it is
+# cut off.
+async def test_entry_without_contact_passes_requests_on_at_once(entry):
+    entry.own = None
+    entry.lose_contact()
+    answer, seconds = await entry.ask()
+    assert answer == ACCEPTED
+    assert seconds < 0.1
+
+
+# Guards against a write that fell silent and holds its caller until the deadline.
+async def test_request_in_flight_is_passed_on_when_contact_is_lost(entry):
+    entry.own = None
+    answer, seconds = await entry.ask()
+    assert answer == ACCEPTED
+    assert entry.unsent_refused == 1
+    assert seconds < STORE_SILENT_S + 0.5
+
+
+# Guards against a refusal held back: nobody reaches the store.
+async def test_request_that_nobody_can_serve_is_refused_at_once(entry):
+    entry.link.entries.update(dict.fromkeys(PEERS, REFUSED))
+    entry.own = REFUSED
+    entry.lose_contact()
+    answer, seconds = await entry.ask()
+    assert answer == REFUSED
+    assert seconds < 0.1
+    assert len(entry.link.asked) == MAX_RELAYS
+    await entry.ask()
+    assert len(entry.link.asked) == MAX_RELAYS
+
+
+@pytest.mark.parametrize("cut", range(6))
+async def test_most_requests_are_served_while_a_third_of_the_entries_is_cut(entry, cut):
+    entry.link.entries.update(dict.fromkeys(PEERS[cut : cut + 3], REFUSED))
+    entry.own = REFUSED
+    entry.lose_contact()
+    served = 0
+    for number in range(40):
+        request = REQUEST._replace(path=f"/a/{number:016x}")
+        served += (await entry.ask(request))[0] == ACCEPTED
+        await entry.clock.advance(1.0)
+        entry.lose_contact()
+    assert served >= 38
+
+
+# A refusal must be true: an entry that did not answer may have stored the job.
+async def test_request_is_not_refused_after_an_entry_did_not_answer(entry):
+    entry.link.entries.update(dict.fromkeys(PEERS, REFUSED))
+    first = entry.relay.candidates(REQUEST.path)[0]
+    entry.link.entries[first] = PeerTimeoutError("silent")
+    entry.own = REFUSED
+    entry.lose_contact()
+    with pytest.raises(UnsettledError):
+        await entry.ask()
+
+
+async def test_request_that_reached_no_entry_is_refused(entry):
+    entry.link.entries.update(dict.fromkeys(PEERS, PeerUnavailableError("down")))
+    entry.own = REFUSED
+    entry.lose_contact()
+    assert (await entry.ask())[0] == REFUSED
+
+
+async def test_entry_that_did_not_answer_is_asked_last(entry):
+    entry.own = REFUSED
+    first = entry.relay.candidates(REQUEST.path)[0]
+    entry.link.entries[first] = PeerTimeoutError("silent")
+    assert (await entry.ask())[0] == ACCEPTED
+    assert (await entry.ask())[0] == ACCEPTED
+    assert entry.link.asked.count(first) == 1
