Record the planner's orders before they are sent

A planner now records which machines it is about to order, under the guard of its duty; the next one lets just these rest and orders the others at once. A record of an earlier build lacks the mark and is waited for as before.

--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -1,7 +1,7 @@
 """The machine planner: moves machines between pools and orders their upkeep."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from burdockthread_model.clock import Clock
@@ -58,6 +58,7 @@
         earlier_ordered_ms: As `ordered_ms`, for orders of earlier planners.
         wait_until_ms: Unix time in milliseconds until which orders of earlier
             planners may be unknown.
+        announced: Whether every order is recorded before it is sent.
     """
 
     holder: str
@@ -67,6 +68,7 @@
     seen_ms: dict[int, int]
     earlier_ordered_ms: tuple[tuple[str, int], ...] = ()
     wait_until_ms: int = 0
+    announced: bool = False
 
 
 class MachineTimes(NamedTuple):
@@ -170,10 +172,11 @@
     async def read_record(self, started_s: float) -> None:
         """Reads the last planner's record and sets `ready_s`.
 
-        A planner that was lost may have sent an order until now, since the store
-        may drop its key early. A planner that has handed over or offered its duty
-        has recorded all its orders. The last planner may also have been an earlier
-        process of this entry.
+        A planner that announces its orders has recorded all of them, also when it
+        was lost: the store rejects the record of an order once the duty is taken.
+        One that does not may have sent an order until now, since the store may drop
+        its key early, unless it has handed over or offered its duty. The last
+        planner may also have been an earlier process of this entry.
 
         Args:
             started_s: Clock time at which this planner started.
@@ -186,17 +189,17 @@
         self.record_read = True
         record = self.last_record(None if found is None else found.value)
         self.ready_s = started_s + spacing_s
-        if record is None or not record.released:
+        if record is None or not (record.released or record.announced):
             self.orders_known_s = self.ready_s
             left_s = self.ready_s - self.clock.now()
             self.wait_until_ms = int((self.clock.wall() + left_s) * 1000)
         if record is None:
             return
-        if record.holder == self.parts.entry:
+        if record.released or record.announced:
+            self.ready_s = self.clock.now()
+        elif record.holder == self.parts.entry:
             # Orders of the earlier term have been answered or timed out by then.
             self.ready_s = started_s + MIN_LEASE_S
-        elif record.released:
-            self.ready_s = self.clock.now()
         self.adopt_orders(record, spacing_s + WALL_MARGIN_S)
         wall_s = self.clock.wall()
         for wave, names in record.maintained.items():
@@ -228,7 +231,7 @@
         """Delays orders to machines that earlier planners have ordered recently.
 
         Those orders are kept for the next planner's record. Orders of this entry
-        itself need no delay.
+        itself delay others only until they have been answered or timed out.
 
         Args:
             record: Record of the last planner.
@@ -238,6 +241,10 @@
         known = dict(record.earlier_ordered_ms)
         if record.holder == self.parts.entry:
             self.ordered_ms.update(record.ordered_ms)
+            for name, at_ms in record.ordered_ms.items():
+                left_s = min(at_ms / 1000 - wall_s, 0.0) + MIN_LEASE_S
+                if left_s > 0:
+                    self.ledger.backoff_until_s[name] = now + left_s
         else:
             known.update(record.ordered_ms)
         for name, at_ms in known.items():
@@ -251,13 +258,25 @@
             self.ready_s = max(self.ready_s, now + min(left_s, spacing_s))
             self.orders_known_s = max(self.orders_known_s, self.ready_s)
 
+    def recent_orders(self) -> dict[str, int]:
+        """Returns this entry's orders that can still delay those of the next planner.
+
+        The others are dropped.
+        """
+        spacing_s = self.parts.times.spacing_s + SPACING_MARGIN_S + 2 * WALL_MARGIN_S
+        since_ms = (self.clock.wall() - spacing_s) * 1000
+        self.ordered_ms = {
+            name: at_ms for name, at_ms in self.ordered_ms.items() if at_ms > since_ms
+        }
+        return self.ordered_ms
+
     def record(self, *, released: bool) -> PlannerRecord:
         """Returns the state that the next planner needs."""
         wall_s, now = self.clock.wall(), self.clock.now()
         return PlannerRecord(
             self.parts.entry,
             released,
-            self.ordered_ms,
+            self.recent_orders(),
             {wave: tuple(sorted(n)) for wave, n in self.waves.maintained.items()},
             {
                 wave: int((wall_s - (now - seen_s)) * 1000)
@@ -265,6 +284,7 @@
             },
             tuple(self.earlier_ordered_ms.items()),
             self.wait_until_ms if now < self.orders_known_s else 0,
+            announced=True,
         )
 
     async def write_record(self, *, released: bool) -> None:
@@ -344,7 +364,13 @@
     async def carry_out(self) -> None:
         """Sends the planned orders to machines that are empty.
 
-        None is sent if the lease may expire before an order is answered.
+        The orders are recorded first, so that the next planner knows them however
+        this one ends. None is sent if the lease may expire before an order is
+        answered.
+
+        Raises:
+            StoreError: The store did not answer; no order was sent.
+            ConflictError: This entry is no longer the planner.
         """
         ready = [
             (machine, intent)
@@ -353,14 +379,13 @@
         ]
         if not ready or self.closing or self.paused:
             return
-        lease_s = self.parts.lease.remaining_in_term_s(self.tenure.term)
-        if lease_s < MIN_LEASE_S:
-            self.log.info(
-                "orders_held_back", machines=len(ready), lease_s=round(lease_s, 3)
-            )
+        if not self.has_lease(len(ready)):
             return
         self.ordering = True
         try:
+            await self.announce(machine for machine, _ in ready)
+            if not self.has_lease(len(ready)):
+                return
             await asyncio.gather(*(self.order(*entry) for entry in ready))
         finally:
             self.ordering = False
@@ -368,13 +393,32 @@
         if any(intent.purpose is Purpose.UPKEEP for _, intent in ready):
             await self.write_record(released=False)
 
+    def has_lease(self, orders: int) -> bool:
+        """Returns whether the lease outlasts an order; logs the orders held back."""
+        lease_s = self.parts.lease.remaining_in_term_s(self.tenure.term)
+        if lease_s < MIN_LEASE_S:
+            self.log.info(
+                "orders_held_back", machines=orders, lease_s=round(lease_s, 3)
+            )
+        return lease_s >= MIN_LEASE_S
+
+    async def announce(self, machines: Iterable[Machine]) -> None:
+        """Records that orders to machines are about to be sent.
+
+        Raises:
+            StoreError: The store did not answer.
+            ConflictError: This entry is no longer the planner.
+        """
+        wall_ms = int(self.clock.wall() * 1000)
+        self.ordered_ms.update((machine.name, wall_ms) for machine in machines)
+        await self.write_record(released=False)
+
     async def order(self, machine: Machine, intent: Intent) -> None:
         """Sends one order and records its outcome."""
         control, times = self.parts.control, self.parts.times
         holder, fence = self.parts.entry, self.tenure.fence
         ledger, name = self.ledger, machine.name
         sent_s = self.clock.now()
-        self.ordered_ms[name] = int(self.clock.wall() * 1000)
         outcome = "done"
         try:
             if intent.purpose is Purpose.UPKEEP:
