Time calls by the time in which the process ran, and measure its load

A time-out and the answer of its call may be due at the same moment when the event loop was busy or the process did not run; uvloop fires the time-out first, and a worker that had answered was then suspected. A call's time-out now excludes the lateness of the loop, and an answer that has arrived is read before the time-out is believed. Bodies are encoded without spaces by msgspec, and three headers that nobody reads are left out.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -12,7 +12,9 @@
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.errors import PeerUnavailableError
 from burdockthread_model.histograms import HistogramMetrics
+from burdockthread_model.http_calls import HttpCalls
 from burdockthread_model.http_server import ListeningPort, serve
+from burdockthread_model.load import LoadMonitor
 from burdockthread_model.stdout_log import StdoutLog
 from burdockthread_platform.configuration import (
     OPERATOR_PREFIX,
@@ -134,8 +136,10 @@
         self.clock = BootTimeClock()
         self.log = StdoutLog(settings.name)
         self.metrics = HistogramMetrics()
+        self.load = LoadMonitor(self.clock, self.metrics, self.log)
+        calls = HttpCalls(session, self.load)
         self.platform = PlatformStore(
-            str(settings.store), session, self.clock, WATCH_PAUSES_S
+            str(settings.store), calls, self.clock, WATCH_PAUSES_S
         )
         self.store = SettledStore(
             self.platform, settings.name, self.clock, self.metrics
@@ -170,7 +174,7 @@
             self.metrics,
             self.log,
         )
-        self.gateway = HttpWorkerGateway(session)
+        self.gateway = HttpWorkerGateway(calls)
         self.process = secrets.token_hex(PROCESS_ID_BYTES)
         self.link = HttpEntryLink(
             session, self.on_status, self.on_release, self.on_offer, self.on_request
@@ -178,12 +182,12 @@
         self.policy: PolicyService = (
             NoPolicyService()
             if settings.policy is None
-            else HttpPolicyService(settings.policy, session)
+            else HttpPolicyService(settings.policy, calls)
         )
         self.machines = (
             None
             if settings.machines is None
-            else HttpMachineControl(settings.machines, session)
+            else HttpMachineControl(settings.machines, calls)
         )
         self.duties = Duties(
             settings.name,
@@ -331,6 +335,7 @@
     def background_work(self) -> tuple[Coroutine[None, None, None], ...]:
         """Returns the coroutines that run until the entry stops."""
         return (
+            self.load.run(),
             self.operator_cache.run(),
             self.shared_cache.run(),
             self.cluster_cache.run(),
--- a/libs/burdockthread/tests/test_service.py
+++ b/libs/burdockthread/tests/test_service.py
@@ -46,7 +46,12 @@
 def test_a_signal_during_the_start_stops_the_entry_gracefully(settings_path, number):
     command = [sys.executable, "-c", PROGRAM, str(settings_path), str(int(number))]
     result = subprocess.run(
-        command, env=os.environ, capture_output=True, text=True, timeout=60, check=False
+        command,
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
     )
     assert result.returncode == 0, result.stderr
     assert "entry_stopped" in result.stderr
--- /dev/null
+++ b/libs/model/burdockthread_model/http_calls.py
@@ -0,0 +1,132 @@
+"""HTTP calls with time-outs that disregard the delays of this process."""
+
+import asyncio
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import aiohttp
+
+from burdockthread_model.load import LoadMonitor
+
+# The event loop may fire timers before it reads sockets, and an answer passes through
+# some callbacks; these short waits let one that has arrived be read.
+READ_PASSES = 4
+READ_PASS_S = 0.001
+# Headers that the library would add and that no callee uses.
+OMITTED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
+
+
+class HttpAnswer(NamedTuple):
+    """Status and body of an answer."""
+
+    status: int
+    data: bytes
+
+
+class LateTimeout:
+    """Ends a block after a time during which this process was running.
+
+    Attributes:
+        limit: Cancels the block once it is rescheduled to now.
+        left_passes: Waits left for answers that have arrived.
+    """
+
+    def __init__(self, load: LoadMonitor, seconds: float) -> None:
+        self.load = load
+        self.loop = asyncio.get_running_loop()
+        self.started_s = load.clock.now()
+        self.late_s = load.not_running_s()
+        self.seconds = seconds
+        self.limit = asyncio.timeout(None)
+        self.left_passes = READ_PASSES
+        self.handle = self.loop.call_later(seconds, self.on_expiry)
+
+    def on_expiry(self) -> None:
+        """Ends the block, or waits on for the time in which the process did not run."""
+        ran_s = self.load.clock.now() - self.started_s
+        late_s = self.load.not_running_s() - self.late_s
+        left_s = self.seconds - (ran_s - late_s)
+        if left_s > READ_PASS_S:
+            self.handle = self.loop.call_later(left_s, self.on_expiry)
+        elif self.left_passes:
+            self.left_passes -= 1
+            self.handle = self.loop.call_later(READ_PASS_S, self.on_expiry)
+        else:
+            self.limit.reschedule(self.loop.time())
+
+
+@asynccontextmanager
+async def running_timeout(load: LoadMonitor, seconds: float) -> AsyncIterator[None]:
+    """Ends a block that takes too long while this process is running.
+
+    Args:
+        load: Knows how long the process did not run.
+        seconds: Longest time for the block.
+
+    Raises:
+        TimeoutError: The block took longer and was cancelled.
+    """
+    timeout = LateTimeout(load, seconds)
+    try:
+        async with timeout.limit:
+            yield
+    finally:
+        timeout.handle.cancel()
+
+
+class HttpCalls:
+    """Sends calls over the connections of one session.
+
+    Attributes:
+        load: Counts the calls and knows the lateness of this process.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, load: LoadMonitor) -> None:
+        self.session = session
+        self.load = load
+
+    async def send(
+        self,
+        kind: str,
+        method: str,
+        url: str,
+        timeout_s: float,
+        connect_s: float | None = None,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> HttpAnswer:
+        """Sends a call and reads the whole answer.
+
+        Args:
+            kind: Kind of the call in metrics.
+            method: HTTP method.
+            url: Address with path and query.
+            timeout_s: Longest time for the answer.
+            connect_s: Longest time to connect; None for no bound of its own.
+            body: Body, or None.
+            headers: Further headers.
+
+        Raises:
+            aiohttp.ClientConnectorError: No connection; nothing was sent.
+            aiohttp.ClientError, OSError: No complete answer.
+            TimeoutError: No complete answer in time.
+        """
+        received = 0
+        try:
+            async with (
+                running_timeout(self.load, timeout_s),
+                self.session.request(
+                    method,
+                    url,
+                    data=body,
+                    headers=headers,
+                    skip_auto_headers=OMITTED_HEADERS,
+                    timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
+                ) as answer,
+            ):
+                found = await answer.read()
+                received = len(found)
+                return HttpAnswer(answer.status, found)
+        finally:
+            self.load.note_call(kind, len(body or b""), received)
--- a/libs/platform/burdockthread_platform/kv_store.py
+++ b/libs/platform/burdockthread_platform/kv_store.py
@@ -1,10 +1,6 @@
 """HTTP client of the platform's key-value store."""
 
-import base64
-import binascii
-import json
-from collections.abc import AsyncIterator, Callable, Mapping, Sequence
-from typing import NamedTuple, TypeVar
+from collections.abc import AsyncIterator, Mapping, Sequence
 from urllib.parse import quote
 
 import aiohttp
@@ -16,8 +12,8 @@
     StoreUnknownError,
     WatchCompactedError,
 )
+from burdockthread_model.http_calls import HttpCalls
 from burdockthread_store.store import (
-    ANY_REVISION,
     Change,
     ConfigurationStore,
     Guard,
@@ -28,13 +24,22 @@
 )
 
 from burdockthread_platform import wire
+from burdockthread_platform.kv_messages import (
+    Answer,
+    expect_success,
+    parse_body,
+    parse_events,
+    parse_item,
+    parse_or_unavailable,
+    parse_page,
+    txn_body,
+)
 
 # The store answers within milliseconds, and takes up to 100 times longer when slow.
 CALL_TIMEOUT_S = 0.8
 CONNECT_TIMEOUT_S = 0.5
 # A watch without events returns after this time, which shows that it works.
 WATCH_WAIT_MS = 1_000
-MAX_REASON_CHARS = 200
 NOT_FOUND = 404
 GONE = 410
 CONDITION_FAILED = 412
@@ -42,16 +47,6 @@
 NOT_EXECUTED = (429, 503)
 
 
-Parsed = TypeVar("Parsed")
-
-
-class Answer(NamedTuple):
-    """HTTP status and decoded body of an answer."""
-
-    status: int
-    body: wire.JsonObject
-
-
 class PlatformStore(ConfigurationStore):
     """Client of the key-value store at one address.
 
@@ -65,13 +60,13 @@
     def __init__(
         self,
         address: str,
-        session: aiohttp.ClientSession,
+        calls: HttpCalls,
         clock: Clock,
         pauses_s: Mapping[str, float],
     ) -> None:
         self.pauses_s = pauses_s
         self.base_url = f"http://{address}"
-        self.session = session
+        self.calls = calls
         self.clock = clock
         self.contact_s = float("-inf")
 
@@ -88,14 +83,16 @@
             StoreUnavailableError: The store did not execute the call.
             StoreUnknownError: No complete answer; the call may have taken effect.
         """
-        timeout = aiohttp.ClientTimeout(
-            total=wait_s + CALL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
-        )
         try:
-            async with self.session.request(
-                method, self.base_url + path, json=body, timeout=timeout
-            ) as answer:
-                data = await answer.read()
+            answer = await self.calls.send(
+                f"store.{call_kind(path)}",
+                method,
+                self.base_url + path,
+                wait_s + CALL_TIMEOUT_S,
+                CONNECT_TIMEOUT_S,
+                None if body is None else wire.encode(body),
+                None if body is None else wire.BODY_HEADERS,
+            )
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailableError(f"{path}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -103,7 +100,7 @@
         if answer.status in NOT_EXECUTED:
             raise StoreUnavailableError(f"{path} answered {answer.status}")
         self.contact_s = self.clock.now()
-        return Answer(answer.status, parse_body(path, data))
+        return Answer(answer.status, parse_body(path, answer.data))
 
     async def read(self, path: str, wait_s: float = 0.0) -> Answer:
         """Sends a read; a lost answer counts as unavailable, reads have no effect."""
@@ -218,102 +215,9 @@
         """Does nothing; the owner of the session closes the connections."""
 
 
-def parse_body(path: str, data: bytes) -> wire.JsonObject:
-    """Decodes the body of an answer; an empty body gives an object without fields.
-
-    Raises:
-        StoreUnknownError: The body is not a JSON object.
-    """
-    if not data:
-        return {}
-    try:
-        return wire.parse_object(data)
-    except wire.WireError as error:
-        raise StoreUnknownError(f"{path}: {error}") from error
-
-
-def parse_or_unavailable(
-    path: str, body: wire.JsonObject, parse: Callable[[wire.JsonObject], Parsed]
-) -> Parsed:
-    """Decodes an answer with a parser.
-
-    Raises:
-        StoreUnavailableError: The answer does not follow the protocol.
-    """
-    try:
-        return parse(body)
-    except wire.WireError as error:
-        raise StoreUnavailableError(f"{path}: {error}") from error
-
-
-def expect_success(path: str, answer: Answer) -> None:
-    """Checks that an answer reports success.
-
-    Raises:
-        StoreUnavailableError: The status is not 200.
-    """
-    if answer.status != 200:
-        reason = json.dumps(answer.body)[:MAX_REASON_CHARS]
-        raise StoreUnavailableError(f"{path} answered {answer.status}: {reason}")
-
-
-def parse_item(item: wire.JsonObject) -> KeyValue:
-    """Decodes a key with its value and revision."""
-    return KeyValue(
-        key=wire.required_text(item, "key"),
-        value=decode_value(wire.text(item, "value")),
-        revision=wire.integer(item, "revision"),
-    )
-
-
-def decode_value(encoded: str) -> bytes:
-    """Decodes a value from base64."""
-    try:
-        return base64.b64decode(encoded, validate=True)
-    except (binascii.Error, ValueError) as error:
-        raise wire.WireError("value", "not base64") from error
-
-
-def parse_page(body: wire.JsonObject) -> Listing:
-    """Decodes one page of a listing."""
-    items = tuple(parse_item(item) for item in wire.objects(body, "items"))
-    return Listing(items, wire.integer(body, "currentRev"))
-
-
-def parse_events(body: wire.JsonObject) -> tuple[WatchEvent, ...]:
-    """Decodes the events in the answer to a watch."""
-    return tuple(parse_event(event) for event in wire.objects(body, "events"))
-
-
-def parse_event(event: wire.JsonObject) -> WatchEvent:
-    """Decodes one event; a deletion has no value."""
-    if wire.flag(event, "deleted"):
-        key = wire.required_text(event, "key")
-        return WatchEvent(key, None, wire.integer(event, "revision"))
-    return WatchEvent(*parse_item(event))
-
-
-def txn_body(changes: Sequence[Change], guards: Sequence[Guard]) -> wire.JsonObject:
-    """Encodes the body of a conditional write."""
-    conditions: list[Change | Guard] = [*guards, *changes]
-    return {
-        "expected": [
-            {"key": c.key, "revision": c.expected_revision}
-            for c in conditions
-            if c.expected_revision != ANY_REVISION
-        ],
-        "writes": [put_body(c) for c in changes if c.value is not None],
-        "remove": [c.key for c in changes if c.value is None],
-    }
-
-
-def put_body(change: Change) -> wire.JsonObject:
-    """Encodes the write of one key."""
-    value = change.value or b""
-    body: wire.JsonObject = {
-        "key": change.key,
-        "value": base64.b64encode(value).decode("ascii"),
-    }
-    if change.lease_id:
-        body["lease"] = change.lease_id
-    return body
+def call_kind(path: str) -> str:
+    """Returns the kind of a call for metrics: its name, and the prefix it reads."""
+    name, _, query = path[1:].partition("?")
+    name, _, _ = name.partition("/")
+    _, _, prefix = query.partition("prefix=")
+    return f"{name}.{prefix.partition('%')[0]}" if prefix else name
--- a/libs/platform/burdockthread_platform/machines_http.py
+++ b/libs/platform/burdockthread_platform/machines_http.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 from burdockthread_model.errors import PlatformError
+from burdockthread_model.http_calls import HttpCalls
 from burdockthread_scheduling.machines import (
     Machine,
     MachineControl,
@@ -29,10 +30,9 @@
 class HttpMachineControl(MachineControl):
     """Client of the machine control at one address."""
 
-    def __init__(self, address: Address, session: aiohttp.ClientSession) -> None:
+    def __init__(self, address: Address, calls: HttpCalls) -> None:
         self.base_url = f"http://{address}"
-        self.session = session
-        self.timeout = aiohttp.ClientTimeout(total=MACHINE_ORDER_TIMEOUT_S)
+        self.calls = calls
 
     async def call(
         self,
@@ -47,15 +47,16 @@
             PlatformError: No complete answer, or one that is not a JSON object.
         """
         try:
-            async with self.session.request(
+            answer = await self.calls.send(
+                "machines",
                 method,
                 self.base_url + path,
-                json=body,
-                headers=headers,
-                timeout=self.timeout,
-            ) as answer:
-                data = await answer.read()
-            return answer.status, wire.parse_object(data) if data else {}
+                MACHINE_ORDER_TIMEOUT_S,
+                body=None if body is None else wire.encode(body),
+                headers={**wire.BODY_HEADERS, **(headers or {})},
+            )
+            found = wire.parse_object(answer.data) if answer.data else {}
+            return answer.status, found
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PlatformError(f"{path}: {type(error).__name__}") from error
         except wire.WireError as error:
--- a/libs/platform/burdockthread_platform/policy_http.py
+++ b/libs/platform/burdockthread_platform/policy_http.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 from burdockthread_model.errors import PlatformError
+from burdockthread_model.http_calls import HttpCalls
 from burdockthread_scheduling.placement_policy import (
     PolicyAnswer,
     PolicyService,
@@ -22,10 +23,9 @@
 class HttpPolicyService(PolicyService):
     """Client of the policy service at one address; sends one call at a time."""
 
-    def __init__(self, address: Address, session: aiohttp.ClientSession) -> None:
+    def __init__(self, address: Address, calls: HttpCalls) -> None:
         self.base_url = f"http://{address}"
-        self.session = session
-        self.timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        self.calls = calls
         self.call_lock = asyncio.Lock()
 
     async def ask(self, step: StepId, workers: Sequence[str]) -> PolicyAnswer:
@@ -42,13 +42,17 @@
     async def call(self, body: wire.JsonObject) -> PolicyAnswer:
         """Sends one request to the service and decodes the answer."""
         try:
-            async with self.session.post(
-                f"{self.base_url}/advise", json=body, timeout=self.timeout
-            ) as answer:
-                data = await answer.read()
+            answer = await self.calls.send(
+                "policy",
+                "POST",
+                f"{self.base_url}/advise",
+                CALL_TIMEOUT_S,
+                body=wire.encode(body),
+                headers=wire.BODY_HEADERS,
+            )
             if answer.status != 200:
                 raise PlatformError(f"policy service answered {answer.status}")
-            return parse_answer(wire.parse_object(data))
+            return parse_answer(wire.parse_object(answer.data))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PlatformError(f"policy service: {type(error).__name__}") from error
         except wire.WireError as error:
--- a/libs/platform/burdockthread_platform/wire.py
+++ b/libs/platform/burdockthread_platform/wire.py
@@ -1,13 +1,14 @@
 """Typed access to the fields of the platform's JSON messages."""
 
-import json
 from typing import Any
 
+import msgspec
 from burdockthread_model.errors import BurdockthreadError
 
 JsonObject = dict[str, Any]
 
 MAX_INTEGER = 2**63 - 1
+BODY_HEADERS = {"Content-Type": "application/json"}
 
 
 class WireError(BurdockthreadError):
@@ -29,12 +30,17 @@
         WireError: The message is not a JSON object.
     """
     try:
-        value = json.loads(data)
-    except (ValueError, RecursionError) as error:
+        value = msgspec.json.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise WireError("", "not JSON") from error
     return as_object(value, "")
 
 
+def encode(body: JsonObject) -> bytes:
+    """Encodes a message without spaces."""
+    return msgspec.json.encode(body)
+
+
 def as_object(value: object, path: str) -> JsonObject:
     """Returns a value that must be an object."""
     if not isinstance(value, dict):
--- a/libs/platform/burdockthread_platform/worker_http.py
+++ b/libs/platform/burdockthread_platform/worker_http.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 from burdockthread_model.errors import PlatformError
+from burdockthread_model.http_calls import HttpCalls
 from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.workers import (
     EndKind,
@@ -50,8 +51,8 @@
 class HttpWorkerGateway(WorkerGateway):
     """Sends orders to workers over persistent connections."""
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        self.session = session
+    def __init__(self, calls: HttpCalls) -> None:
+        self.calls = calls
 
     async def call(
         self, worker: WorkerListing, path: str, body: wire.JsonObject, timeout_s: float
@@ -65,14 +66,16 @@
         """
         url = f"http://{worker.host}:{worker.port}{path}"
         headers = {"Expected-Instance": worker.key.worker_id}
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s)
-        )
         try:
-            async with self.session.post(
-                url, json=body, headers=headers, timeout=timeout
-            ) as answer:
-                data = await answer.read()
+            answer = await self.calls.send(
+                f"worker.{path[1:]}",
+                "POST",
+                url,
+                timeout_s,
+                min(CONNECT_TIMEOUT_S, timeout_s),
+                wire.encode(body),
+                {**wire.BODY_HEADERS, **headers},
+            )
         except aiohttp.ClientConnectorError as error:
             raise WorkerRefusedError(f"{path}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -82,9 +85,10 @@
                 f"{path}: answered by an instance other than {worker.key.worker_id}"
             )
         try:
-            return answer.status, wire.parse_object(data) if data else {}
+            data = wire.parse_object(answer.data) if answer.data else {}
         except wire.WireError as error:
             raise WorkerSilentError(f"{path}: {error}") from error
+        return answer.status, data
 
     async def order(
         self, worker: WorkerListing, path: str, body: wire.JsonObject, timeout_s: float
--- a/libs/platform/tests/test_decoders_fuzz.py
+++ b/libs/platform/tests/test_decoders_fuzz.py
@@ -9,7 +9,7 @@
 from burdockthread_platform import wire
 from burdockthread_platform.configuration import parse_configuration
 from burdockthread_platform.jobs_http import parse_job
-from burdockthread_platform.kv_store import parse_events, parse_item, parse_page
+from burdockthread_platform.kv_messages import parse_events, parse_item, parse_page
 from burdockthread_platform.machines_http import parse_machines
 from burdockthread_platform.policy_http import parse_answer
 from burdockthread_platform.registrations import (
--- a/libs/platform/tests/test_kv_store.py
+++ b/libs/platform/tests/test_kv_store.py
@@ -13,6 +13,9 @@
     StoreUnknownError,
     WatchCompactedError,
 )
+from burdockthread_model.events import EventLog
+from burdockthread_model.http_calls import HttpCalls
+from burdockthread_model.load import LoadMonitor
 from burdockthread_model.metrics import MemoryMetrics
 from burdockthread_platform.kv_store import PlatformStore
 from burdockthread_standins.emulated_store import PAGE_ITEMS, EmulatedStore
@@ -28,10 +31,16 @@
         yield found
 
 
+def platform_store(address, session):
+    clock = SystemClock()
+    load = LoadMonitor(clock, MemoryMetrics(), EventLog("test"))
+    return PlatformStore(address, HttpCalls(session, load), clock, {})
+
+
 @pytest.fixture
 async def client(emulated):
     async with aiohttp.ClientSession() as session:
-        yield PlatformStore(emulated.address, session, SystemClock(), {})
+        yield platform_store(emulated.address, session)
 
 
 async def test_written_key_is_read(client):
@@ -113,6 +122,6 @@
 
 async def test_refused_connection_counts_as_unavailable():
     async with aiohttp.ClientSession() as session:
-        store = PlatformStore("127.0.0.1:1", session, SystemClock(), {})
+        store = platform_store("127.0.0.1:1", session)
         with pytest.raises(StoreUnavailableError):
             await store.write([Change("a", b"1", 0)])
