Let a large answer arrive on a slow link

A queue that the configuration lacks is not denied while the copy may be out of date: the request is answered 503, or passed on, instead of 404.

--- a/libs/model/tests/test_late_answers.py
+++ b/libs/model/tests/test_late_answers.py
@@ -57,6 +57,14 @@
         assert TIMEOUT_S <= time.monotonic() - started_s < TIMEOUT_S + 0.3
 
 
+# Guards against a large answer on a slow link that is cut off and asked for again.
+async def test_answer_that_arrives_in_parts_is_waited_for():
+    async with measured_load() as load, running_timeout(load, TIMEOUT_S) as limit:
+        for _ in range(5):
+            await asyncio.sleep(TIMEOUT_S * 0.7)
+            limit.restart()
+
+
 async def test_blocked_time_is_added_to_the_time_out():
     async with measured_load() as load:
         started_s = time.monotonic()
--- a/libs/scheduling/burdockthread_scheduling/configuration_view.py
+++ b/libs/scheduling/burdockthread_scheduling/configuration_view.py
@@ -24,7 +24,7 @@
     Attributes:
         current: The configuration, or None before the first one.
         applied_s: Clock time at which the configuration was applied.
-        failed_s: Clock time of the last failed read.
+        failed_s: Clock time at which a read last failed or was not waited for.
         reading: Read in progress, shared by all callers of `fresh`.
     """
 
@@ -75,16 +75,26 @@
     async def fresh(self) -> FleetConfiguration | None:
         """Returns the configuration, read again if it may be out of date.
 
-        If the store does not answer in time, the one in force is returned.
+        If the store does not answer in time, the one in force is returned. The read
+        goes on: a large configuration takes seconds on a slow link, and one that is
+        cut off and begun again would fill the link for good.
         """
-        if self.age_s() > MAX_AGE_S and self.may_read():
+        if self.is_stale() and self.may_read():
             if self.reading is None:
                 self.reading = asyncio.create_task(self.read())
-            await asyncio.shield(self.reading)
+            try:
+                async with self.clock.timeout(REFRESH_TIMEOUT_S):
+                    await asyncio.shield(self.reading)
+            except TimeoutError:
+                self.failed_s = self.clock.now()
         return self.current
 
+    def is_stale(self) -> bool:
+        """Returns whether the copy may be out of date."""
+        return self.age_s() > MAX_AGE_S
+
     def may_read(self) -> bool:
-        """Returns whether the last failed read is at least `REFRESH_PAUSE_S` old."""
+        """Returns whether no read has failed or was slow for `REFRESH_PAUSE_S`."""
         return self.clock.now() - self.failed_s > REFRESH_PAUSE_S
 
     async def read(self) -> None:
@@ -92,9 +102,8 @@
         age_s = self.age_s()
         outcome = "read"
         try:
-            async with self.clock.timeout(REFRESH_TIMEOUT_S):
-                await self.cache.refresh()
-        except (StoreError, TimeoutError) as error:
+            await self.cache.refresh()
+        except StoreError as error:
             outcome = type(error).__name__
             self.failed_s = self.clock.now()
         finally:
--- a/libs/scheduling/burdockthread_scheduling/desk.py
+++ b/libs/scheduling/burdockthread_scheduling/desk.py
@@ -79,13 +79,18 @@
         """Returns the queue of a request.
 
         Raises:
-            NotReadyError: There is no configuration yet.
+            NotReadyError: There is no configuration yet, or none of the queue and a
+                newer one may have it.
             NoQueueError: No queue has the host and path.
         """
         configuration = await self.configuration.fresh()
         if configuration is None:
             raise NotReadyError("no configuration yet", retry_after_s=RETRY_AFTER_S)
         queue = configuration.queue_of(host, path)
+        if queue is None and self.configuration.is_stale():
+            raise NotReadyError(
+                "the configuration may be out of date", retry_after_s=RETRY_AFTER_S
+            )
         if queue is None:
             raise NoQueueError(f"no queue at {host}{path[:64]}")
         return queue
--- a/libs/scheduling/tests/test_configuration_view.py
+++ b/libs/scheduling/tests/test_configuration_view.py
@@ -5,6 +5,7 @@
 import pytest
 from burdockthread_model.metrics import MemoryMetrics
 from burdockthread_scheduling.configuration_view import MAX_AGE_S, ConfigurationView
+from burdockthread_scheduling.desk import JobDesk, NoQueueError, NotReadyError
 from burdockthread_scheduling.specs import FleetConfiguration
 from burdockthread_store.faulty_store import FaultyStore
 from burdockthread_store.prefix_cache import PrefixCache
@@ -64,3 +65,51 @@
     assert [task.result().version for task in asking] == [3, 3, 3]
     assert (await view.fresh()).version == 3
     assert clock.now() - started_s < 0.4
+
+
+# Guards against a large configuration on a slow link that is cut off and begun again by
+# each request: it never arrived, and its parts filled the link.
+async def test_slow_read_is_begun_once_and_arrives(view, store, faulty, clock):
+    await put(store, 3)
+    await view.cache.refresh()
+    await put(store, 4)
+    faulty.set_faults({"slow_s": 2.0})
+    await clock.advance(MAX_AGE_S + 0.1)
+    begun, refresh = [], view.cache.refresh
+
+    async def counted():
+        begun.append(clock.now())
+        await refresh()
+
+    view.cache.refresh = counted
+    for _ in range(12):
+        asking = asyncio.create_task(view.fresh())
+        await clock.advance(0.31)
+        await asking
+    assert view.current.version == 4
+    assert len(begun) == 2
+
+
+class OldConfiguration:
+    """A configuration without queues."""
+
+    def __init__(self, stale):
+        self.stale = stale
+
+    async def fresh(self):
+        return version(3)
+
+    def is_stale(self):
+        return self.stale
+
+
+# Guards against a refusal as unknown of a queue that a newer configuration has.
+@pytest.mark.parametrize(
+    ("stale", "error"), [(True, NotReadyError), (False, NoQueueError)]
+)
+async def test_queue_that_a_newer_configuration_may_have_is_not_denied(
+    clock, metrics, log, stale, error
+):
+    desk = JobDesk(OldConfiguration(stale), None, None, clock, metrics, log)
+    with pytest.raises(error):
+        await desk.queue("a.example", "/a/")
