Ask a stopping entry with all entries cut off from the store, and with one

The old check now holds the links of all entries, and keeps both of its assertions; a second test requires that the other entries answer, and that the store has the jobs.

--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -118,26 +118,52 @@
     return await reader.readline()
 
 
-# Guards against a stopping entry that reads requests on open connections and
-# ends without an answer, here since the store is silent from then on.
-async def test_stopping_entry_answers_callers_on_open_connections(site):
+async def ask_while_stopping(site, silent):
+    """Has an entry stop, and sends requests on its open connections meanwhile.
+
+    Args:
+        site: The site; its first entry stops.
+        silent: Entries whose links to the store are held before the requests.
+
+    Returns:
+        The first lines of the answers.
+    """
     entry = site.entries[0]
     opening = [asyncio.open_connection(entry.host, entry.callers) for _ in range(12)]
     connections = await asyncio.gather(*opening)
     stopping = asyncio.create_task(entry.stop())
     await asyncio.sleep(LATE_IN_STOP_S)
-    for direction in Direction:
-        entry.links.store.hold(direction)
+    for held in silent:
+        for direction in Direction:
+            held.links.store.hold(direction)
     try:
         asking = [ask_on(connection, n) for n, connection in enumerate(connections)]
         answers = await asyncio.gather(*asking)
         await stopping
     finally:
-        entry.links.store.heal()
+        for held in silent:
+            held.links.store.heal()
         for _, writer in connections:
             writer.close()
+    return answers
+
+
+# Guards against a stopping entry that reads requests on open connections and
+# ends without an answer, here since the store is silent for all from then on.
+async def test_stopping_entry_answers_callers_on_open_connections(site):
+    answers = await ask_while_stopping(site, silent=site.entries)
+    assert len(answers) == 12
     assert {answer[:12] for answer in answers} == {b"HTTP/1.1 504"}
-    assert entry.log.read_text().count("event=request_given_up") == len(connections)
+    assert site.entries[0].log.read_text().count("event=request_given_up") == 12
+
+
+async def test_stopping_entry_passes_requests_on_while_others_reach_the_store(site):
+    answers = await ask_while_stopping(site, silent=site.entries[:1])
+    assert len(answers) == 12
+    assert {answer[:12] for answer in answers} == {b"HTTP/1.1 200"}
+    assert "event=request_given_up" not in site.entries[0].log.read_text()
+    records = [site.store.store.values.get(f"shared/job/{n:016x}") for n in range(12)]
+    assert None not in records
 
 
 async def test_frozen_holder_is_replaced_and_harmless_when_it_wakes(site):
