Take a call that found no connection as not sent

Cause: on a full link the opening packets of new connections are lost; the HTTP library then raises a time-out of the connection, which counted as an answer that is missing. Requests that are passed on get a bound for connecting, so that the next entry is asked in time.

--- a/libs/model/burdockthread_model/http_calls.py
+++ b/libs/model/burdockthread_model/http_calls.py
@@ -13,6 +13,8 @@
 # some callbacks; these short waits let one that has arrived be read.
 READ_PASSES = 4
 READ_PASS_S = 0.001
+# Errors of calls of which nothing was sent.
+NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 # Headers that the library would add and that no callee uses.
 OMITTED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
@@ -120,7 +122,8 @@
             headers: Further headers.
 
         Raises:
-            aiohttp.ClientConnectorError: No connection; nothing was sent.
+            aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError: No connection;
+                nothing was sent.
             aiohttp.ClientError, OSError: No complete answer.
             TimeoutError: No complete answer in time.
         """
--- a/libs/platform/burdockthread_platform/kv_store.py
+++ b/libs/platform/burdockthread_platform/kv_store.py
@@ -12,7 +12,7 @@
     StoreUnknownError,
     WatchCompactedError,
 )
-from burdockthread_model.http_calls import HttpCalls
+from burdockthread_model.http_calls import NOT_SENT, HttpCalls
 from burdockthread_store.store import (
     Change,
     ConfigurationStore,
@@ -93,7 +93,7 @@
                 None if body is None else wire.encode(body),
                 None if body is None else wire.BODY_HEADERS,
             )
-        except aiohttp.ClientConnectorError as error:
+        except NOT_SENT as error:
             raise StoreUnavailableError(f"{path}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise StoreUnknownError(f"{path}: {type(error).__name__}") from error
--- a/libs/platform/burdockthread_platform/worker_http.py
+++ b/libs/platform/burdockthread_platform/worker_http.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 from burdockthread_model.errors import PlatformError
-from burdockthread_model.http_calls import HttpCalls
+from burdockthread_model.http_calls import NOT_SENT, HttpCalls
 from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.workers import (
     EndKind,
@@ -76,7 +76,7 @@
                 wire.encode(body),
                 {**wire.BODY_HEADERS, **headers},
             )
-        except aiohttp.ClientConnectorError as error:
+        except NOT_SENT as error:
             raise WorkerRefusedError(f"{path}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise WorkerSilentError(f"{path}: {type(error).__name__}") from error
--- a/libs/scheduling/burdockthread_scheduling/entry_link.py
+++ b/libs/scheduling/burdockthread_scheduling/entry_link.py
@@ -10,6 +10,7 @@
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import PeerTimeoutError, PeerUnavailableError
 from burdockthread_model.events import EventLog
+from burdockthread_model.http_calls import NOT_SENT
 from burdockthread_model.http_server import GracefulServer
 
 from burdockthread_scheduling.duty import DutyOffer
@@ -32,6 +33,8 @@
 OFFER_PATH = "/duty-offer"
 RELAY_PATH = "/caller-request"
 NOT_PLANNER = 409
+# A request that found no connection within this time is passed on to another entry.
+CONNECT_TIMEOUT_S = 0.5
 
 StatusHandler = Callable[[PoolStatus], PlannerAnswer | None]
 ReleaseHandler = Callable[[ReleaseOrder], ReleaseAnswer]
@@ -139,11 +142,13 @@
         """Has another entry answer a caller's request from its own store."""
         url = f"http://{address}{RELAY_PATH}"
         body = msgspec.msgpack.encode(request)
-        timeout = aiohttp.ClientTimeout(total=request.timeout_s)
+        timeout = aiohttp.ClientTimeout(
+            total=request.timeout_s, sock_connect=CONNECT_TIMEOUT_S
+        )
         try:
             async with self.session.post(url, data=body, timeout=timeout) as answer:
                 data = await answer.read()
-        except aiohttp.ClientConnectorError as error:
+        except NOT_SENT as error:
             raise PeerUnavailableError(f"{address}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PeerTimeoutError(f"{address}: {type(error).__name__}") from error
