--- a/libs/scheduling/burdockthread_scheduling/run_orders.py
+++ b/libs/scheduling/burdockthread_scheduling/run_orders.py
@@ -123,6 +123,8 @@
         now = self.clock.now()
         if answer.refusal is None:
             placement.confirm(now)
+            if placement.progress_clock_ms is None:
+                placement.progress_clock_ms = answer.clock_ms
             task.job.begun = True
             self.log.info(
                 "run_started",
--- a/libs/scheduling/burdockthread_scheduling/run_reports.py
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -96,7 +96,7 @@
             if run.percent >= AVAILABLE_PERCENT:
                 self.core.health.succeed(worker)
         else:
-            placement.advance(run.percent, now)
+            placement.advance(run.percent, now, clock_ms)
         if task is not None and run.checkpoint:
             task.checkpoint = run.checkpoint
 
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -51,6 +51,8 @@
         percent: Share of the work done, or pace of a long-running task.
         rate: Recent progress in percent per second, or None before two reports.
         progress_s: Clock time at which `percent` was reported.
+        progress_clock_ms: Worker's clock at which the run had `percent`, or None
+            before the first answer about it.
         measure: Last `measure` of a `RunReport`.
         measured_s: Clock time of that report.
         pace: Last pace that was set, 0 to 100 percent, or None if an earlier holder
@@ -68,6 +70,7 @@
         "pending_stop_until_ms",
         "percent",
         "phase",
+        "progress_clock_ms",
         "progress_s",
         "rate",
         "run",
@@ -97,6 +100,7 @@
         self.percent = 0
         self.rate: float | None = None
         self.progress_s = ordered_s
+        self.progress_clock_ms: int | None = None
         self.measure = 0.0
         self.measured_s = float("-inf")
         self.pace: int | None = 100
@@ -113,14 +117,25 @@
         if clock_ms >= self.pending_stop_until_ms:
             self.pending_stop_until_ms = 0
 
-    def advance(self, percent: int, now: float) -> None:
-        """Records reported progress and updates the rate."""
-        passed_s = now - self.progress_s
+    def advance(self, percent: int, now: float, clock_ms: int) -> None:
+        """Records reported progress and updates the rate.
+
+        The rate goes by the worker's clock, so that a start or a report that this
+        process delays does not make the run look slow. What a run of an earlier
+        holder did before counts as done since its first report.
+        """
+        since_ms = self.progress_clock_ms
+        if since_ms is None or since_ms > clock_ms:
+            self.progress_s = now
+            self.progress_clock_ms = clock_ms
+            return
+        passed_s = (clock_ms - since_ms) / 1000
         if passed_s < RATE_WINDOW_S:
             return
         self.rate = max(percent - self.percent, 0) / passed_s
         self.percent = percent
         self.progress_s = now
+        self.progress_clock_ms = clock_ms
 
     def left_s(self, now: float) -> float | None:
         """Returns the remaining seconds; None if unknown, infinity without progress."""
