Stop waiting for unreached workers that no machine runs any more

Cause: after a loss of holder and planner, the record of assigned workers may name some whose machines have moved since, as the store was out of reach. Holders now report the unreached workers, and a planner names those that its list of machines, read since the takeover, no longer has.

--- a/libs/scheduling/burdockthread_scheduling/machine_ledger.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_ledger.py
@@ -215,3 +215,18 @@
         """Returns the workers in a pool's status that an order has ended."""
         present = (worker.worker_id for worker in status.workers)
         return tuple(worker_id for worker_id in present if worker_id in self.ended)
+
+    def gone_among(self, status: PoolStatus) -> tuple[str, ...]:
+        """Returns the unreached workers of a pool that no machine runs any more.
+
+        A worker is one life of its machine, so one that a list lacks has ended if
+        the list was read after the holder had learnt of it. While a machine is down
+        without a worker named, its worker may come back under the same id.
+        """
+        machines = self.machines.values()
+        if not machines or self.listed_s < self.clock.now() - status.held_s:
+            return ()
+        if any(m.state is MachineState.DOWN and not m.worker_id for m in machines):
+            return ()
+        running = {machine.worker_id for machine in machines}
+        return tuple(name for name in status.unreached if name not in running)
--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -332,7 +332,7 @@
             self.log.info("record_not_written", store_key=RECORD_KEY, reason=error)
 
     def on_status(self, status: PoolStatus) -> PlannerAnswer:
-        """Records a pool's status; returns the workers to vacate and those ended."""
+        """Records a pool's status; returns what its holder has to know of workers."""
         self.ledger.update_status(status)
         now = self.clock.now()
         self.demand.note(status, now)
@@ -340,6 +340,7 @@
             self.ledger.to_vacate(status),
             self.demand.ages_s(now),
             self.ledger.ended_among(status),
+            self.ledger.gone_among(status),
         )
 
     async def step(self) -> None:
--- a/libs/scheduling/burdockthread_scheduling/pool_status.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_status.py
@@ -50,6 +50,8 @@
         workers: Workers of the pool.
         peak_ages_s: Seconds since the last peak of each pool, as the planner last
             reported; sent back so that the planner's successor knows them.
+        unreached: Ids of workers of earlier holders that have not answered.
+        held_s: Seconds since the holder learnt of these workers.
     """
 
     pool: str
@@ -60,6 +62,8 @@
     inflow_milli: float
     workers: tuple[WorkerStatus, ...]
     peak_ages_s: dict[str, float]
+    unreached: tuple[str, ...] = ()
+    held_s: float = 0.0
 
 
 class PlannerAnswer(NamedTuple):
@@ -69,11 +73,13 @@
         vacate: Ids of workers to vacate.
         peak_ages_s: Seconds since the last peak of each pool.
         ended: Ids of workers that an order to their machine has ended.
+        gone: Ids of unreached workers that no machine runs any more.
     """
 
     vacate: tuple[str, ...]
     peak_ages_s: dict[str, float]
     ended: tuple[str, ...] = ()
+    gone: tuple[str, ...] = ()
 
 
 class ReleaseOrder(NamedTuple):
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -78,6 +78,7 @@
         sessions: Session and its task by worker.
         unreached: Workers of earlier holders that have not answered this holder;
             runs of earlier holders may exist there until the given clock time.
+        read_s: Clock time at which these workers were read.
         earlier: Earlier holders that may still send orders to unreached workers.
         assigned: Workers that the stored record names as possibly having runs.
         ended_by_planner: Workers that an order to their machine has ended.
@@ -98,6 +99,7 @@
         self.listener = listener
         self.sessions: dict[WorkerKey, tuple[WorkerSession, asyncio.Task[None]]] = {}
         self.unreached: dict[WorkerKey, float] = {}
+        self.read_s = core.clock.now()
         self.earlier: set[EarlierHolder] = set()
         self.assigned: set[WorkerKey] = set()
         self.assigned_dirty = True
@@ -133,6 +135,7 @@
         self.earlier = {holder for holder in self.earlier if holder.process != own}
         silent_s = LEASE_GRACE_S if self.earlier else 0.0
         lapsed_s = self.clock.now() + silent_s + LEASE_BOUND_S
+        self.read_s = self.clock.now()
         for key in left.workers:
             self.unreached[WorkerKey(*key)] = lapsed_s
         for holder in self.earlier:
@@ -295,6 +298,14 @@
                 self.drop(worker, "the planner withdrew its report of the end")
         self.doubted_ends = set(worker_ids) - self.ended_by_planner
 
+    def apply_gone(self, worker_ids: tuple[str, ...]) -> None:
+        """Forgets the unreached workers that no machine runs; their runs have ended."""
+        for key in tuple(self.unreached):
+            if key.worker_id in worker_ids:
+                del self.unreached[key]
+                self.log.info("unreached_worker_gone", worker=key.worker_id)
+                self.core.wake.set()
+
     def reached(self, worker: WorkerState) -> None:
         """Records that a worker has answered this holder."""
         if not worker.contacted:
