--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -136,7 +136,9 @@
         self.clock = BootTimeClock()
         self.log = StdoutLog(settings.name)
         self.metrics = HistogramMetrics()
-        self.load = LoadMonitor(self.clock, self.metrics, self.log)
+        self.load = LoadMonitor(
+            self.clock, self.metrics, self.log, settings.link_bytes_per_s
+        )
         calls = HttpCalls(session, self.load)
         self.platform = PlatformStore(
             str(settings.store), calls, self.clock, WATCH_PAUSES_S
--- a/libs/model/burdockthread_model/errors.py
+++ b/libs/model/burdockthread_model/errors.py
@@ -63,6 +63,10 @@
     """The start revision of a watch was compacted; list the prefix again."""
 
 
+class AnswerTooLargeError(BurdockthreadError):
+    """An answer is larger than the caller wants; it was not read."""
+
+
 class LeaseLostError(StoreError):
     """A lease has expired or was revoked."""
 
--- a/libs/model/burdockthread_model/http_calls.py
+++ b/libs/model/burdockthread_model/http_calls.py
@@ -1,18 +1,24 @@
 """HTTP calls with time-outs that disregard the delays of this process."""
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
 import aiohttp
 
+from burdockthread_model.errors import AnswerTooLargeError
+from burdockthread_model.link_share import LinkShare
 from burdockthread_model.load import LoadMonitor
 
 # The event loop may fire timers before it reads sockets, and an answer passes through
 # some callbacks; these short waits let one that has arrived be read.
 READ_PASSES = 4
 READ_PASS_S = 0.001
+# A call that waits for its own process or link ends after this many time-outs at most.
+MAX_TIMEOUT_FACTOR = 4.0
+# A large answer is read in pieces of this size, so that the sender has to wait.
+READ_BUFFER_BYTES = 16_384
 # Errors of calls of which nothing was sent.
 NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 # Headers that the library would add and that no callee uses.
@@ -27,7 +33,7 @@
 
 
 class LateTimeout:
-    """Ends a block after a time during which this process was running.
+    """Ends a block after a time in which this process ran and its link was not full.
 
     Attributes:
         limit: Cancels the block once it is rescheduled to now.
@@ -38,23 +44,24 @@
         self.load = load
         self.loop = asyncio.get_running_loop()
         self.started_s = load.clock.now()
-        self.late_s = load.not_running_s()
+        self.hindered_s = load.hindered_s()
         self.seconds = seconds
         self.limit = asyncio.timeout(None)
         self.left_passes = READ_PASSES
         self.handle = self.loop.call_later(seconds, self.on_expiry)
 
-    def restart(self) -> None:
-        """Counts the time anew, since part of the answer has arrived."""
-        self.started_s = self.load.clock.now()
-        self.late_s = self.load.not_running_s()
+    def restart(self, delay_s: float = 0.0) -> None:
+        """Counts the time anew after a delay, since part of the answer has arrived."""
+        self.started_s = self.load.clock.now() + delay_s
+        self.hindered_s = self.load.hindered_s()
         self.left_passes = READ_PASSES
 
     def on_expiry(self) -> None:
-        """Ends the block, or waits on for the time in which the process did not run."""
-        ran_s = self.load.clock.now() - self.started_s
-        late_s = self.load.not_running_s() - self.late_s
-        left_s = self.seconds - (ran_s - late_s)
+        """Ends the block, or waits on for the time in which the call was hindered."""
+        passed_s = self.load.clock.now() - self.started_s
+        hindered_s = self.load.hindered_s() - self.hindered_s
+        most_s = self.seconds * (MAX_TIMEOUT_FACTOR - 1)
+        left_s = self.seconds - (passed_s - min(hindered_s, most_s))
         if left_s > READ_PASS_S:
             self.handle = self.loop.call_later(left_s, self.on_expiry)
         elif self.left_passes:
@@ -68,10 +75,10 @@
 async def running_timeout(
     load: LoadMonitor, seconds: float
 ) -> AsyncIterator[LateTimeout]:
-    """Ends a block that takes too long while this process is running.
+    """Ends a block that takes too long while this process can receive answers.
 
     Args:
-        load: Knows how long the process did not run.
+        load: Knows how long the process did not run or its link was full.
         seconds: Longest time for the block, or since the last restart.
 
     Yields:
@@ -93,11 +100,13 @@
 
     Attributes:
         load: Counts the calls and knows the lateness of this process.
+        bulk: Share of the link for large answers.
     """
 
     def __init__(self, session: aiohttp.ClientSession, load: LoadMonitor) -> None:
         self.session = session
         self.load = load
+        self.bulk = LinkShare(load.clock, load.link_bytes_per_s)
 
     async def send(
         self,
@@ -108,6 +117,10 @@
         connect_s: float | None = None,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        *,
+        bulk: bool = False,
+        most_bytes: float = float("inf"),
+        on_part: Callable[[], None] | None = None,
     ) -> HttpAnswer:
         """Sends a call and reads the whole answer.
 
@@ -120,8 +133,12 @@
             connect_s: Longest time to connect; None for no bound of its own.
             body: Body, or None.
             headers: Further headers.
+            bulk: Whether the answer may be large and leaves room on the link.
+            most_bytes: Largest body that is read.
+            on_part: Called as a part of the answer arrives.
 
         Raises:
+            AnswerTooLargeError: The body has more than `most_bytes`.
             aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError: No connection;
                 nothing was sent.
             aiohttp.ClientError, OSError: No complete answer.
@@ -138,13 +155,24 @@
                     headers=headers,
                     skip_auto_headers=OMITTED_HEADERS,
                     timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
+                    read_bufsize=READ_BUFFER_BYTES,
                 ) as answer,
             ):
+                if (answer.content_length or 0) > most_bytes:
+                    raise AnswerTooLargeError(f"{answer.content_length} bytes")
                 parts = []
                 async for part in answer.content.iter_any():
                     parts.append(part)
                     received += len(part)
-                    limit.restart()
+                    self.load.note_received(len(part))
+                    if received > most_bytes:
+                        raise AnswerTooLargeError(f"more than {received} bytes")
+                    if on_part is not None:
+                        on_part()
+                    delay_s = self.bulk.delay_s(len(part)) if bulk else 0.0
+                    limit.restart(delay_s)
+                    if delay_s:
+                        await self.load.clock.sleep(delay_s)
                 return HttpAnswer(answer.status, b"".join(parts))
         finally:
             self.load.note_call(kind, len(body or b""), received)
--- a/libs/platform/burdockthread_platform/kv_store.py
+++ b/libs/platform/burdockthread_platform/kv_store.py
@@ -6,6 +6,7 @@
 import aiohttp
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import (
+    AnswerTooLargeError,
     ConflictError,
     LeaseLostError,
     StoreUnavailableError,
@@ -13,8 +14,10 @@
     WatchCompactedError,
 )
 from burdockthread_model.http_calls import NOT_SENT, HttpCalls
+from burdockthread_store.listing_sizes import ListingSizes
 from burdockthread_store.store import (
     Change,
+    Changes,
     ConfigurationStore,
     Guard,
     KeyValue,
@@ -55,6 +58,7 @@
         contact_s: Clock time of the last answer other than 429 and 503.
         pauses_s: Seconds by prefix that a watch waits after an answer with events;
             each call counts against the rate limit.
+        sizes: Tells which changes are too large to be read.
     """
 
     def __init__(
@@ -69,6 +73,11 @@
         self.calls = calls
         self.clock = clock
         self.contact_s = float("-inf")
+        self.sizes = ListingSizes()
+
+    def note_contact(self) -> None:
+        """Records that the store answers."""
+        self.contact_s = self.clock.now()
 
     async def call(
         self,
@@ -76,10 +85,12 @@
         path: str,
         body: wire.JsonObject | None = None,
         wait_s: float = 0.0,
+        most_bytes: float = float("inf"),
     ) -> Answer:
         """Sends a request to the store.
 
         Raises:
+            AnswerTooLargeError: The answer has more than `most_bytes`.
             StoreUnavailableError: The store did not execute the call.
             StoreUnknownError: No complete answer; the call may have taken effect.
         """
@@ -92,6 +103,9 @@
                 CONNECT_TIMEOUT_S,
                 None if body is None else wire.encode(body),
                 None if body is None else wire.BODY_HEADERS,
+                bulk=method == "GET",
+                most_bytes=most_bytes,
+                on_part=self.note_contact,
             )
         except NOT_SENT as error:
             raise StoreUnavailableError(f"{path}: {error}") from error
@@ -99,13 +113,15 @@
             raise StoreUnknownError(f"{path}: {type(error).__name__}") from error
         if answer.status in NOT_EXECUTED:
             raise StoreUnavailableError(f"{path} answered {answer.status}")
-        self.contact_s = self.clock.now()
+        self.note_contact()
         return Answer(answer.status, parse_body(path, answer.data))
 
-    async def read(self, path: str, wait_s: float = 0.0) -> Answer:
+    async def read(
+        self, path: str, wait_s: float = 0.0, most_bytes: float = float("inf")
+    ) -> Answer:
         """Sends a read; a lost answer counts as unavailable, reads have no effect."""
         try:
-            return await self.call("GET", path, wait_s=wait_s)
+            return await self.call("GET", path, wait_s=wait_s, most_bytes=most_bytes)
         except StoreUnknownError as error:
             raise StoreUnavailableError(str(error)) from error
 
@@ -137,6 +153,7 @@
             items.extend(page.items)
             revision = revision or page.revision
             if not answer.body.get("truncated") or not page.items:
+                self.sizes.note(prefix, items)
                 return Listing(tuple(items), revision)
             after = page.items[-1].key
 
@@ -195,22 +212,38 @@
         """Yields changes below a prefix; an empty batch shows that the watch works."""
         revision = after_revision
         while True:
-            path = (
-                f"/kv-watch?prefix={quote(prefix, safe='')}"
-                f"&after={revision}&waitMs={WATCH_WAIT_MS}"
-            )
-            answer = await self.read(path, wait_s=WATCH_WAIT_MS / 1000)
-            if answer.status == GONE:
-                raise WatchCompactedError(
-                    f"revision {revision} is no longer in the store's history"
-                )
-            expect_success(path, answer)
-            events = parse_or_unavailable(path, answer.body, parse_events)
-            revision = max(revision, wire.integer(answer.body, "currentRev"))
-            yield events
-            if events:
+            changes = await self.poll(prefix, revision, WATCH_WAIT_MS)
+            revision = changes.revision
+            yield changes.events
+            if changes.events:
                 await self.clock.sleep(self.pauses_s.get(prefix, 0.0))
 
+    async def changes(self, prefix: str, after_revision: int) -> Changes:
+        """Reads the changes below a prefix without waiting for any."""
+        return await self.poll(prefix, after_revision, 0)
+
+    async def poll(self, prefix: str, after_revision: int, wait_ms: int) -> Changes:
+        """Reads the changes below a prefix, or waits for the first.
+
+        Raises:
+            WatchCompactedError: The store lacks the changes, or they are too large.
+        """
+        path = (
+            f"/kv-watch?prefix={quote(prefix, safe='')}"
+            f"&after={after_revision}&waitMs={wait_ms}"
+        )
+        most_bytes = self.sizes.most_bytes(prefix)
+        try:
+            answer = await self.read(path, wait_ms / 1000, most_bytes)
+        except AnswerTooLargeError as error:
+            raise WatchCompactedError(f"changes below {prefix}: {error}") from error
+        if answer.status == GONE:
+            raise WatchCompactedError(f"the history after {after_revision} is gone")
+        expect_success(path, answer)
+        events = parse_or_unavailable(path, answer.body, parse_events)
+        newest = max(after_revision, wire.integer(answer.body, "currentRev"))
+        return Changes(events, newest)
+
     async def close(self) -> None:
         """Does nothing; the owner of the session closes the connections."""
 
--- a/libs/platform/burdockthread_platform/settings.py
+++ b/libs/platform/burdockthread_platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform writes for a process."""
 
+from math import inf
 from pathlib import Path
 from typing import NamedTuple
 
@@ -7,6 +8,7 @@
 
 SETTINGS_VARIABLE = "BURDOCKTHREAD_BOOT"
 MAX_PORT = 65_535
+BYTES_PER_MBIT = 125_000
 
 
 class Address(NamedTuple):
@@ -32,6 +34,7 @@
         first_port: First of the ports for calls between entries.
         cores: Processing power: share of one core times the speed of that core.
         memory_mb: Memory limit in megabytes; the process is killed above it.
+        link_bytes_per_s: Rate of the machine's link; infinity if it is not given.
         store: Address of the store.
         store_reads_per_s: Limit of reads per second, shared by all entries.
         store_writes_per_s: Limit of writes per second, shared by all entries.
@@ -61,6 +64,7 @@
     first_port: int
     cores: float
     memory_mb: int
+    link_bytes_per_s: float
     store: Address
     store_reads_per_s: float
     store_writes_per_s: float
@@ -109,6 +113,8 @@
             cores=fields.number("limits.cpuShare", 1.0)
             * fields.number("limits.cores", 1.0),
             memory_mb=int(fields.number("limits.memoryMb", 0)),
+            link_bytes_per_s=fields.number("limits.linkMbps", 0) * BYTES_PER_MBIT
+            or inf,
             store=fields.address("platform.address"),
             store_reads_per_s=fields.number("platform.readsPerS"),
             store_writes_per_s=fields.number("platform.writesPerS"),
--- a/libs/platform/tests/test_kv_store.py
+++ b/libs/platform/tests/test_kv_store.py
@@ -19,8 +19,9 @@
 from burdockthread_model.metrics import MemoryMetrics
 from burdockthread_platform.kv_store import PlatformStore
 from burdockthread_standins.emulated_store import PAGE_ITEMS, EmulatedStore
+from burdockthread_store.listing_sizes import SMALL_ANSWER_BYTES
 from burdockthread_store.settled_store import SettledStore
-from burdockthread_store.store import ANY_REVISION, Change, Guard
+from burdockthread_store.store import ANY_REVISION, Change, Changes, Guard
 
 
 @pytest.fixture
@@ -91,6 +92,38 @@
         await anext(client.watch("w/", 1))
 
 
+async def test_changes_are_read_without_waiting(client):
+    revision = await client.write([Change("w/a", b"1", 0)])
+    assert await client.changes("w/", revision) == Changes((), revision)
+    latest = await client.write([Change("w/a", b"2", revision)])
+    found = await client.changes("w/", revision)
+    assert [(e.key, e.value) for e in found.events] == [("w/a", b"2")]
+    assert found.revision == latest
+
+
+# Guards against reading each of several versions of a large key on a slow link.
+async def test_several_large_versions_are_listed_instead(client):
+    revision = 0
+    for number in range(4):
+        value = bytes([number]) * SMALL_ANSWER_BYTES
+        revision = await client.write([Change("w/a", value, revision)])
+    with pytest.raises(WatchCompactedError):
+        await client.changes("w/", 0)
+    with pytest.raises(WatchCompactedError):
+        await anext(client.watch("w/", 0))
+    assert [item.value for item in (await client.list("w/")).items] == [value]
+
+
+async def test_changes_that_are_smaller_than_a_listing_are_read(client):
+    value = b"x" * SMALL_ANSWER_BYTES
+    for number in range(6):
+        revision = await client.write([Change(f"w/{number}", value, 0)])
+    await client.list("w/")
+    changed = await client.write([Change("w/1", value, ANY_REVISION)])
+    found = await client.changes("w/", revision)
+    assert [e.revision for e in found.events] == [changed]
+
+
 async def test_revoked_lease_deletes_its_keys(client):
     lease = await client.grant_lease(1.0)
     await client.write([Change("e/me", b"1", 0, lease.lease_id)])
--- a/libs/platform/tests/test_settings.py
+++ b/libs/platform/tests/test_settings.py
@@ -37,6 +37,18 @@
     assert settings.run_stop_s == pytest.approx(0.9)
 
 
+@pytest.mark.parametrize(
+    ("line", "bytes_per_s"),
+    [
+        ("", float("inf")),
+        ("limits.linkMbps=0", float("inf")),
+        ("limits.linkMbps=20.0", 2_500_000),
+    ],
+)
+def test_rate_of_the_link_is_read_in_bytes(line, bytes_per_s):
+    assert EntrySettings.from_lines(LINES + line).link_bytes_per_s == bytes_per_s
+
+
 @pytest.mark.parametrize(
     ("line", "changed", "path"),
     [
--- a/libs/scheduling/burdockthread_scheduling/configuration_view.py
+++ b/libs/scheduling/burdockthread_scheduling/configuration_view.py
@@ -98,11 +98,11 @@
         return self.clock.now() - self.failed_s > REFRESH_PAUSE_S
 
     async def read(self) -> None:
-        """Refreshes the local copy once and logs the outcome; raises no store error."""
+        """Compares the copy with the store once; logs and swallows store errors."""
         age_s = self.age_s()
         outcome = "read"
         try:
-            await self.cache.refresh()
+            await self.cache.confirm()
         except StoreError as error:
             outcome = type(error).__name__
             self.failed_s = self.clock.now()
--- a/libs/scheduling/tests/test_configuration_view.py
+++ b/libs/scheduling/tests/test_configuration_view.py
@@ -75,13 +75,13 @@
     await put(store, 4)
     faulty.set_faults({"slow_s": 2.0})
     await clock.advance(MAX_AGE_S + 0.1)
-    begun, refresh = [], view.cache.refresh
+    begun, confirm = [], view.cache.confirm
 
     async def counted():
         begun.append(clock.now())
-        await refresh()
+        await confirm()
 
-    view.cache.refresh = counted
+    view.cache.confirm = counted
     for _ in range(12):
         asking = asyncio.create_task(view.fresh())
         await clock.advance(0.31)
@@ -90,6 +90,33 @@
     assert len(begun) == 2
 
 
+# Guards against a whole configuration that is read each time a busy link delays the
+# watch, though it has not changed.
+async def test_unchanged_copy_is_confirmed_without_a_listing(
+    view, store, faulty, clock
+):
+    await put(store, 3)
+    await view.cache.refresh()
+    listed = faulty.faults.counters.calls["list"]
+    for _ in range(5):
+        await clock.advance(MAX_AGE_S + 0.1)
+        assert (await view.fresh()).version == 3
+        assert not view.is_stale()
+    await put(store, 4)
+    await clock.advance(MAX_AGE_S + 0.1)
+    assert (await view.fresh()).version == 4
+    assert faulty.faults.counters.calls["list"] == listed
+
+
+async def test_lost_history_is_replaced_by_a_listing(view, store, clock):
+    await put(store, 3)
+    await view.cache.refresh()
+    await put(store, 4)
+    store.compact(store.revision)
+    await clock.advance(MAX_AGE_S + 0.1)
+    assert (await view.fresh()).version == 4
+
+
 class OldConfiguration:
     """A configuration without queues."""
 
--- a/libs/store/burdockthread_store/faults.py
+++ b/libs/store/burdockthread_store/faults.py
@@ -12,6 +12,7 @@
 GROUP_OF_KIND = {
     "get": "reads",
     "list": "reads",
+    "changes": "reads",
     "watch": "reads",
     "write": "writes",
     "grant": "writes",
--- a/libs/store/burdockthread_store/faulty_store.py
+++ b/libs/store/burdockthread_store/faulty_store.py
@@ -16,6 +16,7 @@
 from burdockthread_store.memory_store import MemoryStore
 from burdockthread_store.store import (
     Change,
+    Changes,
     ConfigurationStore,
     Guard,
     KeyValue,
@@ -119,6 +120,11 @@
         await self.admit_call("revoke")
         await self.store.revoke_lease(lease)
 
+    async def changes(self, prefix: str, after_revision: int) -> Changes:
+        """Reads the changes below a prefix without waiting for any."""
+        await self.admit_call("changes")
+        return await self.store.changes(prefix, after_revision)
+
     async def watch(
         self, prefix: str, after_revision: int
     ) -> AsyncGenerator[Events, None]:
--- a/libs/store/burdockthread_store/memory_store.py
+++ b/libs/store/burdockthread_store/memory_store.py
@@ -17,6 +17,7 @@
 from burdockthread_store.store import (
     ANY_REVISION,
     Change,
+    Changes,
     ConfigurationStore,
     Guard,
     KeyValue,
@@ -206,6 +207,21 @@
                 if self.revision == seen and not self.down:
                     await self.changed.wait()
 
+    async def changes(self, prefix: str, after_revision: int) -> Changes:
+        """Reads the changes below a prefix without waiting for any."""
+        self.check_reachable()
+        await self.expire_leases()
+        if after_revision < self.compacted_revision:
+            raise WatchCompactedError(
+                f"history after revision {after_revision} has been compacted"
+            )
+        events = tuple(
+            event
+            for event in self.events_after(after_revision)
+            if event.key.startswith(prefix)
+        )
+        return Changes(events, self.revision)
+
     def events_after(self, revision: int) -> Iterator[WatchEvent]:
         """Yields the changes after a revision, oldest first."""
         start = len(self.history)
--- a/libs/store/burdockthread_store/prefix_cache.py
+++ b/libs/store/burdockthread_store/prefix_cache.py
@@ -1,5 +1,6 @@
 """A local copy of all keys below a prefix, kept up to date by a watch."""
 
+import asyncio
 import itertools
 import random
 from collections import OrderedDict
@@ -61,6 +62,8 @@
         contact_s: Clock time of the last answer or event from the store.
         retry_max_s: Longest backoff in seconds between two attempts.
         listing_count: Number of listings of the prefix.
+        reading: Held while the copy is compared with the store, so that a large
+            listing is not read twice at a time.
         rollbacks: Number of times that the store was found to be restored to an
             earlier revision.
         listener_failures: Number of errors that listeners raised.
@@ -90,6 +93,7 @@
         self.synced = False
         self.contact_s = float("-inf")
         self.listing_count = 0
+        self.reading = asyncio.Lock()
         self.rollbacks = 0
         self.listener_failures = 0
         self.listeners: list[Listener] = []
@@ -121,18 +125,44 @@
 
         The revision of the store is read by listing a range without keys.
         """
-        if not self.listed:
-            await self.refresh()
-            return
-        probe = await self.store.list(self.prefix + EMPTY_RANGE_SUFFIX)
-        self.contact_s = self.clock.now()
-        if self.was_rolled_back(probe.revision):
-            self.listed = False
-            await self.refresh()
-        elif probe.revision > self.revision and self.contact_s >= self.relist_due_s:
-            await self.relist()
+        async with self.reading:
+            if not self.listed:
+                await self.list_all()
+                return
+            probe = await self.store.list(self.prefix + EMPTY_RANGE_SUFFIX)
+            self.contact_s = self.clock.now()
+            if self.was_rolled_back(probe.revision):
+                self.listed = False
+                await self.list_all()
+            elif probe.revision > self.revision and self.contact_s >= self.relist_due_s:
+                await self.relist()
 
     async def refresh(self) -> None:
+        """Lists the whole prefix and applies the listing."""
+        async with self.reading:
+            await self.list_all()
+
+    async def confirm(self) -> None:
+        """Brings the copy up to date, by the changes since if the store has them.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        async with self.reading:
+            sent_s = self.clock.now()
+            if not self.listed:
+                await self.list_all()
+                return
+            try:
+                changes = await self.store.changes(self.prefix, self.revision)
+            except WatchCompactedError:
+                await self.list_all()
+                return
+            self.apply_batch(changes.events)
+            self.revision = max(self.revision, changes.revision)
+            self.contact_s = max(self.contact_s, sent_s)
+
+    async def list_all(self) -> None:
         """Lists the whole prefix and applies the listing.
 
         A listing older than the copy is ignored unless a rollback is confirmed.
@@ -150,7 +180,7 @@
     async def relist(self) -> None:
         """Lists the prefix to verify the watch, and adapts the listing interval."""
         before = self.values.copy()
-        await self.refresh()
+        await self.list_all()
         if self.values == before:
             self.relist_s = min(self.relist_s * 2, RELIST_MAX_S)
         else:
--- a/libs/store/burdockthread_store/settled_store.py
+++ b/libs/store/burdockthread_store/settled_store.py
@@ -33,6 +33,7 @@
 from burdockthread_store.budgeted_store import BudgetedStore
 from burdockthread_store.store import (
     Change,
+    Changes,
     ConfigurationStore,
     Guard,
     KeyValue,
@@ -368,6 +369,10 @@
         """Opens a watch for the changes below a prefix."""
         return self.store.watch(prefix, after_revision)
 
+    async def changes(self, prefix: str, after_revision: int) -> Changes:
+        """Reads the changes below a prefix without waiting for any."""
+        return await self.store.changes(prefix, after_revision)
+
     async def close(self) -> None:
         """Closes the wrapped client."""
         await self.store.close()
--- a/libs/store/burdockthread_store/store.py
+++ b/libs/store/burdockthread_store/store.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator, Sequence
 from typing import NamedTuple
 
+from burdockthread_model.errors import WatchCompactedError
+
 ANY_REVISION = -1
 
 
@@ -67,6 +69,18 @@
     revision: int
 
 
+class Changes(NamedTuple):
+    """Changes below a prefix.
+
+    Attributes:
+        events: The changes, in the order of their revisions.
+        revision: Store-wide revision up to which the changes are complete.
+    """
+
+    events: tuple[WatchEvent, ...]
+    revision: int
+
+
 class Lease(NamedTuple):
     """A lease as its holder may rely on it.
 
@@ -173,6 +187,21 @@
             StoreUnavailableError: The stream could not be opened or broke.
         """
 
+    async def changes(self, prefix: str, after_revision: int) -> Changes:
+        """Reads the changes below a prefix without waiting for any.
+
+        A store that has no such call has the caller list the prefix.
+
+        Args:
+            prefix: Prefix of the keys.
+            after_revision: Last revision already seen.
+
+        Raises:
+            WatchCompactedError: The caller has to list the prefix.
+            StoreUnavailableError: No answer.
+        """
+        raise WatchCompactedError(f"changes below {prefix} cannot be read")
+
     @abstractmethod
     async def close(self) -> None:
         """Closes the connections to the service."""
