--- a/libs/scheduling/burdockthread_scheduling/pool_core.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_core.py
@@ -18,6 +18,7 @@
 from burdockthread_scheduling.pool_status import PlannerAnswer, PoolStatus
 from burdockthread_scheduling.roster import WorkerRoster
 from burdockthread_scheduling.specs import FleetConfiguration, PoolSpec, QueueSpec
+from burdockthread_scheduling.start_window import StartWindow
 from burdockthread_scheduling.worker_health import WorkerHealth
 from burdockthread_scheduling.worker_state import WorkerState
 from burdockthread_scheduling.workers import WorkerGateway, WorkerKey
@@ -72,6 +73,7 @@
         estimates: Estimates of the durations of tasks.
         order: Order in which jobs are served.
         health: Failures and quarantine of workers.
+        window: Bounds the starts in flight.
         lost: Why the duty is lost, or empty.
         offered: Whether the duty is offered to another entry, which may hold it.
         wake: Set when another round of decisions may be needed.
@@ -89,6 +91,7 @@
         self.estimates = DurationEstimates(self.clock)
         self.order = JobOrder(self.estimates, self.clock)
         self.health = WorkerHealth(self.clock, self.metrics, self.log)
+        self.window = StartWindow(self.clock)
         self.lost = ""
         self.offered = False
         self.wake = asyncio.Event()
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -262,7 +262,7 @@
             return
         try:
             async with self.clock.timeout(HAND_OVER_TIMEOUT_S):
-                while self.orders.starting:
+                while self.orders.window.in_flight:
                     await self.clock.sleep(HAND_OVER_POLL_S)
                 self.workers.end_sessions()
                 await self.writer.flush()
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -207,6 +207,7 @@
             core.metrics,
             core.log,
             core.is_certain,
+            core.window.poll_pause_s,
         )
         self.sessions[key] = (session, core.spawn(session.run()))
         self.move_runs_to_successor(worker)
--- a/libs/scheduling/burdockthread_scheduling/run_orders.py
+++ b/libs/scheduling/burdockthread_scheduling/run_orders.py
@@ -8,7 +8,7 @@
 from burdockthread_scheduling.duties import LEASE_GRACE_S
 from burdockthread_scheduling.placement_policy import PolicyTickets
 from burdockthread_scheduling.pool_core import PoolCore
-from burdockthread_scheduling.sessions import CALL_TIMEOUT_S
+from burdockthread_scheduling.sessions import CALL_TIMEOUT_S, HOLD_WAIT_MS
 from burdockthread_scheduling.worker_state import (
     Placement,
     PlacementPhase,
@@ -22,7 +22,11 @@
     WorkerReplacedError,
 )
 
+# A poll that was sent after the start has been answered by then.
+LISTED_TIMEOUT_S = HOLD_WAIT_MS / 1000 + CALL_TIMEOUT_S
+NO_ANSWER = "no answer to its order"
 STOP_RETRY_S = 0.2
+STOP_RETRY_MAX_S = 0.8
 # A worker that has refused a start gets none for this time.
 PAUSES_S = {Refusal.NO_ROOM: 0.3, Refusal.UNHEALTHY: 1.0}
 DEFAULT_PAUSE_S = 0.1
@@ -35,7 +39,7 @@
     """Starts, stops and paces runs.
 
     Attributes:
-        starting: Number of starts in flight.
+        window: The pool's window of starts.
         on_replaced: Called with a worker at whose address another life answers.
     """
 
@@ -50,7 +54,7 @@
         self.log = core.log
         self.tickets = tickets
         self.on_replaced = on_replaced
-        self.starting = 0
+        self.window = core.window
 
     def next_run(self, task: TaskRun) -> int:
         """Returns a run number above all that any holder has given to a task."""
@@ -71,15 +75,17 @@
         task.placements.append(placement)
         worker.add(placement)
         worker.wake.set()
+        self.window.in_flight += 1
         self.core.spawn(self.send_start(placement, task))
 
     async def send_start(self, placement: Placement, task: TaskRun) -> None:
-        """Sends the start of a run, counted in `starting` while in flight."""
-        self.starting += 1
+        """Sends the start of a run, whose place in the window was taken before."""
         try:
             await self.try_start(placement, task)
         finally:
-            self.starting -= 1
+            if not self.window.has_room():
+                self.core.wake.set()
+            self.window.in_flight -= 1
 
     async def try_start(self, placement: Placement, task: TaskRun) -> None:
         """Sends the start of a run once and handles the answer."""
@@ -110,9 +116,12 @@
             self.on_refused(placement, str(error))
             return
         except PlatformError as error:
+            self.window.note_no_answer(worker.worker_id)
             self.on_no_answer(placement, error)
             return
-        self.core.metrics.timing("worker.start", self.clock.now() - sent_s)
+        elapsed_s = self.clock.now() - sent_s
+        self.core.metrics.timing("worker.start", elapsed_s)
+        self.window.note_answer(elapsed_s)
         self.on_answer(placement, task, answer)
 
     def on_answer(
@@ -173,8 +182,21 @@
         placement.phase = PlacementPhase.UNANSWERED
         if placement.task is not None and placement.task.step.gang:
             self.stop_gang(placement.task, placement.run, "a member did not answer")
+        elif self.window.is_narrow():
+            placement.worker.wake.set()
+            self.core.spawn(self.stop_unless_listed(placement))
         else:
-            self.stop(placement, "no answer to its order")
+            self.stop(placement, NO_ANSWER)
+
+    async def stop_unless_listed(self, placement: Placement) -> None:
+        """Stops an unanswered run that the worker's next report does not list.
+
+        On a full path the answer is more likely late than lost, and a stop would
+        throw away the work and send more over the same path.
+        """
+        await self.clock.sleep(LISTED_TIMEOUT_S)
+        if placement.phase is PlacementPhase.UNANSWERED:
+            self.stop(placement, NO_ANSWER)
 
     def stop_gang(self, task: TaskRun, run: int, reason: str) -> None:
         """Stops all members of a run of a gang."""
@@ -210,8 +232,10 @@
 
     async def send_stop(self, placement: Placement) -> None:
         """Repeats a stop until the worker answers or the run has ended."""
+        retry_s = STOP_RETRY_S
         while not await self.try_stop(placement):
-            await self.clock.sleep(STOP_RETRY_S)
+            await self.clock.sleep(retry_s)
+            retry_s = min(2 * retry_s, STOP_RETRY_MAX_S)
 
     async def try_stop(self, placement: Placement) -> bool:
         """Sends a stop once; returns whether no retry is needed."""
--- a/libs/scheduling/burdockthread_scheduling/sessions.py
+++ b/libs/scheduling/burdockthread_scheduling/sessions.py
@@ -66,7 +66,9 @@
         metrics: Metrics,
         log: EventLog,
         is_certain: Callable[[], bool],
+        pause_s: Callable[[], float],
     ) -> None:
+        self.pause_s = pause_s
         self.is_certain = is_certain
         self.worker = worker
         self.fence = fence
@@ -85,6 +87,8 @@
             try:
                 await self.poll()
                 retry_s = RETRY_FIRST_S
+                if self.pause_s() > 0:
+                    await self.clock.sleep(self.pause_s())
             except WorkerFencedError:
                 self.listener.on_fenced(self.worker)
                 return
--- a/libs/scheduling/burdockthread_scheduling/task_placer.py
+++ b/libs/scheduling/burdockthread_scheduling/task_placer.py
@@ -87,6 +87,8 @@
     ) -> None:
         """Starts the tasks of a job for which there is room."""
         for step in job.runnable_steps():
+            if not self.orders.window.has_room():
+                return
             allowed = self.allowed(job, step, ready)
             if step.spec.gang:
                 self.place_gang(step, allowed)
@@ -100,7 +102,7 @@
         for task in step.open_tasks.values():
             if task.placements:
                 continue
-            if full.covers(task):
+            if full.covers(task) or not self.orders.window.has_room():
                 return
             worker = choose_worker(task, allowed, self.core.health)
             if worker is None:
@@ -169,6 +171,8 @@
     def rescue(self, ready: list[WorkerState], full: SizesWithoutRoom) -> None:
         """Duplicates or restarts stragglers for which a worker has room."""
         for found in tuple(self.stragglers.find(self.core.board.jobs.values())):
+            if not self.orders.window.has_room():
+                return
             if full.covers(found.task):
                 continue
             slow = found.placement.worker
