Weigh entries by their link as well as by their processor

Cause: duties went to the entries with most processor time, also behind a link of 5 or 10 Mbit/s that a holder fills.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -43,6 +43,7 @@
 from burdockthread_scheduling.duties import Duties
 from burdockthread_scheduling.duty import DutyFactory, DutyOffer, Tenure
 from burdockthread_scheduling.entry_link import HttpEntryLink
+from burdockthread_scheduling.entry_weight import entry_weight
 from burdockthread_scheduling.intake import JobIntake
 from burdockthread_scheduling.job_index import JobIndex
 from burdockthread_scheduling.machine_planner import (
@@ -195,7 +196,7 @@
             settings.name,
             str(self.address),
             settings.availability_zone,
-            settings.cores,
+            entry_weight(settings.cores, settings.link_bytes_per_s),
             self.store,
             self.cluster_cache,
             self.clock,
