--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -129,6 +129,7 @@
         settings: EntrySettings,
         metrics_port: int,
         session: aiohttp.ClientSession,
+        urgent_session: aiohttp.ClientSession,
     ) -> None:
         self.metrics_port = metrics_port
         self.settings = settings
@@ -140,7 +141,7 @@
         self.load = LoadMonitor(
             self.clock, self.metrics, self.log, settings.link_bytes_per_s
         )
-        calls = HttpCalls(session, self.load)
+        calls = HttpCalls(session, self.load, urgent_session)
         self.platform = PlatformStore(
             str(settings.store), calls, self.clock, WATCH_PAUSES_S
         )
@@ -160,7 +161,9 @@
         self.operator_cache.listeners.append(self.waves.on_change)
         self.roster = RegisteredWorkers(self.registration_cache, self.log)
         self.job_index = JobIndex(self.shared_cache, self.store, self.clock, self.log)
-        self.contact = StoreContact(self.clock, lambda: self.platform.contact_s)
+        self.contact = StoreContact(
+            self.clock, lambda: self.platform.contact_s, self.load.hindered_s
+        )
         self.intake = JobIntake(
             self.store,
             self.job_index,
@@ -204,6 +207,7 @@
             self.log,
             self.wanted_duties,
             self.link.offer,
+            self.load.hindered_s,
         )
         relay = RequestRelay(
             self.link,
--- a/libs/burdockthread/tests/test_platform_entry.py
+++ b/libs/burdockthread/tests/test_platform_entry.py
@@ -23,7 +23,7 @@
 # no process listens.
 async def test_changed_ports_do_not_change_the_address_for_entries(settings):
     async with aiohttp.ClientSession() as session:
-        entry = PlatformEntry(settings, 0, session)
+        entry = PlatformEntry(settings, 0, session, session)
         entry.apply(settings._replace(first_port=settings.first_port + 1))
         tenure = Tenure("pool:pool-a", 1, Guard("cluster/duty/pool:pool-a", 1))
         holder = entry.pool_duty("pool-a", tenure)
--- a/libs/model/burdockthread_model/http_calls.py
+++ b/libs/model/burdockthread_model/http_calls.py
@@ -101,10 +101,17 @@
     Attributes:
         load: Counts the calls and knows the lateness of this process.
         bulk: Share of the link for large answers.
+        urgent_session: Connections on which only urgent calls are sent.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, load: LoadMonitor) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        load: LoadMonitor,
+        urgent_session: aiohttp.ClientSession | None = None,
+    ) -> None:
         self.session = session
+        self.urgent_session = urgent_session or session
         self.load = load
         self.bulk = LinkShare(load.clock, load.link_bytes_per_s)
 
@@ -119,6 +126,7 @@
         headers: Mapping[str, str] | None = None,
         *,
         bulk: bool = False,
+        urgent: bool = False,
         most_bytes: float = float("inf"),
         on_part: Callable[[], None] | None = None,
     ) -> HttpAnswer:
@@ -134,6 +142,7 @@
             body: Body, or None.
             headers: Further headers.
             bulk: Whether the answer may be large and leaves room on the link.
+            urgent: Whether the call must not wait for connections that others use.
             most_bytes: Largest body that is read.
             on_part: Called as a part of the answer arrives.
 
@@ -145,10 +154,11 @@
             TimeoutError: No complete answer in time.
         """
         received = 0
+        session = self.urgent_session if urgent else self.session
         try:
             async with (
                 running_timeout(self.load, timeout_s) as limit,
-                self.session.request(
+                session.request(
                     method,
                     url,
                     data=body,
--- a/libs/platform/burdockthread_platform/kv_store.py
+++ b/libs/platform/burdockthread_platform/kv_store.py
@@ -104,6 +104,7 @@
                 None if body is None else wire.encode(body),
                 None if body is None else wire.BODY_HEADERS,
                 bulk=method == "GET",
+                urgent=path.startswith("/kv-keep"),
                 most_bytes=most_bytes,
                 on_part=self.note_contact,
             )
@@ -250,7 +251,6 @@
 
 def call_kind(path: str) -> str:
     """Returns the kind of a call for metrics: its name, and the prefix it reads."""
-    name, _, query = path[1:].partition("?")
-    name, _, _ = name.partition("/")
-    _, _, prefix = query.partition("prefix=")
+    name, prefix = path[1:].partition("?")[0], path.partition("prefix=")[2]
+    name = name.partition("/")[0]
     return f"{name}.{prefix.partition('%')[0]}" if prefix else name
--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -37,6 +37,7 @@
     encode,
     entry_key,
 )
+from burdockthread_scheduling.store_contact import StoreContact, unhindered
 
 RENEW_INTERVAL_S = 0.5
 RETRY_INTERVAL_S = 0.15
@@ -67,6 +68,7 @@
         owners: Known holders by duty, with the revision of the record.
         seen: Duties that have had a holder since this entry started.
         renewed_s: Clock time at which the store last confirmed the lease.
+        contact: Tells for how long the store has been silent.
         store_lost: Whether renewals have failed since `renewed_s`.
         campaigning: Duties whose record this entry is writing; the watch may
             deliver the write before the store answers it.
@@ -93,6 +95,7 @@
         log: EventLog,
         wanted: Callable[[], Mapping[str, DutyFactory]],
         send_offer: OfferSender,
+        hindered_s: Callable[[], float] = unhindered,
     ) -> None:
         self.entry = entry
         self.address = address
@@ -113,6 +116,7 @@
         self.highest_fences: dict[str, int] = {}
         self.relinquished: dict[str, int] = {}
         self.renewed_s = clock.now()
+        self.contact = StoreContact(clock, self.last_contact_s, hindered_s)
         self.store_lost = False
         self.offered_s = float("-inf")
         self.offers: set[asyncio.Task[None]] = set()
@@ -297,12 +301,16 @@
 
     # Offers of a holder that cannot reach the store
 
+    def last_contact_s(self) -> float:
+        """Returns the clock time of the store's last answer about duties."""
+        return max(self.renewed_s, self.cache.contact_s)
+
     def offer_if_cut_off(self, now: float) -> None:
         """Offers the held duties if this entry has lost contact with the store.
 
         Other entries may still reach the store and keep the duties running.
         """
-        silent_s = now - max(self.renewed_s, self.cache.contact_s)
+        silent_s = self.contact.age_s()
         if silent_s < OFFER_AFTER_S or now - self.offered_s < OFFER_INTERVAL_S:
             return
         self.offered_s = now
--- a/libs/scheduling/tests/test_duties.py
+++ b/libs/scheduling/tests/test_duties.py
@@ -59,6 +59,7 @@
         self.tasks = {}
         self.links_cut = False
         self.answers_lost = False
+        self.hindered_s = 0.0
 
     def add(self, name, weight=1.0):
         """Starts an entry."""
@@ -77,6 +78,7 @@
             EventLog(name),
             lambda: dict.fromkeys(NAMES, IdleDuty),
             self.send_offer,
+            lambda: self.hindered_s,
         )
         self.stores[name] = faulty
         self.duties[name] = duties
@@ -464,3 +466,19 @@
     await entries.duties[holder].hand_over()
     events = [record.getMessage() for record in caplog.records]
     assert any("event=hand_over_failed" in event for event in events)
+
+
+# Guards against a saturated holder that takes its own lateness for silence of the
+# store, and passes its duties round.
+async def test_entry_that_is_late_itself_offers_no_duty(entries):
+    before = entries.held()
+    tokens = [d.held[n].tenure.fence for d in entries.duties.values() for n in d.held]
+    for store in entries.stores.values():
+        store.set_faults({"slow_s": 0.9})
+    for _ in range(40):
+        entries.hindered_s += 0.05
+        await entries.pass_time(0.05)
+    assert entries.held() == before
+    assert tokens == [
+        d.held[n].tenure.fence for d in entries.duties.values() for n in d.held
+    ]
