--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -213,6 +213,7 @@
             self.link,
             self.duties.other_addresses,
             self.contact,
+            self.configuration.expect_version,
             self.intake.refuse_unsent,
             self.clock,
             self.metrics,
@@ -246,7 +247,8 @@
 
     async def on_request(self, request: CallerRequest) -> CallerAnswer:
         """Answers a caller's request that another entry passes on."""
-        return await self.port.handle(request)
+        answer = await self.port.handle(request)
+        return answer._replace(version=self.current_configuration().version)
 
     async def ask_release(self, address: str, pool: str, fence: int) -> str:
         """Asks an earlier holder to release a pool; returns the id of its process."""
--- a/libs/model/burdockthread_model/http_calls.py
+++ b/libs/model/burdockthread_model/http_calls.py
@@ -128,7 +128,7 @@
         bulk: bool = False,
         urgent: bool = False,
         most_bytes: float = float("inf"),
-        on_part: Callable[[], None] | None = None,
+        on_part: Callable[[int], None] | None = None,
     ) -> HttpAnswer:
         """Sends a call and reads the whole answer.
 
@@ -144,7 +144,7 @@
             bulk: Whether the answer may be large and leaves room on the link.
             urgent: Whether the call must not wait for connections that others use.
             most_bytes: Largest body that is read.
-            on_part: Called as a part of the answer arrives.
+            on_part: Called with the status as headers or a part of the body arrive.
 
         Raises:
             AnswerTooLargeError: The body has more than `most_bytes`.
@@ -168,6 +168,8 @@
                     read_bufsize=READ_BUFFER_BYTES,
                 ) as answer,
             ):
+                if on_part is not None:
+                    on_part(answer.status)
                 if (answer.content_length or 0) > most_bytes:
                     raise AnswerTooLargeError(f"{answer.content_length} bytes")
                 parts = []
@@ -178,7 +180,7 @@
                     if received > most_bytes:
                         raise AnswerTooLargeError(f"more than {received} bytes")
                     if on_part is not None:
-                        on_part()
+                        on_part(answer.status)
                     delay_s = self.bulk.delay_s(len(part)) if bulk else 0.0
                     limit.restart(delay_s)
                     if delay_s:
--- a/libs/platform/burdockthread_platform/kv_store.py
+++ b/libs/platform/burdockthread_platform/kv_store.py
@@ -75,9 +75,10 @@
         self.contact_s = float("-inf")
         self.sizes = ListingSizes()
 
-    def note_contact(self) -> None:
-        """Records that the store answers."""
-        self.contact_s = self.clock.now()
+    def note_contact(self, status: int) -> None:
+        """Records that the store answers, unless it turns this entry away."""
+        if status not in NOT_EXECUTED:
+            self.contact_s = self.clock.now()
 
     async def call(
         self,
@@ -114,7 +115,6 @@
             raise StoreUnknownError(f"{path}: {type(error).__name__}") from error
         if answer.status in NOT_EXECUTED:
             raise StoreUnavailableError(f"{path} answered {answer.status}")
-        self.note_contact()
         return Answer(answer.status, parse_body(path, answer.data))
 
     async def read(
--- a/libs/scheduling/burdockthread_scheduling/configuration_view.py
+++ b/libs/scheduling/burdockthread_scheduling/configuration_view.py
@@ -26,6 +26,8 @@
         applied_s: Clock time at which the configuration was applied.
         failed_s: Clock time at which a read last failed or was not waited for.
         reading: Read in progress, shared by all callers of `fresh`.
+        least_version: Version by which another entry has answered a caller for this
+            one; an older copy must not be used after that.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         self.applied_s = float("-inf")
         self.failed_s = float("-inf")
         self.reading: asyncio.Task[None] | None = None
+        self.least_version = -1
 
     def apply(self, found: FleetConfiguration, revision: int) -> None:
         """Applies a configuration, unless it is not newer than the one in force.
@@ -79,7 +82,7 @@
         goes on: a large configuration takes seconds on a slow link, and one that is
         cut off and begun again would fill the link for good.
         """
-        if self.is_stale() and self.may_read():
+        if (self.is_stale() or self.is_outdated()) and self.may_read():
             if self.reading is None:
                 self.reading = asyncio.create_task(self.read())
             try:
@@ -93,6 +96,14 @@
         """Returns whether the copy may be out of date."""
         return self.age_s() > MAX_AGE_S
 
+    def expect_version(self, version: int) -> None:
+        """Records a version by which callers of this entry have been answered."""
+        self.least_version = max(self.least_version, version)
+
+    def is_outdated(self) -> bool:
+        """Returns whether the copy is older than what callers have seen here."""
+        return self.current is None or self.current.version < self.least_version
+
     def may_read(self) -> bool:
         """Returns whether no read has failed or was slow for `REFRESH_PAUSE_S`."""
         return self.clock.now() - self.failed_s > REFRESH_PAUSE_S
--- a/libs/scheduling/burdockthread_scheduling/desk.py
+++ b/libs/scheduling/burdockthread_scheduling/desk.py
@@ -79,13 +79,17 @@
         """Returns the queue of a request.
 
         Raises:
-            NotReadyError: There is no configuration yet, or none of the queue and a
-                newer one may have it.
+            NotReadyError: There is no configuration yet, callers of this entry have
+                seen a newer one, or it lacks the queue and a newer one may have it.
             NoQueueError: No queue has the host and path.
         """
         configuration = await self.configuration.fresh()
         if configuration is None:
             raise NotReadyError("no configuration yet", retry_after_s=RETRY_AFTER_S)
+        if self.configuration.is_outdated():
+            raise NotReadyError(
+                "the configuration is out of date", retry_after_s=RETRY_AFTER_S
+            )
         queue = configuration.queue_of(host, path)
         if queue is None and self.configuration.is_stale():
             raise NotReadyError(
--- a/libs/scheduling/burdockthread_scheduling/request_relay.py
+++ b/libs/scheduling/burdockthread_scheduling/request_relay.py
@@ -63,11 +63,13 @@
         status: HTTP status.
         body: Body.
         retry_after_s: Seconds after which the caller may retry, or None.
+        version: Version of the configuration that the answering entry had.
     """
 
     status: int
     body: bytes
     retry_after_s: float | None = None
+    version: int = -1
 
 
 RequestHandler = Callable[[CallerRequest], Awaitable[CallerAnswer]]
@@ -93,6 +95,7 @@
         link: Sends requests to other entries.
         peers: Returns the addresses of the other entries.
         contact: Tells whether this entry reaches the store.
+        expect_version: Called with the version by which an entry has answered.
         refuse_unsent: Refuses the submissions that were not sent to the store.
         futile_until_s: Clock time until which no entry is asked.
         avoided: Clock time by address until which an entry is asked last.
@@ -103,6 +106,7 @@
         link: RelayLink,
         peers: Callable[[], list[str]],
         contact: StoreContact,
+        expect_version: Callable[[int], None],
         refuse_unsent: Callable[[], None],
         clock: Clock,
         metrics: Metrics,
@@ -111,6 +115,7 @@
         self.link = link
         self.peers = peers
         self.contact = contact
+        self.expect_version = expect_version
         self.refuse_unsent = refuse_unsent
         self.clock = clock
         self.metrics = metrics
@@ -187,6 +192,7 @@
                 unanswered = True
                 continue
             if answer.status != NOT_EXECUTED:
+                self.expect_version(answer.version)
                 self.note_relayed(address, request, answer)
                 return answer
         if unanswered and request.method != READ_METHOD:
--- a/libs/scheduling/tests/test_configuration_view.py
+++ b/libs/scheduling/tests/test_configuration_view.py
@@ -129,6 +129,9 @@
     def is_stale(self):
         return self.stale
 
+    def is_outdated(self):
+        return False
+
 
 # Guards against a refusal as unknown of a queue that a newer configuration has.
 @pytest.mark.parametrize(
@@ -140,3 +143,22 @@
     desk = JobDesk(OldConfiguration(stale), None, None, clock, metrics, log)
     with pytest.raises(error):
         await desk.queue("a.example", "/a/")
+
+
+# Guards against a caller that is answered by the configuration of another entry, and
+# then by an older one here.
+async def test_copy_that_is_older_than_what_callers_have_seen_is_not_used(
+    view, store, clock, metrics, log
+):
+    await put(store, 3)
+    await view.cache.refresh()
+    await put(store, 4)
+    desk = JobDesk(view, None, None, clock, metrics, log)
+    view.expect_version(5)
+    with pytest.raises(NotReadyError, match="out of date"):
+        await desk.queue("a.example", "/a/")
+    assert view.current.version == 4
+    await put(store, 5)
+    await clock.advance(MAX_AGE_S)
+    with pytest.raises(NoQueueError):
+        await desk.queue("a.example", "/a/")
--- a/libs/scheduling/tests/test_request_relay.py
+++ b/libs/scheduling/tests/test_request_relay.py
@@ -57,11 +57,13 @@
         self.contact_s = clock.now()
         self.link = MemoryRelayLink(clock, entries)
         self.unsent_refused = 0
+        self.versions = []
         self.own = ACCEPTED
         self.relay = RequestRelay(
             self.link,
             lambda: list(entries),
             StoreContact(clock, lambda: self.contact_s),
+            self.versions.append,
             self.refuse_unsent,
             clock,
             metrics,
@@ -113,6 +115,15 @@
     assert seconds < 0.1
 
 
+# Guards against an answer by another entry's configuration, after which this entry goes
+# back to an older one.
+async def test_version_by_which_another_entry_has_answered_is_kept(entry):
+    entry.own = REFUSED
+    entry.link.entries = dict.fromkeys(PEERS, ACCEPTED._replace(version=7))
+    await entry.ask()
+    assert entry.versions == [7]
+
+
 # Guards against requests held until their deadline by an entry that knows that it is
 # cut off.
 async def test_entry_without_contact_passes_requests_on_at_once(entry):
--- a/libs/store/burdockthread_store/listing_sizes.py
+++ b/libs/store/burdockthread_store/listing_sizes.py
@@ -4,11 +4,12 @@
 
 from burdockthread_store.store import KeyValue
 
-# Changes of this size are read whatever a listing takes.
-SMALL_ANSWER_BYTES = 65_536
-# A listing has only the newest of several versions of a key, so changes of which one
-# part is as large may be the more to read.
-LISTING_SHARE = 0.5
+# Changes of this size are read whatever a listing takes: a value may have grown, and
+# what the store has sent crosses the link also if it is not read.
+SMALL_CHANGES_BYTES = 524_288
+# Larger changes than this many listings have several versions of a value, of which a
+# listing has only the newest. Values are base64 in both.
+LISTING_FACTOR = 1.75 * 4 / 3
 
 
 class ListingSizes:
@@ -28,4 +29,4 @@
     def most_bytes(self, prefix: str) -> float:
         """Returns the largest size of changes that are read instead of a listing."""
         listed = self.listed_bytes.get(prefix, 0)
-        return max(SMALL_ANSWER_BYTES, LISTING_SHARE * listed)
+        return max(SMALL_CHANGES_BYTES, LISTING_FACTOR * listed)
