Read large answers at full speed again

Cause: reading at half of the link's rate did not keep the link free, as the sender's bytes wait on it all the same, and hid from the process that its link was full.

--- a/libs/burdockthread/burdockthread/platform_process.py
+++ b/libs/burdockthread/burdockthread/platform_process.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 from contextlib import suppress
 from pathlib import Path
@@ -19,10 +18,6 @@
 DEFAULT_METRICS_PORT = 9464
 CONNECTIONS_PER_HOST = 16
 URGENT_CONNECTIONS = 2
-# Time for which the bytes of one connection may fill the link.
-BUFFERED_S = 0.1
-MIN_BUFFER_BYTES = 16_384
-MAX_BUFFER_BYTES = 262_144
 KEEPALIVE_S = 60.0
 # The settings file may change without a signal.
 RELOAD_INTERVAL_S = 1.0
@@ -72,29 +67,10 @@
         self.entry.apply(settings)
 
 
-def client_session(
-    connections_per_host: int, link_bytes_per_s: float
-) -> aiohttp.ClientSession:
-    """Returns a session with connections that are kept open for further calls.
-
-    The receive buffers bound what waits on the link for an answer that is read
-    slowly.
-    """
-    buffer_bytes = int(
-        min(max(link_bytes_per_s * BUFFERED_S, MIN_BUFFER_BYTES), MAX_BUFFER_BYTES)
-    )
-
-    def open_socket(address: aiohttp.AddrInfoType) -> socket.socket:
-        family, kind, protocol, *_ = address
-        opened = socket.socket(family, kind, protocol)
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
-        return opened
-
+def client_session(connections_per_host: int) -> aiohttp.ClientSession:
+    """Returns a session with connections that are kept open for further calls."""
     connector = aiohttp.TCPConnector(
-        limit=0,
-        limit_per_host=connections_per_host,
-        keepalive_timeout=KEEPALIVE_S,
-        socket_factory=open_socket,
+        limit=0, limit_per_host=connections_per_host, keepalive_timeout=KEEPALIVE_S
     )
     return aiohttp.ClientSession(connector=connector)
 
@@ -107,10 +83,9 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    link = settings.link_bytes_per_s
     async with (
-        client_session(CONNECTIONS_PER_HOST, link) as session,
-        client_session(URGENT_CONNECTIONS, link) as urgent_session,
+        client_session(CONNECTIONS_PER_HOST) as session,
+        client_session(URGENT_CONNECTIONS) as urgent_session,
     ):
         entry = PlatformEntry(settings, metrics_port, session, urgent_session)
         follower = SettingsFollower(path, entry)
--- a/libs/platform/burdockthread_platform/kv_store.py
+++ b/libs/platform/burdockthread_platform/kv_store.py
@@ -104,7 +104,6 @@
                 CONNECT_TIMEOUT_S,
                 None if body is None else wire.encode(body),
                 None if body is None else wire.BODY_HEADERS,
-                bulk=method == "GET",
                 urgent=path.startswith("/kv-keep"),
                 most_bytes=most_bytes,
                 on_part=self.note_contact,
