--- a/libs/store/burdockthread_store/memory_store.py
+++ b/libs/store/burdockthread_store/memory_store.py
@@ -189,19 +189,10 @@
         """Yields batches of changes below a prefix, in order of revision."""
         seen = after_revision
         while True:
-            self.check_reachable()
-            if seen < self.compacted_revision:
-                raise WatchCompactedError(
-                    f"watch history after revision {seen} has been compacted"
-                )
-            events = tuple(
-                event
-                for event in self.events_after(seen)
-                if event.key.startswith(prefix)
-            )
-            seen = self.revision
-            if events:
-                yield events
+            changes = self.changes_now(prefix, seen)
+            seen = changes.revision
+            if changes.events:
+                yield changes.events
                 continue
             async with self.changed:
                 if self.revision == seen and not self.down:
@@ -211,6 +202,11 @@
         """Reads the changes below a prefix without waiting for any."""
         self.check_reachable()
         await self.expire_leases()
+        return self.changes_now(prefix, after_revision)
+
+    def changes_now(self, prefix: str, after_revision: int) -> Changes:
+        """Returns the changes below a prefix; raises as `changes` does."""
+        self.check_reachable()
         if after_revision < self.compacted_revision:
             raise WatchCompactedError(
                 f"history after revision {after_revision} has been compacted"
