Pass no request to an entry that would decide it by an older configuration

A request that is passed on now names the version that callers have seen, and the other entry refuses, and reads the configuration, until its own is as new.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -213,6 +213,7 @@
             self.link,
             self.duties.other_addresses,
             self.contact,
+            self.configuration.seen_version,
             self.configuration.expect_version,
             self.intake.refuse_unsent,
             self.clock,
@@ -247,6 +248,7 @@
 
     async def on_request(self, request: CallerRequest) -> CallerAnswer:
         """Answers a caller's request that another entry passes on."""
+        self.configuration.expect_version(request.least_version)
         answer = await self.port.handle(request)
         return answer._replace(version=self.current_configuration().version)
 
--- a/libs/burdockthread/tests/test_platform_entry.py
+++ b/libs/burdockthread/tests/test_platform_entry.py
@@ -1,10 +1,12 @@
-"""Changes to the settings of a running entry."""
+"""A running entry: changes to its settings, requests that others pass on."""
 
 import aiohttp
 import pytest
 from burdockthread.platform_entry import PlatformEntry
 from burdockthread_platform.settings import EntrySettings
 from burdockthread_scheduling.duty import Tenure
+from burdockthread_scheduling.request_relay import CallerRequest
+from burdockthread_scheduling.specs import FleetConfiguration, PoolSpec, QueueSpec
 from burdockthread_standins.emulated_site import SETTINGS
 from burdockthread_store.store import Guard
 
@@ -28,3 +30,19 @@
         tenure = Tenure("pool:pool-a", 1, Guard("cluster/duty/pool:pool-a", 1))
         holder = entry.pool_duty("pool-a", tenure)
         assert holder.core.parts.address == entry.duties.address == "127.0.0.1:7003"
+
+
+# Guards against an entry that answers for another one by a configuration that is older
+# than the one which that entry's callers have seen.
+async def test_request_of_another_entry_is_not_decided_by_an_older_configuration(
+    settings,
+):
+    queue = QueueSpec("queue-a", "a.example", "/a/", "pool-a")
+    found = FleetConfiguration(3, {"queue-a": queue}, {"pool-a": PoolSpec("pool-a")})
+    request = CallerRequest("GET", "a.example", "/a/", b"", 1.0, least_version=3)
+    async with aiohttp.ClientSession() as session:
+        entry = PlatformEntry(settings, 0, session, session)
+        entry.configuration.apply(found, 1)
+        assert (await entry.on_request(request)).status == 200
+        newer = request._replace(least_version=4)
+        assert (await entry.on_request(newer)).status == 503
--- a/libs/scheduling/burdockthread_scheduling/configuration_view.py
+++ b/libs/scheduling/burdockthread_scheduling/configuration_view.py
@@ -96,6 +96,11 @@
         """Returns whether the copy may be out of date."""
         return self.age_s() > MAX_AGE_S
 
+    def seen_version(self) -> int:
+        """Returns the newest version by which callers may have been answered here."""
+        current = -1 if self.current is None else self.current.version
+        return max(self.least_version, current)
+
     def expect_version(self, version: int) -> None:
         """Records a version by which callers of this entry have been answered."""
         self.least_version = max(self.least_version, version)
--- a/libs/scheduling/burdockthread_scheduling/request_relay.py
+++ b/libs/scheduling/burdockthread_scheduling/request_relay.py
@@ -47,6 +47,8 @@
         path: Path.
         body: Body as sent by the caller.
         timeout_s: Seconds that the sender waits for the answer.
+        least_version: Version of the configuration by which callers of the sending
+            entry have been answered; an older one must not decide.
     """
 
     method: str
@@ -54,6 +56,7 @@
     path: str
     body: bytes
     timeout_s: float
+    least_version: int = -1
 
 
 class CallerAnswer(NamedTuple):
@@ -95,6 +98,7 @@
         link: Sends requests to other entries.
         peers: Returns the addresses of the other entries.
         contact: Tells whether this entry reaches the store.
+        least_version: Returns the version by which callers have been answered here.
         expect_version: Called with the version by which an entry has answered.
         refuse_unsent: Refuses the submissions that were not sent to the store.
         futile_until_s: Clock time until which no entry is asked.
@@ -106,6 +110,7 @@
         link: RelayLink,
         peers: Callable[[], list[str]],
         contact: StoreContact,
+        least_version: Callable[[], int],
         expect_version: Callable[[int], None],
         refuse_unsent: Callable[[], None],
         clock: Clock,
@@ -115,6 +120,7 @@
         self.link = link
         self.peers = peers
         self.contact = contact
+        self.least_version = least_version
         self.expect_version = expect_version
         self.refuse_unsent = refuse_unsent
         self.clock = clock
@@ -179,11 +185,12 @@
             left_s = deadline_s - self.clock.now() - ANSWER_MARGIN_S
             if left_s <= ANSWER_MARGIN_S:
                 break
-            timeout_s = min(left_s, RELAY_TIMEOUT_S)
+            passed = request._replace(
+                timeout_s=min(left_s, RELAY_TIMEOUT_S),
+                least_version=self.least_version(),
+            )
             try:
-                answer = await self.link.relay(
-                    address, request._replace(timeout_s=timeout_s)
-                )
+                answer = await self.link.relay(address, passed)
             except PeerUnavailableError as error:
                 self.note_silence(address, request, error)
                 continue
--- a/libs/scheduling/tests/test_configuration_view.py
+++ b/libs/scheduling/tests/test_configuration_view.py
@@ -154,7 +154,9 @@
     await view.cache.refresh()
     await put(store, 4)
     desk = JobDesk(view, None, None, clock, metrics, log)
+    assert view.seen_version() == 3
     view.expect_version(5)
+    assert view.seen_version() == 5
     with pytest.raises(NotReadyError, match="out of date"):
         await desk.queue("a.example", "/a/")
     assert view.current.version == 4
--- a/libs/scheduling/tests/test_request_relay.py
+++ b/libs/scheduling/tests/test_request_relay.py
@@ -38,10 +38,12 @@
         self.clock = clock
         self.entries = entries
         self.asked = []
+        self.least_versions = []
         self.delay_s = 0.01
 
     async def relay(self, address, request):
         self.asked.append(address)
+        self.least_versions.append(request.least_version)
         await self.clock.sleep(self.delay_s)
         found = self.entries[address]
         if isinstance(found, Exception):
@@ -58,11 +60,13 @@
         self.link = MemoryRelayLink(clock, entries)
         self.unsent_refused = 0
         self.versions = []
+        self.least_version = -1
         self.own = ACCEPTED
         self.relay = RequestRelay(
             self.link,
             lambda: list(entries),
             StoreContact(clock, lambda: self.contact_s),
+            lambda: self.least_version,
             self.versions.append,
             self.refuse_unsent,
             clock,
@@ -124,6 +128,15 @@
     assert entry.versions == [7]
 
 
+# Guards against a request that is passed on to an entry with an older configuration
+# than the one by which callers have been answered here.
+async def test_request_names_the_version_that_callers_have_seen(entry):
+    entry.own = REFUSED
+    entry.least_version = 7
+    await entry.ask()
+    assert entry.link.least_versions == [7]
+
+
 # Guards against requests held until their deadline by an entry that knows that it is
 # cut off.
 async def test_entry_without_contact_passes_requests_on_at_once(entry):
