--- a/libs/scheduling/burdockthread_scheduling/run_orders.py
+++ b/libs/scheduling/burdockthread_scheduling/run_orders.py
@@ -83,6 +83,7 @@
         try:
             await self.try_start(placement, task)
         finally:
+            # The last round may have ended early for want of this place.
             if not self.window.has_room():
                 self.core.wake.set()
             self.window.in_flight -= 1
