Send calls to one address in order when its connections are in use

Cause: the HTTP library gives a free connection to the next call that asks for one, also if others wait. With 5 callers on 4 connections that call without a pause, a waiting call got none within its time-out of 0.5 s. Its time in the queue counted as silence of the callee, and the outcome of a call that had not been sent as unknown: a stop for each start, no verdict for a write.

Calls now wait in a first-come queue for each address. The time-out counts from when a call gets its connection; one that gets none within it is not sent.

--- a/libs/model/burdockthread_model/http_calls.py
+++ b/libs/model/burdockthread_model/http_calls.py
@@ -1,9 +1,11 @@
 """HTTP calls with time-outs that disregard the delays of this process."""
 
 import asyncio
+import sys
 from collections.abc import AsyncIterator, Callable, Mapping
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, nullcontext
 from typing import NamedTuple
+from weakref import WeakValueDictionary
 
 import aiohttp
 
@@ -16,12 +18,22 @@
 READ_PASS_S = 0.001
 # A call that waits for its own process or link ends after this many time-outs at most.
 MAX_TIMEOUT_FACTOR = 4.0
-# Errors of calls of which nothing was sent.
-NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 # Headers that the library would add and that no callee uses.
 OMITTED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
 
+class NoFreeConnectionError(aiohttp.ClientError):
+    """All connections to the address were in use; nothing was sent."""
+
+
+# Errors of calls of which nothing was sent.
+NOT_SENT = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    NoFreeConnectionError,
+)
+
+
 class HttpAnswer(NamedTuple):
     """Status and body of an answer."""
 
@@ -98,6 +110,9 @@
     Attributes:
         load: Counts the calls and knows the lateness of this process.
         urgent_session: Connections on which only urgent calls are sent.
+        queues: First-come queues for the connections of `session`, by host and port;
+            an address without calls has none. The library lets new calls overtake
+            those that wait for a connection.
     """
 
     def __init__(
@@ -109,6 +124,40 @@
         self.session = session
         self.urgent_session = urgent_session or session
         self.load = load
+        self.queues: WeakValueDictionary[str, asyncio.Semaphore] = WeakValueDictionary()
+
+    def queue(self, url: str) -> asyncio.Semaphore:
+        """Returns the queue for the connections to the address of a URL."""
+        address = url.split("/", 3)[2]
+        found = self.queues.get(address)
+        if found is None:
+            connector = self.session.connector
+            most = 0 if connector is None else connector.limit_per_host
+            found = self.queues[address] = asyncio.Semaphore(most or sys.maxsize)
+        return found
+
+    @asynccontextmanager
+    async def connection(self, url: str, timeout_s: float) -> AsyncIterator[None]:
+        """Waits for a free connection to an address and reserves it for the block.
+
+        Raises:
+            NoFreeConnectionError: All were in use for `timeout_s`.
+        """
+        queue = self.queue(url)
+        if queue.locked():
+            try:
+                async with running_timeout(self.load, timeout_s):
+                    await queue.acquire()
+            except TimeoutError as error:
+                raise NoFreeConnectionError(
+                    f"no free connection within {timeout_s} s"
+                ) from error
+        else:
+            await queue.acquire()
+        try:
+            yield
+        finally:
+            queue.release()
 
     async def send(
         self,
@@ -130,8 +179,8 @@
             kind: Kind of the call in metrics.
             method: HTTP method.
             url: Address with path and query.
-            timeout_s: Longest time until a part of the answer arrives: a large one
-                may take longer on a slow link.
+            timeout_s: Longest time for a free connection, and from then on until a
+                part of the answer arrives: a large one may take longer on a slow link.
             connect_s: Longest time to connect; None for no bound of its own.
             body: Body, or None.
             headers: Further headers.
@@ -141,15 +190,17 @@
 
         Raises:
             AnswerTooLargeError: The body has more than `most_bytes`.
-            aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError: No connection;
-                nothing was sent.
+            aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError,
+            NoFreeConnectionError: No connection; nothing was sent.
             aiohttp.ClientError, OSError: No complete answer.
             TimeoutError: No complete answer in time.
         """
         received = 0
         session = self.urgent_session if urgent else self.session
+        free = nullcontext() if urgent else self.connection(url, timeout_s)
         try:
             async with (
+                free,
                 running_timeout(self.load, timeout_s) as limit,
                 session.request(
                     method,
