Keep the lease up and take pools over in two answers while the store is slow

Renewals now are due 0.5 s after the last one was sent, as the term of the lease counts. A new holder reads the assigned workers beside the jobs: earlier holders can write neither any more.

Ruled out: a shorter lease for the orders (an order may take 1 s), a longer silence before duties are offered (delays each real cut).

The entries of the duty tests moved to duty_entries.py, to be shared.

--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -173,13 +173,18 @@
                 self.drop(name, "stopped")
 
     async def keep_lease(self) -> None:
-        """Renews the lease every `RENEW_INTERVAL_S` until cancelled."""
+        """Renews the lease every `RENEW_INTERVAL_S` until cancelled.
+
+        The interval counts from when a renewal is sent, as the term of the lease does;
+        a slow store would leave little of it otherwise.
+        """
         while True:
+            sent_s = self.clock.now()
             try:
                 if not await self.lease.keep():
                     await self.register()
                 self.on_renewed()
-                await self.clock.sleep(RENEW_INTERVAL_S)
+                await self.clock.sleep(sent_s + RENEW_INTERVAL_S - self.clock.now())
             except (StoreError, ConflictError) as error:
                 self.metrics.count("duties.renewals_failed")
                 self.on_not_renewed(error)
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -1,5 +1,6 @@
 """The duty of a pool's holder: runs the jobs of the pool on its workers."""
 
+import asyncio
 from contextlib import suppress
 
 from burdockthread_model.errors import (
@@ -148,13 +149,11 @@
             StoreError: The store did not answer.
             RecordError: A record is malformed.
         """
-        prefix = progress_prefix(self.core.pool)
-        listing = await self.core.parts.store.list(prefix)
-        for item in listing.items:
-            job_id = item.key.removeprefix(prefix)
-            self.progress[job_id] = decode(item.value, JobProgress)
-        await self.cache.refresh()
-        await self.workers.read_assigned()
+        _, assigned = await asyncio.gather(
+            self.read_jobs(), self.workers.read_assigned()
+        )
+        if assigned is not None:
+            self.workers.expect(assigned)
         self.loaded = True
         self.log.info(
             "pool_taken_over",
@@ -164,6 +163,20 @@
             workers_expected=len(self.workers.unreached),
         )
 
+    async def read_jobs(self) -> None:
+        """Reads the progress of jobs, then the jobs.
+
+        Raises:
+            StoreError: The store did not answer.
+            RecordError: A record is malformed.
+        """
+        prefix = progress_prefix(self.core.pool)
+        listing = await self.core.parts.store.list(prefix)
+        for item in listing.items:
+            job_id = item.key.removeprefix(prefix)
+            self.progress[job_id] = decode(item.value, JobProgress)
+        await self.cache.refresh()
+
     def on_work(self, key: str, item: KeyValue | None) -> None:
         """Handles a job that was accepted or cancelled; None is ignored."""
         if item is None:
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -114,19 +114,22 @@
 
     # Earlier holders
 
-    async def read_assigned(self) -> None:
-        """Reads the workers on which runs of earlier holders may exist.
-
-        For each earlier holder that may still be active, starts a task that asks
-        for its release.
+    async def read_assigned(self) -> AssignedWorkers | None:
+        """Returns the workers on which runs of earlier holders may exist, if any.
 
         Raises:
             StoreError: The store did not answer.
+            RecordError: The record is malformed.
         """
         found = await self.core.parts.store.get(f"assigned/{self.core.pool}")
-        if found is None:
-            return
-        left = decode(found.value, AssignedWorkers)
+        return None if found is None else decode(found.value, AssignedWorkers)
+
+    def expect(self, left: AssignedWorkers) -> None:
+        """Waits for the workers of earlier holders to answer this holder.
+
+        For each earlier holder that may still be active, starts a task that asks
+        for its release.
+        """
         self.earlier = {EarlierHolder(*holder) for holder in left.earlier}
         if not left.released:
             self.earlier.add(EarlierHolder(left.address, left.process))
--- a/libs/scheduling/tests/conftest.py
+++ b/libs/scheduling/tests/conftest.py
@@ -7,6 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
+from duty_entries import Entries
 from pool_site import PoolSite
 
 
@@ -17,3 +18,14 @@
     yield found
     await found.close()
     assert found.park.violations == []
+
+
+@pytest.fixture
+async def entries():
+    found = Entries()
+    for name in ("one", "two", "three"):
+        found.add(name)
+    await found.pass_time(2.0)
+    yield found
+    for name in found.tasks:
+        await found.kill(name)
