Cancel an order to a machine that is not answered in time, also by a late entry

Cause: the planner sends an order only while its lease outlasts the time-out of one (1.0 of 1.1 s). Since time-outs leave out the time in which the process is late or its link full, an order could wait up to four times as long, and since calls wait for a connection, as long again, before it was sent. The order might then meet those of the next planner.

The planner now ends the call itself after 1.0 s. A call that is cancelled while it waits for a connection is never sent.

--- a/libs/model/tests/test_call_queue.py
+++ b/libs/model/tests/test_call_queue.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 
 import aiohttp
 import pytest
@@ -44,6 +45,11 @@
         await asyncio.sleep(ANSWER_S)
         return web.Response()
 
+    async def counted(request):
+        return web.Response(text=str(next(counter)))
+
+    counter = itertools.count(1)
+    app.router.add_post("/counted", counted)
     app.router.add_post("/prompt", prompt)
     app.router.add_post("/slow", slow)
     async with TestServer(app) as server:
@@ -94,3 +100,18 @@
 async def test_addresses_without_calls_are_forgotten(calls, server):
     await send(calls, f"{server}/prompt")
     assert not calls.queues
+
+
+# Guards against an order that is sent after its sender has given it up.
+async def test_cancelled_call_that_waits_is_never_sent(calls, server):
+    sending = [
+        asyncio.create_task(send(calls, f"{server}/slow", 2 * ANSWER_S))
+        for _ in range(CONNECTIONS)
+    ]
+    await asyncio.sleep(ANSWER_S / 3)
+    waiting = asyncio.create_task(send(calls, f"{server}/counted", 2 * ANSWER_S))
+    await asyncio.sleep(ANSWER_S / 3)
+    waiting.cancel()
+    await asyncio.gather(*sending, waiting, return_exceptions=True)
+    answer = await send(calls, f"{server}/counted")
+    assert answer.data == b"1"
--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -29,7 +29,11 @@
     WaveBoard,
 )
 from burdockthread_scheduling.pool_sizer import PoolSizer
-from burdockthread_scheduling.pool_status import PlannerAnswer, PoolStatus
+from burdockthread_scheduling.pool_status import (
+    MACHINE_ORDER_TIMEOUT_S,
+    PlannerAnswer,
+    PoolStatus,
+)
 from burdockthread_scheduling.records import decode, encode
 from burdockthread_scheduling.specs import FleetConfiguration
 from burdockthread_scheduling.wave_planner import WavePlanner
@@ -415,20 +419,25 @@
         await self.write_record(released=False)
 
     async def order(self, machine: Machine, intent: Intent) -> None:
-        """Sends one order and records its outcome."""
+        """Sends one order and records its outcome.
+
+        An order that has not been answered in time is cancelled, however late this
+        process is: it must not be sent once the lease may have ended.
+        """
         control, times = self.parts.control, self.parts.times
         holder, fence = self.parts.entry, self.tenure.fence
         ledger, name = self.ledger, machine.name
         sent_s = self.clock.now()
         outcome = "done"
         try:
-            if intent.purpose is Purpose.UPKEEP:
-                duration_s = times.upkeep_s
-                await control.maintain(name, intent.wave, holder, fence)
-                self.waves.done(intent.wave).add(name)
-            else:
-                duration_s = times.move_s
-                await control.move(name, intent.pool, holder, fence)
+            async with self.clock.timeout(MACHINE_ORDER_TIMEOUT_S):
+                if intent.purpose is Purpose.UPKEEP:
+                    duration_s = times.upkeep_s
+                    await control.maintain(name, intent.wave, holder, fence)
+                    self.waves.done(intent.wave).add(name)
+                else:
+                    duration_s = times.move_s
+                    await control.move(name, intent.pool, holder, fence)
             ledger.orders[name] = GivenOrder(intent, sent_s + duration_s)
             if machine.worker_id:
                 ledger.ended[machine.worker_id] = self.clock.now()
@@ -437,8 +446,8 @@
             ledger.backoff_until_s[name] = sent_s + BUSY_PAUSE_S
             if error.refusal is MachineRefusal.NOT_IN_WAVE:
                 self.waves.done(intent.wave).add(name)
-        except PlatformError as error:
-            outcome = str(error)
+        except (PlatformError, TimeoutError) as error:
+            outcome = str(error) or "no answer in time"
             ledger.orders[name] = GivenOrder(intent, sent_s + BUSY_PAUSE_S)
         ledger.intents.pop(name, None)
         self.parts.metrics.count(f"machines.{intent.purpose.value}")
--- a/libs/scheduling/burdockthread_scheduling/memory_machines.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_machines.py
@@ -42,6 +42,7 @@
         orders: Orders carried out.
         maintained: Machines maintained, by wave.
         down: Whether every call fails.
+        delay_s: Seconds until an order is carried out.
         interrupted: Number of runs that orders have ended.
         most_out: Most machines that were out for upkeep at once.
         lives: Numbers for the ids of started workers.
@@ -64,6 +65,7 @@
         self.orders: list[OrderRecord] = []
         self.maintained: dict[int, list[str]] = {}
         self.down = False
+        self.delay_s = 0.0
         self.interrupted = 0
         self.most_out = 0
         self.lives = itertools.count(1)
@@ -100,6 +102,7 @@
 
     async def move(self, machine: str, pool: str, holder: str, fence: int) -> None:
         """Moves a machine to another pool."""
+        await self.clock.sleep(self.delay_s)
         found = self.take_order(machine, "move", holder, fence)
         if found.pool == pool:
             return
@@ -109,6 +112,7 @@
 
     async def maintain(self, machine: str, wave: int, holder: str, fence: int) -> None:
         """Takes a machine out for the upkeep of a wave."""
+        await self.clock.sleep(self.delay_s)
         found = self.take_order(machine, "upkeep", holder, fence)
         done = self.maintained.setdefault(wave, [])
         if machine in done:
