Repeat a renewal of the lease while it is unanswered

A renewal waited 0.8 s for its answer, so two lost ones in a row cost the lease of 2 s, a chance of a quarter each time.

A wait for the time-out and a single repetition were not enough.

A trial of the wait for a free connection without the time in which the process is late is part of this commit: nothing has been sent by then.

--- a/libs/burdockthread/burdockthread/platform_process.py
+++ b/libs/burdockthread/burdockthread/platform_process.py
@@ -11,13 +11,13 @@
 import uvloop
 from burdockthread_model.errors import SettingsError
 from burdockthread_platform.settings import SETTINGS_VARIABLE, EntrySettings
+from burdockthread_scheduling.entry_lease import MAX_ATTEMPTS
 
 from burdockthread.platform_entry import PlatformEntry
 
 EXIT_SETTINGS = 2
 DEFAULT_METRICS_PORT = 9464
 CONNECTIONS_PER_HOST = 16
-URGENT_CONNECTIONS = 2
 KEEPALIVE_S = 60.0
 # The settings file may change without a signal.
 RELOAD_INTERVAL_S = 1.0
@@ -85,7 +85,7 @@
         loop.add_signal_handler(number, stop.set)
     async with (
         client_session(CONNECTIONS_PER_HOST) as session,
-        client_session(URGENT_CONNECTIONS) as urgent_session,
+        client_session(MAX_ATTEMPTS) as urgent_session,
     ):
         entry = PlatformEntry(settings, metrics_port, session, urgent_session)
         follower = SettingsFollower(path, entry)
--- a/libs/model/burdockthread_model/http_calls.py
+++ b/libs/model/burdockthread_model/http_calls.py
@@ -146,7 +146,7 @@
         queue = self.queue(url)
         if queue.locked():
             try:
-                async with running_timeout(self.load, timeout_s):
+                async with asyncio.timeout(timeout_s):
                     await queue.acquire()
             except TimeoutError as error:
                 raise NoFreeConnectionError(
