Look for a write without an answer before its time-out

A write without an answer is now looked for after 0.25 s, or twice the time that the last answered call took, not counting delays of this process. A batch of jobs whose write was lost for certain is written again for up to 1.5 s instead of being refused.

Ruled out: sending each write twice (a second condition on the same marker).

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -146,7 +146,7 @@
             str(settings.store), calls, self.clock, WATCH_PAUSES_S
         )
         self.store = SettledStore(
-            self.platform, settings.name, self.clock, self.metrics
+            self.platform, settings.name, self.clock, self.metrics, self.load
         )
         self.shared_cache = self.prefix_cache(SHARED_PREFIX)
         self.cluster_cache = self.prefix_cache(CLUSTER_PREFIX)
--- a/libs/model/burdockthread_model/errors.py
+++ b/libs/model/burdockthread_model/errors.py
@@ -49,6 +49,10 @@
     """The service is unavailable; a write has certainly not taken effect."""
 
 
+class WriteLostError(StoreUnavailableError):
+    """A write was lost on its way and can have no effect any more; others may pass."""
+
+
 class StoreUnknownError(StoreError):
     """The answer to a write was lost; the write may have taken effect."""
 
--- a/libs/scheduling/burdockthread_scheduling/intake.py
+++ b/libs/scheduling/burdockthread_scheduling/intake.py
@@ -10,6 +10,7 @@
     NotFoundError,
     StoreUnavailableError,
     StoreUnknownError,
+    WriteLostError,
 )
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import Metrics
@@ -31,6 +32,9 @@
 MAX_JOBS_PER_WRITE = 9
 MAX_WRITES_AT_ONCE = 4
 MAX_CANCEL_TRIES = 5
+# A batch whose write was lost is sent again within this time, about half of the time
+# that callers wait.
+RESEND_TIMEOUT_S = 1.5
 
 
 class Submission:
@@ -171,17 +175,23 @@
         """Writes a batch and completes its submissions.
 
         After a conflict, the batch is written again without the jobs that are
-        already stored.
+        already stored; after a write that was lost, as it is.
 
         Raises:
             StoreUnavailableError: The batch was not stored.
             StoreUnknownError: The batch may be stored.
         """
         left = list(batch)
+        resend_until_s = self.clock.now() + RESEND_TIMEOUT_S
         while left:
             records = [self.record_of(submission) for submission in left]
             try:
                 revision = await self.store.write(self.changes(left, records))
+            except WriteLostError:
+                if self.clock.now() >= resend_until_s:
+                    raise
+                self.metrics.count("intake.writes_lost")
+                continue
             except ConflictError:
                 left = await self.without_stored(left)
                 continue
--- a/libs/scheduling/tests/test_lost_renewals.py
+++ b/libs/scheduling/tests/test_lost_answers.py
@@ -84,3 +84,8 @@
     await entries.kill("one")
     await asyncio.sleep(0)
     assert waiting == []
+
+
+async def test_job_whose_write_was_lost_is_stored_by_the_next_one(site):
+    site.faulty.set_faults({"drop_requests": 2})
+    assert site.phase(await site.submit()) is not None
--- a/libs/store/burdockthread_store/settled_store.py
+++ b/libs/store/burdockthread_store/settled_store.py
@@ -14,7 +14,7 @@
 import random
 import secrets
 from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from enum import Enum, auto
 from typing import NamedTuple
 
@@ -24,7 +24,10 @@
     StoreError,
     StoreUnavailableError,
     StoreUnknownError,
+    WriteLostError,
 )
+from burdockthread_model.http_calls import running_timeout
+from burdockthread_model.load import LoadMonitor
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.records import RecordError, decode_record, encode_record
 from burdockthread_model.settings import Limits
@@ -50,6 +53,10 @@
 RETRY_FIRST_S = 0.05
 RETRY_MAX_S = 1.0
 MARKER_ATTEMPTS = 4
+# A write without an answer is looked for after this time, or after this many times the
+# last write took: reads find it long before the time-out of a call.
+RESOLVE_AFTER_S = 0.25
+RESOLVE_FACTOR = 2.0
 
 
 class Marker(NamedTuple):
@@ -163,11 +170,27 @@
         free_marker_keys: Marker keys that no write uses now, the last used at the end.
         has_unresolved_write: Whether a lost answer could not be resolved and the
             store has not answered since.
+        answer_s: Seconds that the last answered write took, or the last read after
+            one without an answer.
     """
 
     def __init__(
-        self, store: ConfigurationStore, name: str, clock: Clock, metrics: Metrics
+        self,
+        store: ConfigurationStore,
+        name: str,
+        clock: Clock,
+        metrics: Metrics,
+        load: LoadMonitor | None = None,
     ) -> None:
+        """Creates a client.
+
+        Args:
+            store: Client whose writes may end in `StoreUnknownError`.
+            name: Name of this client.
+            clock: Clock for the time-outs.
+            metrics: Counts lost answers.
+            load: Knows the lateness of this process, or None if it is never late.
+        """
         self.store = store
         self.name = name
         self.clock = clock
@@ -179,6 +202,8 @@
         ]
         self.marker_key_permits = asyncio.Semaphore(MARKER_KEY_COUNT)
         self.has_unresolved_write = False
+        self.load = load
+        self.answer_s = 0.0
 
     @classmethod
     def with_budget(
@@ -262,7 +287,7 @@
             marker_key.key, encode_record(marker), marker_key.revision
         )
         try:
-            revision = await self.store.write([*changes, marker_change], guards)
+            revision = await self.send([*changes, marker_change], guards)
         except ConflictError as error:
             return await self.explain_conflict(marker_key, writer, error)
         except StoreUnknownError:
@@ -270,6 +295,32 @@
         marker_key.advance(marker, revision)
         return revision
 
+    async def send(
+        self, changes: Sequence[Change], guards: Sequence[Guard] = ()
+    ) -> int:
+        """Sends a write and waits for its answer for some times the usual time.
+
+        Raises:
+            StoreUnknownError: No answer until then, or none in the call's own time-out.
+            StoreError: See `ConfigurationStore.write`.
+        """
+        sent_s = self.clock.now()
+        try:
+            async with self.answer_timeout():
+                revision = await self.store.write(changes, guards)
+        except TimeoutError as error:
+            elapsed_s = self.clock.now() - sent_s
+            raise StoreUnknownError(f"no answer for {elapsed_s:.2f} s") from error
+        self.answer_s = self.clock.now() - sent_s
+        return revision
+
+    def answer_timeout(self) -> AbstractAsyncContextManager[object]:
+        """Returns the time-out of a write, without delays of this process."""
+        seconds = max(RESOLVE_AFTER_S, self.answer_s * RESOLVE_FACTOR)
+        if self.load is None:
+            return self.clock.timeout(seconds)
+        return running_timeout(self.load, seconds)
+
     def new_writer(self) -> str:
         """Returns a unique id for a write."""
         return f"{self.process_id}-{next(self.numbers)}"
@@ -301,7 +352,7 @@
             The revision of the write.
 
         Raises:
-            StoreUnavailableError: The write had no effect and will have none.
+            WriteLostError: The write had no effect and will have none.
             StoreUnknownError: Neither is known after at most `SETTLE_TIMEOUT_S`.
         """
         self.metrics.count("store.lost_answers")
@@ -317,7 +368,7 @@
         if outcome.effect is Effect.WRITTEN:
             return outcome.revision
         if outcome.effect is Effect.NOT_WRITTEN:
-            raise StoreUnavailableError(
+            raise WriteLostError(
                 "the request of the write was lost; nothing was written"
             )
         raise StoreUnknownError(
@@ -332,7 +383,10 @@
         retry_s = RETRY_FIRST_S
         while True:
             try:
+                sent_s = self.clock.now()
                 found = await self.store.get(marker_key.key)
+                # A store that is slow to read is slow to write, too.
+                self.answer_s = self.clock.now() - sent_s
                 outcome = marker_key.outcome(writer, found)
                 if outcome.effect is not Effect.PENDING:
                     marker_key.update_from(found)
@@ -349,7 +403,7 @@
         marker_change = Change(
             marker_key.key, encode_record(marker), marker_key.revision
         )
-        marker_key.advance(marker, await self.store.write([marker_change]))
+        marker_key.advance(marker, await self.send([marker_change]))
 
     async def grant_lease(self, ttl_s: float) -> Lease:
         """Grants a lease."""
