Tell a slow store from a lost write by the time of its last answer

A new entry, which had measured nothing and did not know the marker of its predecessor, could not find its first write: store_lost for 1.5 s each time.

A write is looked for after half of the time-out of a call, 0.4 s; every answered read measures the store, and a process that has seen no answer waits for the time-out.

--- a/libs/store/burdockthread_store/settled_store.py
+++ b/libs/store/burdockthread_store/settled_store.py
@@ -11,10 +11,15 @@
 
 import asyncio
 import itertools
+import math
 import random
 import secrets
 from collections.abc import AsyncIterator, Sequence
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    asynccontextmanager,
+    nullcontext,
+)
 from enum import Enum, auto
 from typing import NamedTuple
 
@@ -53,9 +58,9 @@
 RETRY_FIRST_S = 0.05
 RETRY_MAX_S = 1.0
 MARKER_ATTEMPTS = 4
-# A write without an answer is looked for after this time, or after this many times the
-# last write took: reads find it long before the time-out of a call.
-RESOLVE_AFTER_S = 0.25
+# A write without an answer is looked for after this time, half of the time-out of a
+# call, or after this many times the last answer took: a read finds it before that.
+RESOLVE_AFTER_S = 0.4
 RESOLVE_FACTOR = 2.0
 
 
@@ -170,8 +175,8 @@
         free_marker_keys: Marker keys that no write uses now, the last used at the end.
         has_unresolved_write: Whether a lost answer could not be resolved and the
             store has not answered since.
-        answer_s: Seconds that the last answered write took, or the last read after
-            one without an answer.
+        answer_s: Seconds that the last answered read or write took; infinity before
+            the first.
     """
 
     def __init__(
@@ -203,7 +208,7 @@
         self.marker_key_permits = asyncio.Semaphore(MARKER_KEY_COUNT)
         self.has_unresolved_write = False
         self.load = load
-        self.answer_s = 0.0
+        self.answer_s = float("inf")
 
     @classmethod
     def with_budget(
@@ -220,7 +225,10 @@
 
     async def get(self, key: str) -> KeyValue | None:
         """Reads one key."""
-        return await self.store.get(key)
+        sent_s = self.clock.now()
+        found = await self.store.get(key)
+        self.answer_s = self.clock.now() - sent_s
+        return found
 
     async def list(self, prefix: str) -> Listing:
         """Reads all keys below a prefix."""
@@ -315,8 +323,14 @@
         return revision
 
     def answer_timeout(self) -> AbstractAsyncContextManager[object]:
-        """Returns the time-out of a write, without delays of this process."""
+        """Returns the time-out of a write, without delays of this process.
+
+        A store that is slow to read is slow to write, too; the first write of a process
+        has the time-out of its call alone.
+        """
         seconds = max(RESOLVE_AFTER_S, self.answer_s * RESOLVE_FACTOR)
+        if math.isinf(seconds):
+            return nullcontext()
         if self.load is None:
             return self.clock.timeout(seconds)
         return running_timeout(self.load, seconds)
@@ -383,10 +397,7 @@
         retry_s = RETRY_FIRST_S
         while True:
             try:
-                sent_s = self.clock.now()
-                found = await self.store.get(marker_key.key)
-                # A store that is slow to read is slow to write, too.
-                self.answer_s = self.clock.now() - sent_s
+                found = await self.get(marker_key.key)
                 outcome = marker_key.outcome(writer, found)
                 if outcome.effect is not Effect.PENDING:
                     marker_key.update_from(found)
