--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -149,6 +149,7 @@
             StoreError: The store did not answer.
             RecordError: A record is malformed.
         """
+        # Side by side: earlier holders can change none of these records any more.
         _, assigned = await asyncio.gather(
             self.read_jobs(), self.workers.read_assigned()
         )
