--- a/libs/scheduling/tests/planned_site.py
+++ b/libs/scheduling/tests/planned_site.py
@@ -1,6 +1,7 @@
 """A pool with machines and the machine planner, for tests."""
 
 import asyncio
+from contextlib import asynccontextmanager
 
 from burdockthread_model.errors import PeerUnavailableError
 from burdockthread_scheduling.duty import Tenure
@@ -74,3 +75,19 @@
     def workers(self):
         """How many workers the pool has."""
         return len(self.park.workers(POOL))
+
+
+@asynccontextmanager
+async def planned_site():
+    """Runs a planned site with a planner and a holder, and checks its promises."""
+    found = PlannedSite()
+    await found.pass_time(0.1)
+    await found.planner()
+    await found.holder()
+    await found.pass_time(SPACING_S + 1.0)
+    try:
+        yield found
+    finally:
+        await found.close()
+    assert found.park.violations == []
+    assert found.machines.interrupted == 0
--- a/libs/scheduling/tests/test_demand_peaks.py
+++ b/libs/scheduling/tests/test_demand_peaks.py
@@ -7,8 +7,8 @@
 from burdockthread_scheduling.pool_status import PoolStatus, WorkerStatus
 from burdockthread_scheduling.records import JobPhase
 from burdockthread_scheduling.workers import Capacity
+from planned_site import SPACING_S, planned_site
 from pool_site import POOL, step
-from test_machine_planner import SPACING_S, PlannedSite
 
 CONFIRMED_S = 2.0
 REPORT_S = 0.1
@@ -17,16 +17,10 @@
 
 @pytest.fixture
 async def site():
-    found = PlannedSite()
-    await found.pass_time(0.1)
-    await found.planner()
-    await found.holder()
-    await found.until(lambda: found.workers() == RESERVE)
-    await found.pass_time(SPACING_S)
-    yield found
-    await found.close()
-    assert found.park.violations == []
-    assert found.machines.interrupted == 0
+    async with planned_site() as found:
+        await found.until(lambda: found.workers() == RESERVE)
+        await found.pass_time(SPACING_S)
+        yield found
 
 
 @pytest.fixture
--- a/libs/scheduling/tests/test_late_machine_orders.py
+++ b/libs/scheduling/tests/test_late_machine_orders.py
@@ -7,18 +7,13 @@
 import pytest
 from burdockthread_scheduling.machines import Wave
 from burdockthread_scheduling.pool_status import MACHINE_ORDER_TIMEOUT_S
-from planned_site import SPACING_S, PlannedSite
+from planned_site import planned_site
 
 
 @pytest.fixture
 async def site():
-    found = PlannedSite()
-    await found.pass_time(0.1)
-    await found.planner()
-    await found.holder()
-    await found.pass_time(SPACING_S + 1.0)
-    yield found
-    await found.close()
+    async with planned_site() as found:
+        yield found
 
 
 async def test_order_that_waits_beyond_its_time_out_is_never_sent(site):
--- a/libs/scheduling/tests/test_machine_planner.py
+++ b/libs/scheduling/tests/test_machine_planner.py
@@ -10,7 +10,7 @@
 from burdockthread_scheduling.records import JobPhase, decode, encode
 from burdockthread_scheduling.workers import Capacity
 from burdockthread_store.store import ANY_REVISION, Change
-from planned_site import SPACING_S, PlannedSite
+from planned_site import SPACING_S, planned_site
 from pool_site import POOL, step
 
 FOREVER = TaskNature(duration_s=float("inf"))
@@ -18,15 +18,8 @@
 
 @pytest.fixture
 async def site():
-    found = PlannedSite()
-    await found.pass_time(0.1)
-    await found.planner()
-    await found.holder()
-    await found.pass_time(SPACING_S + 1.0)
-    yield found
-    await found.close()
-    assert found.park.violations == []
-    assert found.machines.interrupted == 0
+    async with planned_site() as found:
+        yield found
 
 
 @pytest.fixture(params=[True, False], ids=["announced", "not-announced"])
--- a/libs/scheduling/tests/test_takeover_after_moves.py
+++ b/libs/scheduling/tests/test_takeover_after_moves.py
@@ -12,8 +12,9 @@
 from burdockthread_scheduling.records import JobPhase, decode, encode
 from burdockthread_scheduling.workers import Capacity, WorkerKey
 from burdockthread_store.store import ANY_REVISION, Change
+from planned_site import PlannedSite
 from pool_site import CONFIGURATION, POOL, step
-from test_machine_planner import FOREVER, PlannedSite
+from test_machine_planner import FOREVER
 
 ASSIGNED_KEY = f"assigned/{POOL}"
 PROMPT_S = LEASE_BOUND_S / 2
