--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -125,7 +125,7 @@
         return None if found is None else decode(found.value, AssignedWorkers)
 
     def expect(self, left: AssignedWorkers) -> None:
-        """Waits for the workers of earlier holders to answer this holder.
+        """Records the workers of earlier holders, which have to answer this holder.
 
         For each earlier holder that may still be active, starts a task that asks
         for its release.
