--- a/review/small_site.py
+++ b/review/small_site.py
@@ -82,6 +82,7 @@
 bounds.paceMs=100
 bounds.harmMs=4000
 orders=call
+advice={policy}
 platform.address={store}
 platform.form=kv
 platform.writesPerS=400
@@ -490,6 +491,9 @@
         self.extend(body)
         if known is not None or number <= self.closed.get(task, 0):
             return self.refuse("old", "/run-start", body)
+        reason = self.site.check_start(self, body)
+        if reason:
+            return self.refuse(reason, "/run-start", body)
         nature = self.site.nature(task, number, self)
         used = sum(run.nature.cpu for run in self.runs.values())
         if used + nature.cpu > self.cpu:
@@ -649,6 +653,7 @@
                 internal=self.internal,
                 store=f"{site.host}:{store}",
                 machines=f"{site.host}:{site.machines_port}",
+                policy=f"{site.host}:{site.policy_port}" if site.policy_port else "",
             )
         )
         self.door = Door()
@@ -712,6 +717,8 @@
         noted: Task and run of each end that a poll has confirmed with `lastSeen`.
         listed: Clock time at which each end was first listed to a holder.
         on_upkeep: Called with a machine just before its upkeep begins.
+        policy: Answers calls for advice, or None if no queue has a policy.
+        check_start: Returns why an executor refuses a start, or an empty text.
     """
 
     def __init__(
@@ -736,6 +743,9 @@
         self.group: asyncio.TaskGroup
         self.stack: AsyncExitStack
         self.on_upkeep: Callable[[Machine], None] = lambda _: None
+        self.policy: Callable[[web.Request], Awaitable[web.Response]] | None = None
+        self.policy_port = 0
+        self.check_start: Callable[[Executor, JsonObject], str] = lambda *_: ""
 
     @asynccontextmanager
     async def running(
@@ -757,6 +767,10 @@
             tasks = [asyncio.create_task(self.store.run())]
             stack.callback(lambda: [task.cancel() for task in tasks])
             self.machines_port = await self.listen(MachineApi(self).application())
+            if self.policy is not None:
+                app = web.Application()
+                app.router.add_post("/advise", self.policy)
+                self.policy_port = await self.listen(app)
             number = 0
             for pool, sizes in executors.items():
                 for cpu in sizes:
