--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,12 +14,16 @@
 # `finish_s`, and the 3 s of the rule.
 WATCH_S = 17.0
 # Fields are missing: no zone, slots, capacity, labels, sequence or time of birth. The
-# host is a name of 64 digits, as other software gives to its instances.
+# host is a name that begins with 64 digits, as other software gives to its instances;
+# like all names below localhost, it means the loopback address.
 FOREIGN_KEY = "servers/7d0f1c5e"
 FOREIGN = {
     "service": POOL,
     "state": "ready",
-    "address": "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08:8080",
+    "address": (
+        "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+        ".localhost:8080"
+    ),
 }
 
 
