Pass over entries of other writers, and contain errors to one worker

Cause: the entry was taken for a worker. The HTTP library raised UnicodeError for its host, which no caller of HttpCalls expects, and PoolCore.finished gives the whole pool up for an unexpected error in the work with one worker. The next term of the duty met the same entry.

Evidence: worker_seen with the foreign id, then pool_work_failed with that UnicodeError, ten times a second.

Why this works: a registration has to have the fields of an executor, an IP address, a port in range and an id that a header can hold. Behind the parser, HttpCalls raises InvalidCallError, after which nothing was sent; GuardedGateway and WorkerSession treat any other error as one of that worker alone; PrefixCache goes on after unexpected errors. The platform client's other users share HttpCalls.

Other operators' report (deep nesting, large numbers, ports out of range): the first two were refused before and are tested now, ports out of range were taken.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -9,6 +9,7 @@
 from functools import partial
 
 import aiohttp
+from burdockthread_model.addresses import Address
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.errors import PeerUnavailableError
 from burdockthread_model.histograms import HistogramMetrics
@@ -33,7 +34,6 @@
     RegisteredWorkers,
 )
 from burdockthread_platform.settings import (
-    Address,
     EntrySettings,
 )
 from burdockthread_platform.waves import StoredWaves
--- a/libs/model/burdockthread_model/http_calls.py
+++ b/libs/model/burdockthread_model/http_calls.py
@@ -18,6 +18,7 @@
 READ_PASS_S = 0.001
 # A call that waits for its own process or link ends after this many time-outs at most.
 MAX_TIMEOUT_FACTOR = 4.0
+MAX_URL_CHARS = 200
 # Headers that the library would add and that no callee uses.
 OMITTED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
@@ -26,10 +27,16 @@
     """All connections to the address were in use; nothing was sent."""
 
 
+class InvalidCallError(aiohttp.ClientError):
+    """The address or a header cannot be encoded; nothing was sent."""
+
+
 # Errors of calls of which nothing was sent.
 NOT_SENT = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
+    aiohttp.InvalidURL,
+    InvalidCallError,
     NoFreeConnectionError,
 )
 
@@ -191,11 +198,13 @@
         Raises:
             AnswerTooLargeError: The body has more than `most_bytes`.
             aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError,
-            NoFreeConnectionError: No connection; nothing was sent.
+            aiohttp.InvalidURL, InvalidCallError, NoFreeConnectionError: No connection;
+            nothing was sent.
             aiohttp.ClientError, OSError: No complete answer.
             TimeoutError: No complete answer in time.
         """
         received = 0
+        is_answered = False
         session = self.urgent_session if urgent else self.session
         free = nullcontext() if urgent else self.connection(url, timeout_s)
         try:
@@ -211,6 +220,7 @@
                     timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
                 ) as answer,
             ):
+                is_answered = True
                 if on_part is not None:
                     on_part(answer.status)
                 if (answer.content_length or 0) > most_bytes:
@@ -226,5 +236,10 @@
                         on_part(answer.status)
                     limit.restart()
                 return HttpAnswer(answer.status, b"".join(parts))
+        except ValueError as error:
+            # The library raises these for hosts and headers that it cannot encode.
+            if is_answered or isinstance(error, aiohttp.ClientError):
+                raise
+            raise InvalidCallError(f"{url[:MAX_URL_CHARS]}: {error}") from error
         finally:
             self.load.note_call(kind, len(body or b""), received)
--- a/libs/platform/burdockthread_platform/machines_http.py
+++ b/libs/platform/burdockthread_platform/machines_http.py
@@ -3,6 +3,7 @@
 from typing import NoReturn
 
 import aiohttp
+from burdockthread_model.addresses import Address
 from burdockthread_model.errors import PlatformError
 from burdockthread_model.http_calls import HttpCalls
 from burdockthread_scheduling.machines import (
@@ -16,7 +17,6 @@
 
 from burdockthread_platform import wire
 from burdockthread_platform.registrations import parse_capacity
-from burdockthread_platform.settings import Address
 
 MAX_PAGES = 100
 OVER_RATE = 429
--- a/libs/platform/burdockthread_platform/policy_http.py
+++ b/libs/platform/burdockthread_platform/policy_http.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 import aiohttp
+from burdockthread_model.addresses import Address
 from burdockthread_model.errors import PlatformError
 from burdockthread_model.http_calls import HttpCalls
 from burdockthread_scheduling.placement_policy import (
@@ -13,7 +14,6 @@
 )
 
 from burdockthread_platform import wire
-from burdockthread_platform.settings import Address
 
 # The service handles the calls of one machine one after another.
 CALL_TIMEOUT_S = 5.0
--- a/libs/platform/burdockthread_platform/registrations.py
+++ b/libs/platform/burdockthread_platform/registrations.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from types import MappingProxyType
 
+from burdockthread_model.addresses import Address
 from burdockthread_model.events import EventLog
 from burdockthread_scheduling.roster import WorkerRoster
 from burdockthread_scheduling.workers import Capacity, WorkerKey, WorkerListing
@@ -14,6 +15,8 @@
 
 REGISTRATION_PREFIX = "servers/"
 STATES = ("ready", "draining")
+TEXT_FIELDS = ("service", "address", "zone", "version", "state")
+INTEGER_FIELDS = ("slots", "coldRemainingMs", "sequence")
 NO_WORKERS: Mapping[WorkerKey, WorkerListing] = MappingProxyType({})
 
 
@@ -77,37 +80,44 @@
     """Decodes a registration.
 
     Raises:
-        WireError: The registration is malformed or its state is unknown.
+        WireError: The registration is malformed, or names no worker to call.
     """
     body = wire.parse_object(value)
-    state = wire.required_text(body, "state")
+    for name in TEXT_FIELDS:
+        wire.required_text(body, name)
+    for name in INTEGER_FIELDS:
+        wire.integer(body, name, default=None)
+    state = wire.text(body, "state")
     if state not in STATES:
         raise wire.WireError("state", f"unknown state {state[:32]}")
-    host, separator, port = wire.required_text(body, "address").rpartition(":")
-    if not separator or not host or not port.isdecimal() or len(port) > 5:
-        raise wire.WireError("address", "expected IP and port")
+    if not worker_id.isascii() or not worker_id.isprintable():
+        raise wire.WireError("id", "expected printable ASCII characters")
+    try:
+        address = Address.from_text(wire.text(body, "address"))
+    except ValueError as error:
+        raise wire.WireError("address", str(error)) from error
     # The field `slots` counts concurrent requests and does not limit tasks.
-    labels = wire.texts(body, "labels")
+    labels = wire.texts(body, "labels", default=None)
     return WorkerListing(
         key=WorkerKey(worker_id, wire.integer(body, "born")),
-        pool=wire.required_text(body, "service"),
-        host=host,
-        port=int(port),
+        pool=wire.text(body, "service"),
+        host=address.host,
+        port=address.port,
         availability_zone=wire.text(body, "zone"),
         labels=labels,
         # The first label is the kind of the worker, the second its rack.
         rack=labels[1] if len(labels) > 1 else "",
-        capacity=parse_capacity(body.get("capacity", {})),
+        capacity=parse_capacity(body.get("capacity"), default=None),
         draining=state == "draining",
         remaining_ms=wire.integer(body, "remainingMs"),
     )
 
 
-def parse_capacity(value: object) -> Capacity:
-    """Decodes the resources of a worker or machine."""
+def parse_capacity(value: object, default: int | None = 0) -> Capacity:
+    """Decodes the resources of a worker or machine; see `wire.integer`."""
     body = wire.as_object(value, "capacity")
     return Capacity(
-        cpu_milli=wire.integer(body, "cpu", "capacity"),
-        memory_mb=wire.integer(body, "memMb", "capacity"),
-        accelerators=wire.integer(body, "gpu", "capacity"),
+        cpu_milli=wire.integer(body, "cpu", "capacity", default=default),
+        memory_mb=wire.integer(body, "memMb", "capacity", default=default),
+        accelerators=wire.integer(body, "gpu", "capacity", default=default),
     )
--- a/libs/platform/burdockthread_platform/settings.py
+++ b/libs/platform/burdockthread_platform/settings.py
@@ -4,24 +4,13 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from burdockthread_model.addresses import MAX_PORT, Address
 from burdockthread_model.errors import SettingsError
 
 SETTINGS_VARIABLE = "BURDOCKTHREAD_BOOT"
-MAX_PORT = 65_535
 BYTES_PER_MBIT = 125_000
 
 
-class Address(NamedTuple):
-    """An IP address with a TCP port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Returns host and port with a colon between them."""
-        return f"{self.host}:{self.port}"
-
-
 class EntrySettings(NamedTuple):
     """Settings of a process: its VM, the platform's addresses, limits and times.
 
--- a/libs/platform/burdockthread_platform/wire.py
+++ b/libs/platform/burdockthread_platform/wire.py
@@ -129,9 +129,13 @@
     return value
 
 
-def texts(source: JsonObject, name: str, path: str = "") -> tuple[str, ...]:
-    """Returns a list of texts; an absent field gives an empty one."""
-    values = source.get(name, [])
-    if not isinstance(values, list) or not all(isinstance(v, str) for v in values):
+def texts(
+    source: JsonObject, name: str, path: str = "", default: tuple[()] | None = ()
+) -> tuple[str, ...]:
+    """Returns a list of texts; a default of None if the field is required."""
+    values = source.get(name, default)
+    if not isinstance(values, list | tuple) or not all(
+        isinstance(v, str) for v in values
+    ):
         raise WireError(join(path, name), "expected a list of texts")
     return tuple(values)
--- a/libs/platform/burdockthread_platform/worker_http.py
+++ b/libs/platform/burdockthread_platform/worker_http.py
@@ -118,7 +118,7 @@
     ) -> OrderAnswer:
         """Orders the start of a run."""
         body: wire.JsonObject = {
-            "task": format_task(order.task),
+            "task": str(order.task),
             "run": order.run,
             "specification": order.payload,
             "deadlineMs": order.lease_until_ms,
@@ -139,7 +139,7 @@
         timeout_s: float,
     ) -> OrderAnswer:
         """Orders a run to stop."""
-        body = {"task": format_task(task), "run": run, "fencingToken": fence}
+        body = {"task": str(task), "run": run, "fencingToken": fence}
         return await self.order(worker, "/run-stop", body, timeout_s)
 
     async def pace(
@@ -153,7 +153,7 @@
     ) -> OrderAnswer:
         """Sets the percentage of full speed at which a task may work."""
         body = {
-            "task": format_task(task),
+            "task": str(task),
             "run": run,
             "percent": percent,
             "fencingToken": fence,
@@ -246,13 +246,8 @@
     raise wire.WireError("ended", "unexpected row")
 
 
-def format_task(task: TaskId) -> str:
-    """Returns the name of a task: job, occurrence, step and index, with dots."""
-    return str(task)
-
-
 def parse_task(name: str) -> TaskId:
-    """Parses the name of a task; see `format_task`.
+    """Parses the name of a task: job, occurrence, step and index, with dots.
 
     Raises:
         WireError: The name is not a job id and three numbers.
--- a/libs/platform/tests/test_jobs_port.py
+++ b/libs/platform/tests/test_jobs_port.py
@@ -9,11 +9,11 @@
 import uvloop
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
+from burdockthread_model.addresses import Address
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.events import EventLog
 from burdockthread_model.http_server import GracefulServer, ListeningPort, serve
 from burdockthread_platform.jobs_http import JobsPort
-from burdockthread_platform.settings import Address
 from burdockthread_scheduling.specs import QueueSpec
 from ephemeral_port_reserve import reserve
 
--- a/libs/platform/tests/test_unreached.py
+++ b/libs/platform/tests/test_unreached.py
@@ -82,3 +82,24 @@
     request = CallerRequest("POST", "a.example", "/a/1", b"", TIMEOUT_S)
     with pytest.raises(PeerUnavailableError):
         await link.relay(f"{HOST}:{full_port}", request)
+
+
+# Guards against errors of the HTTP library for hosts and ids of another writer, which
+# are not errors of a connection.
+@pytest.mark.parametrize(
+    ("host", "worker_id"),
+    [
+        (f"{'a' * 64}.localhost", "w1"),
+        (".localhost", "w1"),
+        ("a b", "w1"),
+        (HOST, "w\n1"),
+    ],
+)
+async def test_order_that_cannot_be_encoded_has_no_effect(calls, host, worker_id):
+    worker = WorkerListing(
+        WorkerKey(worker_id, 1), "pool", host, 1, "zone", (), Capacity()
+    )
+    with pytest.raises(WorkerRefusedError):
+        await HttpWorkerGateway(calls).stop(
+            worker, TaskId("job", 0, 0, 0), 1, 1, TIMEOUT_S
+        )
--- a/libs/scheduling/burdockthread_scheduling/pool_core.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_core.py
@@ -12,6 +12,7 @@
 from burdockthread_scheduling.board import Board
 from burdockthread_scheduling.duty import Tenure
 from burdockthread_scheduling.estimates import DurationEstimates
+from burdockthread_scheduling.guarded_gateway import GuardedGateway
 from burdockthread_scheduling.job_index import JobIndex
 from burdockthread_scheduling.job_order import JobOrder
 from burdockthread_scheduling.placement_policy import PolicyService
@@ -70,6 +71,7 @@
     Attributes:
         board: Jobs of the pool.
         workers: Workers by id and time of start.
+        gateway: Sends orders to the workers.
         estimates: Estimates of the durations of tasks.
         order: Order in which jobs are served.
         health: Failures and quarantine of workers.
@@ -88,6 +90,7 @@
         self.metrics = parts.metrics
         self.board = Board()
         self.workers: dict[WorkerKey, WorkerState] = {}
+        self.gateway = GuardedGateway(parts.gateway, self.log)
         self.estimates = DurationEstimates(self.clock)
         self.order = JobOrder(self.estimates, self.clock)
         self.health = WorkerHealth(self.clock, self.metrics, self.log)
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -204,7 +204,7 @@
         session = WorkerSession(
             worker,
             core.tenure.fence,
-            core.parts.gateway,
+            core.gateway,
             self.listener,
             core.clock,
             core.metrics,
--- a/libs/scheduling/burdockthread_scheduling/records.py
+++ b/libs/scheduling/burdockthread_scheduling/records.py
@@ -175,7 +175,7 @@
     """
     try:
         return msgspec.json.decode(data, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise RecordError(f"{kind.__name__}: {error}") from error
 
 
--- a/libs/scheduling/burdockthread_scheduling/run_orders.py
+++ b/libs/scheduling/burdockthread_scheduling/run_orders.py
@@ -18,6 +18,7 @@
     OrderAnswer,
     Refusal,
     StartOrder,
+    WorkerCallFailedError,
     WorkerRefusedError,
     WorkerReplacedError,
 )
@@ -106,7 +107,7 @@
             ticket=self.tickets.ticket(task.task, worker.worker_id),
         )
         sent_s = self.clock.now()
-        gateway = self.core.parts.gateway
+        gateway = self.core.gateway
         try:
             answer = await gateway.start(worker.listing, order, CALL_TIMEOUT_S)
         except WorkerReplacedError:
@@ -117,6 +118,8 @@
             self.on_refused(placement, str(error))
             return
         except PlatformError as error:
+            if isinstance(error, WorkerCallFailedError):
+                self.core.health.stall(worker, task, len(self.core.workers))
             self.window.note_no_answer(worker.worker_id)
             self.on_no_answer(placement, error)
             return
@@ -249,7 +252,7 @@
             return False
         fence = self.core.tenure.fence
         try:
-            answer = await self.core.parts.gateway.stop(
+            answer = await self.core.gateway.stop(
                 worker.listing, *key, fence, CALL_TIMEOUT_S
             )
         except WorkerReplacedError:
@@ -276,7 +279,7 @@
         """Sets the pace of a run in percent; returns whether the worker confirmed."""
         worker = placement.worker
         try:
-            answer = await self.core.parts.gateway.pace(
+            answer = await self.core.gateway.pace(
                 worker.listing,
                 placement.task_id,
                 placement.run,
--- a/libs/scheduling/burdockthread_scheduling/sessions.py
+++ b/libs/scheduling/burdockthread_scheduling/sessions.py
@@ -80,7 +80,10 @@
         self.stored = asyncio.Event()
 
     async def run(self) -> None:
-        """Polls the worker until cancelled, or until it is fenced or replaced."""
+        """Polls the worker until cancelled, or until it is fenced or replaced.
+
+        An error with one worker never ends the session, nor the duty of the pool.
+        """
         retry_s = RETRY_FIRST_S
         while not self.worker.replaced:
             await self.wait_for_need()
@@ -102,6 +105,16 @@
                 self.note_failure(error)
                 await self.clock.sleep(retry_s)
                 retry_s = min(retry_s * 2, RETRY_MAX_S)
+            except Exception as error:
+                # The leases of this worker expire; the others go on.
+                self.log.error(
+                    "worker_report_failed",
+                    worker=self.worker.worker_id,
+                    reason=repr(error),
+                )
+                self.note_failure(error)
+                await self.clock.sleep(retry_s)
+                retry_s = min(retry_s * 2, RETRY_MAX_S)
 
     def has_need(self) -> bool:
         """Returns whether there is a reason to poll the worker."""
@@ -161,7 +174,7 @@
             return longest_ms
         return min(longest_ms, math.ceil(pending_ms * CLOCK_RATE_BOUND))
 
-    def note_failure(self, error: PlatformError) -> None:
+    def note_failure(self, error: Exception) -> None:
         """Counts a call without an answer, and logs the first in a row."""
         worker = self.worker
         worker.failed_calls += 1
--- a/libs/scheduling/burdockthread_scheduling/workers.py
+++ b/libs/scheduling/burdockthread_scheduling/workers.py
@@ -224,6 +224,10 @@
     verdict = Verdict.UNKNOWN
 
 
+class WorkerCallFailedError(WorkerSilentError):
+    """A call to the worker failed unexpectedly; its outcome is unknown."""
+
+
 class WorkerGateway(ABC):
     """Sends orders to workers.
 
--- a/libs/store/burdockthread_store/prefix_cache.py
+++ b/libs/store/burdockthread_store/prefix_cache.py
@@ -114,6 +114,14 @@
                 await self.back_off()
             except StoreError:
                 await self.back_off()
+            except Exception as error:
+                # Nobody awaits this coroutine; the copy would age without notice.
+                fields: dict[str, object] = {
+                    "prefix": self.prefix,
+                    "reason": repr(error),
+                }
+                logging.error("%s", format_event("cache_update_failed", fields))
+                await self.back_off()
 
     async def back_off(self) -> None:
         """Waits with exponential backoff and jitter before the next attempt."""
