Count the validity of a ticket from when its request was sent

Cause: requests to the policy service wait in a line of this process, and the wait counted against the tickets. Once it was longer than their validity, each ticket had expired on arrival and its step joined the line again; no start ever shortened the line.

Evidence: policy_asked for the same steps without end, no run_refused and no policy_not_asked. That line now tells the wait, the time of the call and the time left.

Why this works: validity counts from the sending of the call. At most two requests of a pool are under way, the next one is chosen when one ends, longest-unasked first, so that there is no line to wait in. A ticket of a late answer is tried, and the worker decides.

--- a/libs/scheduling/burdockthread_scheduling/placement_policy.py
+++ b/libs/scheduling/burdockthread_scheduling/placement_policy.py
@@ -17,6 +17,12 @@
 RETRY_S = 0.2
 # A ticket that is about to expire could do so before the worker gets it.
 TICKET_MARGIN_S = 0.3
+# Tickets of a late answer may be valid still; they are used at least for this time,
+# and a worker that rejects one shows that it has expired.
+LEAST_USE_S = 1.0
+# The service handles the calls of an entry one after another. One call more than that
+# keeps it at work; the others wait here, where their order can still change.
+MAX_REQUESTS = 2
 
 
 class StepId(NamedTuple):
@@ -33,10 +39,13 @@
     Attributes:
         tickets: Ticket of each worker that may run the step, by worker id.
         valid_s: Seconds for which the tickets are valid.
+        took_s: Seconds from the sending of the request until the answer; a wait
+            before it was sent does not count.
     """
 
     tickets: dict[str, str]
     valid_s: float
+    took_s: float = 0.0
 
 
 class PolicyService(ABC):
@@ -73,6 +82,9 @@
         tickets: Tickets by step and worker.
         refused: Workers that may not run a step; a refusal is final.
         asking: Steps with a request in progress.
+        asked_s: Clock time of the last request for each step.
+        wanted: Steps that need decisions in this round, most urgent first, with the
+            workers in question.
     """
 
     def __init__(
@@ -85,6 +97,8 @@
         self.tickets: dict[StepId, dict[str, Ticket]] = {}
         self.refused: dict[StepId, set[str]] = {}
         self.asking: set[StepId] = set()
+        self.asked_s: dict[StepId, float] = {}
+        self.wanted: dict[StepId, Sequence[str]] = {}
 
     def ticket(self, task: TaskId, worker_id: str) -> str:
         """Returns a valid ticket, or an empty text."""
@@ -108,17 +122,34 @@
         }
         return [worker for worker in workers if worker not in refused | known]
 
+    def want(self, step: StepId, workers: Sequence[str]) -> None:
+        """Notes that a step needs decisions on some workers in this round."""
+        if workers and step not in self.asking:
+            self.wanted[step] = workers
+
+    def begin_requests(self) -> list[tuple[StepId, Sequence[str]]]:
+        """Returns the requests to send now, and forgets what else was wanted.
+
+        A step whose last request is longest ago comes first, so that none waits for
+        ever, and among those without any the most urgent one. The caller passes each
+        to `ask`.
+        """
+        places = max(MAX_REQUESTS - len(self.asking), 0)
+        waiting = sorted(
+            self.wanted, key=lambda step: self.asked_s.get(step, float("-inf"))
+        )
+        chosen = [(step, self.wanted[step]) for step in waiting[:places]]
+        self.asking.update(step for step, _ in chosen)
+        self.wanted.clear()
+        return chosen
+
     async def ask(self, step: StepId, workers: Sequence[str]) -> None:
         """Asks the service about some workers and caches the decisions.
 
-        Does nothing while another request for the step is in progress. After a
-        failure, returns only after `RETRY_S`.
+        After a failure, returns only after `RETRY_S`.
         """
-        if step in self.asking or not workers:
-            return
-        self.asking.add(step)
         asked = workers[:MAX_WORKERS_PER_REQUEST]
-        sent_s = self.clock.now()
+        started_s = self.asked_s[step] = self.clock.now()
         try:
             answer = await self.service.ask(step, asked)
         except PlatformError as error:
@@ -129,8 +160,10 @@
             return
         finally:
             self.asking.discard(step)
-        self.metrics.timing("policy.ask", self.clock.now() - sent_s)
-        until_s = sent_s + answer.valid_s - TICKET_MARGIN_S
+        now = self.clock.now()
+        self.metrics.timing("policy.ask", now - started_s)
+        certain_s = answer.valid_s - answer.took_s - TICKET_MARGIN_S
+        until_s = now + max(certain_s, min(answer.valid_s, LEAST_USE_S))
         known = self.tickets.setdefault(step, {})
         for worker, text in answer.tickets.items():
             known[worker] = Ticket(text, until_s)
@@ -141,14 +174,17 @@
             step=".".join(map(str, step)),
             asked=len(asked),
             allowed=len(answer.tickets),
+            waited_s=round(now - started_s - answer.took_s, 3),
+            took_s=round(answer.took_s, 3),
+            usable_s=round(until_s - now, 3),
         )
 
     def keep_only(self, job_ids: Iterable[str]) -> None:
         """Removes the decisions for all other jobs."""
         kept = set(job_ids)
-        for known in (self.tickets, self.refused):
-            for step in [step for step in known if step.job_id not in kept]:
-                del known[step]
+        for step in [step for step in self.asked_s if step.job_id not in kept]:
+            for known in (self.tickets, self.refused, self.asked_s):
+                known.pop(step, None)
 
 
 class MemoryPolicyService(PolicyService):
--- a/libs/scheduling/burdockthread_scheduling/task_placer.py
+++ b/libs/scheduling/burdockthread_scheduling/task_placer.py
@@ -1,6 +1,6 @@
 """Decides which waiting tasks start now, and on which workers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from burdockthread_scheduling.board import JobRun, StepRun, TaskRun
 from burdockthread_scheduling.evacuation import Evacuation
@@ -59,6 +59,8 @@
         for job in jobs:
             if not job.spec.is_lasting():
                 self.place_job(job, ready, full)
+        for request in self.tickets.begin_requests():
+            core.spawn(self.ask(*request))
         if core.clock.now() - self.rescued_s >= RESCUE_INTERVAL_S:
             self.rescued_s = core.clock.now()
             self.rescue(ready, full)
@@ -126,12 +128,10 @@
         if room < len(waiting):
             by_room = sorted(ready, key=lambda worker: worker.used_cpu)
             names = [worker.worker_id for worker in by_room]
-            unknown = self.tickets.without_answer(step_id, names)
-            if unknown and step_id not in self.tickets.asking:
-                self.core.spawn(self.ask(step_id, unknown))
+            self.tickets.want(step_id, self.tickets.without_answer(step_id, names))
         return found
 
-    async def ask(self, step: StepId, workers: list[str]) -> None:
+    async def ask(self, step: StepId, workers: Sequence[str]) -> None:
         """Asks the policy service, then wakes the scheduler."""
         await self.tickets.ask(step, workers)
         self.core.wake.set()
