Store each job with the terms of its queue

Cause: a holder that reads a job whose queue the configuration lacks used the defaults of a queue, of which one is a single attempt; the record of the job named the queue and nothing else.

Evidence: pool_taken_over, one run_ended how=failed and job_failed at once. queue_removed now tells the terms that a job goes on under.

Why this works: acceptance stores attempts, priority, objective and placement policy with the job, and they hold while the queue is not configured.

--- a/libs/scheduling/burdockthread_scheduling/desk.py
+++ b/libs/scheduling/burdockthread_scheduling/desk.py
@@ -115,7 +115,8 @@
         outcome = GIVEN_UP
         try:
             async with self.clock.timeout(max(wait_s - ANSWER_MARGIN_S, 0.1)):
-                await self.intake.submit(job, queue.pool)
+                accepted = job._replace(terms=queue.terms())
+                await self.intake.submit(accepted, queue.pool)
             outcome = "accepted"
         except StoreUnknownError as error:
             outcome = "unsettled"
--- a/libs/scheduling/burdockthread_scheduling/pool_core.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_core.py
@@ -18,7 +18,12 @@
 from burdockthread_scheduling.placement_policy import PolicyService
 from burdockthread_scheduling.pool_status import PlannerAnswer, PoolStatus
 from burdockthread_scheduling.roster import WorkerRoster
-from burdockthread_scheduling.specs import FleetConfiguration, PoolSpec, QueueSpec
+from burdockthread_scheduling.specs import (
+    FleetConfiguration,
+    JobSpec,
+    PoolSpec,
+    QueueSpec,
+)
 from burdockthread_scheduling.start_window import StartWindow
 from burdockthread_scheduling.worker_health import WorkerHealth
 from burdockthread_scheduling.worker_state import WorkerState
@@ -131,10 +136,19 @@
         for task in self.tasks:
             task.cancel()
 
-    def queue_of(self, name: str) -> QueueSpec:
-        """Returns a queue; with defaults if the configuration no longer has it."""
-        queue = self.parts.configuration().queues.get(name)
-        return queue or QueueSpec(name, "", "", self.pool)
+    def queue_of(self, job: JobSpec) -> QueueSpec:
+        """Returns the queue of a job; as recorded with it if it was removed since."""
+        found = self.parts.configuration().queues.get(job.queue)
+        if found is not None:
+            return found
+        self.log.info(
+            "queue_removed",
+            job=job.job_id,
+            queue=job.queue,
+            attempts=job.terms.max_attempts,
+            policy=job.terms.placement_policy is not None,
+        )
+        return QueueSpec.from_job(job, self.pool)
 
     def spec(self) -> PoolSpec:
         """Returns the pool's configuration; defaults if there is none."""
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -191,7 +191,7 @@
         if spec is None:
             self.on_cancelled(job_id)
         elif job_id not in self.core.board.jobs:
-            queue = self.core.queue_of(spec.queue)
+            queue = self.core.queue_of(spec)
             self.add(JobRun(spec, queue, item.revision, adopted=not self.loaded))
         self.core.wake.set()
 
--- a/libs/scheduling/burdockthread_scheduling/specs.py
+++ b/libs/scheduling/burdockthread_scheduling/specs.py
@@ -67,6 +67,38 @@
         return ",".join([size, f"{self.estimated_ms}ms", *named])
 
 
+class PlacementPolicyTimes(NamedTuple):
+    """How long the placement policy of a queue takes to answer.
+
+    Attributes:
+        base_ms: Milliseconds for an answer.
+        per_worker_ms: Additional milliseconds for each candidate worker.
+        valid_ms: Milliseconds for which a ticket is valid.
+    """
+
+    base_ms: float
+    per_worker_ms: float
+    valid_ms: float
+
+
+class QueueTerms(NamedTuple):
+    """What a queue promises its jobs, kept with each job that it accepts.
+
+    Attributes:
+        priority: Urgency; 0 comes first.
+        max_attempts: Failed runs of a task after which its job has failed.
+        stretch: Allowed ratio of a job's time to its longest chain of work.
+        latency_target_ms: Milliseconds allowed in addition to the stretched time.
+        placement_policy: Times of the placement policy, or None without a policy.
+    """
+
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    latency_target_ms: float = 0.0
+    placement_policy: PlacementPolicyTimes | None = None
+
+
 class JobSpec(NamedTuple):
     """A job as accepted.
 
@@ -79,6 +111,8 @@
         first_run_ms: Unix time in milliseconds of the first occurrence.
         interval_ms: Milliseconds from one occurrence to the next.
         accepted_ms: Unix time in milliseconds at which an entry accepted the job.
+        terms: Terms of the queue when it accepted the job; they hold once the queue
+            is no longer configured.
     """
 
     job_id: str
@@ -89,6 +123,7 @@
     first_run_ms: int = 0
     interval_ms: int = 0
     accepted_ms: int = 0
+    terms: QueueTerms = QueueTerms()
 
     def occurrences(self) -> int:
         """Returns how often the steps run; at least 1."""
@@ -150,21 +185,22 @@
     stretch: float = 1.0
     latency_target_ms: float = 0.0
     answer_timeout_ms: float = 0.0
-    placement_policy: "PlacementPolicyTimes | None" = None
-
-
-class PlacementPolicyTimes(NamedTuple):
-    """How long the placement policy of a queue takes to answer.
-
-    Attributes:
-        base_ms: Milliseconds for an answer.
-        per_worker_ms: Additional milliseconds for each candidate worker.
-        valid_ms: Milliseconds for which a ticket is valid.
-    """
-
-    base_ms: float
-    per_worker_ms: float
-    valid_ms: float
+    placement_policy: PlacementPolicyTimes | None = None
+
+    def terms(self) -> QueueTerms:
+        """Returns what the queue promises its jobs."""
+        return QueueTerms(
+            self.priority,
+            self.max_attempts,
+            self.stretch,
+            self.latency_target_ms,
+            self.placement_policy,
+        )
+
+    @classmethod
+    def from_job(cls, job: JobSpec, pool: str) -> "QueueSpec":
+        """Returns the queue of a job as it was when it accepted the job."""
+        return cls(job.queue, "", "", pool, **job.terms._asdict())
 
 
 class PoolSpec(NamedTuple):
--- a/libs/scheduling/tests/test_desk.py
+++ b/libs/scheduling/tests/test_desk.py
@@ -48,3 +48,17 @@
     caplog.set_level("INFO")
     await give_up(desk.cancel("a" * 16, 3.0))
     assert 'outcome="given up"' in caplog.text
+
+
+# Guards against jobs stored without the terms of their queue, which operators may
+# remove before the job ends.
+async def test_accepted_job_is_stored_with_the_terms_of_its_queue(desk):
+    stored = []
+
+    async def submit(job, pool):
+        stored.append(job)
+
+    desk.intake.submit = submit
+    queue = QUEUE._replace(max_attempts=4, priority=2)
+    await desk.submit(queue, JobSpec("a" * 16, queue.name, "", ()), 3.0)
+    assert [job.terms for job in stored] == [queue.terms()]
