Soak: cut the holder of a pool off, with workers on either side

Entries learn addresses from the store alone, so each entry reads links of its own in place of the addresses of workers and other entries, and any of these paths can fall silent. What ran is judged by what the workers saw.

--- a/libs/standins/burdockthread_standins/emulated_site.py
+++ b/libs/standins/burdockthread_standins/emulated_site.py
@@ -26,6 +26,7 @@
 from burdockthread_standins.emulated_machines import EmulatedMachines
 from burdockthread_standins.emulated_store import EmulatedStore
 from burdockthread_standins.emulated_workers import EmulatedWorkers
+from burdockthread_standins.entry_paths import EntryPaths
 from burdockthread_standins.forwarder import Forwarder
 
 HOST_OF_PLATFORM = 254
@@ -79,10 +80,11 @@
 
 
 class EntryLinks(NamedTuple):
-    """The links of one entry to the platform."""
+    """The links of one entry to the platform, and its paths to all others."""
 
     store: Forwarder
     machines: Forwarder
+    paths: EntryPaths
 
 
 class EntryProcess:
@@ -121,6 +123,11 @@
         self.process: asyncio.subprocess.Process | None = None
         self.striking = asyncio.Lock()
 
+    @property
+    def address(self) -> str:
+        """Returns the address for other entries."""
+        return f"{self.host}:{self.internal}"
+
     @property
     def url(self) -> str:
         """Returns the address for callers."""
@@ -206,7 +213,6 @@
         """Runs everything within the block."""
         async with AsyncExitStack() as stack:
             folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-            store = await self.listen(stack, self.store.application())
             machines = EmulatedMachines(self.machines).application()
             control = await self.listen(stack, machines)
             self.add_machines()
@@ -217,20 +223,27 @@
             stack.push_async_callback(self.stop_entries)
             for number in range(self.plan.entries):
                 name, host = f"entry-{number + 1}", f"{self.network}.{number + 1}"
-                links = EntryLinks(
-                    *[
-                        await stack.enter_async_context(
-                            Forwarder(self.host, port).running()
-                        )
-                        for port in (store, control)
-                    ]
-                )
+                paths = EntryPaths(host, stack)
+                store = await self.listen(stack, self.store.application(paths))
+                forwarders = [
+                    await stack.enter_async_context(
+                        Forwarder(self.host, port).running()
+                    )
+                    for port in (store, control)
+                ]
+                links = EntryLinks(forwarders[0], forwarders[1], paths)
                 entry = EntryProcess(name, host, folder, links, self.plan.stop_s)
                 self.entries.append(entry)
                 await entry.start()
             await self.until_ready()
             yield self
 
+    def holder(self, pool: str) -> EntryProcess | None:
+        """Returns the entry that the store records as the holder of a pool."""
+        stored = self.store.store.values.get(f"cluster/duty/pool:{pool}")
+        name = "" if stored is None else json.loads(stored.value)[0]
+        return next((entry for entry in self.entries if entry.name == name), None)
+
     async def stop_entries(self) -> None:
         """Ends all entries side by side."""
         await asyncio.gather(*(entry.stop() for entry in self.entries))
--- a/libs/standins/burdockthread_standins/emulated_store.py
+++ b/libs/standins/burdockthread_standins/emulated_store.py
@@ -26,6 +26,8 @@
     WatchEvent,
 )
 
+from burdockthread_standins.entry_paths import EntryPaths
+
 PAGE_ITEMS = 500
 MAX_BODY_BYTES = 8 * 1_048_576
 PROTECTED = ("op/", "servers/")
@@ -33,6 +35,7 @@
 MIN_TTL_MS = 1_000
 # An answer that is lost leaves the caller waiting for longer than any time-out.
 LOST_S = 30.0
+PATHS = web.AppKey("paths", EntryPaths)
 
 JsonObject = dict[str, Any]
 
@@ -52,11 +55,17 @@
         self.faulty = FaultyStore(self.store, clock)
         self.calls = 0
 
-    def application(self) -> web.Application:
-        """Returns what answers."""
+    def application(self, paths: EntryPaths | None = None) -> web.Application:
+        """Returns what answers.
+
+        Args:
+            paths: Paths of the only entry that calls, or None for any caller.
+        """
         app = web.Application(
             client_max_size=MAX_BODY_BYTES, middlewares=[self.with_faults]
         )
+        if paths is not None:
+            app[PATHS] = paths
         app.router.add_get("/kv-key", self.key)
         app.router.add_get("/kv-range", self.range)
         app.router.add_get("/kv-watch", self.watch)
@@ -91,14 +100,16 @@
         found = await self.faulty.get(request.query["key"])
         if found is None:
             return web.json_response({}, status=404)
-        return self.answer(self.item(found))
+        return self.answer(await self.shown(request, self.item(found)))
 
     async def range(self, request: web.Request) -> web.Response:
         """Reads a page of the keys below a prefix."""
         listing = await self.faulty.list(request.query["prefix"])
         after = request.query.get("after", "")
         items = [item for item in listing.items if item.key > after]
-        page = [self.item(item) for item in items[:PAGE_ITEMS]]
+        page = [
+            await self.shown(request, self.item(item)) for item in items[:PAGE_ITEMS]
+        ]
         return self.answer({"items": page, "truncated": len(items) > PAGE_ITEMS})
 
     async def watch(self, request: web.Request) -> web.Response:
@@ -116,7 +127,7 @@
             except TimeoutError:
                 events = ()
         newest = max((event.revision for event in events), default=revision)
-        rows = [self.event(event) for event in events]
+        rows = [await self.shown(request, self.event(event)) for event in events]
         return web.json_response({"events": rows, "currentRev": newest})
 
     async def txn(self, request: web.Request) -> web.Response:
@@ -138,13 +149,23 @@
             changes = [written(write) for write in writes]
         except (binascii.Error, ValueError) as error:
             return web.json_response({"error": str(error)}, status=400)
+        paths = request.app.get(PATHS)
+        if paths is not None:
+            changes = [
+                change._replace(value=paths.stored(change.value or b""))
+                for change in changes
+            ]
         changes += [Change(key, None, ANY_REVISION) for key in removed]
         guards = [Guard(row["key"], row["revision"]) for row in expected]
         try:
             revision = await self.faulty.write(changes, guards)
         except ConflictError:
             found = [await self.store.get(row["key"]) for row in expected]
-            items = [self.item(item) for item in found if item is not None]
+            items = [
+                await self.shown(request, self.item(item))
+                for item in found
+                if item is not None
+            ]
             return web.json_response({"items": items}, status=412)
         return self.answer({"revision": revision})
 
@@ -167,6 +188,14 @@
         await self.faulty.revoke_lease(Lease(lease_id, 0.0, 0.0))
         return self.answer({})
 
+    async def shown(self, request: web.Request, row: JsonObject) -> JsonObject:
+        """Returns a row as the caller of a request reads it."""
+        paths = request.app.get(PATHS)
+        if paths is None or "value" not in row:
+            return row
+        value = await paths.shown(row["key"], base64.b64decode(row["value"]))
+        return {**row, "value": base64.b64encode(value).decode()}
+
     def item(self, item: KeyValue) -> JsonObject:
         """Returns a key as the protocol shows it."""
         stored = self.store.values.get(item.key)
--- a/libs/standins/burdockthread_standins/emulation.py
+++ b/libs/standins/burdockthread_standins/emulation.py
@@ -17,11 +17,13 @@
 from burdockthread_standins.forwarder import Direction
 from burdockthread_standins.job_audit import audit
 from burdockthread_standins.job_load import CutRequest, JobLoad, LoadPlan
+from burdockthread_standins.partitions import strike
 from burdockthread_standins.stop_audit import STOP, cut_by_stops, is_excused
 
 SETTLE_S = 2.0
 PAUSE_S = (0.5, 3.0)
 STOP_PAUSE_S = (0.5, 4.0)
+PARTITION_PAUSE_S = (0.5, 4.0)
 # The fault that the series at work injects.
 struck: ContextVar[FaultSpan] = ContextVar("struck")
 
@@ -48,10 +50,12 @@
     Attributes:
         series: Series of faults that go on side by side, so that faults overlap.
         stops: Whether entries are also stopped as planned, one after the other.
+        partitions: Whether holders of pools are also cut off, one after the other.
     """
 
     series: int = 2
     stops: bool = False
+    partitions: bool = False
 
 
 class Emulation:
@@ -126,6 +130,8 @@
         found = [self.inject() for _ in range(self.plan.series)] if faults else []
         if self.plan.stops:
             found.append(self.stop_in_turn())
+        if self.plan.partitions:
+            found.append(self.partition())
         return found or [idle()]
 
     async def stop_in_turn(self) -> None:
@@ -139,6 +145,17 @@
                 async with entry.down(signal.SIGTERM):
                     span.ended_s = self.site.clock.wall()
 
+    async def partition(self) -> None:
+        """Cuts the holder of one pool after another off until cancelled."""
+        chance = random.Random(f"partitions {self.seed}")
+        while True:
+            await asyncio.sleep(chance.uniform(*PARTITION_PAUSE_S))
+            span = FaultSpan("partition", self.site.clock.wall())
+            self.spans.append(span)
+            self.faults.append(span.kind)
+            span.target = await strike(self.site, chance)
+            span.ended_s = self.site.clock.wall()
+
     def keep_logs(self, broken: list[str]) -> Path | None:
         """Keeps the logs of a run that broke a promise; returns where."""
         if self.keep is None or not broken:
--- a/scripts/soak_jobs.py
+++ b/scripts/soak_jobs.py
@@ -6,14 +6,22 @@
 from pathlib import Path
 
 import uvloop
+from burdockthread_scheduling.memory_runs import TaskNature
+from burdockthread_scheduling.specs import TaskId
 from burdockthread_standins.emulated_site import SitePlan
 from burdockthread_standins.emulation import Emulation, FaultPlan
 from burdockthread_standins.job_load import LoadPlan
 
 PATIENCE_S = 60.0
+DURATIONS_S = (1.0, 3.0, 6.0)
 KEPT = Path(__file__).resolve().parent.parent / "target" / "soak"
 
 
+def mixed_nature(task: TaskId) -> TaskNature:
+    """Returns a task that takes one of `DURATIONS_S`, by its number."""
+    return TaskNature(duration_s=DURATIONS_S[task.number % len(DURATIONS_S)])
+
+
 def main() -> int:
     """Prints a line for each seed; returns 1 if a promise was broken."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -28,6 +36,11 @@
     parser.add_argument(
         "--stops", action="store_true", help="also stop entries in turn, as planned"
     )
+    parser.add_argument(
+        "--partitions",
+        action="store_true",
+        help="also cut holders of pools off, with longer tasks",
+    )
     options = parser.parse_args()
     first = int(time.time()) if options.first is None else options.first
     broken = 0
@@ -35,8 +48,9 @@
         load = LoadPlan(
             options.jobs, options.rate, cancelled=0.1, patience_s=PATIENCE_S
         )
-        plan = FaultPlan(options.series, options.stops)
-        emulation = Emulation(SitePlan(), load, seed, options.keep, plan)
+        plan = FaultPlan(options.series, options.stops, options.partitions)
+        site = SitePlan(nature=mixed_nature) if options.partitions else SitePlan()
+        emulation = Emulation(site, load, seed, options.keep, plan)
         result = uvloop.run(emulation.run(faults=True))
         broken += bool(result.broken)
         outcome = "; ".join(result.broken) or "whole"
