Start no task again whose run was lost under an expired lease

What callers saw (the users' own runs, rule TWICE): two runs of a task at once, and a start after an end that had been taken note of, in both cases with both runs from one entry.

Cause: a holder whose lease at the store has expired goes on for a while. In that time it took run leases that it could not renew for expired, and runs on workers that were gone for lost, and started the tasks on workers that its successor had not reached yet. The successor had renewed those leases, or taken note of the ends.

Why this works: a run lost while another entry may hold the pool marks its task (run_unaccounted), and the task waits until the holder is certain that no other entry has held the pool since its lease began, as leases, duties and offers already tell. Ends that workers report are not concerned. All paths on which runs are lost without a report pass it.

--- a/libs/scheduling/burdockthread_scheduling/board.py
+++ b/libs/scheduling/burdockthread_scheduling/board.py
@@ -26,6 +26,8 @@
         failures: Numbers of the runs that failed. A set, because a worker reports
             an ended run repeatedly until the end is acknowledged as stored.
         failed_on: Ids of the workers on which a run failed.
+        unaccounted: Whether a run was lost while another entry may have held the
+            pool. That entry may keep the run alive, or have recorded its success.
     """
 
     __slots__ = (
@@ -38,6 +40,7 @@
         "size",
         "step",
         "task",
+        "unaccounted",
     )
 
     def __init__(self, task: TaskId, job: "JobRun", step: StepSpec) -> None:
@@ -50,6 +53,7 @@
         self.checkpoint = ""
         self.failures: set[int] = set()
         self.failed_on: set[str] = set()
+        self.unaccounted = False
 
     def name(self) -> str:
         """Returns the task's name within the job, as used in the stored progress."""
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -243,6 +243,7 @@
         """
         key = WorkerKey(worker.worker_id, born_ms)
         sure_s = worker.contact_s
+        self.note_unaccounted(worker)
         for placement in tuple(worker.placements.values()):
             if placement.certain_s <= sure_s:
                 worker.remove(placement)
@@ -318,9 +319,32 @@
 
     def lose_runs(self, worker: WorkerState) -> None:
         """Removes all runs of a worker as ended."""
+        self.note_unaccounted(worker)
         for placement in tuple(worker.placements.values()):
             worker.remove(placement)
 
+    def note_unaccounted(self, worker: WorkerState) -> None:
+        """Marks the tasks of lost runs while another entry may hold the pool.
+
+        That entry may have renewed the leases of the runs, and may have recorded the
+        success of runs that this holder only knows to be gone.
+        """
+        if self.core.is_certain():
+            return
+        for placement in worker.placements.values():
+            task = placement.task
+            if task is None or task.unaccounted:
+                continue
+            task.unaccounted = True
+            self.log.info(
+                "run_unaccounted",
+                task=placement.task_id,
+                run=placement.run,
+                worker=worker.worker_id,
+                lease_left_s=round(self.core.tenure.lease_left_s(), 3),
+                offered=self.core.offered,
+            )
+
     def expire_leases(self) -> None:
         """Removes the runs of unreachable workers once their leases have expired."""
         now = self.clock.now()
--- a/libs/scheduling/burdockthread_scheduling/task_placer.py
+++ b/libs/scheduling/burdockthread_scheduling/task_placer.py
@@ -77,13 +77,23 @@
                 continue
             job.open_due(wall_ms)
             if any(
-                not task.placements
+                self.is_waiting(task)
                 for step in job.runnable_steps()
                 for task in step.open_tasks.values()
             ):
                 jobs.append(job)
         return sorted(jobs, key=core.order.rank)
 
+    def is_waiting(self, task: TaskRun) -> bool:
+        """Returns whether a task has no run and may get one.
+
+        Once no other entry can hold the pool, none has held it since the holder's
+        lease began, so that a lost run has really ended.
+        """
+        if task.unaccounted and self.core.is_certain():
+            task.unaccounted = False
+        return not task.placements and not task.unaccounted
+
     def place_job(
         self, job: JobRun, ready: list[WorkerState], full: SizesWithoutRoom
     ) -> None:
@@ -102,7 +112,7 @@
     ) -> None:
         """Starts the tasks of a step until one gets no worker; all have one size."""
         for task in step.open_tasks.values():
-            if task.placements:
+            if not self.is_waiting(task):
                 continue
             if full.covers(task) or not self.orders.window.has_room():
                 return
@@ -120,7 +130,7 @@
         if job.queue.placement_policy is None:
             return ready
         step_id = StepId(job.spec.job_id, step.occurrence, step.number)
-        waiting = [t for t in step.open_tasks.values() if not t.placements]
+        waiting = [t for t in step.open_tasks.values() if self.is_waiting(t)]
         if not waiting:
             return []
         found = [w for w in ready if self.tickets.ticket(waiting[0].task, w.worker_id)]
@@ -139,7 +149,7 @@
     def place_gang(self, step: StepRun, ready: list[WorkerState]) -> None:
         """Starts all members of a gang together, or none."""
         members = list(step.open_tasks.values())
-        if any(member.placements for member in members):
+        if not all(self.is_waiting(member) for member in members):
             return
         for rack in racks_by_room(ready) if step.spec.same_rack else ():
             among = [worker for worker in ready if rack in worker.listing.labels]
