Count a lease from the earliest time that a worker's clock may show

What would be seen: two runs of a task at once after a takeover, when the worker's clock is slow and was last read long before the start (TWICE; shown in process, not in the users' record).

Cause: the end of a lease was counted from an estimate that runs ahead of a slow clock by 2% of the time since the last answer; idle workers are not polled.

Why this works: no lease is longer than RUN_LEASE_MS by the true clock. An idle worker is polled every 30 s, so that none is much shorter.

--- a/libs/scheduling/burdockthread_scheduling/memory_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_workers.py
@@ -57,6 +57,7 @@
         refusing: Whether the worker refuses connections, while its runs go on.
         failing: Whether each run fails shortly after its start.
         speed: Seconds of work done per second.
+        clock_rate: Seconds that its clock shows per second.
         lost_answers: Number of next orders that take effect without an answer.
         late_orders_s: Delays in seconds of the next orders, which get no answer.
         alive: Whether the worker has not ended.
@@ -76,13 +77,15 @@
         self.refusing = False
         self.failing = False
         self.speed = 1.0
+        self.clock_rate = 1.0
         self.lost_answers = 0
         self.late_orders_s: list[float] = []
         self.alive = True
 
     def clock_ms(self) -> int:
         """Returns the worker's clock in milliseconds since its start."""
-        return int((self.memory_workers.clock.now() - self.born_s) * 1000) + 1
+        passed_s = self.memory_workers.clock.now() - self.born_s
+        return int(passed_s * self.clock_rate * 1000) + 1
 
     def free(self) -> Capacity:
         """Returns the capacity that no run uses."""
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -114,7 +114,7 @@
         if self.closing:
             return
         self.release_held_back()
-        self.workers.poll_if_uncertain()
+        self.workers.wake_sessions()
         self.workers.assign()
         self.evacuation.step()
         self.placer.step()
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -421,12 +421,12 @@
         age_s = self.clock.now() - worker.polled_s
         return age_s < TOKEN_CONFIRMED_AGE_S or self.core.is_certain()
 
-    def poll_if_uncertain(self) -> None:
-        """Polls all workers while another entry may hold the pool."""
-        if self.core.is_certain():
-            return
+    def wake_sessions(self) -> None:
+        """Polls idle workers where another holder or an old clock makes it needed."""
+        now, certain = self.clock.now(), self.core.is_certain()
         for worker in self.core.workers.values():
-            worker.wake.set()
+            if not certain or worker.is_clock_stale(now):
+                worker.wake.set()
 
     def ready(self) -> list[WorkerState]:
         """Returns the workers that may be sent a task now."""
--- a/libs/scheduling/burdockthread_scheduling/sessions.py
+++ b/libs/scheduling/burdockthread_scheduling/sessions.py
@@ -120,7 +120,8 @@
         """Returns whether there is a reason to poll the worker."""
         worker = self.worker
         unsettled = worker.seen_end > worker.settled_end
-        unsure = not worker.contacted or worker.failed_calls > 0
+        stale = worker.is_clock_stale(self.clock.now())
+        unsure = not worker.contacted or worker.failed_calls > 0 or stale
         return unsure or bool(worker.placements) or unsettled or self.is_poll_due()
 
     def is_poll_due(self) -> bool:
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -16,6 +16,9 @@
 # A worker's clock may run up to two per cent slow.
 CLOCK_RATE_BOUND = 1.0205
 LAPSE_MARGIN_S = 0.1
+# A lease counts from the earliest time that the worker's clock may show, so that it is
+# shorter the older the last reading is: 0.6 s at this age.
+CLOCK_MAX_AGE_S = 30.0
 # Progress is reported in whole percents, so shorter intervals are too inaccurate.
 RATE_WINDOW_S = 0.2
 
@@ -285,6 +288,10 @@
         """Returns the estimate of the worker's clock in milliseconds."""
         return self.clock_ms + (now - self.clock_read_s) * 1000
 
+    def is_clock_stale(self, now: float) -> bool:
+        """Returns whether the worker's clock has to be read again."""
+        return now - self.clock_read_s > CLOCK_MAX_AGE_S
+
     def pending_stop_ms(self, now: float) -> float:
         """Returns the milliseconds until no earlier stop can be in progress."""
         until_ms = max(
@@ -298,8 +305,13 @@
         return max(until_ms - self.now_ms(now), 0.0)
 
     def next_lease_ms(self, now: float) -> int:
-        """Returns the end of a new lease on the worker's clock, and records it."""
-        until_ms = int(self.now_ms(now) + RUN_LEASE_MS)
+        """Returns the end of a new lease on the worker's clock, and records it.
+
+        The next holder relies on no lease being longer than `RUN_LEASE_MS`, which has
+        to hold for a slow clock that was read long ago too.
+        """
+        passed_ms = (now - self.clock_read_s) * 1000 / CLOCK_RATE_BOUND
+        until_ms = int(self.clock_ms + passed_ms + RUN_LEASE_MS)
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
         return until_ms
 
--- a/libs/scheduling/tests/test_lost_lease.py
+++ b/libs/scheduling/tests/test_lost_lease.py
@@ -131,3 +131,21 @@
     overlap.lease_left_s = 2.0
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED, seconds=8.0)
     assert [run.worker for run in site.runs(job)] == [ONE, TWO]
+
+
+# Guards against a lease that is longer than the next holder assumes: the clock of the
+# worker is slow and was read long before the start.
+async def test_lease_on_a_slow_clock_ends_when_the_next_holder_expects(site, overlap):
+    worker = site.park.add("w1", POOL)
+    worker.clock_rate = 0.98
+    first = await site.holder()
+    await site.pass_time(100.0)
+    job = await site.submit(step(1), nature=LONG)
+    await site.until(lambda: site.runs(job))
+    await site.kill(first)
+    site.park.add("w2", POOL)
+    site.processes["entry-1"] = "process-2"
+    overlap.second.cut = {"w1"}
+    await site.holder("entry-2", "process-2", gateway=overlap.second)
+    await site.until(lambda: len(site.runs(job)) > 1)
+    site.park.running()
