Restore attempts and checkpoints of occurrences that are not open yet

Cause: JobRun.restore applied stored failures and checkpoints to open tasks only; of a scheduled job hardly any is open then. Besides, the checkpoint that comes with the end of a stopped run was not stored before the end was acknowledged, for jobs of all kinds.

Evidence: failures in the stored progress, and a holder that counts from none after job_taken; a start without checkpoint after a hand-over.

Why this works: an occurrence that has used up or saved something is opened at the restore, since it was due before; an end with a checkpoint makes the job's progress dirty, and ends are acknowledged after a flush.

--- a/libs/scheduling/burdockthread_scheduling/board.py
+++ b/libs/scheduling/burdockthread_scheduling/board.py
@@ -260,6 +260,11 @@
         for name, bits in progress.succeeded.items():
             occurrence, _, number = name.partition(".")
             self.restore_step(int(occurrence), number, bits)
+        # An occurrence that has used up or saved anything was due before.
+        for name in (*progress.failures, *progress.checkpoints):
+            begun = int(name.partition(".")[0])
+            if begun not in self.occurrences and begun not in self.closed:
+                self.open_occurrence(begun)
         for task in self.open_tasks():
             task.failures = set(progress.failures.get(task.name(), ()))
             task.checkpoint = progress.checkpoints.get(task.name(), "")
--- a/libs/scheduling/burdockthread_scheduling/run_reports.py
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -191,7 +191,10 @@
         elif end.kind is EndKind.FAILED:
             self.fail(job, task, worker, end.run)
         elif end.checkpoint:
+            # The worker forgets it once the end is acknowledged.
             task.checkpoint = end.checkpoint
+            job.dirty = True
+            self.writer.queue_progress(job)
 
     def drop_missing(
         self, worker: WorkerState, listed: set[tuple[TaskId, int]], sent_s: float
