Count the upkeep of a machine for the wave that it was ordered for

Cause: the list of machines shows that one is in upkeep, not for which wave, and counted for every wave that names the machine.

Evidence: wave_status completed=True for wave 2 with no machine_ordered for it, while the machine was out for wave 1.

Why this works: the planner records, before each order, for which waves a machine may be in upkeep; the list counts for a wave only if no other may have caused it, and else the wave orders again, which has no effect on a machine that had its upkeep for the wave. A new planner reads the record.

--- a/libs/scheduling/burdockthread_scheduling/machine_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_planner.py
@@ -63,6 +63,8 @@
         wait_until_ms: Unix time in milliseconds until which orders of earlier
             planners may be unknown.
         announced: Whether every order is recorded before it is sent.
+        upkeep_waves: Waves for which upkeep was ordered and may be under way, by
+            machine.
     """
 
     holder: str
@@ -73,6 +75,7 @@
     earlier_ordered_ms: tuple[tuple[str, int], ...] = ()
     wait_until_ms: int = 0
     announced: bool = False
+    upkeep_waves: tuple[tuple[str, tuple[int, ...]], ...] = ()
 
 
 class MachineTimes(NamedTuple):
@@ -208,6 +211,8 @@
         wall_s = self.clock.wall()
         for wave, names in record.maintained.items():
             self.waves.done(wave).update(names)
+        for name, waves in record.upkeep_waves:
+            self.waves.ordered[name] = set(waves)
         for wave, seen_ms in record.seen_ms.items():
             self.waves.seen_s[wave] = self.clock.now() - (wall_s - seen_ms / 1000)
         self.log.info(
@@ -289,6 +294,10 @@
             tuple(self.earlier_ordered_ms.items()),
             self.wait_until_ms if now < self.orders_known_s else 0,
             announced=True,
+            upkeep_waves=tuple(
+                (name, tuple(sorted(waves)))
+                for name, waves in sorted(self.waves.ordered.items())
+            ),
         )
 
     async def write_record(self, *, released: bool) -> None:
@@ -388,7 +397,7 @@
             return
         self.ordering = True
         try:
-            await self.announce(machine for machine, _ in ready)
+            await self.announce(ready)
             if not self.has_lease(len(ready)):
                 return
             await asyncio.gather(*(self.order(*entry) for entry in ready))
@@ -407,7 +416,7 @@
             )
         return lease_s >= MIN_LEASE_S
 
-    async def announce(self, machines: Iterable[Machine]) -> None:
+    async def announce(self, orders: Iterable[tuple[Machine, Intent]]) -> None:
         """Records that orders to machines are about to be sent.
 
         Raises:
@@ -415,7 +424,10 @@
             ConflictError: This entry is no longer the planner.
         """
         wall_ms = int(self.clock.wall() * 1000)
-        self.ordered_ms.update((machine.name, wall_ms) for machine in machines)
+        for machine, intent in orders:
+            self.ordered_ms[machine.name] = wall_ms
+            if intent.purpose is Purpose.UPKEEP:
+                self.waves.note_ordered(machine.name, intent.wave)
         await self.write_record(released=False)
 
     async def order(self, machine: Machine, intent: Intent) -> None:
@@ -434,7 +446,7 @@
                 if intent.purpose is Purpose.UPKEEP:
                     duration_s = times.upkeep_s
                     await control.maintain(name, intent.wave, holder, fence)
-                    self.waves.done(intent.wave).add(name)
+                    self.waves.note_begun(name, intent.wave)
                 else:
                     duration_s = times.move_s
                     await control.move(name, intent.pool, holder, fence)
@@ -444,6 +456,8 @@
         except MachineRefusedError as error:
             outcome = error.refusal.value
             ledger.backoff_until_s[name] = sent_s + BUSY_PAUSE_S
+            if intent.purpose is Purpose.UPKEEP:
+                self.waves.note_refused(name, intent.wave)
             if error.refusal is MachineRefusal.NOT_IN_WAVE:
                 self.waves.done(intent.wave).add(name)
         except (PlatformError, TimeoutError) as error:
--- a/libs/scheduling/burdockthread_scheduling/wave_planner.py
+++ b/libs/scheduling/burdockthread_scheduling/wave_planner.py
@@ -47,6 +47,8 @@
     Attributes:
         guard: Condition that fences the reports to the operators.
         maintained: Machines whose upkeep has begun, by wave.
+        ordered: Waves for which the upkeep of a machine was ordered and may be under
+            way, by machine.
         seen_s: Clock time at which each wave was first seen.
         reported: Completion of each wave as last reported to the operators.
         needs_extra_worker: Pools that need one more worker before another worker
@@ -69,6 +71,7 @@
         self.clock = clock
         self.log = log
         self.maintained: dict[int, set[str]] = {}
+        self.ordered: dict[str, set[int]] = {}
         self.seen_s: dict[int, float] = {}
         self.reported: dict[int, bool] = {}
         self.needs_extra_worker: set[str] = set()
@@ -77,13 +80,36 @@
         """Returns the machines of a wave whose upkeep has begun; the set is mutable."""
         return self.maintained.setdefault(wave, set())
 
+    def note_ordered(self, machine: str, wave: int) -> None:
+        """Records that an upkeep is about to be ordered."""
+        self.ordered.setdefault(machine, set()).add(wave)
+
+    def note_begun(self, machine: str, wave: int) -> None:
+        """Records that the upkeep of a machine for a wave has begun."""
+        self.done(wave).add(machine)
+        self.ordered[machine] = {wave}
+
+    def note_refused(self, machine: str, wave: int) -> None:
+        """Records that an order for upkeep had no effect."""
+        self.ordered.get(machine, set()).discard(wave)
+
     def update_from_list(self) -> None:
-        """Records the machines that the list shows in upkeep as begun."""
-        for wave in self.waves.waves():
-            for name in wave.machines:
-                machine = self.ledger.machines.get(name)
-                if machine is not None and machine.state is MachineState.UPKEEP:
-                    self.done(wave.number).add(name)
+        """Records upkeep whose order was not answered, as the list shows it.
+
+        The list does not name the wave of an upkeep. It counts for a wave only if no
+        order for another wave may have caused it; otherwise the wave orders it again,
+        which has no effect on a machine that had its upkeep for the wave.
+        """
+        for name, waves in tuple(self.ordered.items()):
+            machine = self.ledger.machines.get(name)
+            if machine is None:
+                continue
+            if machine.state is MachineState.UPKEEP and len(waves) == 1:
+                self.note_begun(name, next(iter(waves)))
+            elif machine.state is MachineState.UP:
+                waves -= {wave for wave in waves if name in self.done(wave)}
+            if not self.ordered[name]:
+                del self.ordered[name]
 
     async def plan(self) -> None:
         """Chooses machines for upkeep and reports the progress of the waves.
