Let what a stopped run has shown count for the next run of its task

What callers saw: a task that takes four times its estimate or more was stopped as too slow and started again without end.

Cause: a run is compared with a new run's time by the estimate, whatever earlier runs of the task have shown; and no whole percent of progress in 0.2 s, as of any task of 50 s, counted as standing still.

Why this works: the duration foreseen by a stopped run raises what is expected of the next, each restart doubles the factor by which a new run must be sooner, and a rate is bounded by one percent in the time without progress.

--- a/libs/scheduling/burdockthread_scheduling/board.py
+++ b/libs/scheduling/burdockthread_scheduling/board.py
@@ -26,6 +26,7 @@
         failures: Numbers of the runs that failed. A set, because a worker reports
             an ended run repeatedly until the end is acknowledged as stored.
         failed_on: Ids of the workers on which a run failed.
+        foreseen_s: Durations that the runs stopped as too slow would have had.
         unaccounted: Whether a run was lost while another entry may have held the
             pool. That entry may keep the run alive, or have recorded its success.
     """
@@ -34,6 +35,7 @@
         "checkpoint",
         "failed_on",
         "failures",
+        "foreseen_s",
         "job",
         "last_run",
         "placements",
@@ -53,6 +55,7 @@
         self.checkpoint = ""
         self.failures: set[int] = set()
         self.failed_on: set[str] = set()
+        self.foreseen_s: list[float] = []
         self.unaccounted = False
 
     def name(self) -> str:
--- a/libs/scheduling/burdockthread_scheduling/estimates.py
+++ b/libs/scheduling/burdockthread_scheduling/estimates.py
@@ -46,7 +46,12 @@
         step = task.job.step_run(task.task.occurrence, task.task.step)
         if step is None:
             return self.corrected_estimate_s(task.step, task.job.spec.queue)
-        return self.step_total_s(step, besides)
+        total_s = self.step_total_s(step, besides)
+        is_known = bool(task.foreseen_s) and bool(self.observed_s(step, besides))
+        # One slow run tells less than other tasks of the step; two tell more.
+        if len(task.foreseen_s) > int(is_known):
+            return max(total_s, min(task.foreseen_s))
+        return total_s
 
     def step_total_s(self, step: StepRun, besides: WorkerState | None = None) -> float:
         """Returns the expected duration of the tasks of a step in seconds.
--- a/libs/scheduling/burdockthread_scheduling/stragglers.py
+++ b/libs/scheduling/burdockthread_scheduling/stragglers.py
@@ -12,7 +12,8 @@
 # A duplicate is worth its processors if its end is sooner by this factor and margin.
 COPY_FACTOR = 1.3
 COPY_MARGIN_S = 0.15
-# Work is lost when a run is restarted, so a new run must be sooner by far.
+# Work is lost when a run is restarted, so a new run must be sooner by far, and by this
+# factor more after each restart of the task.
 RESTART_FACTOR = 2.0
 RESTART_MARGIN_S = 0.4
 MIN_AGE_S = 0.4
@@ -81,4 +82,5 @@
         """Returns whether a new run would end enough sooner to be started."""
         if task.step.duplicates_allowed:
             return left_s > fresh_s * COPY_FACTOR + COPY_MARGIN_S
-        return left_s > fresh_s * RESTART_FACTOR + RESTART_MARGIN_S
+        factor = RESTART_FACTOR ** (1 + len(task.foreseen_s))
+        return left_s > fresh_s * factor + RESTART_MARGIN_S
--- a/libs/scheduling/burdockthread_scheduling/task_placer.py
+++ b/libs/scheduling/burdockthread_scheduling/task_placer.py
@@ -207,8 +207,11 @@
             left_s=round(min(found.left_s, 1e6), 3),
             fresh_s=round(found.fresh_s, 3),
             copied=found.task.step.duplicates_allowed,
+            restarts=len(found.task.foreseen_s),
         )
         if found.task.step.duplicates_allowed:
             self.orders.start(found.task, worker)
         else:
+            ran_s = core.clock.now() - found.placement.ordered_s
+            found.task.foreseen_s.append(ran_s + found.left_s)
             self.orders.stop(found.placement, "too slow")
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -19,7 +19,9 @@
 # A lease counts from the earliest time that the worker's clock may show, so that it is
 # shorter the older the last reading is: 0.6 s at this age.
 CLOCK_MAX_AGE_S = 30.0
-# Progress is reported in whole percents, so shorter intervals are too inaccurate.
+# Progress is reported in whole percents.
+PERCENT = 1
+# Shorter intervals are too inaccurate for the rate of progress.
 RATE_WINDOW_S = 0.2
 
 
@@ -135,7 +137,11 @@
         passed_s = (clock_ms - since_ms) / 1000
         if passed_s < RATE_WINDOW_S:
             return
-        self.rate = max(percent - self.percent, 0) / passed_s
+        if percent <= self.percent:
+            # Less than a whole percent in this time; a long task takes longer for one.
+            self.rate = min(self.rate or PERCENT, PERCENT / passed_s)
+            return
+        self.rate = (percent - self.percent) / passed_s
         self.percent = percent
         self.progress_s = now
         self.progress_clock_ms = clock_ms
