Confirm the registrations before a new holder orders anything

Cause: entries without duties do not follow the registrations, and a pool began with the old copy while the watch was still to catch up.

Why this works: the copy is confirmed, by changes or a listing, together with the records that a new holder reads before its first round.

--- a/libs/platform/burdockthread_platform/policy_http.py
+++ b/libs/platform/burdockthread_platform/policy_http.py
@@ -36,11 +36,10 @@
         """
         name = f"{step.job_id}.{step.occurrence}.{step.step}"
         body = {"step": name, "workers": list(workers[:MAX_WORKERS])}
-        clock = self.calls.load.clock
         async with self.call_lock:
-            sent_s = clock.now()
+            sent_s = self.calls.load.clock.now()
             answer = await self.call(body)
-            return answer._replace(took_s=clock.now() - sent_s)
+            return answer._replace(took_s=self.calls.load.clock.now() - sent_s)
 
     async def call(self, body: wire.JsonObject) -> PolicyAnswer:
         """Sends one request to the service and decodes the answer."""
--- a/libs/platform/burdockthread_platform/registrations.py
+++ b/libs/platform/burdockthread_platform/registrations.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Mapping
-from types import MappingProxyType
 
 from burdockthread_model.addresses import Address
 from burdockthread_model.events import EventLog
@@ -17,7 +16,6 @@
 STATES = ("ready", "draining")
 TEXT_FIELDS = ("service", "address", "zone", "version", "state")
 INTEGER_FIELDS = ("slots", "coldRemainingMs", "sequence")
-NO_WORKERS: Mapping[WorkerKey, WorkerListing] = MappingProxyType({})
 
 
 class RegisteredWorkers(WorkerRoster):
@@ -31,6 +29,7 @@
     """
 
     def __init__(self, cache: PrefixCache, log: EventLog) -> None:
+        self.cache = cache
         self.log = log
         self.by_pool: dict[str, dict[WorkerKey, WorkerListing]] = {}
         self.by_id: dict[str, WorkerListing] = {}
@@ -40,12 +39,16 @@
 
     def workers(self, pool: str) -> Mapping[WorkerKey, WorkerListing]:
         """Returns the registered workers of a pool."""
-        return self.by_pool.get(pool, NO_WORKERS)
+        return self.by_pool.get(pool, {})
 
     def changed(self) -> asyncio.Event:
         """Returns the event that is set whenever the workers have changed."""
         return self.event
 
+    async def confirm(self) -> None:
+        """Reads the changes since the last contact with the store."""
+        await self.cache.confirm()
+
     def on_change(self, key: str, item: KeyValue | None) -> None:
         """Applies a changed or deleted registration."""
         worker_id = key.removeprefix(REGISTRATION_PREFIX)
--- a/libs/platform/burdockthread_platform/worker_http.py
+++ b/libs/platform/burdockthread_platform/worker_http.py
@@ -99,9 +99,8 @@
             WorkerReplacedError, WorkerRefusedError, WorkerSilentError: See `call`.
         """
         status, answer = await self.call(worker, path, body, timeout_s)
-        clock_ms = answer.get("clockMs")
-        if not isinstance(clock_ms, int):
-            clock_ms = None
+        shown_ms = answer.get("clockMs")
+        clock_ms = shown_ms if isinstance(shown_ms, int) else None
         if status == 200:
             return OrderAnswer(None, clock_ms)
         if status == CONFLICT:
@@ -228,9 +227,7 @@
     """Decodes a run from its row: task, run, checkpoint, percent, measure."""
     match row:
         case [str(task), int(run), str(checkpoint), int() | float() as percent, *rest]:
-            measure = rest[0] if rest else 0.0
-            if not isinstance(measure, int | float):
-                measure = 0.0
+            measure = rest[0] if rest and isinstance(rest[0], int | float) else 0.0
             return RunReport(
                 parse_task(task), run, checkpoint, int(percent), float(measure)
             )
--- a/libs/platform/tests/test_registrations.py
+++ b/libs/platform/tests/test_registrations.py
@@ -13,7 +13,7 @@
 from burdockthread_scheduling.workers import WorkerKey
 from burdockthread_store.memory_store import MemoryStore
 from burdockthread_store.prefix_cache import PrefixCache
-from burdockthread_store.store import KeyValue
+from burdockthread_store.store import ANY_REVISION, Change, KeyValue
 
 REGISTRATION = {
     "service": "pool-a",
@@ -148,3 +148,21 @@
         cache.put(KeyValue(key, value, revision))
     assert [key.worker_id for key in roster.workers("pool-a")] == ["i-1", "i-2"]
     assert cache.listener_failures == 0
+
+
+# Guards against an entry that has held no duty for longer than the store keeps history:
+# its copy of the registrations is confirmed by a new listing.
+@pytest.mark.parametrize("is_compacted", [True, False])
+async def test_confirmed_copy_is_current(clock, is_compacted):
+    store = MemoryStore(clock)
+    cache = PrefixCache(store, "servers/", clock)
+    roster = RegisteredWorkers(cache, EventLog("test"))
+    await store.write([Change("servers/i-1", encoded(), ANY_REVISION)])
+    await roster.confirm()
+    value = encoded(state="draining")
+    await store.write([Change("servers/i-1", value, ANY_REVISION)])
+    if is_compacted:
+        await store.write([Change("servers/i-2", value, ANY_REVISION)])
+        store.compact(store.revision)
+    await roster.confirm()
+    assert roster.by_id["i-1"].draining
--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -145,13 +145,18 @@
     async def read_records(self) -> None:
         """Reads the jobs, their progress and the assigned workers.
 
+        An entry that held no duty has not followed the registrations meanwhile, so
+        these are confirmed too.
+
         Raises:
             StoreError: The store did not answer.
             RecordError: A record is malformed.
         """
         # Side by side: earlier holders can change none of these records any more.
-        _, assigned = await asyncio.gather(
-            self.read_jobs(), self.workers.read_assigned()
+        _, assigned, _ = await asyncio.gather(
+            self.read_jobs(),
+            self.workers.read_assigned(),
+            self.core.parts.roster.confirm(),
         )
         if assigned is not None:
             self.workers.expect(assigned)
--- a/libs/scheduling/burdockthread_scheduling/roster.py
+++ b/libs/scheduling/burdockthread_scheduling/roster.py
@@ -17,3 +17,11 @@
     @abstractmethod
     def changed(self) -> asyncio.Event:
         """Returns an event that is set when the workers have changed."""
+
+    async def confirm(self) -> None:
+        """Brings the registrations up to date; not needed where they always are.
+
+        Raises:
+            StoreError: They may be out of date.
+        """
+        return
