Tell the planner which workers' runs a holder does not know

Cause: a new holder reported no runs for a worker that had not answered it, and the planner took the worker for empty.

Why this works: a status tells whether a worker's runs are known, and the planner waits where they are not.

--- a/libs/scheduling/burdockthread_scheduling/machine_ledger.py
+++ b/libs/scheduling/burdockthread_scheduling/machine_ledger.py
@@ -174,7 +174,9 @@
         if self.is_off(machine):
             return True
         worker = self.worker_of(machine)
-        return worker is not None and worker.vacating and not worker.runs
+        return (
+            worker is not None and worker.vacating and worker.known and not worker.runs
+        )
 
     def staying(self, status: PoolStatus) -> list[tuple[WorkerStatus, Machine]]:
         """Returns the usable workers of a pool whose machines stay in it."""
--- a/libs/scheduling/burdockthread_scheduling/planner_link.py
+++ b/libs/scheduling/burdockthread_scheduling/planner_link.py
@@ -107,6 +107,7 @@
             vacating=self.workers.vacating_s(worker) >= STATUS_EFFECT_S,
             usable=self.workers.is_usable(worker),
             idle_s=now - worker.busy_s,
+            known=self.workers.are_runs_known(worker),
         )
 
     def demand(self) -> tuple[int, int, float]:
--- a/libs/scheduling/burdockthread_scheduling/pool_status.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_status.py
@@ -23,6 +23,8 @@
             for as long as the planner may act on this status.
         usable: Whether the worker accepts orders.
         idle_s: Seconds for which the worker has been idle.
+        known: Whether the holder knows of all runs on the worker; if not, more may
+            be there than `runs` tells.
     """
 
     worker_id: str
@@ -33,6 +35,7 @@
     vacating: bool
     usable: bool
     idle_s: float
+    known: bool = True
 
 
 class PoolStatus(NamedTuple):
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -398,6 +398,17 @@
             and (not worker.unknown_runs or self.core.spec().refuses_overload)
         )
 
+    def are_runs_known(self, worker: WorkerState) -> bool:
+        """Returns whether this holder knows of all runs on a worker.
+
+        Runs of earlier holders may go on until the worker has answered or their leases
+        have expired, and a later holder may keep some alive.
+        """
+        if any(key.worker_id == worker.worker_id for key in self.unreached):
+            return False
+        has_answered = worker.contacted and not worker.failed_calls
+        return has_answered or self.core.is_certain()
+
     def vacating_s(self, worker: WorkerState) -> float:
         """Returns the seconds for which a worker stays vacated for the planner.
 
