--- a/scripts/soak_jobs.py
+++ b/scripts/soak_jobs.py
@@ -6,22 +6,16 @@
 from pathlib import Path
 
 import uvloop
-from burdockthread_scheduling.memory_runs import TaskNature
-from burdockthread_scheduling.specs import TaskId
 from burdockthread_standins.emulated_site import SitePlan
-from burdockthread_standins.emulation import Emulation, FaultPlan
+from burdockthread_standins.emulation import Emulation, FaultPlan, mixed_nature
 from burdockthread_standins.job_load import LoadPlan
 
 PATIENCE_S = 60.0
-DURATIONS_S = (1.0, 3.0, 6.0)
+# Jobs are handed in within the first ten seconds or so, and have the rest to end.
+PARTITIONS_UNTIL_S = 35.0
 KEPT = Path(__file__).resolve().parent.parent / "target" / "soak"
 
 
-def mixed_nature(task: TaskId) -> TaskNature:
-    """Returns a task that takes one of `DURATIONS_S`, by its number."""
-    return TaskNature(duration_s=DURATIONS_S[task.number % len(DURATIONS_S)])
-
-
 def main() -> int:
     """Prints a line for each seed; returns 1 if a promise was broken."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -48,7 +42,8 @@
         load = LoadPlan(
             options.jobs, options.rate, cancelled=0.1, patience_s=PATIENCE_S
         )
-        plan = FaultPlan(options.series, options.stops, options.partitions)
+        until_s = PARTITIONS_UNTIL_S if options.partitions else float("inf")
+        plan = FaultPlan(options.series, options.stops, options.partitions, until_s)
         site = SitePlan(nature=mixed_nature) if options.partitions else SitePlan()
         emulation = Emulation(site, load, seed, options.keep, plan)
         result = uvloop.run(emulation.run(faults=True))
