--- a/libs/standins/burdockthread_standins/entry_paths.py
+++ b/libs/standins/burdockthread_standins/entry_paths.py
@@ -44,12 +44,12 @@
 
     def stored(self, value: bytes) -> bytes:
         """Returns a value that the entry writes as others read it."""
-        return ADDRESS.sub(
-            lambda match: self.targets.get(
-                match[0].decode(), match[0].decode()
-            ).encode(),
-            value,
-        )
+        return ADDRESS.sub(lambda match: self.target(match[0]), value)
+
+    def target(self, address: bytes) -> bytes:
+        """Returns the address that a link leads to, or the address if it is no link."""
+        found = self.targets.get(address.decode())
+        return address if found is None else found.encode()
 
     def link_address(self, address: bytes) -> bytes:
         """Returns the address of the link to an address, or that address."""
--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -63,13 +63,6 @@
     return [finding for job in found for finding in job]
 
 
-def holder_of(site, pool):
-    """The entry that holds a pool."""
-    stored = site.store.store.values[f"cluster/duty/pool:{pool}"]
-    name = json.loads(stored.value)[0]
-    return next(entry for entry in site.entries if entry.name == name)
-
-
 async def test_calm_load_is_served_whole(site):
     load = load_of(site)
     await finish(site, load, load.run())
@@ -81,7 +74,7 @@
     load = load_of(site)
     running = asyncio.create_task(load.run())
     await asyncio.sleep(1.5)
-    victim = holder_of(site, "pool-a")
+    victim = site.holder("pool-a")
     await victim.stop(signal.SIGKILL)
     await asyncio.sleep(1.0)
     await victim.start()
@@ -194,7 +187,7 @@
     load = load_of(site, jobs=60)
     running = asyncio.create_task(load.run())
     await asyncio.sleep(1.0)
-    victim = holder_of(site, "pool-a")
+    victim = site.holder("pool-a")
     victim.send(signal.SIGSTOP)
     await asyncio.sleep(4.0)
     victim.send(signal.SIGCONT)
@@ -268,7 +261,7 @@
             ordered = len(site.park.disruptions.ordered)
             async with asyncio.timeout(20.0):
                 await until(lambda n=ordered: len(site.park.disruptions.ordered) > n)
-            holder = holder_of(site, "pool-a")
+            holder = site.holder("pool-a")
             await holder.stop(how)
             await holder.start()
         async with asyncio.timeout(30.0):
