Empty draining workers before others in a round

Cause: the round stopped the task on a worker vacated for the planner, within the budget, and then, whatever the budget, those on a draining one.

Why this works: draining workers come first, and what is stopped there counts as away for the budgets of the others.

--- a/libs/scheduling/burdockthread_scheduling/evacuation.py
+++ b/libs/scheduling/burdockthread_scheduling/evacuation.py
@@ -55,9 +55,14 @@
         self.core.wake.set()
 
     def step(self) -> None:
-        """Stops the tasks on workers to be emptied that may be stopped now."""
+        """Stops the tasks on workers to be emptied that may be stopped now.
+
+        Draining workers come first: their tasks are stopped in any case, and count as
+        away for the budgets of the others.
+        """
         self.waiting = False
-        for worker in self.core.workers.values():
+        workers = self.core.workers.values()
+        for worker in sorted(workers, key=lambda worker: not worker.listing.draining):
             since_s = self.emptying_since_s(worker)
             if since_s is None:
                 continue
