--- a/review/deployment.py
+++ b/review/deployment.py
@@ -17,6 +17,7 @@
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -100,6 +101,8 @@
 
 JsonObject = dict[str, Any]
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+# Answers a call instead of the handler, which it gets.
+Trouble = Callable[[web.BaseRequest, Handler], Awaitable[web.StreamResponse]]
 
 
 class Record:
@@ -541,6 +544,7 @@
         self.settings = folder / f"{name}.conf"
         self.log = folder / f"{name}.log"
         self.process: asyncio.subprocess.Process | None = None
+        self.store_trouble: Trouble | None = None
 
     def url(self, path: str) -> str:
         """Returns the URL of a path for clients."""
@@ -595,6 +599,8 @@
     ) -> None:
         self.services = services
         self.record = Record(folder)
+        self.connections: set[asyncio.Transport] = set()
+        self.silent: set[asyncio.Transport] = set()
         network = f"127.{secrets.randbelow(200) + 20}.{secrets.randbelow(256)}"
         self.host = f"{network}.250"
         self.store = Store()
@@ -620,7 +626,6 @@
         """Runs the deployment within the block and ends all processes at its end."""
         async with AsyncExitStack() as stack:
             stack.callback(self.temporary.cleanup)
-            store = await self.listen(stack, self.store.answer)
             cloud = await self.listen(stack, self.machines)
             for executor in self.executors:
                 executor.port = await self.listen(stack, executor.answer)
@@ -634,18 +639,47 @@
             self.session = session
             stack.push_async_callback(self.end_entries)
             for entry in self.entries:
+                store = await self.listen(stack, partial(self.answer_store, entry))
                 self.write_settings(entry, store, cloud)
                 await entry.start()
             yield self
 
+    async def answer_store(
+        self, entry: "Entry", request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Answers a call of an entry to the store, unless the store is in trouble."""
+        if entry.store_trouble is not None:
+            return await entry.store_trouble(request, self.store.answer)
+        return await self.store.answer(request)
+
     async def listen(self, stack: AsyncExitStack, handler: Handler) -> int:
         """Serves a handler on a free port of the platform; returns the port."""
-        runner = web.ServerRunner(web.Server(handler), shutdown_timeout=0.1)
+        answer = partial(self.answer_unless_silent, handler)
+        runner = web.ServerRunner(web.Server(answer), shutdown_timeout=0.1)
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
         await web.TCPSite(runner, self.host, 0).start()
         return int(runner.addresses[0][1])
 
+    async def answer_unless_silent(
+        self, handler: Handler, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Answers a request, unless its connection has gone silent by then."""
+        connection = request.transport
+        if connection is not None:
+            self.connections.add(connection)
+        if connection not in self.silent:
+            response = await handler(request)
+            if connection not in self.silent:
+                return response
+        await asyncio.sleep(SILENT_S)
+        raise ConnectionResetError
+
+    def silence_connections(self) -> int:
+        """Lets the open connections to the stand-ins go silent; returns how many."""
+        self.silent.update(c for c in self.connections if not c.is_closing())
+        return len(self.silent)
+
     def write_settings(self, entry: Entry, store: int, cloud: int) -> None:
         """Writes the settings file of an entry."""
         entry.settings.write_text(
