--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,7 +6,7 @@
 from deployment import Deployment, Executor, main
 
 FOLDER = Path(__file__).resolve().parent
-EXECUTORS = 4
+EXECUTORS = 7
 # Tasks that the executor has run before, so that ends up to this number are known.
 EARLIER_TASKS = 20
 JOBS = 5
