--- a/review/deployment.py
+++ b/review/deployment.py
@@ -12,6 +12,7 @@
 import os
 import secrets
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -41,7 +42,7 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 8.0
 METRICS_PORT = 9464
-FRONT_PORT, READY_PORT, INTERNAL_PORT = 8624, 8622, 7060
+CASE_TIMEOUT_S = 100.0
 QUEUE_HOST = "queue.example"
 SERVICE = "bookings"
 SETTINGS = """\
@@ -55,7 +56,7 @@
 zones.zone-a=region-a
 listenAddresses.front={host}:{front}
 listenAddresses.ready={host}:{ready}
-internalPorts={internal},7075
+internalPorts={internal},{internal}
 firstStart=true
 countsInTolerance=false
 limits.cpuShare=1.0
@@ -574,10 +575,11 @@
         self.log = folder / f"{name}.log"
         self.process: asyncio.subprocess.Process | None = None
         self.store_trouble: Trouble | None = None
+        self.front, self.ready, self.internal = free_ports(host, 3)
 
     def url(self, path: str) -> str:
         """Returns the URL of a path for clients."""
-        return f"http://{self.host}:{FRONT_PORT}{path}"
+        return f"http://{self.host}:{self.front}{path}"
 
     async def start(self) -> None:
         """Starts the process."""
@@ -616,6 +618,18 @@
         return 0.0
 
 
+def free_ports(host: str, count: int) -> list[int]:
+    """Returns ports of a loopback address that nothing uses."""
+    held = [socket.socket() for _ in range(count)]
+    try:
+        for found in held:
+            found.bind((host, 0))
+        return [int(found.getsockname()[1]) for found in held]
+    finally:
+        for found in held:
+            found.close()
+
+
 class Deployment:
     """Stand-ins of the platform, executors and real entries."""
 
@@ -715,9 +729,9 @@
             SETTINGS.format(
                 name=entry.name,
                 host=entry.host,
-                front=FRONT_PORT,
-                ready=READY_PORT,
-                internal=INTERNAL_PORT,
+                front=entry.front,
+                ready=entry.ready,
+                internal=entry.internal,
                 store=f"{self.host}:{store}",
                 cloud=f"{self.host}:{cloud}",
             )
@@ -776,7 +790,7 @@
 
     async def is_ready(self, entry: Entry) -> bool:
         """Returns whether an entry reports itself ready."""
-        url = f"http://{entry.host}:{READY_PORT}/readiness"
+        url = f"http://{entry.host}:{entry.ready}/readiness"
         with suppress(aiohttp.ClientError, OSError, TimeoutError):
             async with asyncio.timeout(1.0), self.session.get(url) as answer:
                 return answer.status == 200
@@ -859,12 +873,15 @@
     logging.disable(logging.CRITICAL)
 
     async def run() -> bool:
-        async with asyncio.timeout(115):
+        task = asyncio.current_task()
+        if task is not None:
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        async with asyncio.timeout(CASE_TIMEOUT_S):
             return await case(wanted)
 
     try:
         held = asyncio.run(run())
-    except (CaseError, OSError, TimeoutError) as error:
+    except (CaseError, OSError, TimeoutError, asyncio.CancelledError) as error:
         print(f"not run: {error!r}", file=sys.stderr)
         sys.exit(2)
     print("the rule held" if held else "the rule was broken")
