Acknowledge ends only to the life of a worker that has reported them

Cause: each poll carried the number of the last stored end of the life before, and the new process forgot as many of its own ends, unseen.

Now a poll acknowledges ends only while no start may be on another life of the worker, starts wait while an acknowledgement is in flight, and the clock in the answer to a start shows which life has it. The same rule tells which runs a restart has ended; it went by the time at which the last answer arrived, which a start on the next life may precede.

--- a/libs/scheduling/burdockthread_scheduling/memory_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_workers.py
@@ -59,6 +59,7 @@
         speed: Seconds of work done per second.
         clock_rate: Seconds that its clock shows per second.
         lost_answers: Number of next orders that take effect without an answer.
+        lost_reports: Number of next polls that take effect without an answer.
         late_orders_s: Delays in seconds of the next orders, which get no answer.
         alive: Whether the worker has not ended.
     """
@@ -79,6 +80,7 @@
         self.speed = 1.0
         self.clock_rate = 1.0
         self.lost_answers = 0
+        self.lost_reports = 0
         self.late_orders_s: list[float] = []
         self.alive = True
 
@@ -545,6 +547,9 @@
                 await self.clock.sleep(timeout_s)
                 raise WorkerSilentError(f"{worker.key.worker_id} is silent")
             found.advance()
+        if found.lost_reports:
+            found.lost_reports -= 1
+            raise WorkerSilentError(f"report of {worker.key.worker_id} was lost")
         return found.report()
 
     async def close(self) -> None:
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -237,18 +237,20 @@
     def restarted(self, worker: WorkerState, born_ms: int) -> None:
         """Marks a worker as restarted; its runs have ended.
 
-        A start whose outcome was not certain at the worker's last answer may have
-        been accepted by the restarted process, which knows no fencing token yet.
-        Such a run is kept until the restarted process lists it or its lease expires.
+        A start that is not known to have reached the last life may have been accepted
+        by the restarted process, which knows no fencing token yet. Such a run is kept
+        until the restarted process lists it or its lease expires.
         """
         key = WorkerKey(worker.worker_id, born_ms)
-        sure_s = worker.contact_s
         self.note_unaccounted(worker)
         for placement in tuple(worker.placements.values()):
-            if placement.certain_s <= sure_s:
+            if not worker.is_doubtful(placement):
                 worker.remove(placement)
         self.log.info(
-            "worker_restarted", worker=worker.worker_id, doubtful=len(worker.placements)
+            "worker_restarted",
+            worker=worker.worker_id,
+            doubtful=len(worker.placements),
+            acknowledged_end=worker.acknowledged_end,
         )
         worker.replaced = True
         worker.successor_expiry_s = self.clock.now() + SUCCESSOR_LEASE_BOUND_S
--- a/libs/scheduling/burdockthread_scheduling/run_orders.py
+++ b/libs/scheduling/burdockthread_scheduling/run_orders.py
@@ -26,6 +26,7 @@
 # A poll that was sent after the start has been answered by then.
 LISTED_TIMEOUT_S = HOLD_WAIT_MS / 1000 + CALL_TIMEOUT_S
 NO_ANSWER = "no answer to its order"
+NOT_REACHED = "worker not reached"
 STOP_RETRY_S = 0.2
 STOP_RETRY_MAX_S = 0.8
 # A worker that has refused a start gets none for this time.
@@ -92,6 +93,11 @@
     async def try_start(self, placement: Placement, task: TaskRun) -> None:
         """Sends the start of a run once and handles the answer."""
         worker = placement.worker
+        if not worker.acknowledgement_answered.is_set():
+            await worker.acknowledgement_answered.wait()
+            if worker.failed_calls or worker.replaced:
+                self.on_refused(placement, NOT_REACHED)
+                return
         if placement.phase is not PlacementPhase.ORDERED:
             return
         if self.core.tenure.lease_left_s() < -LEASE_GRACE_S:
@@ -126,6 +132,8 @@
         elapsed_s = self.clock.now() - sent_s
         self.core.metrics.timing("worker.start", elapsed_s)
         self.window.note_answer(elapsed_s)
+        now = self.clock.now()
+        placement.life_known = worker.is_own_clock(answer.clock_ms, sent_s, now)
         self.on_answer(placement, task, answer)
 
     def on_answer(
@@ -145,6 +153,7 @@
                 run=placement.run,
                 worker=worker.worker_id,
                 fence=self.core.tenure.fence,
+                life_known=placement.life_known,
             )
             return
         if answer.refusal is Refusal.FENCED:
--- a/libs/scheduling/burdockthread_scheduling/run_reports.py
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -87,6 +87,7 @@
         if placement is None:
             placement = self.adopt(worker, run, clock_ms)
         placement.confirm(now)
+        placement.life_known = True
         placement.settle(clock_ms)
         placement.measure = run.measure
         placement.measured_s = now
--- a/libs/scheduling/burdockthread_scheduling/sessions.py
+++ b/libs/scheduling/burdockthread_scheduling/sessions.py
@@ -31,6 +31,8 @@
 RETRY_MAX_S = 0.4
 # Ended runs are listed again until they are stored, so polls wait meanwhile.
 SETTLE_WAIT_S = 0.25
+# Or until a start is answered, which another life of the worker may have got.
+DOUBT_WAIT_S = 0.1
 
 
 class ReportListener(ABC):
@@ -119,7 +121,7 @@
     def has_need(self) -> bool:
         """Returns whether there is a reason to poll the worker."""
         worker = self.worker
-        unsettled = worker.seen_end > worker.settled_end
+        unsettled = worker.seen_end > worker.acknowledged_end
         stale = worker.is_clock_stale(self.clock.now())
         unsure = not worker.contacted or worker.failed_calls > 0 or stale
         return unsure or bool(worker.placements) or unsettled or self.is_poll_due()
@@ -137,11 +139,19 @@
             with suppress(TimeoutError):
                 async with self.clock.timeout(SETTLE_WAIT_S):
                     await self.stored.wait()
+        elif self.is_acknowledgement_delayed():
+            await self.clock.sleep(DOUBT_WAIT_S)
         self.stored.clear()
         while not self.has_need():
             worker.wake.clear()
             await worker.wake.wait()
 
+    def is_acknowledgement_delayed(self) -> bool:
+        """Returns whether ends wait for a start that another life may have got."""
+        worker = self.worker
+        waiting = worker.settled_end > worker.acknowledged_end
+        return waiting and not worker.due_acknowledgement()
+
     async def poll(self) -> None:
         """Polls the worker once and renews its lease if it is reachable."""
         worker = self.worker
@@ -151,11 +161,13 @@
         # The lease of an unreachable worker is left to expire; its tasks wait for that.
         if worker.contacted and not worker.failed_calls:
             lease_until_ms = worker.next_lease_ms(sent_s)
-            if worker.seen_end <= worker.settled_end and worker.placements:
+            if worker.seen_end <= worker.acknowledged_end and worker.placements:
                 wait_ms = self.wait_ms(sent_s)
-        order = HoldOrder(self.fence, worker.settled_end, lease_until_ms, wait_ms)
+        end = worker.due_acknowledgement()
+        order = HoldOrder(self.fence, end, lease_until_ms, wait_ms)
         timeout_s = wait_ms / 1000 + CALL_TIMEOUT_S
-        report = await self.gateway.hold(worker.listing, order, timeout_s)
+        with worker.acknowledging(end):
+            report = await self.gateway.hold(worker.listing, order, timeout_s)
         now = self.clock.now()
         if report.born_ms and worker.listing.key.born_ms not in (0, report.born_ms):
             message = f"{worker.worker_id} has started again"
@@ -165,6 +177,7 @@
             self.log.info("worker_reached", worker=worker.worker_id)
         worker.read_clock(report.clock_ms, now)
         worker.polled_s = sent_s
+        worker.acknowledged_end = max(worker.acknowledged_end, end)
         self.listener.on_report(worker, report, sent_s)
 
     def wait_ms(self, now: float) -> int:
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from enum import Enum, auto
 
 from burdockthread_scheduling.board import TaskRun
@@ -19,6 +20,8 @@
 # A lease counts from the earliest time that the worker's clock may show, so that it is
 # shorter the older the last reading is: 0.6 s at this age.
 CLOCK_MAX_AGE_S = 30.0
+# Clocks are read in whole milliseconds.
+CLOCK_MARGIN_MS = 2
 # Progress is reported in whole percents.
 PERCENT = 1
 # Shorter intervals are too inaccurate for the rate of progress.
@@ -64,10 +67,13 @@
             may have set one.
         pending_stop_until_ms: Worker's clock until which a stop by an earlier
             holder may be in progress; 0 if none can be.
+        life_known: Whether an answer has shown that this life of the worker got the
+            start.
     """
 
     __slots__ = (
         "certain_s",
+        "life_known",
         "measure",
         "measured_s",
         "ordered_s",
@@ -110,6 +116,7 @@
         self.measured_s = float("-inf")
         self.pace: int | None = 100
         self.pending_stop_until_ms = 0
+        self.life_known = False
 
     def confirm(self, now: float) -> None:
         """Records that the worker has the run."""
@@ -175,6 +182,9 @@
         failed_calls: Consecutive calls without an answer.
         seen_end: Number of the last ended run that was processed.
         settled_end: Number up to which ended runs are stored.
+        acknowledged_end: Number up to which the worker has confirmed that it forgets
+            ended runs.
+        acknowledgement_answered: Not set while an acknowledgement is in flight.
         full_until_s: Clock time until which the worker gets no tasks after a refusal.
         busy_s: Clock time at which the worker last had a run.
         draining_since_s: Clock time at which the worker was first seen draining, or
@@ -197,6 +207,9 @@
         self.failed_calls = 0
         self.seen_end = 0
         self.settled_end = 0
+        self.acknowledged_end = 0
+        self.acknowledgement_answered = asyncio.Event()
+        self.acknowledgement_answered.set()
         self.full_until_s = 0.0
         self.busy_s = now
         self.draining_since_s: float | None = None
@@ -237,12 +250,64 @@
         del self.placements[placement.task_id, placement.run]
         self.count(placement, -1)
         placement.worker = successor
+        placement.life_known = False
         successor.add(placement)
         successor.lease_until_ms = max(
             successor.lease_until_ms, successor.clock_ms + MAX_LEASE_MS
         )
         successor.wake.set()
 
+    def is_doubtful(self, placement: Placement) -> bool:
+        """Returns whether another life of this worker may have got a start.
+
+        A call names the worker but not the life, so that a restarted process accepts
+        orders that were meant for its last life.
+        """
+        return not placement.life_known and placement.certain_s > self.polled_s
+
+    def has_doubtful_runs(self) -> bool:
+        """Returns whether another life of this worker may have got any start."""
+        return any(self.is_doubtful(run) for run in self.placements.values())
+
+    def due_acknowledgement(self) -> int:
+        """Returns the number up to which ends are to be acknowledged now, or 0.
+
+        Another life would forget as many ends of its own, which this holder has not
+        seen, so there is none while that life may have got a start.
+        """
+        if self.settled_end <= self.acknowledged_end or self.has_doubtful_runs():
+            return 0
+        return self.settled_end
+
+    @contextmanager
+    def acknowledging(self, number: int) -> Iterator[None]:
+        """Keeps back starts during a call that acknowledges ends up to a number."""
+        if not number:
+            yield
+            return
+        self.acknowledgement_answered.clear()
+        try:
+            yield
+        finally:
+            self.acknowledgement_answered.set()
+
+    def is_own_clock(self, clock_ms: int | None, sent_s: float, now: float) -> bool:
+        """Returns whether an answer's clock shows that this life has answered.
+
+        The clock of a later life starts after the last answered poll was sent.
+
+        Args:
+            clock_ms: The clock in the answer.
+            sent_s: Clock time at which the call was sent.
+            now: Clock time at which it was answered.
+        """
+        if clock_ms is None:
+            return False
+        next_life_ms = (now - self.polled_s) * 1000 * CLOCK_RATE_BOUND
+        passed_ms = (sent_s - self.clock_read_s) * 1000 / CLOCK_RATE_BOUND
+        least_ms = self.clock_ms + passed_ms - CLOCK_MARGIN_MS
+        return clock_ms > next_life_ms + CLOCK_MARGIN_MS and clock_ms >= least_ms
+
     def hold_room(self, task: TaskRun) -> Callable[[], None]:
         """Reserves room for a task; returns a function that releases it."""
         placement = Placement(task, task.task, 0, self, task.size, 0.0)
--- a/libs/scheduling/burdockthread_scheduling/workers.py
+++ b/libs/scheduling/burdockthread_scheduling/workers.py
@@ -110,8 +110,8 @@
 
     Attributes:
         fence: Fencing token of the holder of the pool.
-        settled_end: Number of the last acknowledged end; the worker may delete the
-            ended runs up to this number.
+        settled_end: Number up to which the worker deletes its ended runs; 0 for
+            none. Another life would delete as many of its own.
         lease_until_ms: End of the lease on the worker's clock, or 0 for no renewal.
         wait_ms: Milliseconds for which the worker may delay the answer until a run
             ends.
