Give watches connections of their own

Cause: the calls to the store shared 16 connections, and each watch holds one for a second; an entry has four and one for each of its pools. From 13 pools on other calls waited behind watches until they were given up. A write that waited for a connection for 0.4 s was taken for lost before it was sent, and two more calls fenced it off.

Calls that the callee may hold back now have connections of their own, and a time-out around a call is suspended while the call waits for a connection. Messages about duties no longer share connections with callers' requests that are passed on.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -8,12 +8,11 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
 
-import aiohttp
 from burdockthread_model.addresses import Address
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.errors import PeerUnavailableError
 from burdockthread_model.histograms import HistogramMetrics
-from burdockthread_model.http_calls import HttpCalls
+from burdockthread_model.http_calls import ClientSessions, HttpCalls
 from burdockthread_model.http_server import ListeningPort, serve
 from burdockthread_model.load import LoadMonitor
 from burdockthread_model.stdout_log import StdoutLog
@@ -128,8 +127,7 @@
         self,
         settings: EntrySettings,
         metrics_port: int,
-        session: aiohttp.ClientSession,
-        urgent_session: aiohttp.ClientSession,
+        sessions: ClientSessions,
     ) -> None:
         self.metrics_port = metrics_port
         self.settings = settings
@@ -141,7 +139,7 @@
         self.load = LoadMonitor(
             self.clock, self.metrics, self.log, settings.link_bytes_per_s
         )
-        calls = HttpCalls(session, self.load, urgent_session)
+        calls = HttpCalls.from_sessions(sessions, self.load)
         self.platform = PlatformStore(
             str(settings.store), calls, self.clock, WATCH_PAUSES_S
         )
@@ -183,7 +181,12 @@
         self.gateway = HttpWorkerGateway(calls)
         self.process = secrets.token_hex(PROCESS_ID_BYTES)
         self.link = HttpEntryLink(
-            session, self.on_status, self.on_release, self.on_offer, self.on_request
+            sessions.shared,
+            sessions.waiting,
+            self.on_status,
+            self.on_release,
+            self.on_offer,
+            self.on_request,
         )
         self.policy: PolicyService = (
             NoPolicyService()
--- a/libs/burdockthread/burdockthread/platform_process.py
+++ b/libs/burdockthread/burdockthread/platform_process.py
@@ -4,12 +4,14 @@
 import os
 import signal
 import sys
-from contextlib import suppress
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import aiohttp
 import uvloop
 from burdockthread_model.errors import SettingsError
+from burdockthread_model.http_calls import ClientSessions
 from burdockthread_platform.settings import SETTINGS_VARIABLE, EntrySettings
 from burdockthread_scheduling.entry_lease import MAX_ATTEMPTS
 
@@ -18,6 +20,7 @@
 EXIT_SETTINGS = 2
 DEFAULT_METRICS_PORT = 9464
 CONNECTIONS_PER_HOST = 16
+NO_LIMIT = 0
 KEEPALIVE_S = 60.0
 # The settings file may change without a signal.
 RELOAD_INTERVAL_S = 1.0
@@ -68,13 +71,28 @@
 
 
 def client_session(connections_per_host: int) -> aiohttp.ClientSession:
-    """Returns a session with connections that are kept open for further calls."""
+    """Returns a session with connections that are kept open for further calls.
+
+    Args:
+        connections_per_host: Most connections to an address, or `NO_LIMIT`.
+    """
     connector = aiohttp.TCPConnector(
         limit=0, limit_per_host=connections_per_host, keepalive_timeout=KEEPALIVE_S
     )
     return aiohttp.ClientSession(connector=connector)
 
 
+@asynccontextmanager
+async def client_sessions() -> AsyncIterator[ClientSessions]:
+    """Yields the sessions of an entry, and closes them at the end of the block."""
+    async with (
+        client_session(CONNECTIONS_PER_HOST) as shared,
+        client_session(MAX_ATTEMPTS) as urgent,
+        client_session(NO_LIMIT) as waiting,
+    ):
+        yield ClientSessions(shared, urgent, waiting)
+
+
 async def serve_until_stopped(
     path: Path, settings: EntrySettings, metrics_port: int
 ) -> None:
@@ -83,11 +101,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    async with (
-        client_session(CONNECTIONS_PER_HOST) as session,
-        client_session(MAX_ATTEMPTS) as urgent_session,
-    ):
-        entry = PlatformEntry(settings, metrics_port, session, urgent_session)
+    async with client_sessions() as sessions:
+        entry = PlatformEntry(settings, metrics_port, sessions)
         follower = SettingsFollower(path, entry)
         loop.add_signal_handler(signal.SIGHUP, follower.reload_requested.set)
         async with entry.running():
--- a/libs/model/burdockthread_model/http_calls.py
+++ b/libs/model/burdockthread_model/http_calls.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import sys
-from collections.abc import AsyncIterator, Callable, Mapping
-from contextlib import asynccontextmanager, nullcontext
+from collections.abc import AsyncIterator, Callable, Iterator, Mapping
+from contextlib import asynccontextmanager, contextmanager
+from contextvars import ContextVar
 from typing import NamedTuple
 from weakref import WeakValueDictionary
 
@@ -49,9 +50,13 @@
 
 
 class LateTimeout:
-    """Ends a block after a time in which this process ran and its link was not full.
+    """Ends a block after a time in which its calls could be answered.
+
+    The time in which this process did not run, its link was full or a call of the
+    block waited for a free connection does not count.
 
     Attributes:
+        queued: Number of calls of the block that wait for a free connection.
         limit: Cancels the block once it is rescheduled to now.
         left_passes: Waits left for answers that have arrived.
     """
@@ -62,6 +67,7 @@
         self.started_s = load.clock.now()
         self.hindered_s = load.hindered_s()
         self.seconds = seconds
+        self.queued = 0
         self.limit = asyncio.timeout(None)
         self.left_passes = READ_PASSES
         self.handle = self.loop.call_later(seconds, self.on_expiry)
@@ -74,6 +80,9 @@
 
     def on_expiry(self) -> None:
         """Ends the block, or waits on for the time in which the call was hindered."""
+        if self.queued:
+            self.handle = self.loop.call_later(self.seconds, self.on_expiry)
+            return
         passed_s = self.load.clock.now() - self.started_s
         hindered_s = self.load.hindered_s() - self.hindered_s
         most_s = self.seconds * (MAX_TIMEOUT_FACTOR - 1)
@@ -87,6 +96,30 @@
             self.limit.reschedule(self.loop.time())
 
 
+# Time-outs around the current call, the outermost first.
+enclosing_timeouts: ContextVar[tuple[LateTimeout, ...]] = ContextVar(
+    "enclosing_timeouts", default=()
+)
+
+
+@contextmanager
+def suspended_timeouts() -> Iterator[None]:
+    """Suspends the time-outs around a call while it waits for a connection.
+
+    Nothing of the call has been sent, so that its end would tell nothing of the callee.
+    The wait has a time-out of its own.
+    """
+    timeouts = enclosing_timeouts.get()
+    for timeout in timeouts:
+        timeout.queued += 1
+    try:
+        yield
+    finally:
+        for timeout in timeouts:
+            timeout.queued -= 1
+            timeout.restart()
+
+
 @asynccontextmanager
 async def running_timeout(
     load: LoadMonitor, seconds: float
@@ -104,19 +137,39 @@
         TimeoutError: The block took longer and was cancelled.
     """
     timeout = LateTimeout(load, seconds)
+    enclosing = enclosing_timeouts.get()
+    token = enclosing_timeouts.set((*enclosing, timeout))
     try:
         async with timeout.limit:
             yield timeout
     finally:
         timeout.handle.cancel()
+        enclosing_timeouts.reset(token)
+
+
+class ClientSessions(NamedTuple):
+    """Connections for the calls of a process.
+
+    Attributes:
+        shared: A limited number of connections to each address.
+        urgent: Connections on which only urgent calls are sent.
+        waiting: Connections for calls that the callee may hold back, as many as
+            there are such calls.
+    """
+
+    shared: aiohttp.ClientSession
+    urgent: aiohttp.ClientSession
+    waiting: aiohttp.ClientSession
 
 
 class HttpCalls:
-    """Sends calls over the connections of one session.
+    """Sends calls over the connections of a process.
 
     Attributes:
-        load: Counts the calls and knows the lateness of this process.
+        session: Connections that calls share; each waits for a free one.
         urgent_session: Connections on which only urgent calls are sent.
+        waiting_session: Connections for calls that the callee may hold back.
+        load: Counts the calls and knows the lateness of this process.
         queues: First-come queues for the connections of `session`, by host and port;
             an address without calls has none. The library lets new calls overtake
             those that wait for a connection.
@@ -127,12 +180,19 @@
         session: aiohttp.ClientSession,
         load: LoadMonitor,
         urgent_session: aiohttp.ClientSession | None = None,
+        waiting_session: aiohttp.ClientSession | None = None,
     ) -> None:
         self.session = session
         self.urgent_session = urgent_session or session
+        self.waiting_session = waiting_session or session
         self.load = load
         self.queues: WeakValueDictionary[str, asyncio.Semaphore] = WeakValueDictionary()
 
+    @classmethod
+    def from_sessions(cls, sessions: ClientSessions, load: LoadMonitor) -> "HttpCalls":
+        """Returns an object that sends calls over the connections of a process."""
+        return cls(sessions.shared, load, sessions.urgent, sessions.waiting)
+
     def queue(self, url: str) -> asyncio.Semaphore:
         """Returns the queue for the connections to the address of a URL."""
         address = url.split("/", 3)[2]
@@ -144,17 +204,25 @@
         return found
 
     @asynccontextmanager
-    async def connection(self, url: str, timeout_s: float) -> AsyncIterator[None]:
+    async def connection(
+        self, session: aiohttp.ClientSession, url: str, timeout_s: float
+    ) -> AsyncIterator[None]:
         """Waits for a free connection to an address and reserves it for the block.
 
+        Only calls of the shared session wait.
+
         Raises:
             NoFreeConnectionError: All were in use for `timeout_s`.
         """
+        if session is not self.session:
+            yield
+            return
         queue = self.queue(url)
         if queue.locked():
             try:
-                async with asyncio.timeout(timeout_s):
-                    await queue.acquire()
+                with suspended_timeouts():
+                    async with asyncio.timeout(timeout_s):
+                        await queue.acquire()
             except TimeoutError as error:
                 raise NoFreeConnectionError(
                     f"no free connection within {timeout_s} s"
@@ -177,6 +245,7 @@
         headers: Mapping[str, str] | None = None,
         *,
         urgent: bool = False,
+        waits: bool = False,
         most_bytes: float = float("inf"),
         on_part: Callable[[int], None] | None = None,
     ) -> HttpAnswer:
@@ -192,6 +261,8 @@
             body: Body, or None.
             headers: Further headers.
             urgent: Whether the call must not wait for connections that others use.
+            waits: Whether the callee may hold the answer back; the call takes no
+                connection that others wait for.
             most_bytes: Largest body that is read.
             on_part: Called with the status as headers or a part of the body arrive.
 
@@ -205,11 +276,12 @@
         """
         received = 0
         is_answered = False
-        session = self.urgent_session if urgent else self.session
-        free = nullcontext() if urgent else self.connection(url, timeout_s)
+        session = self.session
+        if urgent or waits:
+            session = self.urgent_session if urgent else self.waiting_session
         try:
             async with (
-                free,
+                self.connection(session, url, timeout_s),
                 running_timeout(self.load, timeout_s) as limit,
                 session.request(
                     method,
--- a/libs/platform/burdockthread_platform/kv_store.py
+++ b/libs/platform/burdockthread_platform/kv_store.py
@@ -105,6 +105,7 @@
                 None if body is None else wire.encode(body),
                 None if body is None else wire.BODY_HEADERS,
                 urgent=path.startswith("/kv-keep"),
+                waits=wait_s > 0,
                 most_bytes=most_bytes,
                 on_part=self.note_contact,
             )
--- a/libs/platform/tests/test_unreached.py
+++ b/libs/platform/tests/test_unreached.py
@@ -78,7 +78,7 @@
 
 
 async def test_relay_without_a_connection_has_no_effect(full_port, session):
-    link = HttpEntryLink(session, None, None, None, None)
+    link = HttpEntryLink(session, session, None, None, None, None)
     request = CallerRequest("POST", "a.example", "/a/1", b"", TIMEOUT_S)
     with pytest.raises(PeerUnavailableError):
         await link.relay(f"{HOST}:{full_port}", request)
--- a/libs/scheduling/burdockthread_scheduling/entry_link.py
+++ b/libs/scheduling/burdockthread_scheduling/entry_link.py
@@ -78,6 +78,9 @@
     """Calls other entries over HTTP, and serves their calls.
 
     Attributes:
+        session: Connections for callers' requests that are passed on.
+        control_session: Connections for messages about duties, which must not wait
+            for callers' requests.
         on_status: Handles a pool's status; returns None if this entry is not the
             planner.
         on_release: Drops a pool that another entry now holds.
@@ -89,12 +92,14 @@
     def __init__(
         self,
         session: aiohttp.ClientSession,
+        control_session: aiohttp.ClientSession,
         on_status: StatusHandler,
         on_release: ReleaseHandler,
         on_offer: OfferHandler,
         on_request: RequestHandler,
     ) -> None:
         self.session = session
+        self.control_session = control_session
         self.on_status = on_status
         self.on_release = on_release
         self.on_offer = on_offer
@@ -113,7 +118,7 @@
         url = f"http://{address}{path}"
         body = msgspec.msgpack.encode(message)
         try:
-            async with self.session.post(
+            async with self.control_session.post(
                 url, data=body, timeout=self.timeout
             ) as answer:
                 data = await answer.read()
