Drop the idle connections to an address once a call on one gets no answer

The connector now knows when each idle connection was last answered, and closes those without an answer since the silent call was sent. Calls between entries go the same way; they had a client of their own with the same fault.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -181,8 +181,7 @@
         self.gateway = HttpWorkerGateway(calls)
         self.process = secrets.token_hex(PROCESS_ID_BYTES)
         self.link = HttpEntryLink(
-            sessions.shared,
-            sessions.waiting,
+            calls,
             self.on_status,
             self.on_release,
             self.on_offer,
--- a/libs/burdockthread/burdockthread/platform_process.py
+++ b/libs/burdockthread/burdockthread/platform_process.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 import uvloop
+from burdockthread_model.connections import TrackedConnector
 from burdockthread_model.errors import SettingsError
 from burdockthread_model.http_calls import ClientSessions
 from burdockthread_platform.settings import SETTINGS_VARIABLE, EntrySettings
@@ -76,8 +77,8 @@
     Args:
         connections_per_host: Most connections to an address, or `NO_LIMIT`.
     """
-    connector = aiohttp.TCPConnector(
-        limit=0, limit_per_host=connections_per_host, keepalive_timeout=KEEPALIVE_S
+    connector = TrackedConnector(
+        limit_per_host=connections_per_host, keepalive_timeout=KEEPALIVE_S
     )
     return aiohttp.ClientSession(connector=connector)
 
--- a/libs/burdockthread/tests/test_platform_entry.py
+++ b/libs/burdockthread/tests/test_platform_entry.py
@@ -3,6 +3,7 @@
 import aiohttp
 import pytest
 from burdockthread.platform_entry import PlatformEntry
+from burdockthread_model.http_calls import ClientSessions
 from burdockthread_platform.settings import EntrySettings
 from burdockthread_scheduling.duty import Tenure
 from burdockthread_scheduling.request_relay import CallerRequest
@@ -25,7 +26,7 @@
 # no process listens.
 async def test_changed_ports_do_not_change_the_address_for_entries(settings):
     async with aiohttp.ClientSession() as session:
-        entry = PlatformEntry(settings, 0, session, session)
+        entry = PlatformEntry(settings, 0, ClientSessions(session, session, session))
         entry.apply(settings._replace(first_port=settings.first_port + 1))
         tenure = Tenure("pool:pool-a", 1, Guard("cluster/duty/pool:pool-a", 1))
         holder = entry.pool_duty("pool-a", tenure)
@@ -41,7 +42,7 @@
     found = FleetConfiguration(3, {"queue-a": queue}, {"pool-a": PoolSpec("pool-a")})
     request = CallerRequest("GET", "a.example", "/a/", b"", 1.0, least_version=3)
     async with aiohttp.ClientSession() as session:
-        entry = PlatformEntry(settings, 0, session, session)
+        entry = PlatformEntry(settings, 0, ClientSessions(session, session, session))
         entry.configuration.apply(found, 1)
         assert (await entry.on_request(request)).status == 200
         newer = request._replace(least_version=4)
--- a/libs/model/burdockthread_model/http_calls.py
+++ b/libs/model/burdockthread_model/http_calls.py
@@ -6,10 +6,17 @@
 from contextlib import asynccontextmanager, contextmanager
 from contextvars import ContextVar
 from typing import NamedTuple
+from urllib.parse import urlsplit
 from weakref import WeakValueDictionary
 
 import aiohttp
 
+from burdockthread_model.connections import (
+    ConnectionUse,
+    HostPort,
+    TrackedConnector,
+    current_use,
+)
 from burdockthread_model.errors import AnswerTooLargeError
 from burdockthread_model.load import LoadMonitor
 
@@ -20,6 +27,9 @@
 # A call that waits for its own process or link ends after this many time-outs at most.
 MAX_TIMEOUT_FACTOR = 4.0
 MAX_URL_CHARS = 200
+# A call that was given up without an answer after a shorter time tells nothing of its
+# connection.
+SILENCE_S = 0.3
 # Headers that the library would add and that no callee uses.
 OMITTED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
@@ -275,13 +285,13 @@
             TimeoutError: No complete answer in time.
         """
         received = 0
-        is_answered = False
         session = self.session
         if urgent or waits:
             session = self.urgent_session if urgent else self.waiting_session
         try:
             async with (
                 self.connection(session, url, timeout_s),
+                self.noted_silence(url, waits=waits) as use,
                 running_timeout(self.load, timeout_s) as limit,
                 session.request(
                     method,
@@ -292,7 +302,7 @@
                     timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
                 ) as answer,
             ):
-                is_answered = True
+                use.hear()
                 if on_part is not None:
                     on_part(answer.status)
                 if (answer.content_length or 0) > most_bytes:
@@ -306,12 +316,62 @@
                         raise AnswerTooLargeError(f"more than {received} bytes")
                     if on_part is not None:
                         on_part(answer.status)
+                    use.hear()
                     limit.restart()
                 return HttpAnswer(answer.status, b"".join(parts))
+        finally:
+            self.load.note_call(kind, len(body or b""), received)
+
+    @asynccontextmanager
+    async def noted_silence(
+        self, url: str, *, waits: bool
+    ) -> AsyncIterator[ConnectionUse]:
+        """Notes if a call ends without an answer on a connection that has worked.
+
+        Args:
+            url: Address of the callee.
+            waits: Whether only a time-out, and no cancelled call, shows silence.
+
+        Yields:
+            The use of the connection by the call.
+
+        Raises:
+            InvalidCallError: The address or a header cannot be encoded.
+        """
+        use = ConnectionUse()
+        token = current_use.set(use)
+        try:
+            yield use
+        except TimeoutError:
+            self.on_silence(url, use)
+            raise
+        except asyncio.CancelledError:
+            if not waits:
+                self.on_silence(url, use)
+            raise
         except ValueError as error:
             # The library raises these for hosts and headers that it cannot encode.
-            if is_answered or isinstance(error, aiohttp.ClientError):
+            if use.is_answered or isinstance(error, aiohttp.ClientError):
                 raise
             raise InvalidCallError(f"{url[:MAX_URL_CHARS]}: {error}") from error
         finally:
-            self.load.note_call(kind, len(body or b""), received)
+            current_use.reset(token)
+
+    def on_silence(self, url: str, use: ConnectionUse) -> None:
+        """Handles the end of a call that got no answer on its connection.
+
+        Connections may go silent together and without a sign, while new ones work. The
+        next calls would each wait for an answer on one of them, so those that have not
+        been answered since the last part of this answer, or since the call got its
+        connection, are closed.
+        """
+        silent_s = use.silent_s()
+        if use.heard_s is None or not use.has_worked or silent_s < SILENCE_S:
+            return
+        target = urlsplit(url)
+        address = HostPort(target.hostname, target.port)
+        dropped = 0
+        for session in {self.session, self.urgent_session, self.waiting_session}:
+            if isinstance(session.connector, TrackedConnector):
+                dropped += session.connector.drop_idle(address, use.heard_s)
+        self.load.note_silence(f"{address.host}:{address.port}", silent_s, dropped)
--- a/libs/model/burdockthread_model/load.py
+++ b/libs/model/burdockthread_model/load.py
@@ -64,6 +64,23 @@
         self.metrics.count(f"sent_bytes.{kind}", sent)
         self.metrics.count(f"received_bytes.{kind}", received)
 
+    def note_silence(self, address: str, silent_s: float, dropped: int) -> None:
+        """Logs a connection without an answer.
+
+        Args:
+            address: Host and port of the callee.
+            silent_s: Seconds for which the call had the connection.
+            dropped: Number of idle connections to the address that were closed.
+        """
+        self.metrics.count("calls.silent_connections")
+        if dropped:
+            self.log.info(
+                "connections_dropped",
+                address=address,
+                silent_s=round(silent_s, 3),
+                n=dropped,
+            )
+
     def note_received(self, size: int) -> None:
         """Counts bytes of an answer as they arrive."""
         self.received += size
--- a/libs/platform/tests/test_unreached.py
+++ b/libs/platform/tests/test_unreached.py
@@ -10,6 +10,7 @@
 import aiohttp
 import pytest
 from burdockthread_model.clock import SystemClock
+from burdockthread_model.connections import TrackedConnector
 from burdockthread_model.errors import PeerUnavailableError, StoreUnavailableError
 from burdockthread_model.events import EventLog
 from burdockthread_model.http_calls import HttpCalls
@@ -51,7 +52,8 @@
 
 @pytest.fixture
 async def session():
-    async with aiohttp.ClientSession() as found:
+    connector = TrackedConnector(limit_per_host=16, keepalive_timeout=60.0)
+    async with aiohttp.ClientSession(connector=connector) as found:
         yield found
 
 
@@ -77,8 +79,8 @@
         )
 
 
-async def test_relay_without_a_connection_has_no_effect(full_port, session):
-    link = HttpEntryLink(session, session, None, None, None, None)
+async def test_relay_without_a_connection_has_no_effect(full_port, calls):
+    link = HttpEntryLink(calls, None, None, None, None)
     request = CallerRequest("POST", "a.example", "/a/1", b"", TIMEOUT_S)
     with pytest.raises(PeerUnavailableError):
         await link.relay(f"{HOST}:{full_port}", request)
--- a/libs/scheduling/burdockthread_scheduling/entry_link.py
+++ b/libs/scheduling/burdockthread_scheduling/entry_link.py
@@ -1,5 +1,6 @@
 """Calls between entries: msgpack bodies over HTTP."""
 
+import asyncio
 from abc import abstractmethod
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
@@ -10,7 +11,7 @@
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import PeerTimeoutError, PeerUnavailableError
 from burdockthread_model.events import EventLog
-from burdockthread_model.http_calls import NOT_SENT
+from burdockthread_model.http_calls import NOT_SENT, HttpCalls
 from burdockthread_model.http_server import GracefulServer
 
 from burdockthread_scheduling.duty import DutyOffer
@@ -78,9 +79,8 @@
     """Calls other entries over HTTP, and serves their calls.
 
     Attributes:
-        session: Connections for callers' requests that are passed on.
-        control_session: Connections for messages about duties, which must not wait
-            for callers' requests.
+        calls: Sends calls. Messages about duties have connections of their own, so
+            that they don't wait for callers' requests that are passed on.
         on_status: Handles a pool's status; returns None if this entry is not the
             planner.
         on_release: Drops a pool that another entry now holds.
@@ -91,20 +91,17 @@
 
     def __init__(
         self,
-        session: aiohttp.ClientSession,
-        control_session: aiohttp.ClientSession,
+        calls: HttpCalls,
         on_status: StatusHandler,
         on_release: ReleaseHandler,
         on_offer: OfferHandler,
         on_request: RequestHandler,
     ) -> None:
-        self.session = session
-        self.control_session = control_session
+        self.calls = calls
         self.on_status = on_status
         self.on_release = on_release
         self.on_offer = on_offer
         self.on_request = on_request
-        self.timeout = aiohttp.ClientTimeout(total=LINK_TIMEOUT_S)
 
     async def call(
         self, address: str, path: str, message: object, kind: type[Answer]
@@ -118,13 +115,17 @@
         url = f"http://{address}{path}"
         body = msgspec.msgpack.encode(message)
         try:
-            async with self.control_session.post(
-                url, data=body, timeout=self.timeout
-            ) as answer:
-                data = await answer.read()
+            answer = await self.calls.send(
+                f"link.{path.rpartition('/')[2]}",
+                "POST",
+                url,
+                LINK_TIMEOUT_S,
+                body=body,
+                waits=True,
+            )
             if answer.status != 200:
                 raise PeerUnavailableError(f"{address} answered {answer.status}")
-            return msgspec.msgpack.decode(data, type=kind)
+            return msgspec.msgpack.decode(answer.data, type=kind)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             reason = f"{address}: {type(error).__name__}"
             raise PeerUnavailableError(reason) from error
@@ -147,18 +148,22 @@
         """Has another entry answer a caller's request from its own store."""
         url = f"http://{address}{RELAY_PATH}"
         body = msgspec.msgpack.encode(request)
-        timeout = aiohttp.ClientTimeout(
-            total=request.timeout_s, sock_connect=CONNECT_TIMEOUT_S
-        )
         try:
-            async with self.session.post(url, data=body, timeout=timeout) as answer:
-                data = await answer.read()
+            async with asyncio.timeout(request.timeout_s):
+                answer = await self.calls.send(
+                    "link.relay",
+                    "POST",
+                    url,
+                    request.timeout_s,
+                    CONNECT_TIMEOUT_S,
+                    body,
+                )
         except NOT_SENT as error:
             raise PeerUnavailableError(f"{address}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PeerTimeoutError(f"{address}: {type(error).__name__}") from error
         try:
-            return msgspec.msgpack.decode(data, type=CallerAnswer)
+            return msgspec.msgpack.decode(answer.data, type=CallerAnswer)
         except msgspec.MsgspecError as error:
             reason = f"{address} answered {answer.status}: {error}"
             raise PeerTimeoutError(reason) from error
