Wait for the longest lease where a restarted worker may have got an order

Cause: an order carries the end of the lease by the worker's clock, and the next life, whose clock starts anew, shortens its lease only to 6 s. The holder assumed 3 s for workers lost before it noticed the restart, counted the clock of a noticed next life from its first registration, and the next holder assumed 3 s for all that earlier holders had left.

Runs that may be on another life are now waited for until 6 s after the last order that could have reached it, also by the next holder.

--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -1,6 +1,7 @@
 """The workers of a pool: registrations, readiness for tasks and expired leases."""
 
 import asyncio
+from collections.abc import Iterable
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -18,20 +19,15 @@
 from burdockthread_scheduling.sessions import ReportListener, WorkerSession
 from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.worker_state import (
-    CLOCK_RATE_BOUND,
-    LAPSE_MARGIN_S,
-    MAX_LEASE_MS,
-    RUN_LEASE_MS,
+    SUCCESSOR_LEASE_BOUND_S,
     Placement,
     WorkerState,
 )
 from burdockthread_scheduling.workers import WorkerKey
 
-# Every run lease that a worker was granted has expired after this time.
-LEASE_BOUND_S = RUN_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
-# Runs that a worker accepted after its restart have ended after this time, unless
-# their leases are renewed.
-SUCCESSOR_LEASE_BOUND_S = MAX_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
+# Every run lease that a worker was granted has expired after this time, also if the
+# worker had started again and the order was meant for its last life.
+LEASE_BOUND_S = SUCCESSOR_LEASE_BOUND_S
 # A poll waits for up to 0.3 s, and the next one is due 0.3 s after it was sent.
 TOKEN_CONFIRMED_AGE_S = 0.8
 ASSIGN_INTERVAL_S = 0.5
@@ -242,7 +238,7 @@
         until the restarted process lists it or its lease expires.
         """
         key = WorkerKey(worker.worker_id, born_ms)
-        self.note_unaccounted(worker)
+        self.note_unaccounted(worker.placements.values())
         for placement in tuple(worker.placements.values()):
             if not worker.is_doubtful(placement):
                 worker.remove(placement)
@@ -253,7 +249,6 @@
             acknowledged_end=worker.acknowledged_end,
         )
         worker.replaced = True
-        worker.successor_expiry_s = self.clock.now() + SUCCESSOR_LEASE_BOUND_S
         self.assigned_dirty = True
         until_s = self.unreached.pop(worker.listing.key, None)
         successor = self.core.workers.get(key)
@@ -314,18 +309,24 @@
                 self.core.wake.set()
 
     def reached(self, worker: WorkerState) -> None:
-        """Records that a worker has answered this holder."""
-        if not worker.contacted:
-            worker.contacted = True
-            self.unreached.pop(worker.listing.key, None)
+        """Records that a worker has answered this holder.
+
+        Its earlier lives have ended, and it refuses the orders of earlier holders.
+        """
+        if worker.contacted:
+            return
+        worker.contacted = True
+        for key in tuple(self.unreached):
+            if key <= worker.listing.key and key.worker_id == worker.worker_id:
+                del self.unreached[key]
 
     def lose_runs(self, worker: WorkerState) -> None:
         """Removes all runs of a worker as ended."""
-        self.note_unaccounted(worker)
+        self.note_unaccounted(worker.placements.values())
         for placement in tuple(worker.placements.values()):
             worker.remove(placement)
 
-    def note_unaccounted(self, worker: WorkerState) -> None:
+    def note_unaccounted(self, placements: Iterable[Placement]) -> None:
         """Marks the tasks of lost runs while another entry may hold the pool.
 
         That entry may have renewed the leases of the runs, and may have recorded the
@@ -333,7 +334,7 @@
         """
         if self.core.is_certain():
             return
-        for placement in worker.placements.values():
+        for placement in placements:
             task = placement.task
             if task is None or task.unaccounted:
                 continue
@@ -342,7 +343,7 @@
                 "run_unaccounted",
                 task=placement.task_id,
                 run=placement.run,
-                worker=worker.worker_id,
+                worker=placement.worker.worker_id,
                 lease_left_s=round(self.core.tenure.lease_left_s(), 3),
                 offered=self.core.offered,
             )
@@ -351,30 +352,33 @@
         """Removes the runs of unreachable workers once their leases have expired."""
         now = self.clock.now()
         for worker in self.core.workers.values():
-            if not worker.placements:
-                continue
-            if worker.replaced:
-                if now > worker.successor_expiry_s:
-                    self.log.warning(
-                        "restarted_worker_lapsed",
-                        worker=worker.worker_id,
-                        runs=len(worker.placements),
-                    )
-                    self.lose_runs(worker)
-            elif worker.failed_calls and now > worker.lapse_s():
-                self.log.warning(
-                    "worker_leases_lapsed",
-                    worker=worker.worker_id,
-                    runs=len(worker.placements),
-                    contact_age_s=round(now - worker.contact_s, 3),
-                )
-                worker.contacted = False
-                self.lose_runs(worker)
+            if worker.replaced or worker.failed_calls:
+                self.expire_runs(worker, now)
         for key, lapsed_s in tuple(self.unreached.items()):
             if now > lapsed_s:
                 del self.unreached[key]
                 self.log.warning("unreached_worker_lapsed", worker=key.worker_id)
 
+    def expire_runs(self, worker: WorkerState, now: float) -> None:
+        """Removes the runs of an unreachable worker whose leases have expired."""
+        runs = tuple(worker.placements.values())
+        lapsed = [run for run in runs if now > worker.run_lapse_s(run)]
+        if not lapsed:
+            return
+        self.log.warning(
+            "worker_leases_lapsed",
+            worker=worker.worker_id,
+            restarted=worker.replaced,
+            runs=len(lapsed),
+            doubtful=len(runs) - len(lapsed),
+            contact_age_s=round(now - worker.contact_s, 3),
+        )
+        if not worker.replaced:
+            worker.contacted = False
+        self.note_unaccounted(lapsed)
+        for run in lapsed:
+            worker.remove(run)
+
     # Readiness
 
     def is_usable(self, worker: WorkerState) -> bool:
--- a/libs/scheduling/burdockthread_scheduling/run_reports.py
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -125,6 +125,7 @@
         placement.pace = None
         placement.pending_stop_until_ms = int(clock_ms + stop_ms)
         worker.add(placement)
+        worker.adopt_lease()
         if task is not None and wanted:
             task.placements.append(placement)
             task.last_run = max(task.last_run, run.run)
--- a/libs/scheduling/burdockthread_scheduling/worker_state.py
+++ b/libs/scheduling/burdockthread_scheduling/worker_state.py
@@ -20,8 +20,18 @@
 # A lease counts from the earliest time that the worker's clock may show, so that it is
 # shorter the older the last reading is: 0.6 s at this age.
 CLOCK_MAX_AGE_S = 30.0
+# Every lease of a life that got an order meant for an earlier one has expired this long
+# after the order arrived: its end by the earlier clock is far off by the new one.
+SUCCESSOR_LEASE_BOUND_S = MAX_LEASE_MS / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
+# An order without an answer has arrived after this time, or never does.
+DELIVERY_BOUND_S = 0.5
+# A holder may take a worker for its last life for this long after a restart: until the
+# registration shows it, or the holder has lost its lease.
+UNNOTICED_RESTART_MS = 10_000
 # Clocks are read in whole milliseconds.
 CLOCK_MARGIN_MS = 2
+# A process that has just answered needs longer to end and start again.
+LEAST_RESTART_MS = 50
 # Progress is reported in whole percents.
 PERCENT = 1
 # Shorter intervals are too inaccurate for the rate of progress.
@@ -172,11 +182,12 @@
         contacted: Whether the worker has answered this holder; it refuses orders of
             earlier holders from then on.
         replaced: Whether another life, or another worker, answers at the address.
-        successor_expiry_s: Clock time by which the leases of runs that the worker's
-            next life may have started have expired.
         clock_ms: The worker's clock at the last answer.
         clock_read_s: Clock time of that answer.
         lease_until_ms: Latest end of the lease that any order may have set.
+        lease_sent_s: Clock time of the last order with a lease.
+        inherited_lapse_s: Clock time by which leases have expired that orders to the
+            last life may have given to this one.
         contact_s: Clock time of the last answer.
         polled_s: Clock time at which the last answered poll was sent.
         failed_calls: Consecutive calls without an answer.
@@ -198,10 +209,11 @@
         self.placements: dict[tuple[TaskId, int], Placement] = {}
         self.contacted = False
         self.replaced = False
-        self.successor_expiry_s = float("-inf")
         self.clock_ms = 0
         self.clock_read_s = now
         self.lease_until_ms = 0
+        self.lease_sent_s = float("-inf")
+        self.inherited_lapse_s = float("-inf")
         self.contact_s = now
         self.polled_s = float("-inf")
         self.failed_calls = 0
@@ -252,8 +264,8 @@
         placement.worker = successor
         placement.life_known = False
         successor.add(placement)
-        successor.lease_until_ms = max(
-            successor.lease_until_ms, successor.clock_ms + MAX_LEASE_MS
+        successor.inherited_lapse_s = max(
+            successor.inherited_lapse_s, self.successor_lapse_s()
         )
         successor.wake.set()
 
@@ -294,7 +306,8 @@
     def is_own_clock(self, clock_ms: int | None, sent_s: float, now: float) -> bool:
         """Returns whether an answer's clock shows that this life has answered.
 
-        The clock of a later life starts after the last answered poll was sent.
+        The clock of a later life starts after the last answered poll was sent, and
+        no clock runs fast.
 
         Args:
             clock_ms: The clock in the answer.
@@ -303,10 +316,10 @@
         """
         if clock_ms is None:
             return False
-        next_life_ms = (now - self.polled_s) * 1000 * CLOCK_RATE_BOUND
+        next_life_ms = (now - self.polled_s) * 1000 - LEAST_RESTART_MS
         passed_ms = (sent_s - self.clock_read_s) * 1000 / CLOCK_RATE_BOUND
         least_ms = self.clock_ms + passed_ms - CLOCK_MARGIN_MS
-        return clock_ms > next_life_ms + CLOCK_MARGIN_MS and clock_ms >= least_ms
+        return clock_ms > next_life_ms and clock_ms >= least_ms
 
     def hold_room(self, task: TaskRun) -> Callable[[], None]:
         """Reserves room for a task; returns a function that releases it."""
@@ -384,12 +397,38 @@
         passed_ms = (now - self.clock_read_s) * 1000 / CLOCK_RATE_BOUND
         until_ms = int(self.clock_ms + passed_ms + RUN_LEASE_MS)
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        self.lease_sent_s = now
         return until_ms
 
+    def adopt_lease(self) -> None:
+        """Records that orders of an earlier holder may have set the lease.
+
+        A worker that had just started again may have got orders for its last life.
+        """
+        former_ms = min(self.clock_ms, UNNOTICED_RESTART_MS) + MAX_LEASE_MS
+        self.lease_until_ms = max(self.lease_until_ms, former_ms)
+
     def lapse_s(self) -> float:
-        """Returns the clock time by which all leases have expired at the latest."""
+        """Returns the clock time by which the leases of this life have expired."""
         left_ms = max(self.lease_until_ms - self.clock_ms, 0)
-        return self.clock_read_s + left_ms / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
+        left_s = left_ms / 1000 * CLOCK_RATE_BOUND + LAPSE_MARGIN_S
+        return max(self.clock_read_s + left_s, self.inherited_lapse_s)
+
+    def successor_lapse_s(self) -> float:
+        """Returns the clock time by which the leases of the next life have expired.
+
+        That life, which orders for this one may have reached, shortens a lease only to
+        `MAX_LEASE_MS` from then on.
+        """
+        return self.lease_sent_s + DELIVERY_BOUND_S + SUCCESSOR_LEASE_BOUND_S
+
+    def run_lapse_s(self, placement: Placement) -> float:
+        """Returns the clock time by which a run that is not renewed has expired."""
+        if self.replaced:
+            return self.successor_lapse_s()
+        if self.is_doubtful(placement):
+            return max(self.lapse_s(), self.successor_lapse_s())
+        return self.lapse_s()
 
     def of_step(self, task: TaskRun) -> Iterator[Placement]:
         """Yields the runs of the same step and occurrence."""
--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -76,6 +76,7 @@
         self.configuration = CONFIGURATION
         self.processes = {}
         self.tasks = []
+        self.holders = []
         self.jobs = 0
         store = self.store_of("entry-1")
         self.cache = PrefixCache(store, SHARED_PREFIX, self.clock, 0.3)
@@ -129,6 +130,7 @@
         scheduler = PoolScheduler(POOL, tenure, parts)
         scheduler.work = asyncio.create_task(scheduler.run())
         self.tasks.append(scheduler.work)
+        self.holders.append(scheduler)
         return scheduler
 
     async def kill(self, scheduler):
--- a/libs/scheduling/tests/test_restarted_workers.py
+++ b/libs/scheduling/tests/test_restarted_workers.py
@@ -7,6 +7,9 @@
 from pool_site import POOL, step
 
 SHORT = TaskNature(duration_s=0.1)
+LONG = TaskNature(duration_s=12.0)
+# The end of a lease by the clock of this life is far off by the clock of the next.
+LIFE_S = 10.0
 
 
 class DelayedRoster(WorkerRoster):
@@ -68,3 +71,67 @@
     await site.until(lambda: site.phase(job) is JobPhase.COMPLETED)
     await site.pass_time(1.0)
     assert all(not worker.ended for worker in site.park.by_key.values())
+
+
+# Guards against two runs at once: the worker has started again, takes starts for its
+# last life, whose leases it shortens to 6 s only, and is cut off soon after.
+@pytest.mark.parametrize("registered_s", [0.0, 0.3, 1.0, None])
+@pytest.mark.parametrize("cut_off_s", [0.0, 0.3, 1.0, 2.0])
+async def test_runs_on_the_next_life_of_a_worker_end_before_others_start(
+    site, roster, seasoned, registered_s, cut_off_s
+):
+    await site.pass_time(LIFE_S)
+    roster.known = dict(roster.workers(POOL))
+    restarted = site.park.add("w1", POOL, born_ms=2)
+    restarted.lost_reports = 1 if cut_off_s == 0.0 else 0
+    job = await site.submit(step(8), nature=LONG)
+    await site.until(lambda: restarted.runs)
+    passed_s = 0.0
+    while passed_s <= 2.0:
+        if registered_s is not None and passed_s >= registered_s:
+            roster.known = None
+        restarted.silent = passed_s >= cut_off_s
+        await site.pass_time(0.1)
+        passed_s += 0.1
+    await site.until(lambda: len(site.runs(job)) > 8, seconds=12.0)
+
+
+# The same where the holder is killed too: what the next one reads names the last life.
+@pytest.mark.parametrize("registered", [False, True])
+async def test_next_holder_waits_for_runs_on_the_next_life_of_a_worker(
+    site, roster, seasoned, registered
+):
+    first = site.holders[-1]
+    await site.pass_time(LIFE_S)
+    roster.known = dict(roster.workers(POOL))
+    restarted = site.park.add("w1", POOL, born_ms=2)
+    restarted.lost_reports = 1
+    job = await site.submit(step(8), nature=LONG)
+    await site.until(lambda: restarted.runs)
+    restarted.silent = True
+    await site.kill(first)
+    site.processes["entry-1"] = "process-2"
+    if registered:
+        roster.known = None
+    await site.holder("entry-1", "process-2", roster=roster)
+    await site.until(lambda: len(site.runs(job)) > 8, seconds=12.0)
+
+
+# The next holder has adopted the runs when the worker is cut off.
+async def test_adopted_runs_on_the_next_life_of_a_worker_end_before_others_start(
+    site, roster, seasoned
+):
+    first = site.holders[-1]
+    await site.pass_time(LIFE_S)
+    roster.known = dict(roster.workers(POOL))
+    restarted = site.park.add("w1", POOL, born_ms=2)
+    restarted.lost_reports = 1
+    job = await site.submit(step(8), nature=LONG)
+    await site.until(lambda: restarted.runs)
+    await site.kill(first)
+    site.processes["entry-1"] = "process-2"
+    roster.known = None
+    await site.holder("entry-1", "process-2", roster=roster)
+    await site.pass_time(0.2)
+    restarted.silent = True
+    await site.until(lambda: len(site.runs(job)) > 8, seconds=12.0)
