Take an earlier holder for ended if nothing listens at its address

A machine that refuses the connection shows that the process has ended, so the next holder waits for leases only. A full or silent port does not show that.

--- a/libs/model/burdockthread_model/errors.py
+++ b/libs/model/burdockthread_model/errors.py
@@ -83,6 +83,10 @@
     """There is no stream to the peer; the message was not sent."""
 
 
+class PeerEndedError(PeerUnavailableError):
+    """No process listens at the peer's address, so that its process has ended."""
+
+
 class PeerTimeoutError(PeerError):
     """The peer did not answer in time; it may have handled the message."""
 
--- a/libs/platform/tests/test_unreached.py
+++ b/libs/platform/tests/test_unreached.py
@@ -11,7 +11,11 @@
 import pytest
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.connections import TrackedConnector
-from burdockthread_model.errors import PeerUnavailableError, StoreUnavailableError
+from burdockthread_model.errors import (
+    PeerEndedError,
+    PeerUnavailableError,
+    StoreUnavailableError,
+)
 from burdockthread_model.events import EventLog
 from burdockthread_model.http_calls import HttpCalls
 from burdockthread_model.load import LoadMonitor
@@ -19,6 +23,7 @@
 from burdockthread_platform.kv_store import PlatformStore
 from burdockthread_platform.worker_http import HttpWorkerGateway
 from burdockthread_scheduling.entry_link import HttpEntryLink
+from burdockthread_scheduling.pool_status import ReleaseOrder
 from burdockthread_scheduling.request_relay import CallerRequest
 from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.workers import (
@@ -86,6 +91,23 @@
         await link.relay(f"{HOST}:{full_port}", request)
 
 
+# A process that is gone is told from one that is cut off: only the latter may act.
+async def test_address_without_a_process_shows_that_it_has_ended(calls):
+    link = HttpEntryLink(calls, None, None, None, None)
+    with socket.socket() as free:
+        free.bind((HOST, 0))
+        address = f"{HOST}:{free.getsockname()[1]}"
+    with pytest.raises(PeerEndedError):
+        await link.release(address, ReleaseOrder("pool", 2))
+
+
+async def test_full_port_does_not_show_that_its_process_has_ended(full_port, calls):
+    link = HttpEntryLink(calls, None, None, None, None)
+    with pytest.raises(PeerUnavailableError) as caught:
+        await link.release(f"{HOST}:{full_port}", ReleaseOrder("pool", 2))
+    assert not isinstance(caught.value, PeerEndedError)
+
+
 # Guards against errors of the HTTP library for hosts and ids of another writer, which
 # are not errors of a connection.
 @pytest.mark.parametrize(
--- a/libs/scheduling/burdockthread_scheduling/entry_link.py
+++ b/libs/scheduling/burdockthread_scheduling/entry_link.py
@@ -9,7 +9,11 @@
 import msgspec
 from aiohttp import web
 from burdockthread_model.clock import Clock
-from burdockthread_model.errors import PeerTimeoutError, PeerUnavailableError
+from burdockthread_model.errors import (
+    PeerEndedError,
+    PeerTimeoutError,
+    PeerUnavailableError,
+)
 from burdockthread_model.events import EventLog
 from burdockthread_model.http_calls import NOT_SENT, HttpCalls
 from burdockthread_model.http_server import GracefulServer
@@ -109,6 +113,7 @@
         """Posts a message and returns the decoded answer.
 
         Raises:
+            PeerEndedError: No process listens at the address.
             PeerUnavailableError: No answer in time, another status than 200, or a
                 malformed answer.
         """
@@ -126,6 +131,10 @@
             if answer.status != 200:
                 raise PeerUnavailableError(f"{address} answered {answer.status}")
             return msgspec.msgpack.decode(answer.data, type=kind)
+        except aiohttp.ClientConnectorError as error:
+            ended = isinstance(error.os_error, ConnectionRefusedError)
+            kind_of_error = PeerEndedError if ended else PeerUnavailableError
+            raise kind_of_error(f"{address}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             reason = f"{address}: {type(error).__name__}"
             raise PeerUnavailableError(reason) from error
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -7,6 +7,7 @@
 
 from burdockthread_model.errors import (
     ConflictError,
+    PeerEndedError,
     PeerUnavailableError,
     StoreError,
 )
@@ -144,13 +145,15 @@
         """Asks an earlier holder to send no more orders, until it confirms.
 
         An answer with another process id comes from a restarted entry; the holder's
-        process has then ended.
+        process has then ended, as it has if no process listens at its address.
         """
         parts, core = self.core.parts, self.core
         while self.unreached:
             try:
                 fence = core.tenure.fence
                 process = await parts.release(holder.address, core.pool, fence)
+            except PeerEndedError:
+                process = ""
             except PeerUnavailableError:
                 await self.clock.sleep(RELEASE_RETRY_S)
                 continue
--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from burdockthread_model.clock import MemoryClock
-from burdockthread_model.errors import PeerUnavailableError
+from burdockthread_model.errors import PeerEndedError, PeerUnavailableError
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import MemoryMetrics
 from burdockthread_scheduling.duty import Tenure
@@ -74,6 +74,7 @@
         self.planner_silent = False
         self.policy = MemoryPolicyService()
         self.configuration = CONFIGURATION
+        # By address; None where no process listens any more.
         self.processes = {}
         self.tasks = []
         self.holders = []
@@ -149,7 +150,10 @@
         """Answers as the entry that held the pool before."""
         if address not in self.processes:
             raise PeerUnavailableError(address)
-        return self.processes[address]
+        process = self.processes[address]
+        if process is None:
+            raise PeerEndedError(address)
+        return process
 
     async def submit(self, *steps, queue=QUEUE, nature=None, **fields):
         """Accepts a job and returns its id."""
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -173,6 +173,20 @@
     await site.until(lambda: len(site.runs(job)) == 2, seconds=LEASE_BOUND_S + 0.5)
 
 
+# Guards against a wait for orders of a process that is known to have ended for good.
+async def test_unreached_worker_is_waited_for_less_if_nothing_listens_any_more(
+    site, holder
+):
+    job = await site.submit(step(1), nature=FOREVER)
+    await site.until(lambda: len(site.park.running()) == 1)
+    key = site.runs(job)[0].worker
+    await site.kill(holder)
+    site.park.by_key[key].silent = True
+    site.processes["entry-1"] = None
+    await site.holder("entry-2", "process-2")
+    await site.until(lambda: len(site.runs(job)) == 2, seconds=LEASE_BOUND_S + 0.5)
+
+
 async def test_workers_that_left_long_ago_do_not_delay_a_takeover(site, holder):
     site.park.add("w3", POOL)
     await site.pass_time(1.0)
