Let tasks that a new holder has located go on while a worker is out of reach

A task whose run a worker has listed to the new holder has no other run, and a step whose predecessor was listed as running has not begun, so that both may start at once; other tasks still wait.

--- a/libs/scheduling/burdockthread_scheduling/board.py
+++ b/libs/scheduling/burdockthread_scheduling/board.py
@@ -29,6 +29,8 @@
         foreseen_s: Durations that the runs stopped as too slow would have had.
         unaccounted: Whether a run was lost while another entry may have held the
             pool. That entry may keep the run alive, or have recorded its success.
+        located: Whether a worker has listed a run of an earlier holder to this one,
+            so that no other run of the task can exist.
     """
 
     __slots__ = (
@@ -38,6 +40,7 @@
         "foreseen_s",
         "job",
         "last_run",
+        "located",
         "placements",
         "size",
         "step",
@@ -57,6 +60,7 @@
         self.failed_on: set[str] = set()
         self.foreseen_s: list[float] = []
         self.unaccounted = False
+        self.located = False
 
     def name(self) -> str:
         """Returns the task's name within the job, as used in the stored progress."""
@@ -73,6 +77,7 @@
         queue: Name of the job's queue.
         open_tasks: Tasks that have not succeeded, by index.
         succeeded: Bit set of the indices of the tasks that have succeeded.
+        located: Whether any of its tasks was located.
         durations_s: Durations of the successful runs in seconds.
     """
 
@@ -82,6 +87,7 @@
         self.spec = job.spec.steps[number]
         self.queue = job.spec.queue
         self.succeeded = 0
+        self.located = False
         self.durations_s: list[float] = []
         self.open_tasks = {
             index: TaskRun(
@@ -184,6 +190,25 @@
         """Returns whether all predecessors of a step have succeeded."""
         return all(not steps[number].open_tasks for number in step.spec.after)
 
+    def locate(self, task: TaskRun) -> None:
+        """Records that a worker has listed a run of an earlier holder."""
+        task.located = True
+        step = self.step_run(task.task.occurrence, task.task.step)
+        if step is not None:
+            step.located = True
+
+    def is_located(self, task: TaskRun) -> bool:
+        """Returns whether all runs of a task are known.
+
+        An earlier holder runs a task once at a time, and starts no step before its
+        predecessors have succeeded, which one that was running then had not.
+        """
+        if not self.adopted or task.located:
+            return True
+        steps = self.occurrences.get(task.task.occurrence, [])
+        before = (steps[number] for number in task.step.after)
+        return any(step.located and not step.spec.duplicates_allowed for step in before)
+
     def open_tasks(self) -> Iterator[TaskRun]:
         """Yields all tasks that have not succeeded."""
         for steps in self.occurrences.values():
--- a/libs/scheduling/burdockthread_scheduling/run_reports.py
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -126,6 +126,8 @@
         placement.pending_stop_until_ms = int(clock_ms + stop_ms)
         worker.add(placement)
         worker.adopt_lease()
+        if task is not None:
+            task.job.locate(task)
         if task is not None and wanted:
             task.placements.append(placement)
             task.last_run = max(task.last_run, run.run)
@@ -157,6 +159,7 @@
             if task is None or worker.placements.get(key) is not placement:
                 continue
             worker.claim(placement, task)
+            job.locate(task)
             task.last_run = max(task.last_run, placement.run)
             self.log.info(
                 "run_claimed",
--- a/libs/scheduling/burdockthread_scheduling/task_placer.py
+++ b/libs/scheduling/burdockthread_scheduling/task_placer.py
@@ -73,8 +73,6 @@
         for job in core.board.jobs.values():
             if job.end is not None or job.held_back:
                 continue
-            if job.adopted and self.workers.unreached:
-                continue
             job.open_due(wall_ms)
             if any(
                 self.is_waiting(task)
@@ -87,9 +85,12 @@
     def is_waiting(self, task: TaskRun) -> bool:
         """Returns whether a task has no run and may get one.
 
-        Once no other entry can hold the pool, none has held it since the holder's
-        lease began, so that a lost run has really ended.
+        Runs of earlier holders may exist on workers that have not answered. Once no
+        other entry can hold the pool, none has held it since the holder's lease began,
+        so that a lost run has really ended.
         """
+        if self.workers.unreached and not task.job.is_located(task):
+            return False
         if task.unaccounted and self.core.is_certain():
             task.unaccounted = False
         return not task.placements and not task.unaccounted
