--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -16,6 +16,7 @@
 from burdockthread_scheduling.pool_scheduler import PoolScheduler
 from burdockthread_scheduling.pool_status import PlannerAnswer
 from burdockthread_scheduling.records import SHARED_PREFIX, duty_key
+from burdockthread_scheduling.roster import WorkerRoster
 from burdockthread_scheduling.specs import (
     FleetConfiguration,
     JobSpec,
@@ -56,6 +57,20 @@
     return StepSpec(tasks, **values)
 
 
+class StaleRoster(WorkerRoster):
+    """Roster that returns the outdated registrations in `known`, unless None."""
+
+    def __init__(self, park):
+        self.park = park
+        self.known = None
+
+    def workers(self, pool):
+        return self.park.workers(pool) if self.known is None else self.known
+
+    def changed(self):
+        return self.park.changed()
+
+
 class PoolSite:
     """One pool; each call of `holder` starts the holder of a later term."""
 
--- a/libs/scheduling/tests/test_pool_scheduler.py
+++ b/libs/scheduling/tests/test_pool_scheduler.py
@@ -160,29 +160,17 @@
     await site.until(lambda: len(site.runs(job)) == 2, seconds=15.0)
 
 
+# The earlier holder has ended if its entry runs another process, or none any more.
+@pytest.mark.parametrize("process", ["process-1-restarted", None])
 async def test_unreached_worker_is_waited_for_less_once_the_holder_has_ended(
-    site, holder
-):
-    job = await site.submit(step(1), nature=FOREVER)
-    await site.until(lambda: len(site.park.running()) == 1)
-    key = site.runs(job)[0].worker
-    await site.kill(holder)
-    site.park.by_key[key].silent = True
-    site.processes["entry-1"] = "process-1-restarted"
-    await site.holder("entry-2", "process-2")
-    await site.until(lambda: len(site.runs(job)) == 2, seconds=LEASE_BOUND_S + 0.5)
-
-
-# Guards against a wait for orders of a process that is known to have ended for good.
-async def test_unreached_worker_is_waited_for_less_if_nothing_listens_any_more(
-    site, holder
+    site, holder, process
 ):
     job = await site.submit(step(1), nature=FOREVER)
     await site.until(lambda: len(site.park.running()) == 1)
     key = site.runs(job)[0].worker
     await site.kill(holder)
     site.park.by_key[key].silent = True
-    site.processes["entry-1"] = None
+    site.processes["entry-1"] = process
     await site.holder("entry-2", "process-2")
     await site.until(lambda: len(site.runs(job)) == 2, seconds=LEASE_BOUND_S + 0.5)
 
--- a/libs/scheduling/tests/test_restarted_workers.py
+++ b/libs/scheduling/tests/test_restarted_workers.py
@@ -3,8 +3,7 @@
 import pytest
 from burdockthread_scheduling.memory_runs import TaskNature
 from burdockthread_scheduling.records import JobPhase
-from burdockthread_scheduling.roster import WorkerRoster
-from pool_site import POOL, step
+from pool_site import POOL, StaleRoster, step
 
 SHORT = TaskNature(duration_s=0.1)
 LONG = TaskNature(duration_s=12.0)
@@ -12,23 +11,9 @@
 LIFE_S = 10.0
 
 
-class DelayedRoster(WorkerRoster):
-    """Roster that returns the registrations in `known`, unless None."""
-
-    def __init__(self, park):
-        self.park = park
-        self.known = None
-
-    def workers(self, pool):
-        return self.park.workers(pool) if self.known is None else self.known
-
-    def changed(self):
-        return self.park.changed()
-
-
 @pytest.fixture
 def roster(site):
-    return DelayedRoster(site.park)
+    return StaleRoster(site.park)
 
 
 @pytest.fixture
@@ -44,6 +29,26 @@
     await site.pass_time(1.0)
 
 
+@pytest.fixture
+async def misled(site, roster, seasoned):
+    """Returns a function that has a worker start again and take a job's starts.
+
+    The starts are meant for its last life. The first polls of the new one, as many as
+    `lost_reports`, get no answer. The function returns the new life and the job's id.
+    """
+
+    async def start_again(lost_reports=1):
+        await site.pass_time(LIFE_S)
+        roster.known = dict(roster.workers(POOL))
+        restarted = site.park.add("w1", POOL, born_ms=2)
+        restarted.lost_reports = lost_reports
+        job = await site.submit(step(8), nature=LONG)
+        await site.until(lambda: restarted.runs)
+        return restarted, job
+
+    return start_again
+
+
 # Guards against a second run after a success: a poll told the worker's next life to
 # forget as many ends as the last life had, and its report was lost.
 @pytest.mark.parametrize("lost_reports", [0, 1, 2])
@@ -78,14 +83,9 @@
 @pytest.mark.parametrize("registered_s", [0.0, 0.3, 1.0, None])
 @pytest.mark.parametrize("cut_off_s", [0.0, 0.3, 1.0, 2.0])
 async def test_runs_on_the_next_life_of_a_worker_end_before_others_start(
-    site, roster, seasoned, registered_s, cut_off_s
+    site, roster, misled, registered_s, cut_off_s
 ):
-    await site.pass_time(LIFE_S)
-    roster.known = dict(roster.workers(POOL))
-    restarted = site.park.add("w1", POOL, born_ms=2)
-    restarted.lost_reports = 1 if cut_off_s == 0.0 else 0
-    job = await site.submit(step(8), nature=LONG)
-    await site.until(lambda: restarted.runs)
+    restarted, job = await misled(lost_reports=1 if cut_off_s == 0.0 else 0)
     passed_s = 0.0
     while passed_s <= 2.0:
         if registered_s is not None and passed_s >= registered_s:
@@ -99,17 +99,11 @@
 # The same where the holder is killed too: what the next one reads names the last life.
 @pytest.mark.parametrize("registered", [False, True])
 async def test_next_holder_waits_for_runs_on_the_next_life_of_a_worker(
-    site, roster, seasoned, registered
+    site, roster, misled, registered
 ):
-    first = site.holders[-1]
-    await site.pass_time(LIFE_S)
-    roster.known = dict(roster.workers(POOL))
-    restarted = site.park.add("w1", POOL, born_ms=2)
-    restarted.lost_reports = 1
-    job = await site.submit(step(8), nature=LONG)
-    await site.until(lambda: restarted.runs)
+    restarted, job = await misled()
     restarted.silent = True
-    await site.kill(first)
+    await site.kill(site.holders[-1])
     site.processes["entry-1"] = "process-2"
     if registered:
         roster.known = None
@@ -119,16 +113,10 @@
 
 # The next holder has adopted the runs when the worker is cut off.
 async def test_adopted_runs_on_the_next_life_of_a_worker_end_before_others_start(
-    site, roster, seasoned
+    site, roster, misled
 ):
-    first = site.holders[-1]
-    await site.pass_time(LIFE_S)
-    roster.known = dict(roster.workers(POOL))
-    restarted = site.park.add("w1", POOL, born_ms=2)
-    restarted.lost_reports = 1
-    job = await site.submit(step(8), nature=LONG)
-    await site.until(lambda: restarted.runs)
-    await site.kill(first)
+    restarted, job = await misled()
+    await site.kill(site.holders[-1])
     site.processes["entry-1"] = "process-2"
     roster.known = None
     await site.holder("entry-1", "process-2", roster=roster)
--- a/libs/scheduling/tests/test_task_twice.py
+++ b/libs/scheduling/tests/test_task_twice.py
@@ -8,10 +8,9 @@
 from burdockthread_scheduling.duties import LEASE_GRACE_S
 from burdockthread_scheduling.memory_runs import TaskNature
 from burdockthread_scheduling.records import JobPhase
-from burdockthread_scheduling.roster import WorkerRoster
 from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.workers import StartOrder, WorkerGateway, WorkerKey
-from pool_site import POOL, step
+from pool_site import POOL, StaleRoster, step
 
 FOREVER = TaskNature(duration_s=float("inf"))
 ONE, TWO, THREE = (WorkerKey(f"w{number}", 1) for number in (1, 2, 3))
@@ -62,20 +61,6 @@
         return self.clock.timeout(seconds)
 
 
-class StaleRoster(WorkerRoster):
-    """Roster that returns the outdated registrations in `known`, unless None."""
-
-    def __init__(self, park):
-        self.park = park
-        self.known = None
-
-    def workers(self, pool):
-        return self.park.workers(pool) if self.known is None else self.known
-
-    def changed(self):
-        return self.park.changed()
-
-
 @pytest.fixture
 def workers(site):
     for key in (ONE, TWO, THREE):
