Test workers that start again and are cut off with entries as processes

The emulated workers can keep an old registration, so that starts for the last life of a worker reach the next one.

--- a/libs/standins/burdockthread_standins/emulated_workers.py
+++ b/libs/standins/burdockthread_standins/emulated_workers.py
@@ -57,6 +57,7 @@
         park: The workers.
         ports: Address of each life of a worker.
         last_ports: Address of the last life by id; the next one has the same.
+        unregistered: Ids of workers whose registration stays as it is.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self.last_ports: dict[str, int] = {}
         self.stacks: dict[WorkerKey, AsyncExitStack] = {}
         self.sequence = 0
+        self.unregistered: set[str] = set()
 
     async def run(self) -> None:
         """Follows the workers that come and go, until cancelled."""
@@ -92,12 +94,13 @@
             if key not in self.park.by_key:
                 del self.ports[key]
                 await self.stacks.pop(key).aclose()
-                change = Change(f"servers/{key.worker_id}", None, ANY_REVISION)
-                await self.write(change)
+                if key.worker_id not in self.unregistered:
+                    change = Change(f"servers/{key.worker_id}", None, ANY_REVISION)
+                    await self.write(change)
         for key, worker in tuple(self.park.by_key.items()):
             if key not in self.ports:
                 await self.open_port(worker)
-            if not worker.silent:
+            if not worker.silent and key.worker_id not in self.unregistered:
                 await self.register(worker)
 
     async def open_port(self, worker: MemoryWorker) -> None:
--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -22,6 +22,8 @@
 from burdockthread_standins.job_load import HOST_HEADER, JobLoad, LoadPlan
 
 SETTLE_S = 2.0
+# `holdMaxMs` of the users' deployments.
+LONGEST_LEASE_S = 6.0
 # A request made then is still open when the port closes, if its caller is patient.
 LATE_IN_STOP_S = 2.0
 PATIENT = {"Deadline-Ms": "10000"}
@@ -82,6 +84,38 @@
     assert any("took the pool over" in finding for finding in findings(site, load))
 
 
+# Guards against second runs of tasks that the next life of a worker has started: it
+# takes starts for its last life, shortens the lease less than that one, and is cut off.
+async def test_workers_that_start_again_and_are_cut_off_run_nothing_twice():
+    site = EmulatedSite(SitePlan(nature=lambda _: TaskNature(duration_s=8.0)))
+    async with site.running():
+        # The clock of the next life is far behind that of the last.
+        await asyncio.sleep(LONGEST_LEASE_S + SETTLE_S)
+        load = load_of(site, jobs=30, jobs_per_s=20.0)
+        chosen = [found for found in site.park.by_key.values() if found.listing.pool]
+        names = {found.listing.key.worker_id for found in chosen[::2]}
+        site.workers.unregistered |= names
+        restarted = [start_again(site, name) for name in sorted(names)]
+        await asyncio.sleep(0.5)
+        running = asyncio.create_task(load.run())
+        # Before the first poll of a next life returns, which waits for an end.
+        await asyncio.sleep(0.5)
+        for worker in restarted:
+            worker.silent = True
+        await asyncio.sleep(LONGEST_LEASE_S + SETTLE_S)
+        site.workers.unregistered.clear()
+        for worker in restarted:
+            worker.silent = False
+        await finish(site, load, running)
+
+
+def start_again(site, name):
+    """Starts the next life of a worker; returns it."""
+    last = site.park.worker_by_id(name).listing
+    born_ms = last.key.born_ms + 1
+    return site.park.add(name, last.pool, last.capacity, last.labels, born_ms)
+
+
 async def test_sick_worker_is_left_out_and_named(site):
     load = load_of(site, jobs=60)
     running = asyncio.create_task(load.run())
