--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every target makes the virtual environment first when it is missing.
 VENV ?= .venv
 PIP_OPTIONS := --quiet --quiet --disable-pip-version-check
-SHIPPED := model store scheduling platform peers routing fleet operators standins burdockthread
+SHIPPED := model http store scheduling platform peers routing fleet operators standins burdockthread
 LIBS := $(SHIPPED) scenarios
 empty :=
 space := $(empty) $(empty)
--- a/deploy/stage.sh
+++ b/deploy/stage.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Copies the packages that an entry needs beside its dependencies.
 set -eu
-for package in model store scheduling platform; do
+for package in model http store scheduling platform; do
     rm -rf "target/deps/burdockthread_$package"
     cp -r "libs/$package/burdockthread_$package" target/deps/
 done
--- a/libs/burdockthread/burdockthread/bench_routing.py
+++ b/libs/burdockthread/burdockthread/bench_routing.py
@@ -9,6 +9,10 @@
 from pathlib import Path
 
 import aiohttp
+from burdockthread_http.connection_guard import ConnectionGuard
+from burdockthread_http.connection_limits import PortLimits
+from burdockthread_http.received_bytes import ReceivedBytes
+from burdockthread_model.settings import Limits
 from burdockthread_model.steps import Steps
 from burdockthread_routing.callers_api import CallersApi
 from burdockthread_routing.callers_port import callers_port
@@ -17,7 +21,6 @@
     GENERATION_HEADER,
     POOL_HEADER,
 )
-from burdockthread_routing.http_port import PortLimits
 from burdockthread_routing.job_ledger import JobLedger
 from burdockthread_standins.endpoint_faults import Fault, FaultKind
 from burdockthread_store.memory_store import MemoryStore
@@ -101,8 +104,17 @@
     """Serves the callers' API of the first entry and yields its port."""
     ledger = JobLedger(MemoryStore(rig.clock), rig.clock, Steps())
     api = CallersApi("entry-0", rig.routers[0], ledger, rig.clock, rig.metrics, rig.log)
-    limits = PortLimits(connections=PORT_CONNECTIONS, stop_timeout_s=1.0)
-    listening = callers_port(api, rig.clock, LOOPBACK, 0, PORT_BODY_BYTES, limits)
+    budget = ReceivedBytes.of_memory(Limits().memory_mb)
+    limits = PortLimits(connections=PORT_CONNECTIONS, body_bytes=PORT_BODY_BYTES)
+    listening = callers_port(
+        api,
+        rig.clock,
+        LOOPBACK,
+        0,
+        limits,
+        stop_timeout_s=1.0,
+        guard=ConnectionGuard(budget, rig.metrics, rig.log),
+    )
     async with listening as port:
         yield port
 
--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -14,6 +14,8 @@
 from burdockthread_fleet.job_segments import JobSegments
 from burdockthread_fleet.leadership import Leadership
 from burdockthread_fleet.planner import Planner
+from burdockthread_http.connection_guard import ConnectionGuard
+from burdockthread_http.received_bytes import ReceivedBytes
 from burdockthread_model.events import EventLog
 from burdockthread_model.intended import TemplateDocument
 from burdockthread_model.metrics import MemoryMetrics, StatsdMetrics
@@ -38,7 +40,7 @@
 from burdockthread_routing.endpoint_choice import EndpointChooser
 from burdockthread_routing.failure_reports import FailureReporter
 from burdockthread_routing.fleet_view import VM_PREFIX, FleetView
-from burdockthread_routing.http_port import PortLimits, http_port
+from burdockthread_routing.http_port import http_port
 from burdockthread_routing.job_ledger import JOB_PREFIX, JobLedger
 from burdockthread_routing.jobs_api import JobAccess
 from burdockthread_routing.router import Router
@@ -47,6 +49,7 @@
 from burdockthread_store.settled_store import SettledStore
 
 from burdockthread.external_clients import ExternalClients, connections_per_endpoint
+from burdockthread.interface_limits import caller_limits, operator_limits
 from burdockthread.state_reports import StateReports
 from burdockthread.status import FleetStatus
 
@@ -78,6 +81,9 @@
         self.name = settings["name"]
         self.log = EventLog(self.name)
         self.metrics = metrics_from_settings(settings)
+        self.guard = ConnectionGuard(
+            ReceivedBytes.of_memory(self.limits.memory_mb), self.metrics, self.log
+        )
         self.store = SettledStore.with_budget(
             clients.store, self.name, self.limits, self.clock, self.metrics
         )
@@ -295,36 +301,32 @@
     async def listen_for_operators(self, stack: AsyncExitStack) -> None:
         """Starts the operators' port on the address of the settings."""
         address = self.settings["operators"]
-        limits = PortLimits(
-            connections=self.limits.operator_connections,
-            stop_timeout_s=self.limits.stop_timeout_s,
-        )
         listening = http_port(
             "operators",
             self.operators_api.application(),
             self.operators_api.busy,
+            self.operators_api.refuse,
             self.clock,
-            self.metrics,
+            self.log,
+            self.guard,
             address["host"],
             address["port"],
-            limits,
+            operator_limits(self.limits),
+            stop_timeout_s=self.limits.stop_timeout_s,
         )
         self.ports["operators"] = await stack.enter_async_context(listening)
 
     async def listen_for_callers(self, stack: AsyncExitStack) -> None:
         """Starts the callers' port on the address of the settings."""
         address = self.settings["callers"]
-        limits = PortLimits(
-            connections=self.limits.caller_connections,
-            stop_timeout_s=CLOSE_TIMEOUT_S,
-        )
         listening = callers_port(
             self.callers_api,
             self.clock,
             address["host"],
             address["port"],
-            self.limits.body_bytes,
-            limits,
+            caller_limits(self.limits),
+            stop_timeout_s=CLOSE_TIMEOUT_S,
+            guard=self.guard,
         )
         self.ports["callers"] = await stack.enter_async_context(listening)
 
--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -6,13 +6,13 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from math import inf
 
+from burdockthread_http.connection_guard import ConnectionGuard
+from burdockthread_http.connection_limits import PortLimits
+from burdockthread_http.http_calls import ClientSessions
+from burdockthread_http.http_server import ListeningPort, serve
+from burdockthread_http.received_bytes import ReceivedBytes
+from burdockthread_http.status_ports import readiness_server, text_server
 from burdockthread_model.addresses import Address
-from burdockthread_model.connection_guard import ConnectionGuard
-from burdockthread_model.connection_limits import PortLimits
-from burdockthread_model.http_calls import ClientSessions
-from burdockthread_model.http_server import ListeningPort, serve
-from burdockthread_model.received_bytes import ReceivedBytes
-from burdockthread_model.status_ports import readiness_server, text_server
 from burdockthread_platform.jobs_http import JobsPort
 from burdockthread_platform.settings import EntrySettings
 from burdockthread_scheduling.admission_gate import AdmissionGate
--- a/libs/burdockthread/burdockthread/platform_parts.py
+++ b/libs/burdockthread/burdockthread/platform_parts.py
@@ -3,10 +3,10 @@
 import secrets
 import time
 
+from burdockthread_http.http_calls import ClientSessions, HttpCalls
 from burdockthread_model.addresses import Address
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.histograms import HistogramMetrics
-from burdockthread_model.http_calls import ClientSessions, HttpCalls
 from burdockthread_model.load import LoadMonitor
 from burdockthread_model.stdout_log import StdoutLog
 from burdockthread_platform.configuration import (
--- a/libs/burdockthread/burdockthread/platform_process.py
+++ b/libs/burdockthread/burdockthread/platform_process.py
@@ -10,9 +10,9 @@
 
 import aiohttp
 import uvloop
-from burdockthread_model.connections import TrackedConnector
+from burdockthread_http.connections import TrackedConnector
+from burdockthread_http.http_calls import ClientSessions
 from burdockthread_model.errors import SettingsError
-from burdockthread_model.http_calls import ClientSessions
 from burdockthread_platform.settings import SETTINGS_VARIABLE, EntrySettings
 from burdockthread_scheduling.entry_lease import MAX_ATTEMPTS
 
--- a/libs/burdockthread/tests/test_platform_entry.py
+++ b/libs/burdockthread/tests/test_platform_entry.py
@@ -3,7 +3,7 @@
 import aiohttp
 import pytest
 from burdockthread.platform_entry import PlatformEntry
-from burdockthread_model.http_calls import ClientSessions
+from burdockthread_http.http_calls import ClientSessions
 from burdockthread_platform.settings import EntrySettings
 from burdockthread_scheduling.duty import Tenure
 from burdockthread_scheduling.quota_ledger import FORGET_S
--- /dev/null
+++ b/libs/http/burdockthread_http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP on both sides: guarded servers, calls to other processes."""
--- a/libs/model/burdockthread_model/connection_guard.py
+++ b/libs/http/burdockthread_http/connection_guard.py
@@ -3,17 +3,32 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections import Counter
+from typing import NamedTuple
 
-from burdockthread_model.connection_limits import CLOSED_FOR_MEMORY, Refusal
 from burdockthread_model.events import EventLog
 from burdockthread_model.metrics import MemoryMetrics, Metrics
-from burdockthread_model.received_bytes import ConnectionProgress, ReceivedBytes
+
+from burdockthread_http.connection_limits import CLOSED_FOR_MEMORY, Refusal
+from burdockthread_http.received_bytes import ConnectionProgress, ReceivedBytes
 
 SWEEP_INTERVAL_S = 0.5
-# One line for each reason in this time; its field `n` counts all since the last line.
+# One line for each port and reason in this time; its field `n` counts all since the
+# last line.
 LOG_INTERVAL_S = 5.0
 
 
+class PortEvent(NamedTuple):
+    """Kind of an event that is logged at a bounded rate.
+
+    Attributes:
+        port: Name of the port.
+        reason: Why a request was refused or a connection closed.
+    """
+
+    port: str
+    reason: str
+
+
 class SweptConnection(ABC):
     """A connection as the guard sees it.
 
@@ -44,8 +59,8 @@
         budget: Budget of received bytes.
         connections: Open connections by their progress.
         sweep_due_s: Event loop time at which the deadlines are checked next.
-        unlogged: Number of events of each reason since its last log line.
-        logged_s: Event loop time of the last log line of each reason.
+        unlogged: Number of events of each kind since its last log line.
+        logged_s: Event loop time of the last log line of each kind.
     """
 
     def __init__(self, budget: ReceivedBytes, metrics: Metrics, log: EventLog) -> None:
@@ -55,8 +70,8 @@
         self.connections: dict[ConnectionProgress, SweptConnection] = {}
         self.sweeping: asyncio.TimerHandle | None = None
         self.sweep_due_s = 0.0
-        self.unlogged: Counter[str] = Counter()
-        self.logged_s: dict[str, float] = {}
+        self.unlogged: Counter[PortEvent] = Counter()
+        self.logged_s: dict[PortEvent, float] = {}
 
     @classmethod
     def with_defaults(cls, log: EventLog) -> "ConnectionGuard":
@@ -126,25 +141,28 @@
             self.connections[found].refuse(CLOSED_FOR_MEMORY)
         return self.budget.fits(more, share)
 
-    def note(self, event: str, reason: str, port: str) -> None:
+    def note(self, event: str, reason: str, port: str, **fields: object) -> None:
         """Counts a refused request or a closed connection; logs it at a bounded rate.
 
         Args:
             event: `refused` or `closed`.
             reason: Why.
             port: Name of the port.
+            **fields: Further fields of the log line.
         """
-        self.metrics.count(f"clients.{event}.{reason}")
+        self.metrics.count(f"clients.{event}.{port}.{reason}")
         now_s = asyncio.get_running_loop().time()
-        self.unlogged[reason] += 1
-        if now_s - self.logged_s.get(reason, float("-inf")) < LOG_INTERVAL_S:
+        kind = PortEvent(port, reason)
+        self.unlogged[kind] += 1
+        if now_s - self.logged_s.get(kind, float("-inf")) < LOG_INTERVAL_S:
             return
-        self.logged_s[reason] = now_s
+        self.logged_s[kind] = now_s
         self.log.warning(
             f"client_{event}",
             port=port,
             reason=reason,
-            n=self.unlogged.pop(reason),
+            n=self.unlogged.pop(kind),
             held_bytes=self.budget.used,
             connections=len(self.connections),
+            **fields,
         )
--- a/libs/model/burdockthread_model/connection_limits.py
+++ b/libs/http/burdockthread_http/connection_limits.py
@@ -2,14 +2,15 @@
 
 import json
 import resource
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from aiohttp import web
-
 from burdockthread_model.errors import BurdockthreadError
-from burdockthread_model.received_bytes import DEFAULT_MEMORY_MB
 from burdockthread_model.verdict import Verdict
 
+from burdockthread_http.received_bytes import DEFAULT_MEMORY_MB
+
 # Shares of the file descriptors for the connections of each port. The other two fifths
 # are for the store, the workers and other entries.
 CALLERS_SHARE = 0.4
@@ -26,6 +27,8 @@
 
     Attributes:
         header_bytes: Most bytes of the request line and headers.
+        line_bytes: Most bytes of one of their lines, or None for any size within
+            `header_bytes`.
         body_bytes: Most bytes of a body, without the framing of its chunks.
         header_timeout_s: Seconds from the first byte of a request until its headers
             are complete.
@@ -41,6 +44,7 @@
     idle_timeout_s: float = 15.0
     connections: int = 1_024
     budget_share: float = 1.0
+    line_bytes: int | None = None
 
 
 class Refusal(NamedTuple):
@@ -58,9 +62,13 @@
     text: str
     retry_after_s: int | None = None
 
-    def response(self) -> web.Response:
-        """Returns the response, which also closes the connection."""
-        headers = {}
+    def response(self, headers: Mapping[str, str]) -> web.Response:
+        """Returns the response, which also closes the connection.
+
+        Args:
+            headers: Further headers of the response.
+        """
+        headers = dict(headers)
         if self.retry_after_s is not None:
             headers["Retry-After"] = str(self.retry_after_s)
         response = web.Response(
@@ -80,6 +88,8 @@
 BODY_TOO_LARGE = Refusal("body_too_large", 413, "the body exceeds the limit")
 BODY_STALLED = Refusal("body_stalled", 408, "the body was not sent in time")
 CLIENT_GONE = Refusal("client_gone", 400, "the connection was lost")
+# The handler has answered without the rest of the body.
+ANSWERED_EARLY = Refusal("answered_early", 400, "the body was not awaited")
 NO_MEMORY = Refusal("no_memory", 503, "no memory for this request", 1)
 CLOSED_FOR_MEMORY = Refusal("closed_for_memory", 503, "no memory for this request", 1)
 CLOSED_FOR_SLOT = Refusal("closed_for_connection", 503, "too many connections", 1)
--- a/libs/model/burdockthread_model/connection_phases.py
+++ b/libs/http/burdockthread_http/connection_phases.py
@@ -3,11 +3,13 @@
 from enum import Enum, auto
 from math import inf
 
-from burdockthread_model.connection_limits import PortLimits
+from burdockthread_http.connection_limits import PortLimits
 
 # An idle connection is closed this much later than the limit says, as its client may
 # have sent a request just before.
 IDLE_MARGIN_S = 5.0
+# Time between two looks at whether a client reads its answer.
+UNREAD_CHECK_S = 2.0
 
 
 class Phase(Enum):
@@ -37,4 +39,6 @@
             return limits.header_timeout_s
         if self is Phase.IDLE:
             return limits.idle_timeout_s + IDLE_MARGIN_S
+        if self is Phase.SENDING:
+            return min(limits.idle_timeout_s, UNREAD_CHECK_S)
         return limits.idle_timeout_s
--- a/libs/model/burdockthread_model/guarded_connections.py
+++ b/libs/http/burdockthread_http/guarded_connections.py
@@ -15,7 +15,8 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
-from burdockthread_model.connection_limits import (
+from burdockthread_http.connection_limits import (
+    ANSWERED_EARLY,
     BODY_STALLED,
     BODY_TOO_LARGE,
     CLOSED_FOR_SLOT,
@@ -27,10 +28,10 @@
     Refusal,
     RefusedError,
 )
-from burdockthread_model.connection_phases import Phase
-from burdockthread_model.port_connections import PortConnection, PortConnections
-from burdockthread_model.received_bytes import ConnectionProgress
-from burdockthread_model.request_framing import RequestFraming
+from burdockthread_http.connection_phases import Phase
+from burdockthread_http.port_connections import PortConnection, PortConnections
+from burdockthread_http.received_bytes import ConnectionProgress
+from burdockthread_http.request_framing import RequestFraming
 
 # The library also limits a line and a field. The limit of the whole head is lower and
 # may change while a connection is open, so these only have to be above it.
@@ -56,6 +57,7 @@
         deadline_s: Event loop time until which it waits.
         framing: The request that is being received, and the data behind it.
         payloads: Bodies of the requests that are not answered, oldest first.
+        answer_bytes: Size of the answer that is being sent.
         unsent: Unread bytes of answers when they were last looked at.
         refusal: Why nothing more is received, or None.
         discarded: Bytes received since.
@@ -69,6 +71,7 @@
     """
 
     __slots__ = (
+        "answer_bytes",
         "closed",
         "closing",
         "deadline_s",
@@ -95,7 +98,9 @@
     ) -> None:
         self.port = port
         self.limits = port.limits()
-        line_limit = max(self.limits.header_bytes, LEAST_LINE_LIMIT)
+        line_limit = self.limits.line_bytes
+        if line_limit is None:
+            line_limit = max(self.limits.header_bytes, LEAST_LINE_LIMIT)
         super().__init__(
             server,
             loop=loop,
@@ -108,7 +113,7 @@
         self.deadline_s = inf
         self.framing = RequestFraming()
         self.payloads: deque[StreamReader] = deque()
-        self.unsent = self.discarded = 0
+        self.answer_bytes = self.unsent = self.discarded = 0
         self.refusal: Refusal | None = None
         self.is_cut_off = self.is_ended = self.is_read_paused = False
         self.closed: asyncio.Future[None] | None = None
@@ -149,6 +154,8 @@
 
         The library declares no result; asyncio closes the connection unless it is true.
         """
+        if self._manager is not None and self._manager.handler_cancellation:
+            return False
         self.is_ended = self.progress.may_have_run or bool(self.framing.pending)
         return self.is_ended
 
@@ -303,7 +310,8 @@
 
     def held_bytes(self) -> int:
         """Returns the bytes of the budget that this connection holds now."""
-        return len(self.payloads) * REQUEST_OVERHEAD + self.framing.held_bytes()
+        requests = len(self.payloads) * REQUEST_OVERHEAD
+        return requests + self.framing.held_bytes() + self.answer_bytes
 
     def hold_received(self) -> bool:
         """Charges what is held to the budget; returns whether there was room.
@@ -335,8 +343,12 @@
         """Refuses the request that is being received, and closes the connection.
 
         The answer is sent by the handler that waits for the body, or by that for errors
-        of the parser. A request before it that may have run is answered first.
+        of the parser. A request before it that may have run is answered first,
+        unless its client does not read the answer.
         """
+        if self.progress.is_unread:
+            self.close_unread()
+            return
         if self.refusal is not None:
             if not self.progress.may_have_run:
                 self.abort()
@@ -408,9 +420,9 @@
     ) -> web.StreamResponse:
         """Answers a refusal or an error of the parser, without a log line for each."""
         if isinstance(exc, RefusedError):
-            return exc.refusal.response()
+            return self.port.refusal_response(exc.refusal)
         if isinstance(exc, HttpProcessingError):
-            return MALFORMED.response()
+            return self.port.refusal_response(MALFORMED)
         return super().handle_error(request, status, exc, message)
 
     # Answering.
@@ -424,6 +436,10 @@
         """Sends the response, then goes on with the data that is pending."""
         if self.is_cut_off:
             resp.force_close()
+        if self.payloads and not self.payloads[0].is_eof() and self.refusal is None:
+            resp.force_close()
+            self.end_early()
+        self.hold_answer(resp)
         self.unsent = 0
         self.wait_for(Phase.SENDING)
         count = self._request_count
@@ -446,10 +462,32 @@
             self.wait_for(Phase.CLOSING)
         return found, is_lost
 
+    def end_early(self) -> None:
+        """Stops receiving the body of a request that is answered without it.
+
+        What has been received of it stays charged until the connection ends.
+        """
+        self.refusal = ANSWERED_EARLY
+        self.framing.pending = b""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def hold_answer(self, resp: web.StreamResponse) -> None:
+        """Charges an answer to the budget until the client has read it.
+
+        It has to be delivered, so there is no check for room.
+        """
+        # What is charged after the end of a connection is never released.
+        if self.refusal is None and self.progress in self.port.guard.connections:
+            self.answer_bytes = resp.content_length or 0
+            self.port.guard.budget.hold(self.progress, self.held_bytes())
+
     def go_on(self) -> None:
         """Goes on with the next request after an answer."""
         progress = self.progress
         progress.is_served = True
+        progress.is_unread = False
+        self.answer_bytes = 0
         progress.advance(self._loop.time())
         progress.may_have_run = any(body.is_eof() for body in self.payloads)
         if not self.payloads:
@@ -500,11 +538,25 @@
         elif self.phase is Phase.BODY:
             self.refuse(BODY_STALLED)
         elif self.phase is Phase.SENDING and self.transport is not None:
-            unsent = self.transport.get_write_buffer_size()
-            if self.unsent and unsent >= self.unsent:
-                self.port.guard.note("closed", "answer_not_read", self.port.name)
-                self.abort()
-            self.unsent = unsent
-            self.deadline_s = now_s + self.limits.idle_timeout_s
+            self.check_unread(self.transport.get_write_buffer_size(), now_s)
         else:
             self.abort()
+
+    def check_unread(self, unsent: int, now_s: float) -> None:
+        """Takes note of whether the client reads its answer; closes it if not."""
+        progress = self.progress
+        progress.is_unread = 0 < self.unsent <= unsent
+        if not progress.is_unread:
+            progress.advance(now_s)
+        elif now_s - progress.progress_s >= self.limits.idle_timeout_s:
+            self.close_unread()
+            return
+        self.unsent = unsent
+        self.deadline_s = now_s + Phase.SENDING.longest_s(self.limits)
+
+    def close_unread(self) -> None:
+        """Closes the connection of a client that does not read its answer."""
+        self.port.guard.note("closed", "answer_not_read", self.port.name)
+        self.answer_bytes = 0
+        self.port.guard.budget.hold(self.progress, 0)
+        self.abort()
--- a/libs/model/burdockthread_model/guarded_server.py
+++ b/libs/http/burdockthread_http/guarded_server.py
@@ -1,7 +1,7 @@
 """A server of the HTTP library whose connections are guarded, and whole requests."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
@@ -9,16 +9,17 @@
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 
-from burdockthread_model.connection_guard import ConnectionGuard
-from burdockthread_model.connection_limits import (
+from burdockthread_http.connection_guard import ConnectionGuard
+from burdockthread_http.connection_limits import (
     BODY_TOO_LARGE,
     CLIENT_GONE,
     MALFORMED,
     PortLimits,
+    Refusal,
     RefusedError,
 )
-from burdockthread_model.guarded_connections import GuardedConnection
-from burdockthread_model.port_connections import PortConnections
+from burdockthread_http.guarded_connections import GuardedConnection
+from burdockthread_http.port_connections import PortConnections
 
 # Fields of one request. The library keeps about 400 bytes for each, however short;
 # `FIELD_OVERHEAD` of the framing is this number of bytes of the budget.
@@ -33,6 +34,16 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 RequestAnswer = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+RequestFactory = Callable[
+    [
+        RawRequestMessage,
+        StreamReader,
+        RequestHandler,
+        AbstractStreamWriter,
+        "asyncio.Task[None]",
+    ],
+    web.BaseRequest,
+]
 
 
 class GuardedServer(web.Server):
@@ -48,16 +59,21 @@
         name: str,
         guard: ConnectionGuard,
         limits: Callable[[], PortLimits],
+        *,
+        request_factory: RequestFactory | None = None,
+        refusal_headers: Mapping[str, str] | None = None,
+        cancels_on_disconnect: bool = False,
     ) -> None:
         super().__init__(
             handler,
-            request_factory=self.make_request,
+            request_factory=request_factory or self.make_request,
+            handler_cancellation=cancels_on_disconnect,
             access_log=None,
             keepalive_timeout=NEVER_S,
             lingering_time=0,
             max_headers=MAX_HEADERS,
         )
-        self.port = PortConnections(name, guard, limits)
+        self.port = PortConnections(name, guard, limits, refusal_headers)
 
     def __call__(self) -> GuardedConnection:
         """Returns the protocol of a new connection."""
@@ -110,31 +126,44 @@
 
 
 async def read_request(request: web.BaseRequest) -> None:
+    """Invites and reads the whole body, which the request then keeps.
+
+    Raises:
+        RefusedError: The request was refused, is malformed, or its client is gone.
+    """
+    try:
+        await send_continue(request)
+    except ConnectionError as error:
+        raise refused(request, CLIENT_GONE) from error
+    await read_body(request)
+
+
+async def read_body(request: web.BaseRequest) -> bytes:
     """Reads the whole body, which the request then keeps.
 
     Raises:
         RefusedError: The request was refused, is malformed, or its client is gone.
     """
-    cause: Exception
     try:
         if request.transport is None and not request.content.is_eof():
             # The library did not tell the request, which had not begun, of the end.
             raise ConnectionResetError
-        await send_continue(request)
-        await request.read()
+        return await request.read()
     except RefusedError as error:
         # The body keeps the error, and its traceback would keep what was read.
         raise error.with_traceback(None) from None
     except ConnectionError as error:
-        refusal, cause = CLIENT_GONE, error
+        raise refused(request, CLIENT_GONE) from error
     except (RequestPayloadError, HttpProcessingError) as error:
-        refusal, cause = MALFORMED, error
+        raise refused(request, MALFORMED) from error
     except web.HTTPRequestEntityTooLarge as error:
-        refusal, cause = BODY_TOO_LARGE, error
-    else:
-        return
+        raise refused(request, BODY_TOO_LARGE) from error
+
+
+def refused(request: web.BaseRequest, refusal: Refusal) -> RefusedError:
+    """Returns the error for a request whose body cannot be read, and counts it."""
     connection = request.protocol
     if isinstance(connection, GuardedConnection) and connection.refusal is None:
         port = connection.port
         port.guard.note("refused", refusal.reason, port.name)
-    raise RefusedError(refusal) from cause
+    return RefusedError(refusal)
--- a/libs/model/burdockthread_model/http_calls.py
+++ b/libs/http/burdockthread_http/http_calls.py
@@ -10,15 +10,15 @@
 from weakref import WeakValueDictionary
 
 import aiohttp
+from burdockthread_model.errors import AnswerTooLargeError
+from burdockthread_model.load import LoadMonitor
 
-from burdockthread_model.connections import (
+from burdockthread_http.connections import (
     ConnectionUse,
     HostPort,
     TrackedConnector,
     current_use,
 )
-from burdockthread_model.errors import AnswerTooLargeError
-from burdockthread_model.load import LoadMonitor
 
 # The event loop may fire timers before it reads sockets, and an answer passes through
 # some callbacks; these short waits let one that has arrived be read.
--- a/libs/model/burdockthread_model/http_server.py
+++ b/libs/http/burdockthread_http/http_server.py
@@ -1,24 +1,24 @@
 """An HTTP server with graceful shutdown: it answers every request it has read."""
 
 import asyncio
-from collections import Counter
-from collections.abc import AsyncIterator, Callable, Container, Sequence
+from collections.abc import AsyncIterator, Callable, Container, Mapping, Sequence
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
-
 from burdockthread_model.clock import Clock
-from burdockthread_model.connection_guard import ConnectionGuard
-from burdockthread_model.connection_limits import PortLimits, RefusedError
-from burdockthread_model.errors import BurdockthreadError
 from burdockthread_model.events import EventLog
-from burdockthread_model.guarded_server import (
+
+from burdockthread_http.connection_guard import ConnectionGuard
+from burdockthread_http.connection_limits import PortLimits, RefusedError
+from burdockthread_http.guarded_server import (
     GuardedServer,
     RequestAnswer,
+    RequestFactory,
     read_request,
 )
+from burdockthread_http.open_requests import OpenRequests, ServerClosingError
 
 # Event loop iterations that suffice for an accepted connection to be read (accept,
 # connection, reader), and for a request that was read to reach its handler (reader,
@@ -26,10 +26,9 @@
 LOOP_ITERATIONS = 5
 # Time to send the responses to aborted requests, which involve no further work.
 ABORTED_RESPONSES_S = 0.1
-
-
-class ServerClosingError(BurdockthreadError):
-    """The server closes before a request has been answered."""
+# Several iterations of a busy event loop, enough to accept a pending connection and to
+# read its request.
+ACCEPT_GRACE_S = 0.02
 
 
 class GracefulServer:
@@ -47,11 +46,7 @@
         server: Server of the HTTP library, which parses the requests.
         closing: Whether each response also closes its connection; may be set some
             time before the port closes.
-        requests: Number of requests in progress by connection.
-        request_timeouts: Timeouts of the requests in progress; none expires before
-            the port closes.
-        abort_requests_at: Event loop time at which these timeouts expire, or None.
-        idle: Set while no request is in progress.
+        requests: Requests in progress.
     """
 
     def __init__(
@@ -62,38 +57,43 @@
         log: EventLog,
         guard: ConnectionGuard | None = None,
         limits: Callable[[], PortLimits] = PortLimits,
+        *,
+        requests: OpenRequests | None = None,
+        request_factory: RequestFactory | None = None,
+        refusal_headers: Mapping[str, str] | None = None,
+        cancels_on_disconnect: bool = False,
     ) -> None:
         self.name = name
         self.answer = answer
         self.clock = clock
         self.log = log
-        guard = guard or ConnectionGuard.with_defaults(log)
-        self.server = GuardedServer(self.handle, name, guard, limits)
+        self.server = GuardedServer(
+            self.handle,
+            name,
+            guard or ConnectionGuard.with_defaults(log),
+            limits,
+            request_factory=request_factory,
+            refusal_headers=refusal_headers,
+            cancels_on_disconnect=cancels_on_disconnect,
+        )
         self.closing = False
-        self.requests: Counter[RequestHandler] = Counter()
-        self.request_timeouts: set[asyncio.Timeout] = set()
-        self.abort_requests_at: float | None = None
-        self.idle = asyncio.Event()
-        self.idle.set()
+        self.requests = OpenRequests() if requests is None else requests
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request; returns `aborted_response` if the server closes."""
-        connection = request.protocol
         started_s = self.clock.now()
-        self.requests[connection] += 1
-        self.idle.clear()
-        try:
-            response = await self.answer_unless_closing(request)
-        except ServerClosingError:
-            self.log_end("request_given_up", request, started_s)
-            response = self.aborted_response(request)
-        except RefusedError as error:
-            response = error.refusal.response()
-        except asyncio.CancelledError:
-            self.log_end("request_cut_off", request, started_s)
-            raise
-        finally:
-            self.finish_request(connection)
+        with self.requests.tracked(request):
+            try:
+                response = await self.answer_unless_closing(request)
+            except ServerClosingError:
+                self.log_end("request_given_up", request, started_s)
+                response = self.aborted_response(request)
+            except RefusedError as error:
+                response = self.server.port.refusal_response(error.refusal)
+            except asyncio.CancelledError:
+                if self.closing:
+                    self.log_end("request_cut_off", request, started_s)
+                raise
         if self.closing:
             response.force_close()
         return response
@@ -101,34 +101,23 @@
     async def answer_unless_closing(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
-        """Reads and answers a request unless the server closes first.
+        """Receives and answers a request unless the server closes first.
 
         Raises:
             RefusedError: The request was refused before it was received whole.
             ServerClosingError: The server closed before the request was answered.
         """
-        limit = asyncio.timeout_at(self.abort_requests_at)
-        try:
-            async with limit:
-                self.request_timeouts.add(limit)
-                await read_request(request)
-                return await self.answer(request)
-        except TimeoutError as error:
-            if limit.expired():
-                raise ServerClosingError(
-                    f"port {self.name} closed before the request was answered"
-                ) from error
-            raise
-        finally:
-            self.request_timeouts.discard(limit)
-
-    def finish_request(self, connection: RequestHandler) -> None:
-        """Records the end of a request; sets `idle` after the last one."""
-        self.requests[connection] -= 1
-        if not self.requests[connection]:
-            del self.requests[connection]
-        if not self.requests:
-            self.idle.set()
+        async with self.requests.aborted_on_close():
+            await self.receive(request)
+            return await self.answer(request)
+
+    async def receive(self, request: web.BaseRequest) -> None:
+        """Receives what the handler needs of a request: the whole of it.
+
+        Raises:
+            RefusedError: The request was refused before it was received whole.
+        """
+        await read_request(request)
 
     def aborted_response(self, request: web.BaseRequest) -> web.StreamResponse:
         """Returns the response to a request that is aborted as the port closes."""
@@ -160,25 +149,16 @@
             open_requests=self.requests.total(),
         )
         await self.wait_until_idle(timeout_s)
-        self.abort_requests()
+        self.requests.abort()
         await self.wait_until_idle(ABORTED_RESPONSES_S)
         await self.server.shutdown(ABORTED_RESPONSES_S)
 
     async def wait_until_idle(self, timeout_s: float) -> None:
         """Waits until no request is in progress; logs a timeout, does not raise it."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self.idle.wait()
-        except TimeoutError:
+        if not await self.requests.wait_until_idle(timeout_s):
             open_requests = self.requests.total()
             self.log.info("port_waited", port=self.name, open_requests=open_requests)
 
-    def abort_requests(self) -> None:
-        """Aborts all requests in progress; they get `aborted_response` at once."""
-        self.abort_requests_at = asyncio.get_running_loop().time()
-        for limit in self.request_timeouts:
-            limit.reschedule(self.abort_requests_at)
-
 
 async def run_ready_callbacks() -> None:
     """Runs the event loop until data already received has reached its handler."""
@@ -238,7 +218,9 @@
 
 
 @asynccontextmanager
-async def serve(ports: Sequence[ListeningPort], finish_s: float) -> AsyncIterator[None]:
+async def serve(
+    ports: Sequence[ListeningPort], finish_s: float
+) -> AsyncIterator[tuple[int, ...]]:
     """Listens on ports within the block, then closes all of them concurrently.
 
     An error while one port closes is logged and does not affect the others.
@@ -246,6 +228,9 @@
     Args:
         ports: Servers and the addresses on which they listen.
         finish_s: Seconds for requests in progress at the end of the block.
+
+    Yields:
+        The TCP ports, in the same order; the kernel chooses those given as 0.
     """
     loop = asyncio.get_running_loop()
     listeners: list[asyncio.Server] = []
@@ -256,13 +241,29 @@
                 server.server, host, port, backlog=backlog
             )
             listeners.append(listener)
-        yield
+        yield tuple(found.sockets[0].getsockname()[1] for found in listeners)
     finally:
-        for listener in listeners:
-            listener.close()
+        for server, _, _ in ports:
+            server.closing = True
+        await close_listeners(listeners)
         closing = [server.finish(finish_s) for server, _, _ in ports]
         ends = await asyncio.gather(*closing, return_exceptions=True)
         for (server, _, _), end in zip(ports, ends, strict=True):
             if end is not None:
                 reason = repr(end)
                 server.log.error("port_not_closed", port=server.name, reason=reason)
+
+
+async def close_listeners(listeners: Sequence[asyncio.Server]) -> None:
+    """Stops listening, once the connections that wait have been accepted.
+
+    Closing a listener resets the connections that are not accepted yet. A connection
+    accepted just before is not known to the HTTP library yet, which drops what it reads
+    once it closes. Hence a pause before and after.
+    """
+    try:
+        await asyncio.sleep(ACCEPT_GRACE_S)
+    finally:
+        for listener in listeners:
+            listener.close()
+    await asyncio.sleep(ACCEPT_GRACE_S)
--- a/libs/model/burdockthread_model/port_connections.py
+++ b/libs/http/burdockthread_http/port_connections.py
@@ -1,11 +1,13 @@
 """The open connections of a port, of which those with the least progress are closed."""
 
 from abc import abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
-from burdockthread_model.connection_guard import ConnectionGuard, SweptConnection
-from burdockthread_model.connection_limits import PortLimits
-from burdockthread_model.received_bytes import ConnectionProgress, closing_order
+from aiohttp import web
+
+from burdockthread_http.connection_guard import ConnectionGuard, SweptConnection
+from burdockthread_http.connection_limits import CLOSED_FOR_SLOT, PortLimits, Refusal
+from burdockthread_http.received_bytes import ConnectionProgress, closing_order
 
 # Part of the connections that is closed beyond what is needed.
 CLOSED_SHARE = 1 / 64
@@ -39,15 +41,21 @@
         name: Name of the port.
         guard: Shared by the ports of the process.
         limits: Returns the limits in force.
+        refusal_headers: Headers of the answers to refused requests.
         open: Connections that are open and not told to close, by their progress.
     """
 
     def __init__(
-        self, name: str, guard: ConnectionGuard, limits: Callable[[], PortLimits]
+        self,
+        name: str,
+        guard: ConnectionGuard,
+        limits: Callable[[], PortLimits],
+        refusal_headers: Mapping[str, str] | None = None,
     ) -> None:
         self.name = name
         self.guard = guard
         self.limits = limits
+        self.refusal_headers = refusal_headers or {}
         self.open: dict[ConnectionProgress, PortConnection] = {}
 
     def add(self, connection: PortConnection) -> None:
@@ -61,10 +69,14 @@
         self.open[connection.progress] = connection
         if len(self.open) > limit:
             # All others have requests that may have run.
-            self.guard.note("closed", "no_connection", self.name)
-            connection.abort()
+            del self.open[connection.progress]
+            connection.refuse(CLOSED_FOR_SLOT)
 
     def remove(self, connection: PortConnection) -> None:
         """Removes a connection that has ended."""
         self.open.pop(connection.progress, None)
         self.guard.remove(connection.progress)
+
+    def refusal_response(self, refusal: Refusal) -> web.Response:
+        """Returns the answer to a refused request."""
+        return refusal.response(self.refusal_headers)
--- a/libs/model/burdockthread_model/received_bytes.py
+++ b/libs/http/burdockthread_http/received_bytes.py
@@ -46,10 +46,19 @@
         since_progress: Bytes received since then.
         is_served: Whether a request on it has been answered.
         may_have_run: Whether a request on it has been received whole and is not
-            answered; such a connection is never closed to make room.
+            answered; such a connection is not closed to make room.
+        is_unread: Whether such a request has been answered, and its client does not
+            read the answer; then it may be closed.
     """
 
-    __slots__ = ("held", "is_served", "may_have_run", "progress_s", "since_progress")
+    __slots__ = (
+        "held",
+        "is_served",
+        "is_unread",
+        "may_have_run",
+        "progress_s",
+        "since_progress",
+    )
 
     def __init__(self, now_s: float) -> None:
         self.held = 0
@@ -57,6 +66,7 @@
         self.since_progress = 0
         self.is_served = False
         self.may_have_run = False
+        self.is_unread = False
 
     def advance(self, now_s: float) -> None:
         """Records progress."""
@@ -73,12 +83,16 @@
         """Returns the rank in the closing order."""
         return ClosingRank(self.is_served and not self.held, self.progress_s)
 
+    def is_closable(self) -> bool:
+        """Returns whether the connection may be closed to make room."""
+        return self.is_unread or not self.may_have_run
+
 
 def closing_order(
     connections: Iterable[ConnectionProgress],
 ) -> list[ConnectionProgress]:
     """Returns the connections that may be closed, least progress first."""
-    closable = [found for found in connections if not found.may_have_run]
+    closable = [found for found in connections if found.is_closable()]
     return sorted(closable, key=ConnectionProgress.rank)
 
 
--- a/libs/model/burdockthread_model/request_framing.py
+++ b/libs/http/burdockthread_http/request_framing.py
@@ -2,7 +2,7 @@
 
 import re
 
-from burdockthread_model.connection_limits import PortLimits
+from burdockthread_http.connection_limits import PortLimits
 
 # Largest part of received data that the parser gets in one turn of the event loop. It
 # bounds what chunks of one byte take before their handler has joined them.
--- a/libs/model/burdockthread_model/status_ports.py
+++ b/libs/http/burdockthread_http/status_ports.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable
 
 from aiohttp import web
-
 from burdockthread_model.clock import Clock
-from burdockthread_model.connection_guard import ConnectionGuard
-from burdockthread_model.connection_limits import PortLimits
 from burdockthread_model.events import EventLog
-from burdockthread_model.http_server import GracefulServer
+
+from burdockthread_http.connection_guard import ConnectionGuard
+from burdockthread_http.connection_limits import PortLimits
+from burdockthread_http.http_server import GracefulServer
 
 
 def readiness_server(
--- a/libs/model/tests/test_call_queue.py
+++ b/libs/http/tests/test_call_queue.py
@@ -11,9 +11,9 @@
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
+from burdockthread_http.http_calls import NOT_SENT, HttpCalls
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.events import EventLog
-from burdockthread_model.http_calls import NOT_SENT, HttpCalls
 from burdockthread_model.load import LoadMonitor
 from burdockthread_model.metrics import MemoryMetrics
 
--- a/libs/model/tests/test_full_link.py
+++ b/libs/http/tests/test_full_link.py
@@ -11,14 +11,14 @@
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
-from burdockthread_model.clock import SystemClock
-from burdockthread_model.errors import AnswerTooLargeError
-from burdockthread_model.events import EventLog
-from burdockthread_model.http_calls import (
+from burdockthread_http.http_calls import (
     MAX_TIMEOUT_FACTOR,
     HttpCalls,
     running_timeout,
 )
+from burdockthread_model.clock import SystemClock
+from burdockthread_model.errors import AnswerTooLargeError
+from burdockthread_model.events import EventLog
 from burdockthread_model.load import TICK_S, LoadMonitor
 from burdockthread_model.metrics import MemoryMetrics
 
--- a/libs/model/tests/test_guarded_connections.py
+++ b/libs/http/tests/test_guarded_connections.py
@@ -9,14 +9,14 @@
 import pytest
 import uvloop
 from aiohttp import web
-from burdockthread_model import connection_phases
+from burdockthread_http import connection_phases
+from burdockthread_http.connection_guard import ConnectionGuard
+from burdockthread_http.connection_limits import PortLimits, most_connections
+from burdockthread_http.http_server import GracefulServer, ListeningPort, serve
+from burdockthread_http.received_bytes import ReceivedBytes
 from burdockthread_model.clock import SystemClock
-from burdockthread_model.connection_guard import ConnectionGuard
-from burdockthread_model.connection_limits import PortLimits, most_connections
 from burdockthread_model.events import EventLog
-from burdockthread_model.http_server import GracefulServer, ListeningPort, serve
 from burdockthread_model.metrics import MemoryMetrics
-from burdockthread_model.received_bytes import ReceivedBytes
 from ephemeral_port_reserve import reserve
 
 HOST = "127.0.0.1"
@@ -227,7 +227,7 @@
         assert b'"verdict": "not_run"' in answer
         assert found.bodies == []
         assert found.guard.budget.used == 0
-        assert found.metrics.counters[f"clients.refused.{name.split()[0]}"] == 1
+        assert found.metrics.counters[f"clients.refused.test.{name.split()[0]}"] == 1
         assert await (await found.connect()).send(GET).status() == 200
 
 
@@ -270,7 +270,7 @@
         status, answer = await stalled[0].answer()
         assert (status, b"retry-after" in answer.lower()) == (503, True)
         assert await stalled[1].send(b"x").status() == 200
-        assert found.metrics.counters["clients.refused.closed_for_memory"] == 1
+        assert found.metrics.counters["clients.refused.test.closed_for_memory"] == 1
 
 
 # Guards against fields that are short, but take memory beside their bytes.
@@ -281,7 +281,7 @@
             client.send(GET[:-2] + b"a:b\r\n" * 400)
             await asyncio.sleep(0.1)
         assert found.guard.budget.used <= 200_000
-        assert found.metrics.counters["clients.refused.closed_for_memory"] >= 3
+        assert found.metrics.counters["clients.refused.test.closed_for_memory"] >= 3
         assert await (await found.connect()).send(GET).status() == 200
 
 
@@ -354,7 +354,9 @@
         found.server.answer = large
         _, writer = await asyncio.open_connection(*found.address, limit=1)
         writer.write(GET * 3)
-        await until(lambda: found.metrics.counters["clients.closed.answer_not_read"])
+        await until(
+            lambda: found.metrics.counters["clients.closed.test.answer_not_read"]
+        )
         await asyncio.sleep(0.1)
         assert not found.guard.connections
         writer.close()
@@ -371,7 +373,9 @@
         found.server.answer = large
         _, writer = await asyncio.open_connection(*found.address, limit=1)
         writer.write(chunked(b"x") + GET * 3)
-        await until(lambda: found.metrics.counters["clients.closed.answer_not_read"])
+        await until(
+            lambda: found.metrics.counters["clients.closed.test.answer_not_read"]
+        )
         await until(lambda: not found.server.server.connections)
         await asyncio.sleep(0.1)
         assert found.guard.budget.used == 0
@@ -419,7 +423,7 @@
         writer.write(GET)
         await asyncio.sleep(0.3)
         writer.write(post(b"x" * 50_000) * 20)
-        await until(lambda: found.metrics.counters["clients.refused.pipelined"])
+        await until(lambda: found.metrics.counters["clients.refused.test.pipelined"])
         size = 0
         async with asyncio.timeout(5.0):
             while part := await reader.read(1_000_000):
@@ -551,7 +555,7 @@
         for _ in range(20):
             await refused(found, b"?\r\n\r\n")
         assert caplog.text.count("event=client_refused") == 1
-        assert found.metrics.counters["clients.refused.malformed"] == 20
+        assert found.metrics.counters["clients.refused.test.malformed"] == 20
 
 
 def test_connections_are_a_share_of_the_descriptors():
--- a/libs/model/tests/test_http_server.py
+++ b/libs/http/tests/test_http_server.py
@@ -9,9 +9,9 @@
 import uvloop
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
+from burdockthread_http.http_server import GracefulServer, ListeningPort, serve
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.events import EventLog
-from burdockthread_model.http_server import GracefulServer, ListeningPort, serve
 from ephemeral_port_reserve import reserve
 
 HOST = "127.0.0.1"
--- a/libs/model/tests/test_late_answers.py
+++ b/libs/http/tests/test_late_answers.py
@@ -9,9 +9,9 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from burdockthread_http.http_calls import running_timeout
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.events import EventLog
-from burdockthread_model.http_calls import running_timeout
 from burdockthread_model.load import LoadMonitor
 from burdockthread_model.metrics import MemoryMetrics
 
--- a/libs/model/tests/test_received_bytes.py
+++ b/libs/http/tests/test_received_bytes.py
@@ -1,6 +1,6 @@
 """The budget of received bytes and the order in which connections are closed."""
 
-from burdockthread_model.received_bytes import (
+from burdockthread_http.received_bytes import (
     MIN_STALLED_S,
     PROGRESS_BYTES,
     ConnectionProgress,
--- a/libs/model/burdockthread_model/__init__.py
+++ b/libs/model/burdockthread_model/__init__.py
@@ -1,1 +1,1 @@
-"""Shared types: records, errors, clock, settings, logs, metrics, HTTP server."""
+"""Shared types: records, errors, clock, settings, logs, metrics."""
--- a/libs/model/burdockthread_model/settings.py
+++ b/libs/model/burdockthread_model/settings.py
@@ -1,6 +1,7 @@
 """Settings of an entry, which are checked completely at start."""
 
 import json
+import math
 from pathlib import Path
 from types import UnionType
 from typing import (
@@ -28,6 +29,9 @@
 PositiveSeconds = Annotated[float, Meta(gt=0, le=86_400)]
 PositiveCount = Annotated[int, Meta(ge=1, le=1_000_000_000)]
 MAX_SETTINGS_BYTES = 1_000_000
+MEGABYTE = 1_000_000
+# Bodies take a sixteenth of the memory at most; this leaves room for two of them.
+LEAST_MEMORY_PER_BODY_BYTE = 32
 
 T = TypeVar("T")
 
@@ -86,7 +90,9 @@
 class LimitSettings(TypedDict):
     """Limits of one entry; `Limits` has the meanings and defaults."""
 
+    memory_mb: NotRequired[PositiveCount]
     body_bytes: NotRequired[PositiveCount]
+    header_bytes: NotRequired[PositiveCount]
     caller_connections: NotRequired[PositiveCount]
     operator_connections: NotRequired[PositiveCount]
     store_reads_per_s: NotRequired[PositiveSeconds]
@@ -258,13 +264,32 @@
             if right not in RIGHTS:
                 path = f"$.operator_tokens[{index}].rights"
                 raise SettingsError(path, f"unknown right {right}")
+    check_memory(Limits.from_settings(settings))
+
+
+def check_memory(limits: "Limits") -> None:
+    """Checks that the memory suffices for the largest requests.
+
+    Raises:
+        SettingsError: It does not.
+    """
+    largest = max(limits.body_bytes, limits.header_bytes)
+    least_mb = math.ceil(largest * LEAST_MEMORY_PER_BODY_BYTE / MEGABYTE)
+    if limits.memory_mb < least_mb:
+        raise SettingsError(
+            "$.limits.memory_mb",
+            f"expected at least {least_mb} for requests of {largest} bytes",
+        )
 
 
 class Limits(NamedTuple):
     """Limits of one entry, with the defaults filled in.
 
     Attributes:
+        memory_mb: Memory of the process in megabytes; what is received and not
+            answered takes a quarter of it at most.
         body_bytes: Largest size of a request body.
+        header_bytes: Largest size of a request line and headers together.
         caller_connections: Most connections on the callers' port.
         operator_connections: Most connections on the operators' port.
         store_reads_per_s: Most reads of the store per second; opening a watch
@@ -275,7 +300,9 @@
         directory_interval_s: Seconds between two reads of the list of VMs.
     """
 
+    memory_mb: int = 512
     body_bytes: int = 1_048_576
+    header_bytes: int = 65_536
     caller_connections: int = 1_024
     operator_connections: int = 64
     store_reads_per_s: float = 100.0
--- a/libs/model/tests/test_settings.py
+++ b/libs/model/tests/test_settings.py
@@ -24,6 +24,8 @@
         (("entries", 0, "colour"), "red", "$.entries[0].colour"),
         (("entries", 0, "name"), "other", "$.entries"),
         (("limits", "body_bytes"), 0, "$.limits.body_bytes"),
+        (("limits", "memory_mb"), 33, "$.limits.memory_mb"),
+        (("limits", "header_bytes"), 20_000_000, "$.limits.memory_mb"),
         (("operator_tokens", 0, "rights"), ["rule"], "$.operator_tokens[0].rights"),
         (("log_level",), "loud", "$.log_level"),
     ],
--- a/libs/operators/burdockthread_operators/operators_api.py
+++ b/libs/operators/burdockthread_operators/operators_api.py
@@ -5,6 +5,9 @@
 from typing import NoReturn
 
 from aiohttp import web
+from burdockthread_http.connection_limits import RefusedError
+from burdockthread_http.guarded_server import read_body
+from burdockthread_http.open_requests import OpenRequests
 from burdockthread_model.clock import Clock, SystemClock
 from burdockthread_model.errors import (
     BurdockthreadError,
@@ -19,7 +22,7 @@
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.rendering import to_plain
 from burdockthread_model.verdict import Verdict
-from burdockthread_routing.http_port import BusyConnections, RequestAbortedError
+from burdockthread_routing.http_port import RequestAbortedError
 
 from burdockthread_operators.authentication import Authenticator, Operator
 from burdockthread_operators.changes import TemplateChanges
@@ -58,7 +61,7 @@
         reports: Parts of the state dump by name.
         jobs: Control of the jobs, or None if this process manages none.
         failed_logins: Failed authentications by remote address.
-        busy: Connections with a request in progress.
+        busy: Requests in progress.
         in_flight: Number of requests in progress.
         max_requests: Limit of ``in_flight``; further requests get status 503.
     """
@@ -84,15 +87,13 @@
         self.jobs = jobs
         self.clock = clock or SystemClock()
         self.failed_logins = FailedLogins(self.clock)
-        self.busy = BusyConnections()
+        self.busy = OpenRequests()
         self.in_flight = 0
         self.max_requests = max_requests
 
     def application(self) -> web.Application:
         """Returns a new aiohttp application with all routes of the API."""
-        app = web.Application(
-            client_max_size=MAX_BODY_BYTES, middlewares=[self.answer_errors]
-        )
+        app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[self.answer])
         app.router.add_get("/v1/status", self.get_status)
         app.router.add_get("/v1/dump", self.get_dump)
         app.router.add_get("/v1/vms", self.get_vms)
@@ -109,19 +110,6 @@
         return app
 
     @web.middleware
-    async def answer_errors(
-        self, request: web.Request, handler: Handler
-    ) -> web.StreamResponse:
-        """Tracks a request and answers it, errors included.
-
-        Once the port is closing, the answer also closes its connection.
-        """
-        with self.busy.tracked(request):
-            response = await self.answer(request, handler)
-        if self.busy.closing:
-            response.force_close()
-        return response
-
     async def answer(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
@@ -129,6 +117,9 @@
 
         Every error is answered with JSON that names the cause and the verdict.
         Requests beyond ``max_requests`` are refused before the handler runs.
+
+        Raises:
+            RefusedError: The port refuses the request, whose body was not complete.
         """
         if self.in_flight >= self.max_requests:
             return self.error_response(
@@ -136,17 +127,16 @@
             )
         self.in_flight += 1
         try:
-            async with (
-                self.clock.timeout(REQUEST_TIMEOUT_S),
-                self.busy.aborted_on_close(),
-            ):
+            async with self.clock.timeout(REQUEST_TIMEOUT_S):
                 return await handler(request)
+        except RefusedError:
+            raise
         except BurdockthreadError as error:
             status = status_of(error)
             self.log.warning(
                 "operator_refused", path=request.path, status=status, reason=error
             )
-            return self.error_response(status, str(error), error.verdict)
+            return self.refuse(error)
         except web.HTTPException as error:
             return self.error_response(
                 error.status, error.text or error.reason, Verdict.NOT_RUN, error
@@ -162,6 +152,10 @@
         finally:
             self.in_flight -= 1
 
+    def refuse(self, error: BurdockthreadError) -> web.Response:
+        """Returns the answer for an error, with its verdict."""
+        return self.error_response(status_of(error), str(error), error.verdict)
+
     def error_response(
         self,
         status: int,
@@ -285,7 +279,7 @@
         """Records the template in the body as a proposed change."""
         operator = self.require(request, "propose")
         base_version = read_number(request, "base_version", 0)
-        data = await request.read()
+        data = await read_body(request)
         change = await self.changes.propose(operator.name, data, base_version)
         self.audit("change_proposed", operator, request, change.change_id)
         return web.json_response(to_plain(change), status=201)
@@ -401,7 +395,7 @@
         TemplateError: The body is not a JSON object.
     """
     try:
-        fields = json.loads(await request.read())
+        fields = json.loads(await read_body(request))
     except (ValueError, RecursionError):
         raise TemplateError("body: expected a JSON object") from None
     if not isinstance(fields, dict):
--- a/libs/operators/tests/test_operators_api.py
+++ b/libs/operators/tests/test_operators_api.py
@@ -3,6 +3,10 @@
 
 import aiohttp
 import pytest
+from burdockthread_http import connection_phases
+from burdockthread_http.connection_guard import ConnectionGuard
+from burdockthread_http.connection_limits import PortLimits
+from burdockthread_http.received_bytes import ReceivedBytes
 from burdockthread_model.errors import (
     BurdockthreadError,
     ConflictError,
@@ -23,9 +27,10 @@
 )
 from burdockthread_operators.operators_api import MAX_BODY_BYTES, OperatorsApi
 from burdockthread_operators.views import Views
-from burdockthread_routing.http_port import PortLimits, http_port
+from burdockthread_routing.http_port import http_port
 
-LIMITS = PortLimits(connections=5, stop_timeout_s=1.0)
+LIMITS = PortLimits(body_bytes=MAX_BODY_BYTES, connections=5)
+BUDGET_BYTES = 10_000_000
 RIGHTS = {
     "ann": ["read", "propose", "cancel"],
     "ben": ["read", "review", "accept"],
@@ -98,13 +103,29 @@
 
 
 @pytest.fixture
-async def port(api, clock, metrics):
-    app = api.application()
-    address = ("127.0.0.1", 0)
-    async with http_port(
-        "operators", app, api.busy, clock, metrics, *address, LIMITS
-    ) as n:
-        yield n
+def listen(api, clock, metrics, audit_log):
+    def listening(limits=LIMITS, stop_timeout_s=1.0):
+        return http_port(
+            "operators",
+            api.application(),
+            api.busy,
+            api.refuse,
+            clock,
+            audit_log,
+            ConnectionGuard(ReceivedBytes(BUDGET_BYTES), metrics, audit_log),
+            "127.0.0.1",
+            0,
+            limits,
+            stop_timeout_s=stop_timeout_s,
+        )
+
+    return listening
+
+
+@pytest.fixture
+async def port(listen):
+    async with listen() as number:
+        yield number
 
 
 @pytest.fixture
@@ -184,7 +205,13 @@
         ("GET", "/v1/jobs?limit=-1", b"", 422, "limit"),
         ("GET", "/v1/changes/yard:7", b"", 404, "no change yard:7"),
         ("POST", "/v1/changes", b"{", 422, "not JSON"),
-        ("POST", "/v1/changes", b" " * (MAX_BODY_BYTES + 1), 413, "Maximum"),
+        (
+            "POST",
+            "/v1/changes",
+            b" " * (MAX_BODY_BYTES + 1),
+            413,
+            "the body exceeds the limit",
+        ),
     ],
 )
 async def test_refusals_are_json_that_names_the_cause(
@@ -249,18 +276,66 @@
         await ann.status()
 
 
-async def test_connections_are_limited_and_idle_ones_closed(port, clock, metrics, ann):
+async def test_idle_connections_are_closed_for_new_ones_and_in_time(
+    listen, metrics, monkeypatch
+):
+    monkeypatch.setattr(connection_phases, "IDLE_MARGIN_S", 0.0)
+    async with (
+        listen(LIMITS._replace(idle_timeout_s=0.5)) as port,
+        operators_client(f"http://127.0.0.1:{port}", "token-ann") as client,
+    ):
+        streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(5)]
+        assert await client.status()
+        assert metrics.counters["clients.closed.operators.connections"] == 1
+        for reader, _ in streams:
+            assert await asyncio.wait_for(reader.read(), 5.0) == b""
+        assert metrics.counters["clients.closed.operators.idle"] >= 4
+        assert await client.status()
+
+
+async def test_connection_beyond_the_limit_is_refused_if_all_have_requests(
+    api, url, port
+):
+    released = asyncio.Event()
+
+    async def hold(state, limit):
+        await released.wait()
+        return []
+
+    api.jobs.list = hold
+    request = (
+        b"GET /v1/jobs HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer token-ann\r\n\r\n"
+    )
     streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(5)]
-    with pytest.raises(BurdockthreadError, match="too many connections"):
-        await ann.status()
-    assert metrics.counters["operators.connections_refused"] == 1
-    await clock.advance(LIMITS.idle_timeout_s + 2.0)
-    for reader, _ in streams:
-        assert await asyncio.wait_for(reader.read(), 5.0) == b""
-    assert await ann.status()
+    for _, writer in streams:
+        writer.write(request)
+    await wait_for_request(api, 5)
+    async with operators_client(url, "token-ann") as client:
+        with pytest.raises(BurdockthreadError, match="too many connections") as raised:
+            await client.status()
+    assert raised.value.verdict is Verdict.NOT_RUN
+    released.set()
+    for reader, writer in streams:
+        assert b" 200 " in await asyncio.wait_for(reader.readline(), 5.0)
+        writer.close()
+
+
+# Guards against bodies that are received from anybody before the token is checked.
+async def test_token_is_checked_before_the_body_arrives(port):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(
+        b"POST /v1/changes HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n"
+    )
+    answer = await asyncio.wait_for(reader.read(), 5.0)
+    writer.close()
+    assert answer.startswith(b"HTTP/1.1 401 ")
+    assert b"\r\nConnection: close\r\n" in answer
 
 
-async def test_long_request_does_not_make_its_connection_idle(api, clock, ann):
+async def test_long_request_does_not_make_its_connection_idle(
+    api, listen, metrics, monkeypatch
+):
+    monkeypatch.setattr(connection_phases, "IDLE_MARGIN_S", 0.0)
     started, released = asyncio.Event(), asyncio.Event()
 
     async def hold(state, limit):
@@ -269,11 +344,16 @@
         return []
 
     api.jobs.list = hold
-    pending_jobs = asyncio.create_task(ann.jobs())
-    await asyncio.wait_for(started.wait(), 5.0)
-    await clock.advance(LIMITS.idle_timeout_s + 2.0)
-    released.set()
-    assert await pending_jobs == []
+    async with (
+        listen(LIMITS._replace(idle_timeout_s=0.2)) as port,
+        operators_client(f"http://127.0.0.1:{port}", "token-ann") as client,
+    ):
+        idle, _ = await asyncio.open_connection("127.0.0.1", port)
+        pending_jobs = asyncio.create_task(client.jobs())
+        await asyncio.wait_for(started.wait(), 5.0)
+        assert await asyncio.wait_for(idle.read(), 5.0) == b""
+        released.set()
+        assert await pending_jobs == []
 
 
 async def test_incomplete_answer_leaves_the_outcome_unknown():
@@ -294,10 +374,10 @@
     assert raised.value.verdict is Verdict.NOT_RUN
 
 
-async def wait_for_request(api):
-    """Waits until a request is in progress."""
+async def wait_for_request(api, count=1):
+    """Waits until a number of requests are in progress."""
     for _ in range(200):
-        if api.busy:
+        if len(api.busy) >= count:
             return
         await asyncio.sleep(0.01)
     raise AssertionError("no request in progress after 200 polls")
@@ -305,12 +385,8 @@
 
 # Guards against a stopping port that drops the rest of a request body and closes
 # the connection without an answer.
-async def test_partly_received_request_is_answered_when_the_port_stops(
-    api, clock, metrics
-):
-    app = api.application()
-    address = ("127.0.0.1", 0)
-    port = http_port("operators", app, api.busy, clock, metrics, *address, LIMITS)
+async def test_partly_received_request_is_answered_when_the_port_stops(api, listen):
+    port = listen()
     number = await port.__aenter__()
     reader, writer = await asyncio.open_connection("127.0.0.1", number)
     writer.write(
@@ -331,19 +407,12 @@
 
 # Guards against a stop that ends a request without an answer when the request takes
 # longer than the stop timeout.
-async def test_request_in_progress_after_the_stop_timeout_is_answered(
-    api, clock, metrics
-):
+async def test_request_in_progress_after_the_stop_timeout_is_answered(api, listen):
     async def never_ends(job_id):
         await asyncio.Event().wait()
 
     api.jobs.cancel = never_ends
-    app = api.application()
-    address = ("127.0.0.1", 0)
-    limits = PortLimits(connections=5, stop_timeout_s=0.1)
-    async with http_port(
-        "operators", app, api.busy, clock, metrics, *address, limits
-    ) as number:
+    async with listen(stop_timeout_s=0.1) as number:
         reader, writer = await asyncio.open_connection("127.0.0.1", number)
         writer.write(
             b"POST /v1/jobs/job-1/cancel HTTP/1.1\r\nHost: a\r\n"
--- a/libs/platform/burdockthread_platform/jobs_http.py
+++ b/libs/platform/burdockthread_platform/jobs_http.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 
 from aiohttp import web
+from burdockthread_http.connection_guard import ConnectionGuard
+from burdockthread_http.connection_limits import PortLimits
+from burdockthread_http.http_server import GracefulServer
 from burdockthread_model.clock import Clock
-from burdockthread_model.connection_guard import ConnectionGuard
-from burdockthread_model.connection_limits import PortLimits
 from burdockthread_model.errors import BadRequestError, RequestError
-from burdockthread_model.http_server import GracefulServer
 from burdockthread_model.verdict import Verdict
 from burdockthread_scheduling.desk import (
     RETRY_AFTER_S,
--- a/libs/platform/burdockthread_platform/kv_store.py
+++ b/libs/platform/burdockthread_platform/kv_store.py
@@ -4,6 +4,7 @@
 from urllib.parse import quote
 
 import aiohttp
+from burdockthread_http.http_calls import NOT_SENT, HttpCalls
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import (
     AnswerTooLargeError,
@@ -13,7 +14,6 @@
     StoreUnknownError,
     WatchCompactedError,
 )
-from burdockthread_model.http_calls import NOT_SENT, HttpCalls
 from burdockthread_store.listing_sizes import ListingSizes
 from burdockthread_store.store import (
     Change,
--- a/libs/platform/burdockthread_platform/machines_http.py
+++ b/libs/platform/burdockthread_platform/machines_http.py
@@ -3,9 +3,9 @@
 from typing import NoReturn
 
 import aiohttp
+from burdockthread_http.http_calls import HttpCalls
 from burdockthread_model.addresses import Address
 from burdockthread_model.errors import PlatformError
-from burdockthread_model.http_calls import HttpCalls
 from burdockthread_scheduling.machines import (
     Machine,
     MachineControl,
--- a/libs/platform/burdockthread_platform/policy_http.py
+++ b/libs/platform/burdockthread_platform/policy_http.py
@@ -4,9 +4,9 @@
 from collections.abc import Sequence
 
 import aiohttp
+from burdockthread_http.http_calls import HttpCalls
 from burdockthread_model.addresses import Address
 from burdockthread_model.errors import PlatformError
-from burdockthread_model.http_calls import HttpCalls
 from burdockthread_scheduling.placement_policy import (
     PolicyAnswer,
     PolicyService,
--- a/libs/platform/burdockthread_platform/worker_http.py
+++ b/libs/platform/burdockthread_platform/worker_http.py
@@ -3,8 +3,8 @@
 from typing import NoReturn
 
 import aiohttp
+from burdockthread_http.http_calls import NOT_SENT, HttpCalls
 from burdockthread_model.errors import PlatformError
-from burdockthread_model.http_calls import NOT_SENT, HttpCalls
 from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.workers import (
     EndKind,
--- a/libs/platform/tests/test_callers_keys.py
+++ b/libs/platform/tests/test_callers_keys.py
@@ -6,11 +6,11 @@
 import aiohttp
 import msgspec
 import pytest
+from burdockthread_http.http_server import ListeningPort, serve
 from burdockthread_model.addresses import Address
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.events import EventLog
 from burdockthread_model.histograms import HistogramMetrics
-from burdockthread_model.http_server import ListeningPort, serve
 from burdockthread_platform.configuration import parse_configuration
 from burdockthread_platform.jobs_http import JobsPort
 from burdockthread_scheduling.desk import JobDesk, NotReadyError, UnknownKeyError
--- a/libs/platform/tests/test_jobs_port.py
+++ b/libs/platform/tests/test_jobs_port.py
@@ -9,10 +9,10 @@
 import uvloop
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
+from burdockthread_http.http_server import GracefulServer, ListeningPort, serve
 from burdockthread_model.addresses import Address
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.events import EventLog
-from burdockthread_model.http_server import GracefulServer, ListeningPort, serve
 from burdockthread_platform.jobs_http import JobsPort
 from burdockthread_scheduling.desk import Caller
 from burdockthread_scheduling.specs import QueueSpec
--- a/libs/platform/tests/test_kv_store.py
+++ b/libs/platform/tests/test_kv_store.py
@@ -5,6 +5,7 @@
 import aiohttp
 import pytest
 from aiohttp.test_utils import TestServer
+from burdockthread_http.http_calls import HttpCalls
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.errors import (
     ConflictError,
@@ -14,7 +15,6 @@
     WatchCompactedError,
 )
 from burdockthread_model.events import EventLog
-from burdockthread_model.http_calls import HttpCalls
 from burdockthread_model.load import LoadMonitor
 from burdockthread_model.metrics import MemoryMetrics
 from burdockthread_platform.kv_store import PlatformStore
--- a/libs/platform/tests/test_many_watches.py
+++ b/libs/platform/tests/test_many_watches.py
@@ -9,9 +9,9 @@
 import aiohttp
 import pytest
 from aiohttp.test_utils import TestServer
+from burdockthread_http.http_calls import ClientSessions, HttpCalls
 from burdockthread_model.clock import SystemClock
 from burdockthread_model.events import EventLog
-from burdockthread_model.http_calls import ClientSessions, HttpCalls
 from burdockthread_model.load import LoadMonitor
 from burdockthread_model.metrics import MemoryMetrics
 from burdockthread_platform.kv_store import PlatformStore
--- a/libs/platform/tests/test_unreached.py
+++ b/libs/platform/tests/test_unreached.py
@@ -9,15 +9,15 @@
 
 import aiohttp
 import pytest
+from burdockthread_http.connections import TrackedConnector
+from burdockthread_http.http_calls import HttpCalls
 from burdockthread_model.clock import SystemClock
-from burdockthread_model.connections import TrackedConnector
 from burdockthread_model.errors import (
     PeerEndedError,
     PeerUnavailableError,
     StoreUnavailableError,
 )
 from burdockthread_model.events import EventLog
-from burdockthread_model.http_calls import HttpCalls
 from burdockthread_model.load import LoadMonitor
 from burdockthread_model.metrics import MemoryMetrics
 from burdockthread_platform.kv_store import PlatformStore
--- a/libs/routing/burdockthread_routing/caller_headers.py
+++ b/libs/routing/burdockthread_routing/caller_headers.py
@@ -4,6 +4,7 @@
 import math
 
 from aiohttp import web
+from burdockthread_http import guarded_server
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import BadRequestError, RequestError
 from burdockthread_model.intended import ServiceSpec
@@ -78,10 +79,11 @@
 
     Raises:
         SlowBodyError: The body did not arrive in time.
+        RefusedError: The port refused the request, or its client is gone.
     """
     try:
         async with clock.timeout(min(BODY_TIMEOUT_S, deadline_s - clock.now())):
-            return await request.read()
+            return await guarded_server.read_body(request)
     except TimeoutError:
         raise SlowBodyError("the body did not arrive in time") from None
 
--- a/libs/routing/burdockthread_routing/callers_api.py
+++ b/libs/routing/burdockthread_routing/callers_api.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
+from burdockthread_http.connection_limits import RefusedError
+from burdockthread_http.open_requests import OpenRequests
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import (
     RequestError,
@@ -29,7 +31,7 @@
     read_path,
 )
 from burdockthread_routing.endpoint_client import DEFAULT_CONTENT_TYPE
-from burdockthread_routing.http_port import VERDICT_HEADER, BusyConnections
+from burdockthread_routing.http_port import VERDICT_HEADER
 from burdockthread_routing.job_ledger import JobLedger
 from burdockthread_routing.jobs_api import JobsApi
 from burdockthread_routing.router import Router
@@ -68,7 +70,7 @@
     Attributes:
         ready: Whether the platform's load balancer may send new callers.
         stopping: Whether new requests are refused.
-        busy: Connections with a request in progress.
+        busy: Requests in progress.
         router: Routes requests to endpoints.
         jobs: Answers requests about deferred jobs.
     """
@@ -90,7 +92,7 @@
         self.log = log
         self.ready = False
         self.stopping = False
-        self.busy = BusyConnections()
+        self.busy = OpenRequests()
         # Differs for each start of the process, so that request ids are unique.
         self.start_id = secrets.token_hex(REQUEST_ID_BYTES)
         self.request_ids = itertools.count(1)
@@ -135,22 +137,26 @@
     async def answer_errors(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
-        """Tracks a request and, while the entry stops, closes its connection."""
-        with self.busy.tracked(request):
-            response = await self.answer(request, handler)
-        if self.stopping or self.busy.closing:
+        """Answers a request and, while the entry stops, closes its connection."""
+        response = await self.answer(request, handler)
+        if self.stopping:
             response.force_close()
         return response
 
     async def answer(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
-        """Calls the handler; converts every error into an answer with a verdict."""
+        """Calls the handler; converts every error into an answer with a verdict.
+
+        Raises:
+            RefusedError: The port refuses the request, whose body was not complete.
+        """
         try:
             if self.stopping and request.path not in PROBE_PATHS:
                 raise StoppingError("this entry is stopping", retry_after_s=1.0)
-            async with self.busy.aborted_on_close():
-                return await handler(request)
+            return await handler(request)
+        except RefusedError:
+            raise
         except RequestError as error:
             return self.refuse(error)
         except web.HTTPException as error:
--- a/libs/routing/burdockthread_routing/callers_port.py
+++ b/libs/routing/burdockthread_routing/callers_port.py
@@ -2,10 +2,12 @@
 
 from contextlib import AbstractAsyncContextManager
 
+from burdockthread_http.connection_guard import ConnectionGuard
+from burdockthread_http.connection_limits import PortLimits
 from burdockthread_model.clock import Clock
 
 from burdockthread_routing.callers_api import CallersApi
-from burdockthread_routing.http_port import PortLimits, http_port
+from burdockthread_routing.http_port import http_port
 
 
 def callers_port(
@@ -13,8 +15,10 @@
     clock: Clock,
     host: str,
     port: int,
-    body_bytes: int,
     limits: PortLimits,
+    *,
+    stop_timeout_s: float,
+    guard: ConnectionGuard | None = None,
 ) -> AbstractAsyncContextManager[int]:
     """Listens for callers within the block.
 
@@ -25,20 +29,25 @@
         clock: Clock of the timeouts.
         host: IP address to listen on.
         port: TCP port; 0 lets the kernel choose.
-        body_bytes: Largest request body accepted.
         limits: Limits of the port.
+        stop_timeout_s: Time that requests in progress may take when the port closes.
+        guard: Keeps the connections of the process within its limits; one with the
+            default budget if it is left out.
 
     Returns:
         A context manager that yields the TCP port.
     """
     return http_port(
         "callers",
-        api.application(body_bytes),
+        api.application(limits.body_bytes),
         api.busy,
+        api.refuse,
         clock,
-        api.metrics,
+        api.log,
+        guard or ConnectionGuard.with_defaults(api.log),
         host,
         port,
         limits,
-        handler_cancellation=True,
+        stop_timeout_s=stop_timeout_s,
+        cancels_on_disconnect=True,
     )
--- a/libs/routing/tests/test_callers_port.py
+++ b/libs/routing/tests/test_callers_port.py
@@ -3,18 +3,22 @@
 
 import aiohttp
 import pytest
+from burdockthread_http import connection_phases
+from burdockthread_http.connection_guard import ConnectionGuard
+from burdockthread_http.connection_limits import PortLimits
 from burdockthread_model.clock import settle
 from burdockthread_model.errors import EndpointError
 from burdockthread_model.steps import Steps
 from burdockthread_routing.callers_api import CallersApi
 from burdockthread_routing.callers_port import callers_port
 from burdockthread_routing.endpoint_client import EndpointAnswer
-from burdockthread_routing.http_port import PortLimits
 from burdockthread_routing.job_ledger import JobLedger
 
 HEADERS = {"Burdockthread-Organisation": "org", "Burdockthread-Class": "urgent"}
 BODY_BYTES = 1000
-LIMITS = PortLimits(connections=5, stop_timeout_s=1.0)
+LIMITS = PortLimits(
+    body_bytes=BODY_BYTES, connections=5, header_timeout_s=1.0, line_bytes=8_190
+)
 
 
 @pytest.fixture
@@ -25,7 +29,8 @@
 
 @pytest.fixture
 async def port(api, clock):
-    async with callers_port(api, clock, "127.0.0.1", 0, BODY_BYTES, LIMITS) as chosen:
+    listening = callers_port(api, clock, "127.0.0.1", 0, LIMITS, stop_timeout_s=1.0)
+    async with listening as chosen:
         yield chosen
 
 
@@ -159,8 +164,9 @@
     assert b"408" in answer.split(b"\r\n")[0]
     assert b"not_run" in answer
     assert b"Connection: close" in answer
-    await clock.advance(6.0)
-    assert await asyncio.wait_for(streams[0][0].read(), 5.0) == b""
+    answer = await asyncio.wait_for(streams[0][0].read(), 5.0)
+    assert b" 408 " in answer.split(b"\r\n")[0]
+    assert b"\r\nBurdockthread-Verdict: not_run\r\n" in answer
 
 
 @pytest.mark.parametrize(
@@ -186,20 +192,73 @@
     writer.close()
 
 
-async def test_connections_are_bounded(port):
+async def test_idle_connection_is_closed_for_a_new_one(port, call, add_vm):
+    add_vm("vm-0")
     streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(5)]
+    assert (await call())[0] == 200
+    assert await asyncio.wait_for(streams[0][0].read(), 5.0) == b""
+    for reader, writer in streams[1:]:
+        writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert b" 200 " in await asyncio.wait_for(reader.readline(), 5.0)
+        writer.close()
+
+
+async def test_connection_beyond_the_limit_is_refused_if_all_have_requests(
+    port, call, router
+):
+    held = [
+        asyncio.create_task(call(Burdockthread_Deadline_Ms="60000")) for _ in "12345"
+    ]
+    assert await reached(lambda: router.in_flight == 5)
     reader, _ = await asyncio.open_connection("127.0.0.1", port)
     answer = await asyncio.wait_for(reader.read(), 5.0)
-    assert answer.startswith(b"HTTP/1.1 503 ")
-    assert b"Burdockthread-Verdict: not_run" in answer
+    assert b" 503 " in answer.split(b"\r\n")[0]
+    assert b"\r\nBurdockthread-Verdict: not_run\r\n" in answer
     assert json.loads(answer.partition(b"\r\n\r\n")[2])["verdict"] == "not_run"
-    for _, writer in streams:
-        writer.close()
+    assert router.in_flight == 5
+    for task in held:
+        task.cancel()
+
+
+# Guards against a body that is awaited although the request is refused anyway.
+async def test_refused_request_is_answered_before_its_body(port):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    head = "POST /services/none/order HTTP/1.1\r\nHost: x\r\nContent-Length: 900\r\n"
+    writer.write(f"{head}Burdockthread-Organisation: a b\r\n\r\nhalf".encode())
+    answer = await asyncio.wait_for(reader.read(), 5.0)
+    writer.close()
+    assert b" 400 " in answer.split(b"\r\n")[0]
+    assert b"\r\nConnection: close\r\n" in answer
+    assert b"\r\nBurdockthread-Verdict: not_run\r\n" in answer
+
+
+# Guards against answers that pile up in memory while nobody reads them.
+async def test_unread_answer_is_charged_to_the_budget(api, clock, add_vm, script):
+    add_vm("vm-0")
+    size = 4_000_000
+
+    async def answer_at_length(attempt):
+        return EndpointAnswer(200, b"x" * size, "text/plain")
+
+    script.by_vm["vm-0"] = answer_at_length
+    guard = ConnectionGuard.with_defaults(api.log)
+    listening = callers_port(
+        api, clock, "127.0.0.1", 0, LIMITS, stop_timeout_s=0.1, guard=guard
+    )
+    lines = "".join(f"{name}: {value}\r\n" for name, value in HEADERS.items())
+    async with listening as port:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1)
+        writer.write(f"GET /services/svc/a HTTP/1.1\r\nHost: x\r\n{lines}\r\n".encode())
+        assert await reached(lambda: guard.budget.used >= size)
+        writer.transport.abort()
+        assert await reached(lambda: guard.budget.used == 0)
+    assert reader
 
 
 async def test_a_long_request_does_not_make_its_connection_idle(
-    call, add_vm, script, router, clock
+    api, add_vm, script, router, clock, monkeypatch
 ):
+    monkeypatch.setattr(connection_phases, "IDLE_MARGIN_S", 0.0)
     add_vm("vm-0")
     released = asyncio.Event()
 
@@ -208,11 +267,18 @@
         return EndpointAnswer(200, b"whole", "text/plain")
 
     script.by_vm["vm-0"] = hold
-    under_way = asyncio.create_task(call(Burdockthread_Deadline_Ms="60000"))
-    assert await reached(lambda: router.in_flight == 1)
-    await clock.advance(LIMITS.idle_timeout_s + 2.0)
-    released.set()
-    assert (await under_way)[2] == b"whole"
+    limits = LIMITS._replace(idle_timeout_s=0.2)
+    listening = callers_port(api, clock, "127.0.0.1", 0, limits, stop_timeout_s=0.1)
+    async with listening as port:
+        idle, _ = await asyncio.open_connection("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        lines = "".join(f"{name}: {value}\r\n" for name, value in HEADERS.items())
+        writer.write(f"GET /services/svc/a HTTP/1.1\r\nHost: x\r\n{lines}\r\n".encode())
+        assert await reached(lambda: router.in_flight == 1)
+        assert await asyncio.wait_for(idle.read(), 5.0) == b""
+        released.set()
+        assert await asyncio.wait_for(reader.readuntil(b"whole"), 5.0)
+        writer.close()
 
 
 async def test_a_graceful_stop_completes_requests_in_progress(
@@ -253,8 +319,8 @@
         await asyncio.Event().wait()
 
     script.by_vm["vm-0"] = hold
-    limits = PortLimits(connections=5, stop_timeout_s=0.1)
-    async with callers_port(api, clock, "127.0.0.1", 0, BODY_BYTES, limits) as port:
+    listening = callers_port(api, clock, "127.0.0.1", 0, LIMITS, stop_timeout_s=0.1)
+    async with listening as port:
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         head = "".join(f"{name}: {value}\r\n" for name, value in HEADERS.items())
         writer.write(f"POST /services/svc/a HTTP/1.1\r\nHost: a\r\n{head}".encode())
--- a/libs/routing/tests/test_http_port.py
+++ b/libs/routing/tests/test_http_port.py
@@ -1,17 +1,20 @@
 import asyncio
 import random
 import socket
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 import uvloop
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
+from burdockthread_http.connection_guard import ConnectionGuard
+from burdockthread_http.connection_limits import PortLimits
+from burdockthread_http.open_requests import OpenRequests
 from burdockthread_model.clock import SystemClock
-from burdockthread_model.metrics import MemoryMetrics
-from burdockthread_routing.http_port import BusyConnections, PortLimits, http_port
+from burdockthread_model.events import EventLog
+from burdockthread_routing.http_port import http_port
 
-LIMITS = PortLimits(connections=1, stop_timeout_s=1.0)
+LIMITS = PortLimits(connections=1)
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 CALLERS = 300
 LONGEST_PAUSE_S = 0.02
@@ -19,20 +22,50 @@
 STORM_TIMEOUT_S = 30.0
 
 
-async def refused_answer():
-    """Returns the answer to a connection above the limit."""
-    port = http_port(
+def serving(app, requests, limits):
+    """Returns a port that serves an application."""
+    log = EventLog("test")
+    guard = ConnectionGuard.with_defaults(log)
+    return http_port(
         "callers",
-        web.Application(),
-        BusyConnections(),
+        app,
+        requests,
+        lambda error: web.Response(status=error.status),
         SystemClock(),
-        MemoryMetrics(),
+        log,
+        guard,
         "127.0.0.1",
         0,
-        LIMITS,
+        limits,
+        stop_timeout_s=1.0,
     )
-    async with port as number:
+
+
+@asynccontextmanager
+async def held_port(limits):
+    """Yields a port whose requests wait, and the requests in progress."""
+    released, requests = asyncio.Event(), OpenRequests()
+
+    async def hold(request):
+        await released.wait()
+        return web.Response()
+
+    app = web.Application()
+    app.router.add_get("/", hold)
+    async with serving(app, requests, limits) as number:
+        yield number, requests
+        released.set()
+
+
+async def refused_answer():
+    """Returns the answer to a connection above the limit, as all others are busy."""
+    async with held_port(LIMITS) as (number, requests):
         _, held = await asyncio.open_connection("127.0.0.1", number)
+        held.write(REQUEST)
+        for _ in range(500):
+            if requests:
+                break
+            await asyncio.sleep(0.01)
         reader, _ = await asyncio.open_connection("127.0.0.1", number)
         answer = await asyncio.wait_for(reader.read(), 5.0)
         held.close()
@@ -43,26 +76,21 @@
 def test_refusal_of_a_connection_is_sent_by_every_event_loop(new_loop):
     with asyncio.Runner(loop_factory=new_loop) as runner:
         answer = runner.run(refused_answer())
-    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b" 503 " in answer.split(b"\r\n")[0]
+    assert b"\r\nBurdockthread-Verdict: not_run\r\n" in answer
+    assert b"\r\nRetry-After: 1\r\n" in answer
     assert answer.endswith(b'"verdict": "not_run"}')
 
 
 def greeting_port(limits):
     """Returns a port whose application answers at once."""
-    busy = BusyConnections()
-
-    @web.middleware
-    async def mark(request, handler):
-        with busy.tracked(request):
-            return await handler(request)
 
     async def greet(request):
         return web.Response(text="hello")
 
-    app = web.Application(middlewares=[mark])
+    app = web.Application()
     app.router.add_get("/", greet)
-    clock, metrics = SystemClock(), MemoryMetrics()
-    return http_port("callers", app, busy, clock, metrics, "127.0.0.1", 0, limits)
+    return serving(app, OpenRequests(), limits)
 
 
 async def answers_at_the_end(turns):
@@ -109,7 +137,7 @@
 async def storm():
     """Closes a port under load from many connections; returns the answers."""
     answered, enough, numbers = [], asyncio.Event(), random.Random(1)
-    async with greeting_port(PortLimits(2 * CALLERS, 1.0)) as number:
+    async with greeting_port(PortLimits(connections=2 * CALLERS)) as number:
         asking = asyncio.gather(
             *(
                 ask_now_and_then(number, answered, enough, numbers)
--- a/libs/routing/tests/test_jobs_api.py
+++ b/libs/routing/tests/test_jobs_api.py
@@ -3,17 +3,16 @@
 
 import aiohttp
 import pytest
+from burdockthread_http.connection_limits import PortLimits
 from burdockthread_model.errors import StoreUnavailableError
 from burdockthread_model.intended import PoolSpec, ServiceSpec
 from burdockthread_model.job import JobState
 from burdockthread_model.verdict import Verdict
 from burdockthread_routing.callers_api import CallersApi
 from burdockthread_routing.callers_port import callers_port
-from burdockthread_routing.http_port import PortLimits
 from burdockthread_routing.jobs_api import JobAccess
 
-BODY_BYTES = 10_000
-LIMITS = PortLimits(connections=50, stop_timeout_s=1.0)
+LIMITS = PortLimits(body_bytes=10_000, connections=50)
 
 
 @pytest.fixture
@@ -27,7 +26,7 @@
 @pytest.fixture
 async def call(api, clock):
     async with (
-        callers_port(api, clock, "127.0.0.1", 0, BODY_BYTES, LIMITS) as port,
+        callers_port(api, clock, "127.0.0.1", 0, LIMITS, stop_timeout_s=1.0) as port,
         aiohttp.ClientSession(f"http://127.0.0.1:{port}") as session,
     ):
 
--- a/libs/routing/tests/test_request_headers_fuzz.py
+++ b/libs/routing/tests/test_request_headers_fuzz.py
@@ -4,16 +4,16 @@
 import re
 
 import pytest
+from burdockthread_http.connection_limits import PortLimits
 from burdockthread_model.steps import Steps
 from burdockthread_routing.callers_api import CallersApi
 from burdockthread_routing.callers_port import callers_port
-from burdockthread_routing.http_port import PortLimits
 from burdockthread_routing.job_ledger import JobLedger
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 BODY_BYTES = 1_000
-LIMITS = PortLimits(connections=5, stop_timeout_s=1.0)
+LIMITS = PortLimits(body_bytes=BODY_BYTES, connections=5, line_bytes=8_190)
 STATUS = re.compile(rb"HTTP/1\.[01] (\d{3}) ")
 VERDICT = re.compile(rb"\r\nBurdockthread-Verdict: (\w+)\r\n")
 ANSWER_TIMEOUT_S = 10.0
@@ -58,7 +58,9 @@
     ledger = JobLedger(store, clock, Steps())
     running = asyncio.create_task(ledger.run())
     api = CallersApi("entry-1", real_router, ledger, clock, metrics, log)
-    async with callers_port(api, clock, "127.0.0.1", 0, BODY_BYTES, LIMITS) as chosen:
+    async with callers_port(
+        api, clock, "127.0.0.1", 0, LIMITS, stop_timeout_s=1.0
+    ) as chosen:
         yield chosen
     running.cancel()
 
--- a/libs/scheduling/burdockthread_scheduling/entry_link.py
+++ b/libs/scheduling/burdockthread_scheduling/entry_link.py
@@ -9,17 +9,17 @@
 import aiohttp
 import msgspec
 from aiohttp import web
+from burdockthread_http.connection_guard import ConnectionGuard
+from burdockthread_http.connection_limits import PortLimits
+from burdockthread_http.http_calls import NOT_SENT, HttpCalls
+from burdockthread_http.http_server import GracefulServer
 from burdockthread_model.clock import Clock
-from burdockthread_model.connection_guard import ConnectionGuard
-from burdockthread_model.connection_limits import PortLimits
 from burdockthread_model.errors import (
     PeerEndedError,
     PeerTimeoutError,
     PeerUnavailableError,
 )
 from burdockthread_model.events import EventLog
-from burdockthread_model.http_calls import NOT_SENT, HttpCalls
-from burdockthread_model.http_server import GracefulServer
 
 from burdockthread_scheduling.duty import DutyOffer
 from burdockthread_scheduling.pool_status import (
--- a/libs/scheduling/burdockthread_scheduling/port_limits.py
+++ b/libs/scheduling/burdockthread_scheduling/port_limits.py
@@ -1,6 +1,6 @@
 """Limits of the ports of an entry, from its settings and the configuration."""
 
-from burdockthread_model.connection_limits import (
+from burdockthread_http.connection_limits import (
     CALLERS_SHARE,
     ENTRIES_SHARE,
     STATUS_SHARE,
--- a/libs/store/burdockthread_store/settled_store.py
+++ b/libs/store/burdockthread_store/settled_store.py
@@ -23,6 +23,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
+from burdockthread_http.http_calls import running_timeout
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import (
     ConflictError,
@@ -31,7 +32,6 @@
     StoreUnknownError,
     WriteLostError,
 )
-from burdockthread_model.http_calls import running_timeout
 from burdockthread_model.load import LoadMonitor
 from burdockthread_model.metrics import Metrics
 from burdockthread_model.records import RecordError, decode_record, encode_record
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -22,7 +22,10 @@
     ("tests/test_scenarios.py", "-k", f"not ({' or '.join(LONG_SCENARIOS)})"),
     ("tests/test_fault_matrix.py",),
 )
-GROUPS_ALONE = (("tests/test_untrusted_clients.py",),)
+GROUPS_ALONE = (
+    ("tests/test_untrusted_clients.py",),
+    ("tests/test_untrusted_clients_of_an_entry.py",),
+)
 TIMEOUT_S = 900
 
 
