Charge frames between entries to the budget of received bytes

Frames of authenticated entries took up to 2 MiB each, 256 at a time, outside the budget, and 16 streams that never finish their handshake kept other entries out for 5 s at a time. A frame is now charged from before it is read until it is handled, and its stream is not read while there is no room; half a frame is released with its stream after 10 s, as before. The oldest stream without a handshake gives way to a new one. Refused streams are counted, and logged at a bounded rate.

--- a/libs/burdockthread/burdockthread/entry.py
+++ b/libs/burdockthread/burdockthread/entry.py
@@ -87,7 +87,7 @@
         self.store = SettledStore.with_budget(
             clients.store, self.name, self.limits, self.clock, self.metrics
         )
-        self.mesh = mesh or StreamMesh(settings, self.clock, self.log)
+        self.mesh = mesh or StreamMesh(settings, self.clock, self.log, self.guard)
         self.build_configuration()
         self.build_routing()
         self.build_fleet()
--- a/libs/peers/burdockthread_peers/frames.py
+++ b/libs/peers/burdockthread_peers/frames.py
@@ -11,6 +11,7 @@
 import hmac
 import secrets
 import struct
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import msgpack
@@ -64,9 +65,18 @@
     return LENGTH.pack(len(payload)) + payload
 
 
-async def read_payload(reader: asyncio.StreamReader, max_bytes: int) -> object:
+async def read_payload(
+    reader: asyncio.StreamReader,
+    max_bytes: int,
+    reserve: Callable[[int], Awaitable[None]] | None = None,
+) -> object:
     """Reads a length and decodes one msgpack value of that length.
 
+    Args:
+        reader: Incoming side of the stream.
+        max_bytes: Largest length.
+        reserve: Waits until there is room for as many bytes, before they are read.
+
     Raises:
         PeerProtocolError: The payload is malformed or too large.
         asyncio.IncompleteReadError: The stream ended.
@@ -74,6 +84,8 @@
     (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
     if length > max_bytes:
         raise PeerProtocolError(f"frame of {length} bytes exceeds {max_bytes} bytes")
+    if reserve is not None:
+        await reserve(length)
     payload = await reader.readexactly(length)
     try:
         return msgpack.unpackb(payload, strict_map_key=False)
@@ -81,9 +93,12 @@
         raise PeerProtocolError(f"frame is not msgpack: {error}") from error
 
 
-async def read_frame(reader: asyncio.StreamReader) -> Frame:
-    """Reads one frame; raises the errors of `read_payload`."""
-    match await read_payload(reader, MAX_FRAME_BYTES):
+async def read_frame(
+    reader: asyncio.StreamReader,
+    reserve: Callable[[int], Awaitable[None]] | None = None,
+) -> Frame:
+    """Reads one frame; see `read_payload` for the arguments and errors."""
+    match await read_payload(reader, MAX_FRAME_BYTES, reserve):
         case [int(call_id), str(kind), list(fields)]:
             return Frame(call_id, kind, fields)
     raise PeerProtocolError("frame is not an array of id, kind and fields")
--- a/libs/peers/burdockthread_peers/stream_mesh.py
+++ b/libs/peers/burdockthread_peers/stream_mesh.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
+from burdockthread_http.connection_guard import ConnectionGuard
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import (
     BurdockthreadError,
@@ -17,6 +18,7 @@
 from burdockthread_model.events import EventLog
 from burdockthread_model.settings import EntrySettings, PeerSettings
 
+from burdockthread_peers.frame_reader import FrameReader, ReceivedFrame
 from burdockthread_peers.frames import (
     FAILURE,
     HANDSHAKE_TIMEOUT_S,
@@ -26,7 +28,6 @@
     encode_frame,
     handshake,
     new_hello,
-    read_frame,
 )
 from burdockthread_peers.handlers import encode_fields
 from burdockthread_peers.handling_mesh import HandlingMesh
@@ -42,7 +43,6 @@
 MISSED_HEARTBEATS = 3
 MAX_LINKS = 64
 MAX_UNAUTHENTICATED = 16
-MAX_HANDLERS = 256
 MAX_BLOCKED_PROCESSES = 1_000
 
 
@@ -77,15 +77,24 @@
         incoming: Accepted stream of each entry, by name.
         incoming_processes: Incarnation at the other end of these streams.
         blocked_processes: Replaced processes whose streams are refused.
-        unauthenticated: Accepted streams before the end of the handshake.
+        unauthenticated: Accepted streams before the end of the handshake, oldest
+            first.
+        guard: Keeps what the process receives within its limits.
     """
 
-    def __init__(self, settings: EntrySettings, clock: Clock, log: EventLog) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        log: EventLog,
+        guard: ConnectionGuard | None = None,
+    ) -> None:
         super().__init__(settings["name"])
         self.settings = settings
         self.key = settings["peer_key"].encode()
         self.clock = clock
         self.log = log
+        self.guard = guard or ConnectionGuard.with_defaults(log)
         self.incarnation = secrets.token_hex(8)
         self.leaving = False
         self.is_running = False
@@ -100,7 +109,7 @@
         self.incoming: dict[str, asyncio.StreamWriter] = {}
         self.incoming_processes: dict[str, str] = {}
         self.blocked_processes: dict[tuple[str, str], None] = {}
-        self.unauthenticated: set[asyncio.StreamWriter] = set()
+        self.unauthenticated: dict[asyncio.StreamWriter, None] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.register(Heartbeat, HeartbeatReply, self.on_heartbeat)
 
@@ -272,22 +281,24 @@
     ) -> None:
         """Serves one accepted stream until it ends.
 
-        An error ends this stream only. Beyond `MAX_UNAUTHENTICATED` streams in
-        the handshake, a new one is closed at once.
+        An error ends this stream only. Beyond `MAX_UNAUTHENTICATED` streams in the
+        handshake, which takes an entry a few milliseconds, the oldest is closed.
         """
         if len(self.unauthenticated) >= MAX_UNAUTHENTICATED:
-            writer.close()
-            return
-        self.unauthenticated.add(writer)
+            oldest = next(iter(self.unauthenticated))
+            del self.unauthenticated[oldest]
+            oldest.transport.abort()
+            self.guard.note("closed", "unauthenticated", "entries")
+        self.unauthenticated[writer] = None
         try:
             hello = await self.authenticate(reader, writer)
             await self.serve_peer(hello, reader, writer)
         except (OSError, EOFError, TimeoutError):
             pass
         except PeerProtocolError as error:
-            self.log.warning("peer_stream_refused", reason=error)
+            self.guard.note("refused", "peer_protocol", "entries", error=error)
         finally:
-            self.unauthenticated.discard(writer)
+            self.unauthenticated.pop(writer, None)
             writer.close()
 
     async def authenticate(
@@ -322,14 +333,14 @@
             older.transport.abort()
         self.incoming[name] = writer
         self.incoming_processes[name] = hello.incarnation
-        self.unauthenticated.discard(writer)
-        limit = asyncio.Semaphore(MAX_HANDLERS)
+        self.unauthenticated.pop(writer, None)
+        frames = FrameReader(reader, self.guard)
         try:
             while has_room(writer):
                 async with self.clock.timeout(IDLE_TIMEOUT_S):
-                    frame = await read_frame(reader)
-                await limit.acquire()
-                self.start(self.answer(name, frame, writer, limit))
+                    received = await frames.read()
+                await frames.handlers.acquire()
+                self.start(self.answer(name, received, writer, frames))
         finally:
             if self.incoming.get(name) is writer:
                 del self.incoming[name]
@@ -338,15 +349,16 @@
     async def answer(
         self,
         sender: str,
-        frame: Frame,
+        received: ReceivedFrame,
         writer: asyncio.StreamWriter,
-        limit: asyncio.Semaphore,
+        frames: FrameReader,
     ) -> None:
         """Handles one message and writes the answer if one is expected."""
+        frame = received.frame
         try:
             data = encode_frame(await self.result(sender, frame))
         finally:
-            limit.release()
+            frames.finish(received.size)
         if frame.call_id and not writer.is_closing():
             self.traffic.write(writer, data)
 
