Charge fields behind a chunked body, and what the parser keeps after an answer

Cause: the parser keeps trailers in the lists of the headers, and the budget saw only the decoded body.

Data behind the last chunk is now charged as headers are and refused with 431 beyond their limit. What is left of an answered request stays charged until the next one begins.

Three tests of served requests compared the whole budget with 0 after an answer; they now compare what is charged for unanswered requests with 0, and a new test bounds the rest and shows that it is released.

--- a/libs/http/burdockthread_http/connection_limits.py
+++ b/libs/http/burdockthread_http/connection_limits.py
@@ -82,6 +82,9 @@
 
 
 HEAD_TOO_LARGE = Refusal("head_too_large", 431, "the headers exceed the limit")
+TRAILERS_TOO_LARGE = Refusal(
+    "trailers_too_large", 431, "the fields behind the body exceed the limit"
+)
 HEAD_TOO_SLOW = Refusal("head_too_slow", 408, "the headers were not sent in time")
 EMPTY_LINES = Refusal("empty_lines", 400, "too many empty lines before the request")
 MALFORMED = Refusal("malformed", 400, "the request is malformed")
--- a/libs/http/burdockthread_http/guarded_connections.py
+++ b/libs/http/burdockthread_http/guarded_connections.py
@@ -25,6 +25,7 @@
     HEAD_TOO_SLOW,
     MALFORMED,
     NO_MEMORY,
+    TRAILERS_TOO_LARGE,
     Refusal,
     RefusedError,
 )
@@ -294,11 +295,17 @@
             framing.body_bytes += more
             self.progress.receive(more, now_s)
             self.deadline_s = now_s + self.limits.idle_timeout_s
+        is_trailer = False
         if framing.body_left is not None and not is_new:
             framing.body_left -= len(part)
+        elif not is_new:
+            is_trailer = framing.note_chunks(part, payload.total_raw_bytes)
         if framing.is_body_too_large(self.limits):
             self.refuse(BODY_TOO_LARGE)
             return
+        if is_trailer and framing.trailer_bytes > self.limits.header_bytes:
+            self.refuse(TRAILERS_TOO_LARGE)
+            return
         if payload.is_eof():
             if self.phase is Phase.BODY:
                 framing.end_body(part)
@@ -321,6 +328,7 @@
         """
         guard, share = self.port.guard, self.limits.budget_share
         size = self.held_bytes()
+        self.progress.kept = self.framing.kept
         if guard.hold(self.progress, size, self._loop.time(), share):
             return True
         if self.progress.may_have_run:
@@ -497,6 +505,7 @@
             self.wait_for(Phase.RUNNING)
         else:
             self.wait_for(Phase.BODY)
+        progress.kept = self.framing.kept
         self.port.guard.budget.hold(progress, self.held_bytes())
         self.feed()
 
--- a/libs/http/burdockthread_http/received_bytes.py
+++ b/libs/http/burdockthread_http/received_bytes.py
@@ -41,6 +41,7 @@
 
     Attributes:
         held: Bytes that are held for it.
+        kept: Those of them that are left of a request that was answered.
         progress_s: Time at which the connection was opened, a request on it was
             answered, a head was complete, or `PROGRESS_BYTES` more had arrived.
         since_progress: Bytes received since then.
@@ -55,13 +56,14 @@
         "held",
         "is_served",
         "is_unread",
+        "kept",
         "may_have_run",
         "progress_s",
         "since_progress",
     )
 
     def __init__(self, now_s: float) -> None:
-        self.held = 0
+        self.held = self.kept = 0
         self.progress_s = now_s
         self.since_progress = 0
         self.is_served = False
@@ -81,7 +83,7 @@
 
     def rank(self) -> ClosingRank:
         """Returns the rank in the closing order."""
-        return ClosingRank(self.is_served and not self.held, self.progress_s)
+        return ClosingRank(self.is_served and self.held <= self.kept, self.progress_s)
 
     def is_closable(self) -> bool:
         """Returns whether the connection may be closed to make room."""
--- a/libs/http/burdockthread_http/request_framing.py
+++ b/libs/http/burdockthread_http/request_framing.py
@@ -19,6 +19,11 @@
 BODY_FIELDS = re.compile(
     rb"\r\n(?:content-length[ \t]*:[ \t]*(\d{1,9})[ \t]*\r\n|transfer-encoding)", re.I
 )
+# The line in front of the fields behind a chunked body. Data of a chunk may look like
+# it, which only makes the accounting less exact until more data arrives.
+LAST_CHUNK = re.compile(rb"(?:\A|(?<=\n))0+[ \t]*(?:;[^\n]*)?\r?\n")
+# Start of an unfinished line that is kept, to recognize the line above in parts.
+MAX_LINE_START = 64
 # A compressed body is not given to the parser before there is room for what it may
 # grow to.
 COMPRESSED = re.compile(rb"\r\ncontent-encoding", re.I)
@@ -38,6 +43,13 @@
         sent_bytes: Size of a chunked body as sent.
         reserved: Bytes that a compressed body may grow to.
         leftover: Bytes behind a chunked body that the parser already has.
+        line_start: Start of the last line of a chunked body, if it is not complete.
+        raw_bytes: Size of the body before it is decoded, as far as received.
+        trailer_bytes: Size of the fields behind a chunked body, as far as received.
+        trailer_lines: Number of their lines.
+        is_in_trailers: Whether the last chunk seems to have been received.
+        kept: What the parser keeps of the headers and trailers of the last request
+            until the next one begins, as a number of bytes of the budget.
     """
 
     __slots__ = (
@@ -47,19 +59,29 @@
         "head_bytes",
         "head_fields",
         "head_tail",
+        "is_in_trailers",
+        "kept",
         "leftover",
+        "line_start",
         "pending",
+        "raw_bytes",
         "reserved",
         "sent_bytes",
+        "trailer_bytes",
+        "trailer_lines",
     )
 
     def __init__(self) -> None:
         self.pending = b""
-        self.empty_bytes = self.leftover = self.sent_bytes = 0
+        self.empty_bytes = self.leftover = self.sent_bytes = self.kept = 0
+        self.head_bytes = self.head_fields = 0
+        self.trailer_bytes = self.trailer_lines = 0
         self.begin_head()
 
     def begin_head(self) -> None:
         """Resets what is known of the request, before the next one."""
+        self.kept = self.field_bytes()
+        self.begin_trailers()
         self.head_bytes = self.head_fields = self.body_bytes = self.reserved = 0
         self.head_tail = b""
         self.body_left: int | None = None
@@ -101,6 +123,7 @@
 
     def note_head(self, part: bytes) -> None:
         """Takes note of a part of the headers that the parser has got."""
+        self.kept = 0
         self.head_bytes += len(part)
         self.head_tail = (self.head_tail + part[-3:])[-3:]
 
@@ -109,6 +132,7 @@
         self.empty_bytes = self.leftover = self.body_bytes = 0
         self.sent_bytes = len(self.pending)
         self.body_left = None
+        self.begin_trailers()
 
     def body_part(self) -> bytes:
         """Returns the next part of the body."""
@@ -120,16 +144,56 @@
         sent_limit = limits.body_bytes * CHUNKED_FACTOR + PART_BYTES
         return self.body_bytes > limits.body_bytes or self.sent_bytes > sent_limit
 
+    def begin_trailers(self) -> None:
+        """Forgets the fields behind a chunked body."""
+        self.line_start = b""
+        self.raw_bytes = self.trailer_bytes = self.trailer_lines = 0
+        self.is_in_trailers = False
+
+    def note_chunks(self, part: bytes, raw_bytes: int) -> bool:
+        """Takes note of a part of a chunked body that the parser has got.
+
+        The parser keeps the fields behind the body. All data behind the last chunk
+        counts as such, until there is more of the body.
+
+        Args:
+            part: The part.
+            raw_bytes: Size of the body, as far as received, without its framing.
+
+        Returns:
+            Whether the part consists of such fields.
+        """
+        text = self.line_start + part
+        self.line_start = text[text.rfind(b"\n") + 1 :][:MAX_LINE_START]
+        has_data, self.raw_bytes = raw_bytes > self.raw_bytes, raw_bytes
+        ends = [found.end() for found in LAST_CHUNK.finditer(text)]
+        if ends:
+            part = text[ends[-1] :]
+            self.trailer_bytes = self.trailer_lines = 0
+        elif has_data or not self.is_in_trailers:
+            self.is_in_trailers = False
+            self.trailer_bytes = self.trailer_lines = 0
+            return False
+        self.is_in_trailers = True
+        self.trailer_bytes += len(part)
+        self.trailer_lines += part.count(b"\n")
+        return not has_data
+
     def end_body(self, part: bytes) -> None:
         """Takes note of the last part of a body."""
         if self.body_left is None:
             self.leftover = 0 if part.endswith(HEAD_END) else len(part)
 
+    def field_bytes(self) -> int:
+        """Returns the bytes of the budget that headers and trailers take."""
+        lines = self.head_fields + self.trailer_lines
+        return self.head_bytes + self.trailer_bytes + lines * FIELD_OVERHEAD
+
     def held_bytes(self) -> int:
         """Returns the bytes of the budget that the request and its data take."""
         return (
-            self.head_bytes
-            + self.head_fields * FIELD_OVERHEAD
+            self.kept
+            + self.field_bytes()
             + self.leftover
             + max(self.body_bytes, self.reserved)
             + len(self.pending)
--- a/libs/http/tests/test_guarded_connections.py
+++ b/libs/http/tests/test_guarded_connections.py
@@ -54,6 +54,12 @@
         return Client(*await asyncio.open_connection(*self.address))
 
 
+def unanswered_bytes(found):
+    """Returns what is charged for requests that have not been answered."""
+    kept = sum(progress.kept for progress in found.guard.connections)
+    return found.guard.budget.used - kept
+
+
 class Client:
     def __init__(self, reader, writer):
         self.reader = reader
@@ -154,10 +160,46 @@
             status, answer = await client.send(data).answer()
             assert status == 200
             assert answer.endswith(b"size %d;" % size)
-        assert found.guard.budget.used == 0
+        assert unanswered_bytes(found) == 0
+        assert found.metrics.counters == {}
+
+
+# Guards against data of a body that is taken for the fields behind it.
+@pytest.mark.parametrize("size", [1, 7, 16_384, 60_000])
+async def test_chunks_that_look_like_the_last_one_are_served(size):
+    body = b"0\r\n\n0\n0;a\r\n" * 3_000
+    data = chunked(body) + chunked(b"x", b"0\r\n0\r\n", b"y" * 20_000)
+    async with port() as found:
+        client = await found.connect()
+        for start in range(0, len(data), size):
+            client.send(data[start : start + size])
+            if not start % 20:
+                await asyncio.sleep(0)
+        assert (await client.answer())[1].endswith(b"size %d;" % len(body))
+        assert await client.status() == 200
         assert found.metrics.counters == {}
 
 
+# Guards against fields that the parser keeps until the next request, and that are
+# charged to nobody.
+@pytest.mark.parametrize("where", ["headers", "trailers"])
+async def test_fields_of_an_answered_request_stay_charged(where):
+    fields = b"".join(b"X-%d: b\r\n" % number for number in range(300))
+    request = GET[:-2] + fields + b"\r\n"
+    if where == "trailers":
+        request = chunked(b"x")[:-2] + fields + b"\r\n"
+    async with port(PortLimits()) as found:
+        client = await found.connect()
+        assert await client.send(request).status() == 200
+        assert found.guard.budget.used > 300 * 128
+        assert unanswered_bytes(found) == 0
+        assert await client.send(GET).status() == 200
+        assert found.guard.budget.used < 2_000
+        client.writer.close()
+        await until(lambda: not found.guard.connections)
+        assert found.guard.budget.used == 0
+
+
 # Guards against an end of a head or body that is missed because it arrives in parts.
 @pytest.mark.parametrize("size", [1, 3, 1_000])
 async def test_requests_in_pieces_are_served(size):
@@ -169,7 +211,7 @@
             await asyncio.sleep(0)
         for expected in (0, 100, 200, 0):
             assert (await client.answer())[1].endswith(b"size %d;" % expected)
-        assert found.guard.budget.used == 0
+        assert unanswered_bytes(found) == 0
 
 
 # Guards against pipelined requests that are lost, or handled out of order.
@@ -185,7 +227,7 @@
                 client.send(make(body) if size else GET)
             for size in sizes:
                 assert (await client.answer())[1].endswith(b"size %d;" % size)
-            assert found.guard.budget.used == 0
+            assert unanswered_bytes(found) == 0
 
     run(check())
 
@@ -211,6 +253,10 @@
     "body_too_large in chunks": (chunked(b"x" * 50_000, b"x"), 413),
     "body_too_large as sent": (chunked(b"x")[:-5] + b"1;" + b"x" * 900_000, 413),
     "body_too_large compressed": (BOMB, 413),
+    "trailers_too_large": (
+        chunked(b"x")[:-2] + b"X: %s\r\n" % (b"x" * 4_000) * 20,
+        431,
+    ),
     "malformed": (b"?\r\n\r\n", 400),
     "malformed compression": (post(b"xxxx", b"Content-Encoding: gzip"), 400),
     "malformed body": (chunked(b"x")[:-5] + b"?\r\n", 400),
