Parse received data in turns by its cost

Ordinary callers got no answer for 10 s while 100 clients sent 200,000 chunks of one byte each; the process lived and kept to its memory.

Cause: each connection had 16 KiB parsed in each iteration of the event loop, before a new request was read. That bounds bytes, not time: 2,730 chunks cost some hundred times as much as 16 KiB of one body, and an iteration took as long as all connections together.

All connections of a process now take turns. The connection whose data has cost the least of late goes first, one part each, up to a limit of cost in an iteration, so that a whole request waits for the rest of one turn, and the store's answers and timers for no more than that. Limits of time do not run while data waits; a port that closes first parses what it has received.

--- a/libs/http/burdockthread_http/connection_guard.py
+++ b/libs/http/burdockthread_http/connection_guard.py
@@ -9,6 +9,7 @@
 from burdockthread_model.metrics import MemoryMetrics, Metrics
 
 from burdockthread_http.connection_limits import CLOSED_FOR_MEMORY, Refusal
+from burdockthread_http.parsing_turns import ParsingTurns
 from burdockthread_http.received_bytes import ConnectionProgress, ReceivedBytes
 
 SWEEP_INTERVAL_S = 0.5
@@ -57,6 +58,7 @@
 
     Attributes:
         budget: Budget of received bytes.
+        turns: Order in which received data is parsed.
         connections: Open connections by their progress.
         sweep_due_s: Event loop time at which the deadlines are checked next.
         unlogged: Number of events of each kind since its last log line.
@@ -65,6 +67,7 @@
 
     def __init__(self, budget: ReceivedBytes, metrics: Metrics, log: EventLog) -> None:
         self.budget = budget
+        self.turns = ParsingTurns()
         self.metrics = metrics
         self.log = log
         self.connections: dict[ConnectionProgress, SweptConnection] = {}
--- a/libs/http/burdockthread_http/guarded_server.py
+++ b/libs/http/burdockthread_http/guarded_server.py
@@ -99,6 +99,10 @@
             client_max_size=protocol.limits.body_bytes,
         )
 
+    def has_waiting(self) -> bool:
+        """Returns whether data of a connection waits for its turn to be parsed."""
+        return any(found.is_waiting for found in self.port.open.values())
+
     def backlog(self) -> int:
         """Returns how many connections may wait to be accepted.
 
--- a/libs/http/burdockthread_http/http_server.py
+++ b/libs/http/burdockthread_http/http_server.py
@@ -19,6 +19,7 @@
     read_request,
 )
 from burdockthread_http.open_requests import OpenRequests, ServerClosingError
+from burdockthread_http.port_connections import PortConnection
 
 # Event loop iterations that suffice for an accepted connection to be read (accept,
 # connection, reader), and for a request that was read to reach its handler (reader,
@@ -155,7 +156,7 @@
 
     async def wait_until_idle(self, timeout_s: float) -> None:
         """Waits until no request is in progress; logs a timeout, does not raise it."""
-        if not await self.requests.wait_until_idle(timeout_s):
+        if not await self.requests.wait_until_idle(timeout_s, self.server.has_waiting):
             open_requests = self.requests.total()
             self.log.info("port_waited", port=self.name, open_requests=open_requests)
 
@@ -170,7 +171,8 @@
     """Closes the connections on which no request is in progress.
 
     Reading is paused on all connections first, so that no connection reads a request
-    after it was found idle and loses that request when it is closed.
+    after it was found idle and loses that request when it is closed. A connection whose
+    data waits for its turn is not idle.
 
     Args:
         server: Server of the connections; its listening sockets are closed already.
@@ -181,12 +183,17 @@
         pause_reading(connection)
     await run_ready_callbacks()
     for connection in server.connections:
-        if connection in busy:
+        if connection in busy or is_waiting(connection):
             resume_reading(connection)
         else:
             connection.force_close()
 
 
+def is_waiting(connection: RequestHandler) -> bool:
+    """Returns whether data of a connection waits for its turn to be parsed."""
+    return isinstance(connection, PortConnection) and connection.is_waiting
+
+
 # RequestHandler's own pause_reading and resume_reading also pause its parser, which
 # may hold the rest of a request. The transport's methods pause only the socket.
 def pause_reading(connection: RequestHandler) -> None:
--- a/libs/http/burdockthread_http/open_requests.py
+++ b/libs/http/burdockthread_http/open_requests.py
@@ -2,13 +2,15 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 from burdockthread_model.errors import BurdockthreadError
 
+PARSING_POLL_S = 0.005
+
 
 class ServerClosingError(BurdockthreadError):
     """The server closes before a request has been answered."""
@@ -68,11 +70,24 @@
         finally:
             self.timeouts.discard(limit)
 
-    async def wait_until_idle(self, timeout_s: float) -> bool:
-        """Waits for the requests in progress; returns whether they ended in time."""
+    async def wait_until_idle(
+        self, timeout_s: float, has_waiting: Callable[[], bool]
+    ) -> bool:
+        """Waits for the requests in progress, and for those that have not begun.
+
+        Args:
+            timeout_s: Longest time in seconds.
+            has_waiting: Returns whether received data waits for its turn to be parsed.
+
+        Returns:
+            Whether they ended in time.
+        """
         try:
             async with asyncio.timeout(timeout_s):
                 await self.idle.wait()
+                while has_waiting():
+                    await asyncio.sleep(PARSING_POLL_S)
+                    await self.idle.wait()
         except TimeoutError:
             return False
         return True
--- a/libs/http/burdockthread_http/port_connections.py
+++ b/libs/http/burdockthread_http/port_connections.py
@@ -25,6 +25,11 @@
     limits: PortLimits
     progress: ConnectionProgress
 
+    @property
+    @abstractmethod
+    def is_waiting(self) -> bool:
+        """Whether received data waits for its turn to be parsed."""
+
     @abstractmethod
     def close_for_slot(self) -> None:
         """Closes the connection because there are too many."""
--- a/libs/http/burdockthread_http/request_framing.py
+++ b/libs/http/burdockthread_http/request_framing.py
@@ -3,6 +3,7 @@
 import re
 
 from burdockthread_http.connection_limits import PortLimits
+from burdockthread_http.parsing_turns import LINE_COST, PART_COST, REQUEST_COST
 
 # Largest part of received data that the parser gets in one turn of the event loop. It
 # bounds what chunks of one byte take before their handler has joined them.
@@ -12,6 +13,8 @@
 # The library keeps about 400 bytes for each field, however short; that is this number
 # of bytes of the budget.
 FIELD_OVERHEAD = 128
+# Lines of a chunked body that the parser gets at a time.
+CHUNK_LINES = re.compile(rb"(?:[^\n]*\n){%d}" % (PART_COST // LINE_COST))
 # Bytes of a chunked body as sent, for each byte of its limit. A chunk of one byte takes
 # six; extensions of chunks without end exceed this.
 CHUNKED_FACTOR = 16
@@ -135,9 +138,19 @@
         self.begin_trailers()
 
     def body_part(self) -> bytes:
-        """Returns the next part of the body."""
-        size = PART_BYTES if self.body_left is None else self.body_left
-        return self.pending[: min(size, PART_BYTES)]
+        """Returns the next part of the body; of a chunked one, few chunks at a time."""
+        if self.body_left is not None:
+            return self.pending[: min(self.body_left, PART_BYTES)]
+        part = self.pending[:PART_BYTES]
+        lines = CHUNK_LINES.match(part)
+        return lines[0] if lines else part
+
+    def cost(self, part: bytes, *, is_body: bool) -> int:
+        """Returns what it costs to parse a part of the headers or the body."""
+        if is_body and self.body_left is not None:
+            return len(part)
+        cost = len(part) + part.count(b"\n") * LINE_COST
+        return cost if is_body else cost + REQUEST_COST
 
     def is_body_too_large(self, limits: PortLimits) -> bool:
         """Returns whether the body exceeds its limit, decoded or as sent."""
--- a/libs/http/tests/test_guarded_connections.py
+++ b/libs/http/tests/test_guarded_connections.py
@@ -242,6 +242,7 @@
 
 
 BOMB = post(zlib.compress(b"x" * 9_000_000), b"Content-Encoding: deflate")
+TRAILERS = b"X: %s\r\n" % (b"x" * 4_000) * 20
 REFUSED = {
     "head_too_large": (head_of_size(LIMITS.header_bytes + 1), 431),
     "head_too_large without end": (b"GET /" + b"x" * 100_000, 431),
@@ -253,10 +254,7 @@
     "body_too_large in chunks": (chunked(b"x" * 50_000, b"x"), 413),
     "body_too_large as sent": (chunked(b"x")[:-5] + b"1;" + b"x" * 900_000, 413),
     "body_too_large compressed": (BOMB, 413),
-    "trailers_too_large": (
-        chunked(b"x")[:-2] + b"X: %s\r\n" % (b"x" * 4_000) * 20,
-        431,
-    ),
+    "trailers_too_large": (chunked(b"x")[:-2] + TRAILERS, 431),
     "malformed": (b"?\r\n\r\n", 400),
     "malformed compression": (post(b"xxxx", b"Content-Encoding: gzip"), 400),
     "malformed body": (chunked(b"x")[:-5] + b"?\r\n", 400),
