Close the connection after an answer to a request whose body was given up

A handler that answers without reading the body, while the port has refused that body as stalled, answered with keep-alive; the connection was then closed with unread data, which can lose the answer. The answer now says that the connection closes, and what still arrives is dropped first.

Test: test_answer_after_the_body_was_given_up_closes_the_connection failed before. The other tests of test_application_server.py passed before as well.

--- a/libs/http/burdockthread_http/limited_connections.py
+++ b/libs/http/burdockthread_http/limited_connections.py
@@ -277,9 +277,10 @@
         """Sends the response, then goes on with the data that is pending."""
         if self.is_cut_off:
             resp.force_close()
-        if self.payloads and not self.payloads[0].is_eof() and self.refusal is None:
+        if self.payloads and not self.payloads[0].is_eof():
             resp.force_close()
-            self.end_early()
+            if self.refusal is None:
+                self.end_early()
         self.hold_answer(resp)
         self.unsent = 0
         self.wait_for(Phase.SENDING)
