--- a/libs/burdockthread/burdockthread/interface_limits.py
+++ b/libs/burdockthread/burdockthread/interface_limits.py
@@ -9,7 +9,7 @@
 from burdockthread_model.settings import Limits
 from burdockthread_operators.operators_api import MAX_BODY_BYTES
 
-# Longest line of the headers, for callers and operators.
+# Longest line of the headers; docs/CALLERS.md promises it.
 MAX_LINE_BYTES = 8_190
 HEADER_TIMEOUT_S = 15.0
 IDLE_TIMEOUT_S = 15.0
--- a/libs/http/burdockthread_http/connection_guard.py
+++ b/libs/http/burdockthread_http/connection_guard.py
@@ -135,8 +135,8 @@
     ) -> bool:
         """Returns whether a connection may hold more, after closing others if needed.
 
-        Connections are closed in order of least progress, never one whose request may
-        have run.
+        Connections are closed in order of least progress. One whose request may have
+        run is closed only if its client does not read the answer.
         """
         if self.budget.fits(more, share):
             return True
--- a/libs/http/burdockthread_http/connection_limits.py
+++ b/libs/http/burdockthread_http/connection_limits.py
@@ -91,7 +91,7 @@
 BODY_TOO_LARGE = Refusal("body_too_large", 413, "the body exceeds the limit")
 BODY_STALLED = Refusal("body_stalled", 408, "the body was not sent in time")
 CLIENT_GONE = Refusal("client_gone", 400, "the connection was lost")
-# The handler has answered without the rest of the body.
+# Not sent to the client: its handler has answered without the rest of the body.
 ANSWERED_EARLY = Refusal("answered_early", 400, "the body was not awaited")
 NO_MEMORY = Refusal("no_memory", 503, "no memory for this request", 1)
 CLOSED_FOR_MEMORY = Refusal("closed_for_memory", 503, "no memory for this request", 1)
--- a/libs/http/burdockthread_http/limited_connections.py
+++ b/libs/http/burdockthread_http/limited_connections.py
@@ -41,8 +41,8 @@
 class LimitedConnection(RequestHandler, PortConnection, ParsedConnection):
     """A connection within the limits of its port and the budget of its process.
 
-    It says what the connection holds, refuses, answers and closes; what it receives is
-    passed on to the parser by its subclass.
+    This class refuses, answers and closes, and reports what the connection holds. Its
+    subclass passes what is received on to the parser.
 
     Attributes:
         port: Connections of its server.
