--- a/review/platform_3.py
+++ b/review/platform_3.py
@@ -410,7 +410,7 @@
         all_ends: All ends.
         noted: Ends that `lastSeen` has reached, with the clock time.
         starts: Runs that began here.
-        lapses_s: Clock times at which the lease ran out with runs.
+        lapses_s: Clock times at which the lease ran out.
     """
 
     def __init__(
@@ -631,14 +631,17 @@
 
     async def expire(self) -> None:
         """Kills everything once the lease has run out, until cancelled."""
+        lapsed_ms = 0
         while True:
             await asyncio.sleep(0.02)
-            if self.runs and self.clock_ms() >= self.deadline_ms:
-                self.lapses_s.append(time.monotonic())
-                for run in tuple(self.runs.values()):
-                    if run.ending is not None:
-                        run.ending.cancel()
-                    self.end(run, "lapsed")
+            if self.deadline_ms == lapsed_ms or self.clock_ms() < self.deadline_ms:
+                continue
+            lapsed_ms = self.deadline_ms
+            self.lapses_s.append(time.monotonic())
+            for run in tuple(self.runs.values()):
+                if run.ending is not None:
+                    run.ending.cancel()
+                self.end(run, "lapsed")
 
 
 class Entry:
