--- a/review/platform_3.py
+++ b/review/platform_3.py
@@ -111,6 +111,7 @@
 
     Attributes:
         silent: Whether calls get no response. Reads and leases are then not executed.
+        lost_writes: Number of next writes that get no response.
         late_s: Seconds after which a write without a response is executed, or None if
             it never is.
         refusing: Whether calls are answered 503.
@@ -118,6 +119,7 @@
 
     def __init__(self) -> None:
         self.silent = False
+        self.lost_writes = 0
         self.late_s: float | None = None
         self.refusing = False
 
@@ -205,11 +207,15 @@
         async def with_faults(request: web.Request, handler: Any) -> Any:
             if self.down or faults.refusing:
                 return web.json_response({}, status=503)
-            if not faults.silent:
+            is_write = request.path == "/kv-txn"
+            if is_write and faults.lost_writes:
+                faults.lost_writes -= 1
+            elif not faults.silent:
                 answer = await handler(request)
                 if not faults.silent:
                     return answer
-            elif request.path == "/kv-txn":
+                is_write = False
+            if is_write:
                 body = await request.json()
                 self.record.note("store: write without a response", entry=entry)
                 if faults.late_s is not None:
@@ -735,9 +741,13 @@
 
     async def kill(self) -> None:
         """Kills the process and waits for its end."""
+        await self.stop(signal.SIGKILL)
+
+    async def stop(self, number: signal.Signals) -> None:
+        """Ends the process by a signal and waits for its end."""
         if self.process is None:
             return
-        self.send(signal.SIGKILL)
+        self.send(number)
         await asyncio.to_thread(self.process.wait)
         self.process = None
 
@@ -894,10 +904,13 @@
         body: object = None,
         *,
         deadline_ms: int = 3000,
+        key: str = "",
         quiet: bool = False,
     ) -> Answer:
         """Sends a client's request and records the answer."""
         headers = {"Host": HOST_HEADER, "Deadline-Ms": str(deadline_ms)}
+        if key:
+            headers["Api-Key"] = key
         sent_s = time.monotonic()
         try:
             async with self.session.request(
