--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,17 +1,14 @@
-"""An accepted job never runs: LOST, after an executor has left one order unanswered.
+"""A refused job runs: REFUSED, with the store out of reach of one entry.
 
-An executor runs many small tasks that last. It leaves the start of another job's only
-task unanswered and carries it out late, when the holder has stopped that run already.
-The holder then waits for ever for a report that shows the end of the run: it takes a
-list of 500 runs or more for a truncated one.
+The pool has a backlog of urgent jobs, so that entries refuse the jobs of a less urgent
+queue. The store then gives one entry no response for some seconds, and executes the
+writes that it has received meanwhile some seconds later.
 """
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
-from aiohttp import web
 from platform_3 import (
     Deployment,
     Executor,
@@ -22,101 +19,105 @@
     run_case,
 )
 
-# Tasks that last, each with a hundredth of a core: a third of the executor's capacity.
-LASTING_TASKS = 520
-LASTING_CPU = 10
-LASTING_S = 1e6
-TASK_S = 0.5
-# `kinds`, `applied_late`: "carried out 2 to 12 s later".
-LATE_S = 4.0
-# `finish_s` after the end of the traffic, the rule asks for a job that has nothing
-# running for 3 s.
-FINISH_S = 14.0
-IDLE_S = 3.0
-
-
-class LateExecutor(Executor):
-    """An executor that leaves the start of one job unanswered, once.
-
-    Attributes:
-        late_job: The job, or empty.
-        carried_out_s: Clock time at which the late order was carried out, or None.
-    """
-
-    late_job = ""
-    carried_out_s: float | None = None
-
-    async def on_start(self, request: web.Request) -> web.Response:
-        """Starts a run; leaves the order unanswered if it is for `late_job`."""
-        body = await request.json()
-        if self.late_job and body["task"].startswith(f"{self.late_job}."):
-            self.late_job = ""
-            self.record.note("start left unanswered", task=body["task"])
-            await asyncio.shield(asyncio.create_task(self.start_late(request)))
-            await asyncio.Event().wait()
-        return await super().on_start(request)
-
-    async def start_late(self, request: web.Request) -> None:
-        """Carries a start out late."""
-        await asyncio.sleep(LATE_S)
-        answer = await super().on_start(request)
-        self.carried_out_s = time.monotonic()
-        self.record.note("late start carried out", outcome=answer.text)
+# kloofsig-trays: `platform_down`, "nodes leader silent", lasts 7 s on trouble-1.
+SILENCE_S = 4.5
+# PROTOCOL: "or may be executed seconds later". The kind `platform_lost`: 1 to 6 s.
+LATE_S = 2.5
+BACKLOG_JOBS = 14
+BACKLOG_TASKS = 4
+BACKLOG_S = 2.0
+SMALL_S = 0.2
+# Time in which the backlog ends, and whatever was accepted after it runs.
+WATCH_S = 50.0
+POLL_S = 0.2
+REJECTED = (429, 503, 404)
+# Of tamreen-nile-grown. Its queues are public here, so that clients need no key.
+TENANT = {
+    "name": "clinic",
+    "apiKeys": ["pqk8bdk9eevyxq2yyaza"],
+    "priority": 1,
+    "weight": 98,
+    "maxCount": {"cpu": 2_263_076, "memMb": 5_599_092, "gpu": 0},
+}
+BOUNDS = {
+    "contactMs": 4000,
+    "ackTimeoutMs": 6000,
+    "cancel_ms": 4000,
+    "stopMs": 400,
+    "gangMs": 4000,
+}
+
+
+def work(tasks: int, estimated_s: float) -> dict[str, object]:
+    """Returns a job of one step."""
+    step = {
+        "count": tasks,
+        "cpu": 1000,
+        "memMb": 256,
+        "estimatedMs": int(estimated_s * 1000),
+    }
+    return {"specification": "text", "steps": [step]}
 
 
 async def play(record: Record) -> int:
-    """Plays the case; returns 1 if the job had nothing running for too long."""
-    lasting = job_id()
+    """Plays the case; returns 1 if a job ran whose every attempt was rejected."""
+    urgent: set[str] = set()
 
     def nature(task: str) -> tuple[float, int, int]:
-        if task.startswith(f"{lasting}."):
-            return LASTING_S, LASTING_CPU, 10
-        return TASK_S, 1000, 256
+        seconds = BACKLOG_S if task.partition(".")[0] in urgent else SMALL_S
+        return seconds, 1000, 256
 
-    deployment = Deployment(record, 3, [route("reserve", "/reserve/", "stock")])
-    executors = [
-        LateExecutor(f"i-{number}", "stock", 16_000, nature, record)
-        for number in (1, 2)
+    routes = [
+        route("urgent", "/urgent/", "yard", stretch=40.0, public=True),
+        route("normal", "/normal/", "yard", priority=1, public=True),
+    ]
+    deployment = Deployment(record, 5, routes, [TENANT], BOUNDS)
+    deployment.executors = [
+        Executor(f"i-{number}", "yard", 2000, nature, record) for number in (1, 2)
     ]
-    deployment.executors = list(executors)
     async with deployment.running():
         await asyncio.sleep(2.0)
-        entry = deployment.entries[0]
-        step: dict[str, object] = {
-            "count": LASTING_TASKS,
-            "cpu": LASTING_CPU,
-            "memMb": 10,
-            "longRunning": True,
-        }
-        body = {"specification": "text", "steps": [step]}
-        await deployment.request(entry, "POST", f"/reserve/{lasting}", body)
-        await asyncio.sleep(8.0)
-        runs = {executor.name: len(executor.runs) for executor in executors}
-        record.note("tasks that last", runs=runs)
-        job = job_id()
+        entry = deployment.least_active()
+        for _ in range(3):
+            await deployment.request(
+                entry, "POST", f"/normal/{job_id()}", work(1, SMALL_S)
+            )
+        await asyncio.sleep(2.0)
+        for _ in range(BACKLOG_JOBS):
+            job = job_id()
+            urgent.add(job)
+            await deployment.request(
+                entry, "POST", f"/urgent/{job}", work(BACKLOG_TASKS, BACKLOG_S)
+            )
+        await asyncio.sleep(3.0)
         if has_trouble():
-            for executor in executors:
-                executor.late_job = job
-        step = {"count": 1, "cpu": 1000, "memMb": 256, "estimatedMs": 500}
-        path = f"/reserve/{job}"
-        body = {"specification": "text", "steps": [step]}
-        await deployment.request(entry, "POST", path, body)
-        accepted_s = time.monotonic()
-        await asyncio.sleep(LATE_S + FINISH_S + IDLE_S)
-        for executor in executors:
-            executor.late_job = ""
-        answer = await deployment.request(entry, "GET", path)
-        starts = deployment.starts_of(job)
-        used = sum(run.cpu for e in executors for run in e.runs.values())
-        record.note(
-            "job",
-            job=job,
-            state=answer.body.get("state"),
-            runs=len(starts),
-            passed_s=round(time.monotonic() - accepted_s, 1),
-            used_share=round(used / 32_000, 3),
+            record.note("store: no response", entry=entry.name, seconds=SILENCE_S)
+            entry.faults.late_s = LATE_S
+            entry.faults.silent = True
+            deployment.spawn(heal(entry.faults, record))
+        job = job_id()
+        answer = await deployment.request(
+            entry, "POST", f"/normal/{job}", work(1, SMALL_S)
         )
-        return int(answer.body.get("state") != "completed" and not starts)
+        if answer.status not in REJECTED:
+            # The rule says nothing of a job with another answer.
+            record.note("the job was not rejected", status=answer.status)
+            return 0
+        for _ in range(int(WATCH_S / POLL_S)):
+            if deployment.starts_of(job):
+                break
+            await asyncio.sleep(POLL_S)
+        await deployment.request(entry, "GET", f"/normal/{job}")
+        starts = deployment.starts_of(job)
+        record.note("refused job", job=job, status=answer.status, runs=len(starts))
+        return int(bool(starts))
+
+
+async def heal(faults: object, record: Record) -> None:
+    """Lets the store answer the entry again."""
+    await asyncio.sleep(SILENCE_S)
+    faults.silent = False  # type: ignore[attr-defined]
+    record.note("store: responds again")
 
 
 if __name__ == "__main__":
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,18 +1,23 @@
-"""A refused job runs: REFUSED, with the store out of reach of one entry.
+"""A job runs on after its cancel was answered: UNASKED, with one entry out of touch.
 
-The pool has a backlog of urgent jobs, so that entries refuse the jobs of a less urgent
-queue. The store then gives one entry no response for some seconds, and executes the
-writes that it has received meanwhile some seconds later.
+The store gives one entry no response for two seconds. A client hands a job with a task
+that lasts in at that entry, leaves before its deadline, and cancels the job at another
+entry, which answers 410. The first entry goes on with the request of the client that
+has left, and passes it on; the job is stored after its cancel, and its task runs on.
 """
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
+import aiohttp
 from platform_3 import (
+    BOUNDS,
     Deployment,
     Executor,
     Record,
+    StoreFaults,
     has_trouble,
     job_id,
     route,
@@ -20,104 +25,74 @@
 )
 
 # kloofsig-trays: `platform_down`, "nodes leader silent", lasts 7 s on trouble-1.
-SILENCE_S = 4.5
-# PROTOCOL: "or may be executed seconds later". The kind `platform_lost`: 1 to 6 s.
-LATE_S = 2.5
-BACKLOG_JOBS = 14
-BACKLOG_TASKS = 4
-BACKLOG_S = 2.0
-SMALL_S = 0.2
-# Time in which the backlog ends, and whatever was accepted after it runs.
-WATCH_S = 50.0
-POLL_S = 0.2
-REJECTED = (429, 503, 404)
-# Of tamreen-nile-grown. Its queues are public here, so that clients need no key.
-TENANT = {
-    "name": "clinic",
-    "apiKeys": ["pqk8bdk9eevyxq2yyaza"],
-    "priority": 1,
-    "weight": 98,
-    "maxCount": {"cpu": 2_263_076, "memMb": 5_599_092, "gpu": 0},
-}
-BOUNDS = {
-    "contactMs": 4000,
-    "ackTimeoutMs": 6000,
-    "cancel_ms": 4000,
-    "stopMs": 400,
-    "gangMs": 4000,
-}
+SILENCE_S = 2.0
+# kloofsig-trays: `give_up`, "leave within x ms", 900 ms on trouble-3.
+LEAVES_AFTER_S = 0.3
+LASTING_S = 1e6
+CONTACT_S = 3.0
+CANCEL_S = 3.0
+STOP_S = 0.9
+GONE = (200, 410)
 
 
-def work(tasks: int, estimated_s: float) -> dict[str, object]:
-    """Returns a job of one step."""
-    step = {
-        "count": tasks,
-        "cpu": 1000,
-        "memMb": 256,
-        "estimatedMs": int(estimated_s * 1000),
-    }
-    return {"specification": "text", "steps": [step]}
+async def heal(faults: StoreFaults, record: Record) -> None:
+    """Lets the store answer the entry again."""
+    await asyncio.sleep(SILENCE_S)
+    faults.silent = False
+    record.note("store: responds again")
 
 
-async def play(record: Record) -> int:
-    """Plays the case; returns 1 if a job ran whose every attempt was rejected."""
-    urgent: set[str] = set()
+async def hand_in_and_leave(deployment: Deployment, url: str) -> None:
+    """Hands a job in and closes the connection before there is an answer."""
+    step = {"count": 1, "cpu": 1000, "memMb": 256, "longRunning": True}
+    timeout = aiohttp.ClientTimeout(total=LEAVES_AFTER_S)
+    body = {"specification": "text", "steps": [step]}
+    headers = {"Host": "jobs.example", "Deadline-Ms": "3000"}
+    try:
+        async with deployment.session.post(
+            url, json=body, headers=headers, timeout=timeout
+        ) as answer:
+            deployment.record.note("client POST", status=answer.status)
+    except TimeoutError:
+        deployment.record.note("client POST", status="left without an answer")
 
-    def nature(task: str) -> tuple[float, int, int]:
-        seconds = BACKLOG_S if task.partition(".")[0] in urgent else SMALL_S
-        return seconds, 1000, 256
 
-    routes = [
-        route("urgent", "/urgent/", "yard", stretch=40.0, public=True),
-        route("normal", "/normal/", "yard", priority=1, public=True),
-    ]
-    deployment = Deployment(record, 5, routes, [TENANT], BOUNDS)
-    deployment.executors = [
-        Executor(f"i-{number}", "yard", 2000, nature, record) for number in (1, 2)
-    ]
+async def play(record: Record) -> int:
+    """Plays the case; returns 1 if a task of the cancelled job runs on."""
+    executor = Executor(
+        "i-1", "stock", 16_000, lambda _: (LASTING_S, 1000, 256), record
+    )
+    deployment = Deployment(record, 5, [route("recon", "/recon/", "stock")])
+    deployment.executors = [executor]
     async with deployment.running():
-        await asyncio.sleep(2.0)
-        entry = deployment.least_active()
-        for _ in range(3):
-            await deployment.request(
-                entry, "POST", f"/normal/{job_id()}", work(1, SMALL_S)
-            )
-        await asyncio.sleep(2.0)
-        for _ in range(BACKLOG_JOBS):
-            job = job_id()
-            urgent.add(job)
-            await deployment.request(
-                entry, "POST", f"/urgent/{job}", work(BACKLOG_TASKS, BACKLOG_S)
-            )
         await asyncio.sleep(3.0)
+        entry = deployment.least_active()
+        other = next(found for found in deployment.entries if found is not entry)
+        job = job_id()
+        path = f"/recon/{job}"
         if has_trouble():
             record.note("store: no response", entry=entry.name, seconds=SILENCE_S)
-            entry.faults.late_s = LATE_S
             entry.faults.silent = True
             deployment.spawn(heal(entry.faults, record))
-        job = job_id()
-        answer = await deployment.request(
-            entry, "POST", f"/normal/{job}", work(1, SMALL_S)
-        )
-        if answer.status not in REJECTED:
-            # The rule says nothing of a job with another answer.
-            record.note("the job was not rejected", status=answer.status)
+        await hand_in_and_leave(deployment, f"{entry.url}{path}")
+        answer = await deployment.request(other, "DELETE", path)
+        if answer.status not in GONE:
+            record.note("the cancel was not acknowledged")
             return 0
-        for _ in range(int(WATCH_S / POLL_S)):
-            if deployment.starts_of(job):
-                break
-            await asyncio.sleep(POLL_S)
-        await deployment.request(entry, "GET", f"/normal/{job}")
-        starts = deployment.starts_of(job)
-        record.note("refused job", job=job, status=answer.status, runs=len(starts))
-        return int(bool(starts))
-
-
-async def heal(faults: object, record: Record) -> None:
-    """Lets the store answer the entry again."""
-    await asyncio.sleep(SILENCE_S)
-    faults.silent = False  # type: ignore[attr-defined]
-    record.note("store: responds again")
+        cancelled_s = time.monotonic()
+        # A stretch without disruption, after which the job's task has to be gone.
+        await asyncio.sleep(SILENCE_S + CONTACT_S + CANCEL_S + STOP_S)
+        await deployment.request(other, "GET", path)
+        running = [task for task, _ in executor.runs if task.startswith(job)]
+        record.note(
+            "cancelled job",
+            job=job,
+            cancel=answer.status,
+            passed_s=round(time.monotonic() - cancelled_s, 1),
+            running=running,
+            bounds=f"{BOUNDS['cancel_ms']}+{BOUNDS['stopMs']}",
+        )
+        return int(bool(running))
 
 
 if __name__ == "__main__":
