--- a/review/platform_3.py
+++ b/review/platform_3.py
@@ -17,8 +17,9 @@
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
+from contextvars import ContextVar
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -124,10 +125,17 @@
         self.refusing = False
 
 
+# Entry whose call the store answers now.
+caller: ContextVar[str] = ContextVar("caller", default="")
+
+
 class Store:
     """The platform's store.
 
     Attributes:
+        shown: Returns a value as an entry reads it.
+        stored: Returns a value that an entry writes as it is kept.
+        written_by: Entry of each conditional write that took effect, by revision.
         items: Keys with their values.
         history: Events, the oldest first.
         leases: Length in milliseconds and clock time of the end, by lease.
@@ -148,6 +156,9 @@
         self.lapses = True
         self.writes_of: dict[str, int] = {}
         self.late: set[asyncio.Task[None]] = set()
+        self.shown: Callable[[str, str], str] = lambda _, value: value
+        self.stored: Callable[[str], str] = lambda value: value
+        self.written_by: dict[int, str] = {}
 
     async def put(self, key: str, value: object) -> None:
         """Writes a key as the operator or an executor does."""
@@ -182,6 +193,12 @@
         """Returns a key as the protocol shows it."""
         return {"key": key, **self.items[key]._asdict()}
 
+    def seen(self, row: JsonObject) -> JsonObject:
+        """Returns a row as the entry that calls now reads it."""
+        if "value" not in row:
+            return row
+        return {**row, "value": self.shown(caller.get(), row["value"])}
+
     async def expire_leases(self) -> None:
         """Ends leases that run out, until cancelled."""
         while True:
@@ -207,6 +224,7 @@
         async def with_faults(request: web.Request, handler: Any) -> Any:
             if self.down or faults.refusing:
                 return web.json_response({}, status=503)
+            caller.set(entry)
             is_write = request.path == "/kv-txn"
             if is_write and faults.lost_writes:
                 faults.lost_writes -= 1
@@ -258,7 +276,7 @@
         key = request.query["key"]
         if key not in self.items:
             return self.answer({}, 404)
-        return self.answer(self.row(key))
+        return self.answer(self.seen(self.row(key)))
 
     async def on_range(self, request: web.Request) -> web.Response:
         """Reads a page of the keys below a prefix."""
@@ -270,7 +288,7 @@
             size += len(self.items[key].value)
             if page and size > PAGE_BYTES:
                 break
-            page.append(self.row(key))
+            page.append(self.seen(self.row(key)))
         return self.answer({"items": page, "truncated": len(page) < len(keys)})
 
     async def on_watch(self, request: web.Request) -> web.Response:
@@ -297,7 +315,7 @@
                         await self.changed.wait()
                 except TimeoutError:
                     break
-        return self.answer({"events": found})
+        return self.answer({"events": [self.seen(event) for event in found]})
 
     async def execute(self, entry: str, body: JsonObject) -> web.Response:
         """Executes a conditional write."""
@@ -312,7 +330,7 @@
             known = self.items.get(row["key"])
             if row["revision"] != (0 if known is None else known.revision):
                 rows = [
-                    self.row(found["key"])
+                    self.seen(self.row(found["key"]))
                     for found in expected
                     if found["key"] in self.items
                 ]
@@ -321,8 +339,10 @@
         if any(lease and lease not in self.leases for lease in leases):
             return self.answer({}, 404)
         revision = await self.apply(
-            [(w["key"], w["value"], w.get("lease", 0)) for w in writes], removed
+            [(w["key"], self.stored(w["value"]), w.get("lease", 0)) for w in writes],
+            removed,
         )
+        self.written_by[revision] = entry
         if any(leases):
             self.writes_of[entry] = self.writes_of.get(entry, 0) + 1
         return self.answer({"revision": revision})
@@ -779,6 +799,7 @@
         routes: Routes of the configuration.
         tenants: Tenants of the configuration.
         bounds: Bounds in the settings; those of kloofsig-trays if not given.
+        before_start: Called with the entries before they are started, or None.
     """
 
     def __init__(
@@ -803,6 +824,7 @@
         self.session: aiohttp.ClientSession
         self.stack = AsyncExitStack()
         self.version = 0
+        self.before_start: Callable[[list[Entry]], Awaitable[None]] | None = None
         self.tasks: list[asyncio.Task[None]] = []
 
     async def listen(self, app: web.Application) -> str:
@@ -882,6 +904,9 @@
                 )
                 entry.write_settings(store, machines, self.bounds)
                 self.stack.push_async_callback(entry.kill)
+            if self.before_start is not None:
+                await self.before_start(self.entries)
+            for entry in self.entries:
                 entry.start()
             async with asyncio.timeout(20):
                 for entry in self.entries:
