--- a/review/12/case.py
+++ b/review/12/case.py
@@ -25,8 +25,8 @@
 
 # kloofsig-trays: `platform_down`, "busy", lasts 4.5 s.
 OUTAGE_S = 4.5
-TASKS = 3000
-TASK_CPU = 20
+TASKS = 5000
+TASK_CPU = 5
 TASK_S = 0.4
 END_S = 60.0
 
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -33,7 +33,7 @@
 # `kinds`, `applied_late`: "carried out 2 to 12 s later".
 LATE_S = 2.0
 # From the new holder's first call to an executor until the gang ends.
-GANG_ENDS_AFTER_S = 0.05
+GANG_ENDS_AFTER_S = 0.01
 GANG_S = 1e6
 TASK_S = 3.0
 
