--- a/review/13/case.py
+++ b/review/13/case.py
@@ -20,7 +20,7 @@
     run_case,
 )
 
-# tamreen-nile-grown: `platform_down` with `nodes` lasts 7 to 9 s; `kinds`: "else silent".
+# tamreen-nile-grown: `platform_down` with `nodes` lasts 7 to 9 s; silent by `kinds`.
 SILENCE_S = 4.5
 # PROTOCOL: "or may be executed seconds later". The kind `platform_lost`: 1 to 6 s.
 LATE_S = 2.5
