--- a/libs/burdockthread/burdockthread/platform_duties.py
+++ b/libs/burdockthread/burdockthread/platform_duties.py
@@ -141,13 +141,15 @@
 
         Returns None if no entry holds the allocator or if it is unavailable.
         """
-        fence = self.duties.directory.holder_fence(QUOTAS_DUTY)
-        address = self.duties.directory.holder_address(QUOTAS_DUTY)
-        if not address or fence < self.allocator_fence:
+        directory = self.duties.directory
+        fence = directory.holder_fence(QUOTAS_DUTY)
+        address = directory.holder_address(QUOTAS_DUTY)
+        is_own = directory.is_holder(QUOTAS_DUTY)
+        if not (address or is_own) or fence < self.allocator_fence:
             return None
         self.allocator_fence = fence
         report = report._replace(allocator=fence)
-        if address == str(self.parts.address):
+        if is_own:
             return self.on_quota(report)
         try:
             return await self.link.report_quota(address, report)
--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -91,12 +91,21 @@
         self.log = log
         self.wanted = wanted
         self.send_offer = send_offer
+        self.directory = DutyDirectory(entry, cache, log)
         self.registration = EntryRegistration(
-            entry, address, availability_zone, weight, store, clock, metrics, log
+            entry,
+            address,
+            availability_zone,
+            weight,
+            store,
+            cache,
+            self.directory,
+            clock,
+            metrics,
+            log,
         )
         self.lease = self.registration.lease
         self.held: dict[str, HeldDuty] = {}
-        self.directory = DutyDirectory(entry, cache, log)
         self.campaigning: set[str] = set()
         self.highest_fences: dict[str, int] = {}
         self.relinquished: dict[str, int] = {}
--- a/libs/scheduling/burdockthread_scheduling/duty_directory.py
+++ b/libs/scheduling/burdockthread_scheduling/duty_directory.py
@@ -70,6 +70,11 @@
         else:
             self.entries[entry] = decode(item.value, EntryRecord)
 
+    def is_holder(self, name: str) -> bool:
+        """Returns whether the store records this entry as the holder of a duty."""
+        owner = self.owners.get(name)
+        return owner is not None and owner[0].entry == self.entry
+
     def holder_address(self, name: str) -> str:
         """Returns the address of a duty's holder, or an empty string."""
         owner = self.owners.get(name)
