Do not end the renewal of leases on a malformed grant

An answer to kv-lease without a valid number raised an error that nothing caught, and the coroutine that renews the lease of an entry ended for good. It now counts as no answer.

Test: test_malformed_grant_counts_as_unavailable failed before.

--- a/libs/platform/burdockthread_platform/kv_messages.py
+++ b/libs/platform/burdockthread_platform/kv_messages.py
@@ -85,6 +85,11 @@
         raise wire.WireError("value", "not base64") from error
 
 
+def parse_grant(body: wire.JsonObject) -> tuple[int, float]:
+    """Decodes the id and the term in seconds of a lease that was granted."""
+    return wire.integer(body, "lease", least=1), wire.number(body, "ttlMs") / 1000
+
+
 def parse_page(body: wire.JsonObject) -> Listing:
     """Decodes one page of a listing."""
     items = tuple(parse_item(item) for item in wire.objects(body, "items"))
--- a/libs/platform/burdockthread_platform/kv_store.py
+++ b/libs/platform/burdockthread_platform/kv_store.py
@@ -32,6 +32,7 @@
     expect_success,
     parse_body,
     parse_events,
+    parse_grant,
     parse_item,
     parse_or_unavailable,
     parse_page,
@@ -182,8 +183,7 @@
         except StoreUnknownError as error:
             raise StoreUnavailableError(str(error)) from error
         expect_success(path, answer)
-        lease_id = wire.integer(answer.body, "lease", least=1)
-        granted_s = wire.number(answer.body, "ttlMs") / 1000
+        lease_id, granted_s = parse_or_unavailable(path, answer.body, parse_grant)
         return Lease(lease_id, granted_s, sent_s + granted_s)
 
     async def renew_lease(self, lease: Lease) -> Lease:
--- a/libs/platform/tests/test_kv_store.py
+++ b/libs/platform/tests/test_kv_store.py
@@ -1,6 +1,7 @@
 """Client of the key-value store against the emulated store over sockets."""
 
 import asyncio
+from unittest.mock import AsyncMock
 
 import aiohttp
 import pytest
@@ -17,6 +18,7 @@
 from burdockthread_model.events import EventLog
 from burdockthread_model.load import LoadMonitor
 from burdockthread_model.metrics import MemoryMetrics
+from burdockthread_platform.kv_messages import Answer
 from burdockthread_platform.kv_store import PlatformStore
 from burdockthread_standins.emulated_store import PAGE_ITEMS, EmulatedStore
 from burdockthread_store.listing_sizes import SMALL_CHANGES_BYTES
@@ -169,3 +171,11 @@
         store = platform_store("127.0.0.1:1", session)
         with pytest.raises(StoreUnavailableError):
             await store.write([Change("a", b"1", 0)])
+
+
+async def test_malformed_grant_counts_as_unavailable(client, monkeypatch):
+    """It ended the renewal of leases for good."""
+    answer = Answer(200, {"ttlMs": "2 s"})
+    monkeypatch.setattr(client, "call", AsyncMock(return_value=answer))
+    with pytest.raises(StoreUnavailableError):
+        await client.grant_lease(1.0)
