Load settings that change while an entry starts

The follower of the settings file took the version that it found at its own start for the one that had been read some time before. A change in between went unnoticed until the next one. The version is now taken before the file is read.

--- a/libs/burdockthread/burdockthread/platform_process.py
+++ b/libs/burdockthread/burdockthread/platform_process.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
+from typing import NamedTuple
 
 import aiohttp
 import uvloop
@@ -27,27 +28,42 @@
 RELOAD_INTERVAL_S = 1.0
 
 
+class FileVersion(NamedTuple):
+    """What tells that a file has changed.
+
+    Attributes:
+        modified_ns: Unix time of the last change in nanoseconds.
+        size: Size in bytes.
+    """
+
+    modified_ns: int
+    size: int
+
+    @classmethod
+    def from_path(cls, path: Path) -> "FileVersion":
+        """Returns the version of a file; zeros if it is unreadable."""
+        try:
+            found = path.stat()
+        except OSError:
+            return cls(0, 0)
+        return cls(found.st_mtime_ns, found.st_size)
+
+
 class SettingsFollower:
     """Reloads the settings on a signal, or when the file has changed.
 
     Attributes:
         reload_requested: Set by SIGHUP.
-        loaded_version: Version of the file at the last reload.
+        loaded_version: Version of the file from before it was last read.
     """
 
-    def __init__(self, path: Path, entry: PlatformEntry) -> None:
+    def __init__(
+        self, path: Path, loaded_version: FileVersion, entry: PlatformEntry
+    ) -> None:
         self.path = path
         self.entry = entry
         self.reload_requested = asyncio.Event()
-        self.loaded_version = self.file_version()
-
-    def file_version(self) -> tuple[int, int]:
-        """Returns modification time and size of the file; zeros if it is unreadable."""
-        try:
-            found = self.path.stat()
-        except OSError:
-            return 0, 0
-        return found.st_mtime_ns, found.st_size
+        self.loaded_version = loaded_version
 
     async def run(self) -> None:
         """Checks for a changed file or a signal until cancelled."""
@@ -55,7 +71,7 @@
             with suppress(TimeoutError):
                 async with asyncio.timeout(RELOAD_INTERVAL_S):
                     await self.reload_requested.wait()
-            version = self.file_version()
+            version = FileVersion.from_path(self.path)
             if self.reload_requested.is_set() or version != self.loaded_version:
                 self.reload_requested.clear()
                 self.loaded_version = version
@@ -95,16 +111,23 @@
 
 
 async def serve_until_stopped(
-    path: Path, settings: EntrySettings, metrics_port: int
+    path: Path, version: FileVersion, settings: EntrySettings, metrics_port: int
 ) -> None:
-    """Runs an entry until SIGTERM or SIGINT."""
+    """Runs an entry until SIGTERM or SIGINT.
+
+    Args:
+        path: Path of the settings file.
+        version: Version of the file from before the settings were read.
+        settings: The settings.
+        metrics_port: TCP port of the metrics.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     async with client_sessions() as sessions:
         entry = PlatformEntry(settings, metrics_port, sessions)
-        follower = SettingsFollower(path, entry)
+        follower = SettingsFollower(path, version, entry)
         loop.add_signal_handler(signal.SIGHUP, follower.reload_requested.set)
         async with entry.running():
             following = asyncio.create_task(follower.run())
@@ -120,12 +143,13 @@
     """
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     metrics_port = int(sys.argv[1]) if len(sys.argv) > 1 else DEFAULT_METRICS_PORT
+    version = FileVersion.from_path(path)
     try:
         settings = EntrySettings.from_path(path)
     except SettingsError as error:
         print(f"settings: {error}", file=sys.stderr)
         return EXIT_SETTINGS
-    uvloop.run(serve_until_stopped(path, settings, metrics_port))
+    uvloop.run(serve_until_stopped(path, version, settings, metrics_port))
     return 0
 
 
