Repeat the removal of a cancelled job's keys until it is stored

The keys of a job that was cancelled while its pool had no holder were removed with one write. If it was lost, they stayed until the next holder.

Test: test_keys_of_a_cancelled_job_are_removed_after_lost_writes failed before.

--- a/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_scheduler.py
@@ -41,6 +41,7 @@
 ROUND_PAUSE_S = 0.01
 MAX_ROUND_PAUSE_S = 0.1
 RETRY_S = 0.1
+REMOVE_RETRY_S = 1.0
 STORE_RETRY_MAX_S = 0.3
 HAND_OVER_TIMEOUT_S = 0.8
 HAND_OVER_POLL_S = 0.01
@@ -249,17 +250,25 @@
         self.writer.queue_removal(job)
 
     async def remove_cancelled(self, job_id: str) -> None:
-        """Removes the keys of a cancelled job that this holder never ran."""
+        """Removes the keys of a cancelled job that this holder never ran.
+
+        If the duty is lost, the next holder finds the keys again and removes them.
+        """
         core = self.core
         changes = [
             Change(work_prefix(core.pool) + job_id, None, ANY_REVISION),
             Change(progress_prefix(core.pool) + job_id, None, ANY_REVISION),
         ]
-        try:
-            await core.parts.store.write(changes, [core.tenure.guard])
-        except (StoreError, ConflictError) as error:
-            # The next holder finds the keys again and removes them.
-            self.log.info("cancelled_job_not_removed", job=job_id, reason=error)
+        while True:
+            try:
+                await core.parts.store.write(changes, [core.tenure.guard])
+                return
+            except ConflictError as error:
+                self.log.info("cancelled_job_not_removed", job=job_id, reason=error)
+                return
+            except StoreError as error:
+                self.log.info("cancelled_job_not_removed", job=job_id, reason=error)
+                await self.clock.sleep(REMOVE_RETRY_S)
 
     async def pause(self) -> bytes:
         """Marks the pool as offered; returns no state for the successor.
