Take a worker as known only after its last end is listed

Cause: a worker lists 500 ends at a time, and a new holder counted it as reached after any answer. Evidence: the task of the first second start ended under number 516 of its worker, and the new holder processed that end 0.07 s after its start.

Ends now come as an EndPage that says whether it is the last one, and only a whole report tells that a run which it lacks is not there. The wait for a worker that answers no longer ends by time, as this holder keeps the leases there alive.

--- a/libs/platform/burdockthread_platform/worker_http.py
+++ b/libs/platform/burdockthread_platform/worker_http.py
@@ -8,6 +8,7 @@
 from burdockthread_scheduling.specs import TaskId
 from burdockthread_scheduling.workers import (
     EndKind,
+    EndPage,
     EndReport,
     HoldOrder,
     HoldReport,
@@ -31,6 +32,8 @@
 BAD_REQUEST = 400
 UNHEALTHY = (429, 503)
 TASK_PARTS = 4
+# Workers list this many ends at a time; their list of runs is not cut off.
+ENDS_PER_ANSWER = 500
 REFUSALS = {
     "fence": Refusal.FENCED,
     "old": Refusal.STALE_RUN,
@@ -209,7 +212,9 @@
         clock_ms=wire.integer(body, "clockMs", default=None),
         born_ms=wire.integer(body, "born"),
         running=tuple(parse_run(row) for row in rows(body, "running")),
-        ended=tuple(parse_end(row) for row in rows(body, "ended")),
+        ended=EndPage.from_oldest(
+            tuple(parse_end(row) for row in rows(body, "ended")), ENDS_PER_ANSWER
+        ),
     )
 
 
--- a/libs/scheduling/burdockthread_scheduling/memory_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/memory_workers.py
@@ -15,6 +15,7 @@
 from burdockthread_scheduling.workers import (
     Capacity,
     EndKind,
+    EndPage,
     EndReport,
     HoldOrder,
     HoldReport,
@@ -204,7 +205,7 @@
             self.clock_ms(),
             self.listing.key.born_ms,
             running,
-            tuple(self.ended[:MAX_LISTED]),
+            EndPage.from_oldest(tuple(self.ended[:MAX_LISTED]), MAX_LISTED),
         )
 
     def settle(self, number: int) -> None:
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -182,14 +182,11 @@
                 self.drop(worker, "the planner withdrew its report of the end")
         self.doubted_ends = set(worker_ids) - self.ended_by_planner
 
-    def reached(self, worker: WorkerState) -> None:
-        """Records that a worker has answered this holder.
+    def runs_known(self, worker: WorkerState) -> None:
+        """Records that a worker has told this holder of all its runs and ends.
 
         Its earlier lives have ended, and it refuses the orders of earlier holders.
         """
-        if worker.contacted:
-            return
-        worker.contacted = True
         for key in tuple(self.assignment.unreached):
             if key <= worker.listing.key and key.worker_id == worker.worker_id:
                 del self.assignment.unreached[key]
@@ -228,11 +225,25 @@
         for worker in self.core.workers.values():
             if worker.replaced or worker.failed_calls:
                 self.expire_runs(worker, now)
-        for key, lapsed_s in tuple(self.assignment.unreached.items()):
-            if now > lapsed_s:
+        for key in tuple(self.assignment.unreached):
+            if now > self.unreached_until_s(key):
                 del self.assignment.unreached[key]
                 self.log.warning("unreached_worker_lapsed", worker=key.worker_id)
 
+    def unreached_until_s(self, key: WorkerKey) -> float:
+        """Returns the clock time by which runs of earlier holders have expired.
+
+        Infinity for a worker that answers, whose leases this holder renews: its reports
+        tell what has become of the runs.
+        """
+        lapsed_s = self.assignment.unreached[key]
+        worker = self.core.workers.get(key)
+        if worker is None or not worker.contacted:
+            return lapsed_s
+        if not worker.failed_calls:
+            return float("inf")
+        return max(lapsed_s, worker.lapse_s())
+
     def expire_runs(self, worker: WorkerState, now: float) -> None:
         """Removes the runs of an unreachable worker whose leases have expired."""
         runs = tuple(worker.placements.values())
--- a/libs/scheduling/burdockthread_scheduling/run_reports.py
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -24,8 +24,6 @@
     RunReport,
 )
 
-# A list of this length may have been truncated.
-FULL_LIST = 500
 # A stopped run may still be listed as running shortly after its end.
 STOP_MARGIN_MS = 50
 
@@ -64,17 +62,18 @@
 
     def on_report(self, worker: WorkerState, report: HoldReport, sent_s: float) -> None:
         """Processes a report that was requested at clock time `sent_s`."""
-        self.workers.reached(worker)
+        worker.contacted = True
         listed = set()
         for run in report.running:
             listed.add((run.task, run.run))
             self.on_running(worker, run, report.clock_ms)
-        for end in report.ended:
+        for end in report.ended.ends:
             listed.add((end.task, end.run))
             if end.number > worker.seen_end:
                 worker.seen_end = end.number
                 self.on_end(worker, end)
-        if len(report.ended) < FULL_LIST and len(report.running) < FULL_LIST:
+        if report.is_whole():
+            self.workers.runs_known(worker)
             self.drop_missing(worker, listed, sent_s)
         if worker.seen_end > worker.settled_end:
             self.writer.pending.set()
--- a/libs/scheduling/burdockthread_scheduling/workers.py
+++ b/libs/scheduling/burdockthread_scheduling/workers.py
@@ -171,21 +171,47 @@
     checkpoint: str
 
 
+class EndPage(NamedTuple):
+    """Ends that are not acknowledged yet: the oldest ones, or all of them.
+
+    Attributes:
+        ends: The ends, in the order of their numbers.
+        is_last: Whether the worker has no further ends.
+    """
+
+    ends: tuple[EndReport, ...]
+    is_last: bool
+
+    @classmethod
+    def from_oldest(cls, ends: tuple[EndReport, ...], most: int) -> "EndPage":
+        """Returns the page for an answer that has at most `most` ends.
+
+        A full one may have been cut off.
+        """
+        return cls(ends, len(ends) < most)
+
+
 class HoldReport(NamedTuple):
     """Answer to a poll: the running and the ended runs of a worker.
 
     Attributes:
         clock_ms: The worker's clock when it answered.
         born_ms: Unix time in milliseconds of the worker's start, or 0.
-        running: Runs on the worker.
-        ended: Oldest ends that are not acknowledged yet, in the order of their
-            numbers.
+        running: All runs on the worker.
+        ended: Ended runs.
     """
 
     clock_ms: int
     born_ms: int
     running: tuple[RunReport, ...]
-    ended: tuple[EndReport, ...]
+    ended: EndPage
+
+    def is_whole(self) -> bool:
+        """Returns whether a run that the report lacks is not on the worker.
+
+        It may else be among the ends that the worker has not listed yet.
+        """
+        return self.ended.is_last
 
 
 class WorkerFencedError(PlatformError):
--- a/libs/standins/burdockthread_standins/emulated_workers.py
+++ b/libs/standins/burdockthread_standins/emulated_workers.py
@@ -230,7 +230,7 @@
         ],
         "ended": [
             [end.number, str(end.task), end.run, ENDS[end.kind], end.checkpoint]
-            for end in report.ended
+            for end in report.ended.ends
         ],
     }
 
