Reject pages of the store that do not tell whether they are whole

A truncated page without items ended a listing, and an answer without a revision counted as one of an empty store. A followed copy deletes what a listing lacks. Both are errors now. The token of the next page of machines is encoded.

Tests: test_truncated_page_without_items_is_not_taken_for_the_end and test_answer_without_a_revision_is_not_taken_for_an_empty_store failed before.

--- a/libs/platform/burdockthread_platform/kv_messages.py
+++ b/libs/platform/burdockthread_platform/kv_messages.py
@@ -12,7 +12,7 @@
     Change,
     Guard,
     KeyValue,
-    Listing,
+    ListingPage,
     WatchEvent,
 )
 
@@ -90,10 +90,22 @@
     return wire.integer(body, "lease", least=1), wire.number(body, "ttlMs") / 1000
 
 
-def parse_page(body: wire.JsonObject) -> Listing:
-    """Decodes one page of a listing."""
+def parse_page(body: wire.JsonObject) -> ListingPage:
+    """Decodes one page of a listing.
+
+    Raises:
+        WireError: The page is malformed, or does not tell where the next one begins.
+    """
     items = tuple(parse_item(item) for item in wire.objects(body, "items"))
-    return Listing(items, wire.integer(body, "currentRev"))
+    is_last = not wire.flag(body, "truncated")
+    if not items and not is_last:
+        raise wire.WireError("items", "expected an item in a truncated page")
+    return ListingPage(items, parse_revision(body), is_last)
+
+
+def parse_revision(body: wire.JsonObject, name: str = "currentRev") -> int:
+    """Decodes a revision of the store, which is never zero."""
+    return wire.integer(body, name, default=None, least=1)
 
 
 def parse_events(body: wire.JsonObject) -> tuple[WatchEvent, ...]:
--- a/libs/platform/burdockthread_platform/kv_store.py
+++ b/libs/platform/burdockthread_platform/kv_store.py
@@ -36,6 +36,7 @@
     parse_item,
     parse_or_unavailable,
     parse_page,
+    parse_revision,
     txn_body,
 )
 
@@ -154,7 +155,7 @@
             page = parse_or_unavailable(path, answer.body, parse_page)
             items.extend(page.items)
             revision = revision or page.revision
-            if not answer.body.get("truncated") or not page.items:
+            if page.is_last:
                 self.sizes.note(prefix, items)
                 return Listing(tuple(items), revision)
             after = page.items[-1].key
@@ -242,7 +243,8 @@
             raise WatchCompactedError(f"the history after {after_revision} is gone")
         expect_success(path, answer)
         events = parse_or_unavailable(path, answer.body, parse_events)
-        newest = max(after_revision, wire.integer(answer.body, "currentRev"))
+        revision = parse_or_unavailable(path, answer.body, parse_revision)
+        newest = max(after_revision, revision)
         return Changes(events, newest)
 
     async def close(self) -> None:
--- a/libs/platform/burdockthread_platform/machines_http.py
+++ b/libs/platform/burdockthread_platform/machines_http.py
@@ -1,6 +1,7 @@
 """HTTP client that lists the platform's machines and sends them orders."""
 
 from typing import NoReturn
+from urllib.parse import quote
 
 import aiohttp
 from burdockthread_http.http_calls import HttpCalls
@@ -78,7 +79,7 @@
             token = body.get("nextPageToken")
             if not token:
                 return tuple(found)
-            path = f"/machines?pageToken={token}"
+            path = f"/machines?pageToken={quote(str(token), safe='')}"
         raise PlatformError(f"the list of machines has more than {MAX_PAGES} pages")
 
     async def order(
--- a/libs/platform/tests/test_kv_store.py
+++ b/libs/platform/tests/test_kv_store.py
@@ -179,3 +179,25 @@
     monkeypatch.setattr(client, "call", AsyncMock(return_value=answer))
     with pytest.raises(StoreUnavailableError):
         await client.grant_lease(1.0)
+
+
+async def test_truncated_page_without_items_is_not_taken_for_the_end(
+    client, monkeypatch
+):
+    """A listing that ended there would have removed all further keys."""
+    answer = Answer(200, {"items": [], "truncated": True, "currentRev": 7})
+    monkeypatch.setattr(client, "call", AsyncMock(return_value=answer))
+    with pytest.raises(StoreUnavailableError):
+        await client.list("l/")
+
+
+@pytest.mark.parametrize("body", [{}, {"items": []}, {"events": []}])
+async def test_answer_without_a_revision_is_not_taken_for_an_empty_store(
+    client, monkeypatch, body
+):
+    """An entry would have taken all keys for deleted."""
+    monkeypatch.setattr(client, "call", AsyncMock(return_value=Answer(200, body)))
+    with pytest.raises(StoreUnavailableError):
+        await client.list("l/")
+    with pytest.raises(StoreUnavailableError):
+        await client.changes("l/", 5)
--- a/libs/store/burdockthread_store/store.py
+++ b/libs/store/burdockthread_store/store.py
@@ -30,6 +30,20 @@
     revision: int
 
 
+class ListingPage(NamedTuple):
+    """One page of a listing.
+
+    Attributes:
+        items: Keys in order.
+        revision: Revision of the store when the page was read.
+        is_last: Whether no page follows.
+    """
+
+    items: tuple[KeyValue, ...]
+    revision: int
+    is_last: bool
+
+
 class Change(NamedTuple):
     """One conditional write.
 
