--- a/libs/scheduling/burdockthread_scheduling/job_index.py
+++ b/libs/scheduling/burdockthread_scheduling/job_index.py
@@ -1,7 +1,6 @@
 """Index of all jobs that every entry keeps from its followed copy of the store."""
 
 from collections import Counter
-from collections.abc import Iterator
 from enum import StrEnum
 
 from burdockthread_model.clock import Clock
@@ -170,7 +169,7 @@
         """Returns the state of a job as shown to callers.
 
         An open job is running once its pool's holder no longer reports the job as
-        unstarted.
+        unstarted. A report that leaves out jobs of its queue does not tell.
         """
         phase = known.record.phase
         if phase is not JobPhase.ACCEPTED:
@@ -178,18 +177,33 @@
         report = self.reports.get(known.record.pool)
         if report is None or known.record.changed_ms > report.written_ms:
             return ShownState.QUEUED
-        if job_id in report.unstarted:
+        if job_id in report.unstarted or report.unlisted_of(known.record.queue):
             return ShownState.QUEUED
         return ShownState.RUNNING
 
     def waiting(self, queue: str) -> int:
         """Returns how many jobs of a queue have no task that has started."""
-        return sum(1 for _ in self.waiting_jobs(queue))
-
-    def waiting_jobs(self, queue: str) -> Iterator[str]:
-        """Yields the jobs of a queue of which no task is known to have started."""
+        waiting = 0
+        unclear: Counter[str] = Counter()
         for job_id, known in self.jobs.items():
-            if known.record.queue != queue:
+            record = known.record
+            if record.queue != queue:
+                continue
+            if self.shown_state(job_id, known) is not ShownState.QUEUED:
                 continue
-            if self.shown_state(job_id, known) is ShownState.QUEUED:
-                yield job_id
+            if self.is_left_out(job_id, record):
+                unclear[record.pool] += 1
+            else:
+                waiting += 1
+        for pool, jobs in unclear.items():
+            waiting += min(jobs, self.reports[pool].unlisted_of(queue))
+        return waiting
+
+    def is_left_out(self, job_id: str, record: JobRecord) -> bool:
+        """Returns whether the report of a job's pool does not tell of the job."""
+        report = self.reports.get(record.pool)
+        return (
+            report is not None
+            and record.changed_ms <= report.written_ms
+            and job_id not in report.unstarted
+        )
--- a/libs/scheduling/burdockthread_scheduling/progress_writer.py
+++ b/libs/scheduling/burdockthread_scheduling/progress_writer.py
@@ -1,6 +1,7 @@
 """Stores the progress of jobs before ended runs are acknowledged to workers."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 
@@ -239,18 +240,28 @@
         now = self.clock.now()
         if now - self.reported_s < REPORT_INTERVAL_S:
             return
-        waiting: dict[str, int] = {}
-        unstarted = []
+        waiting: Counter[str] = Counter()
+        unlisted: Counter[str] = Counter()
+        unstarted: set[str] = set()
         for job_id, job in self.board.jobs.items():
             if job.begun or job.end is not None:
                 continue
-            waiting[job.queue.name] = waiting.get(job.queue.name, 0) + 1
-            unstarted.append(job_id)
+            waiting[job.queue.name] += 1
+            if len(unstarted) < MAX_REPORTED_UNSTARTED:
+                unstarted.add(job_id)
+            else:
+                unlisted[job.queue.name] += 1
         written_ms = int(self.clock.wall() * 1000)
-        listed = tuple(unstarted[:MAX_REPORTED_UNSTARTED])
         if now - self.room_s >= ROOM_INTERVAL_S:
             self.room, self.room_s = pool_room(self.core), now
-        report = PoolReport(self.entry, written_ms, waiting, listed, self.room)
+        report = PoolReport(
+            self.entry,
+            written_ms,
+            dict(waiting),
+            frozenset(unstarted),
+            self.room,
+            tuple(sorted(unlisted.items())),
+        )
         if self.reported == report._replace(
             written_ms=self.reported.written_ms if self.reported else 0
         ):
--- a/libs/scheduling/burdockthread_scheduling/records.py
+++ b/libs/scheduling/burdockthread_scheduling/records.py
@@ -70,13 +70,19 @@
         waiting: Jobs of which no task has started, by queue.
         unstarted: Ids of these jobs; the first of them if there are many.
         room: Room and backlog of the pool, or None if no entry needs them.
+        unlisted: Queues and how many of their waiting jobs are not in `unstarted`.
     """
 
     entry: str
     written_ms: int
     waiting: dict[str, int]
-    unstarted: tuple[str, ...]
+    unstarted: frozenset[str]
     room: PoolRoom | None = None
+    unlisted: tuple[tuple[str, int], ...] = ()
+
+    def unlisted_of(self, queue: str) -> int:
+        """Returns how many waiting jobs of a queue are not in `unstarted`."""
+        return dict(self.unlisted).get(queue, 0)
 
 
 class DutyRecord(NamedTuple):
--- a/libs/scheduling/tests/test_partial_reports.py
+++ b/libs/scheduling/tests/test_partial_reports.py
@@ -1,11 +1,12 @@
-"""Reports that list only a part of what a worker has."""
+"""Reports that list only a part of what a worker or a pool has."""
 
 import pytest
+from burdockthread_scheduling.job_index import ShownState
 from burdockthread_scheduling.memory_runs import TaskNature
 from burdockthread_scheduling.memory_workers import MAX_LISTED
 from burdockthread_scheduling.records import JobPhase
 from burdockthread_scheduling.workers import Capacity
-from pool_site import POOL, step
+from pool_site import POOL, QUEUE, step
 
 TASKS = MAX_LISTED + 200
 SMALL = {"cpu_milli": 10, "memory_mb": 1, "estimated_ms": 4_000}
@@ -61,3 +62,29 @@
     _, run = worker.runs.popitem()
     site.park.audit.replace_record(worker.listing, run, site.clock.now(), None)
     await site.until(lambda: len(site.runs(job)) == MAX_LISTED + 51, seconds=3.0)
+
+
+async def test_jobs_that_a_report_leaves_out_count_as_waiting(site, monkeypatch):
+    """Beyond the jobs that a report lists, others took waiting jobs for running."""
+    monkeypatch.setattr(
+        "burdockthread_scheduling.progress_writer.MAX_REPORTED_UNSTARTED", 3
+    )
+    await site.holder()
+    jobs = [await site.submit() for _ in range(8)]
+    await site.pass_time(3.0)
+    assert site.index.waiting(QUEUE) == len(jobs)
+    shown = {site.index.shown_state(job, site.index.jobs[job]) for job in jobs}
+    assert shown == {ShownState.QUEUED}
+
+
+async def test_jobs_that_run_do_not_count_as_left_out(site, monkeypatch):
+    """The report tells how many it leaves out, not which."""
+    monkeypatch.setattr(
+        "burdockthread_scheduling.progress_writer.MAX_REPORTED_UNSTARTED", 1
+    )
+    site.park.add("w1", POOL, Capacity(2_000, 4_096))
+    await site.holder()
+    for _ in range(5):
+        await site.submit(nature=LASTING)
+    await site.pass_time(3.0)
+    assert site.index.waiting(QUEUE) == 3
