--- a/libs/platform/burdockthread_platform/jobs_http.py
+++ b/libs/platform/burdockthread_platform/jobs_http.py
@@ -1,6 +1,5 @@
 """HTTP API for callers' jobs."""
 
-import json
 import re
 import traceback
 from collections.abc import Callable
@@ -12,6 +11,12 @@
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import BadRequestError, RequestError
 from burdockthread_model.verdict import Verdict
+from burdockthread_scheduling.caller_answers import (
+    error_answer,
+    error_response,
+    json_answer,
+    web_response,
+)
 from burdockthread_scheduling.desk import (
     RETRY_AFTER_S,
     Caller,
@@ -189,37 +194,6 @@
     return int(value) / 1000
 
 
-def json_answer(
-    body: wire.JsonObject, status: int = 200, retry_after_s: float | None = None
-) -> CallerAnswer:
-    """Returns an answer with a JSON body."""
-    return CallerAnswer(status, json.dumps(body).encode(), retry_after_s)
-
-
-def error_answer(error: RequestError) -> CallerAnswer:
-    """Returns the answer to a request that failed with an error."""
-    body = {"error": str(error), "verdict": error.verdict.value}
-    return json_answer(body, error.status, error.retry_after_s)
-
-
-def web_response(answer: CallerAnswer) -> web.Response:
-    """Returns the HTTP response for an answer."""
-    headers = {}
-    if answer.retry_after_s is not None:
-        headers["Retry-After"] = str(max(round(answer.retry_after_s), 1))
-    return web.Response(
-        status=answer.status,
-        body=answer.body,
-        content_type="application/json",
-        headers=headers,
-    )
-
-
-def error_response(error: RequestError) -> web.Response:
-    """Returns the response for a request that failed with an error."""
-    return web_response(error_answer(error))
-
-
 def parse_job(body: wire.JsonObject, queue: str, job_id: str) -> JobSpec:
     """Decodes a job.
 
