Refuse a job only if no attempt of it is under way

Cause: an entry that had sent the write which stores the job and got no answer passed the request on, and returned the refusal of another entry. The refusal of a second entry also hid a first one that had not answered. Evidence: request_relayed status=429 on the entry whose submission ended as "given up", then run_started of the job.

Another entry's answer is now told apart by what it is based on. What the store has on record holds. A refusal holds only if every entry asked has answered and the own attempt has ended without effect; else the answer is the own outcome, or 504. The request that is passed on says whether it is open, and the other entry then does not refuse it for want of room, so that the caller gets a certain answer.

--- a/libs/burdockthread/burdockthread/platform_entry.py
+++ b/libs/burdockthread/burdockthread/platform_entry.py
@@ -13,7 +13,7 @@
 from burdockthread_http.received_bytes import ReceivedBytes
 from burdockthread_http.status_ports import readiness_server, text_server
 from burdockthread_model.addresses import Address
-from burdockthread_platform.jobs_http import JobsPort
+from burdockthread_platform.jobs_http import JobsPort, job_id_at_end
 from burdockthread_platform.settings import EntrySettings
 from burdockthread_scheduling.admission_gate import AdmissionGate
 from burdockthread_scheduling.desk import JobDesk
@@ -97,6 +97,7 @@
             self.configuration.seen_version,
             self.configuration.expect_version,
             self.intake.refuse_unsent,
+            lambda request: self.intake.is_unsettled(job_id_at_end(request.path)),
             self.clock,
             self.metrics,
             self.log,
--- a/libs/platform/burdockthread_platform/jobs_http.py
+++ b/libs/platform/burdockthread_platform/jobs_http.py
@@ -40,7 +40,8 @@
 # The outcome is unknown; the caller may send the same request again.
 UNSETTLED = 504
 CHANGING_METHODS = ("POST", "DELETE")
-JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+JOB_ID_LENGTH = 16
+JOB_ID = re.compile(rf"[0-9a-fA-F]{{{JOB_ID_LENGTH}}}")
 MAX_PAYLOAD_BYTES = 4_000
 MAX_STEPS = 256
 MAX_TASKS = 10_000
@@ -160,7 +161,9 @@
             )
         if request.method == "POST":
             job = self.read_job(request, caller, job_id)
-            await self.desk.submit(queue, job, request.timeout_s)
+            await self.desk.submit(
+                queue, job, request.timeout_s, is_open=request.is_open
+            )
             return {}
         if request.method == "GET":
             state = await self.desk.state(job_id, request.timeout_s)
@@ -180,6 +183,11 @@
         return job._replace(accepted_ms=accepted_ms, organisation=caller.organisation)
 
 
+def job_id_at_end(path: str) -> str:
+    """Returns what is the id of a job if the path belongs to one."""
+    return path[-JOB_ID_LENGTH:]
+
+
 def caller_timeout_s(request: web.BaseRequest) -> float:
     """Returns the seconds for which the caller waits for the answer.
 
--- a/libs/platform/tests/test_callers_keys.py
+++ b/libs/platform/tests/test_callers_keys.py
@@ -72,7 +72,7 @@
 
     accepted = ()
 
-    async def submit(self, queue, job, wait_s):
+    async def submit(self, queue, job, wait_s, *, is_open=False):
         self.accepted = (*self.accepted, job)
 
     async def state(self, job_id, wait_s):
--- a/libs/platform/tests/test_jobs_port.py
+++ b/libs/platform/tests/test_jobs_port.py
@@ -122,7 +122,7 @@
     async def identify(self, host, path, key=b""):
         return Caller(QUEUE, "")
 
-    async def submit(self, queue, job, wait_s):
+    async def submit(self, queue, job, wait_s, *, is_open=False):
         await asyncio.Event().wait()
 
     async def state(self, job_id, wait_s):
@@ -135,7 +135,7 @@
 class PromptDesk(SilentDesk):
     """A desk that accepts every job immediately."""
 
-    async def submit(self, queue, job, wait_s):
+    async def submit(self, queue, job, wait_s, *, is_open=False):
         return
 
 
--- a/libs/scheduling/burdockthread_scheduling/desk.py
+++ b/libs/scheduling/burdockthread_scheduling/desk.py
@@ -165,20 +165,24 @@
             "the key is not known" if given else f"queue {queue.name} needs a key"
         )
 
-    async def submit(self, queue: QueueSpec, job: JobSpec, wait_s: float) -> None:
+    async def submit(
+        self, queue: QueueSpec, job: JobSpec, wait_s: float, *, is_open: bool = False
+    ) -> None:
         """Accepts a job.
 
         Args:
             queue: Queue of the job.
             job: The job.
             wait_s: Seconds that the caller waits for the answer.
+            is_open: Whether another entry may still store the job, which must not be
+                refused then.
 
         Raises:
             NotServedError: The job was not accepted, since it would earn nothing.
             NotStoredError: The job was not accepted.
             UnsettledError: The job may have been accepted.
         """
-        if self.gate is not None:
+        if self.gate is not None and not is_open:
             await self.gate.check(queue, job)
         started_s = self.clock.now()
         outcome = GIVEN_UP
--- a/libs/scheduling/burdockthread_scheduling/request_relay.py
+++ b/libs/scheduling/burdockthread_scheduling/request_relay.py
@@ -28,6 +28,10 @@
 READ_METHOD = "GET"
 # Status of a request that had no effect and may be sent elsewhere.
 NOT_EXECUTED = 503
+# Status of a request that may have had an effect, or may have one later.
+UNSETTLED = 504
+# Status for a job that does not exist and, as the store records, never will.
+GONE = 410
 # Longest wait for one entry, which may write to a slow store.
 RELAY_TIMEOUT_S = 1.0
 MAX_RELAYS = 3
@@ -50,6 +54,8 @@
         least_version: Version of the configuration by which callers of the sending
             entry have been answered; an older one must not decide.
         key: Digest of the caller's key, or empty without one.
+        is_open: Whether an entry that had the request before may still execute it. It
+            must not be refused then as one that has no effect.
     """
 
     method: str
@@ -59,13 +65,16 @@
     timeout_s: float
     least_version: int = -1
     key: bytes = b""
+    is_open: bool = False
 
     def message(self) -> tuple[object, ...]:
-        """Returns the fields to send to another entry; a missing key is left out.
+        """Returns the fields to send to another entry, without trailing defaults.
 
-        Earlier versions of the software, which know no keys, can read that.
+        Earlier versions of the software, which lack these fields, can read that.
         """
-        return self if self.key else self[:-1]
+        if self.is_open:
+            return self
+        return self[:-1] if self.key else self[:-2]
 
 
 class CallerAnswer(NamedTuple):
@@ -83,6 +92,29 @@
     retry_after_s: float | None = None
     version: int = -1
 
+    def verdict(self) -> Verdict:
+        """Returns what the answer tells of the effect of a request to change a job.
+
+        The store has on record what a successful answer and `GONE` tell, so that these
+        hold whatever becomes of other attempts.
+        """
+        if self.status == UNSETTLED:
+            return Verdict.UNKNOWN
+        is_recorded = self.status < 300 or self.status == GONE
+        return Verdict.RAN if is_recorded else Verdict.NOT_RUN
+
+
+class RelayOutcome(NamedTuple):
+    """What has come of asking other entries.
+
+    Attributes:
+        answer: Answer to the request, or None if no entry could serve it.
+        is_open: Whether an entry that was asked may still execute the request.
+    """
+
+    answer: CallerAnswer | None
+    is_open: bool
+
 
 RequestHandler = Callable[[CallerRequest], Awaitable[CallerAnswer]]
 
@@ -110,6 +142,7 @@
         least_version: Returns the version by which callers have been answered here.
         expect_version: Called with the version by which an entry has answered.
         refuse_unsent: Refuses the submissions that were not sent to the store.
+        is_open: Returns whether this entry may still execute a request.
         futile_until_s: Clock time until which no entry is asked.
         avoided: Clock time by address until which an entry is asked last.
     """
@@ -122,6 +155,7 @@
         least_version: Callable[[], int],
         expect_version: Callable[[int], None],
         refuse_unsent: Callable[[], None],
+        is_open: Callable[[CallerRequest], bool],
         clock: Clock,
         metrics: Metrics,
         log: EventLog,
@@ -132,6 +166,7 @@
         self.least_version = least_version
         self.expect_version = expect_version
         self.refuse_unsent = refuse_unsent
+        self.is_open = is_open
         self.clock = clock
         self.metrics = metrics
         self.log = log
@@ -151,22 +186,60 @@
             UnsettledError: An entry that did not answer may have handled it.
         """
         deadline_s = self.clock.now() + request.timeout_s
-        if not self.contact.is_recent():
+        if not self.contact.is_recent() and not self.is_open(request):
             passed = await self.pass_on(request, deadline_s)
-            return await handle(request) if passed is None else passed
+            if passed.answer is not None and not passed.is_open:
+                return passed.answer
+            return await self.settled(request, lambda: handle(request), passed)
         own = asyncio.ensure_future(handle(request))
         own.add_done_callback(consume_error)
         try:
             if await self.is_answered_here(own):
                 answer = own.result()
-                if answer.status != NOT_EXECUTED:
+                if answer.status not in (NOT_EXECUTED, UNSETTLED):
                     return answer
-                return await self.pass_on(request, deadline_s) or answer
-            self.refuse_unsent()
-            return await self.pass_on(request, deadline_s) or await own
+            else:
+                self.refuse_unsent()
+                # Completes the submissions that have just been refused.
+                await asyncio.sleep(0)
+            request = request._replace(is_open=self.is_open(request))
+            passed = await self.pass_on(request, deadline_s)
+            return await self.settled(request, lambda: own, passed)
         finally:
             own.cancel()
 
+    async def settled(
+        self,
+        request: CallerRequest,
+        answer_here: Callable[[], Awaitable[CallerAnswer]],
+        passed: RelayOutcome,
+    ) -> CallerAnswer:
+        """Returns the answer that holds whatever the entries asked still do.
+
+        Args:
+            request: The request.
+            answer_here: Returns this entry's own answer; not called without need.
+            passed: What has come of asking other entries.
+
+        Raises:
+            UnsettledError: There is none, as an entry may still execute the request.
+        """
+        answer = passed.answer
+        if answer is not None and (
+            request.method == READ_METHOD or answer.verdict() is Verdict.RAN
+        ):
+            return answer
+        here = await answer_here()
+        if request.method == READ_METHOD or here.verdict() is not Verdict.NOT_RUN:
+            return here
+        if passed.is_open:
+            raise UnsettledError(
+                "another entry may have handled the request",
+                verdict=Verdict.UNKNOWN,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return answer or here
+
     async def is_answered_here(self, own: asyncio.Future[CallerAnswer]) -> bool:
         """Waits for this entry's answer; returns False if contact is lost before it."""
         while not own.done() and self.contact.is_recent():
@@ -178,18 +251,11 @@
                 continue
         return own.done()
 
-    async def pass_on(
-        self, request: CallerRequest, deadline_s: float
-    ) -> CallerAnswer | None:
-        """Asks other entries in turn; returns None if none of them could serve.
-
-        Raises:
-            UnsettledError: An entry that did not answer may have handled a request
-                that is not a read.
-        """
-        unanswered = False
+    async def pass_on(self, request: CallerRequest, deadline_s: float) -> RelayOutcome:
+        """Asks other entries in turn until one of them serves or refuses."""
+        is_open = was_asked = False
         if self.clock.now() < self.futile_until_s:
-            return None
+            return RelayOutcome(None, is_open)
         for address in self.candidates(request.path):
             left_s = deadline_s - self.clock.now() - ANSWER_MARGIN_S
             if left_s <= ANSWER_MARGIN_S:
@@ -197,7 +263,9 @@
             passed = request._replace(
                 timeout_s=min(left_s, RELAY_TIMEOUT_S),
                 least_version=self.least_version(),
+                is_open=request.is_open or is_open,
             )
+            was_asked = True
             try:
                 answer = await self.link.relay(address, passed)
             except PeerUnavailableError as error:
@@ -205,20 +273,18 @@
                 continue
             except PeerTimeoutError as error:
                 self.note_silence(address, request, error)
-                unanswered = True
+                is_open = True
                 continue
-            if answer.status != NOT_EXECUTED:
-                self.expect_version(answer.version)
-                self.note_relayed(address, request, answer)
-                return answer
-        if unanswered and request.method != READ_METHOD:
-            raise UnsettledError(
-                "another entry may have handled the request",
-                verdict=Verdict.UNKNOWN,
-                retry_after_s=RETRY_AFTER_S,
-            )
-        self.futile_until_s = self.clock.now() + FUTILE_PAUSE_S
-        return None
+            if answer.status == NOT_EXECUTED:
+                continue
+            self.expect_version(answer.version)
+            self.note_relayed(address, request, answer)
+            if answer.status != UNSETTLED:
+                return RelayOutcome(answer, is_open)
+            is_open = True
+        if was_asked and (not is_open or request.method == READ_METHOD):
+            self.futile_until_s = self.clock.now() + FUTILE_PAUSE_S
+        return RelayOutcome(None, is_open)
 
     def candidates(self, path: str) -> list[str]:
         """Returns the entries to ask: repeats of a request ask the same ones."""
@@ -255,5 +321,6 @@
             method=request.method,
             address=address,
             status=answer.status,
+            is_open=request.is_open,
             store_silent_s=round(self.contact.age_s(), 3),
         )
--- a/libs/scheduling/tests/test_request_relay.py
+++ b/libs/scheduling/tests/test_request_relay.py
@@ -39,11 +39,13 @@
         self.entries = entries
         self.asked = []
         self.least_versions = []
+        self.open = []
         self.delay_s = 0.01
 
     async def relay(self, address, request):
         self.asked.append(address)
         self.least_versions.append(request.least_version)
+        self.open.append(request.is_open)
         await self.clock.sleep(self.delay_s)
         found = self.entries[address]
         if isinstance(found, Exception):
@@ -62,6 +64,7 @@
         self.versions = []
         self.least_version = -1
         self.own = ACCEPTED
+        self.open = False
         self.relay = RequestRelay(
             self.link,
             lambda: list(entries),
@@ -69,6 +72,7 @@
             lambda: self.least_version,
             self.versions.append,
             self.refuse_unsent,
+            lambda request: self.open,
             clock,
             metrics,
             log,
@@ -208,3 +212,65 @@
     assert (await entry.ask())[0] == ACCEPTED
     assert (await entry.ask())[0] == ACCEPTED
     assert entry.link.asked.count(first) == 1
+
+
+NOT_SERVED = CallerAnswer(429, b"{}", 5.0)
+UNSETTLED = CallerAnswer(504, b"{}", 1.0)
+GONE = CallerAnswer(410, b"{}")
+
+
+# Guards against a refusal by another entry of a job that a write under way here stores.
+async def test_refusal_elsewhere_does_not_outweigh_a_write_under_way_here(entry):
+    entry.link.entries.update(dict.fromkeys(PEERS, NOT_SERVED))
+    entry.own = None
+    entry.open = True
+    assert (await entry.ask())[0].status == UNSETTLED.status
+    assert entry.link.open == [True]
+
+
+# An earlier attempt of the same request may have left a write behind.
+async def test_refusal_elsewhere_does_not_outweigh_an_earlier_write_here(entry):
+    entry.link.entries.update(dict.fromkeys(PEERS, NOT_SERVED))
+    entry.own = UNSETTLED
+    entry.open = True
+    entry.lose_contact()
+    assert (await entry.ask())[0] == UNSETTLED
+    assert entry.link.open == [True]
+
+
+# Guards against a refusal by the second entry of a job that the first one stores.
+@pytest.mark.parametrize("first", [PeerTimeoutError("silent"), UNSETTLED])
+@pytest.mark.parametrize("then", [NOT_SERVED, CallerAnswer(404, b"{}"), REFUSED])
+async def test_refusal_does_not_outweigh_an_entry_asked_before(entry, first, then):
+    entry.link.entries.update(dict.fromkeys(PEERS, then))
+    entry.link.entries[entry.relay.candidates(REQUEST.path)[0]] = first
+    entry.own = REFUSED
+    with pytest.raises(UnsettledError):
+        await entry.ask()
+    assert entry.link.open[:2] == [False, True]
+
+
+# The job exists, or never will, whatever becomes of the other attempts.
+@pytest.mark.parametrize("answer", [ACCEPTED, GONE])
+async def test_answer_on_record_outweighs_an_open_attempt(entry, answer):
+    entry.link.entries.update(dict.fromkeys(PEERS, answer))
+    entry.link.entries[entry.relay.candidates(REQUEST.path)[0]] = UNSETTLED
+    entry.own = None
+    entry.open = True
+    assert (await entry.ask())[0] == answer
+
+
+async def test_refusal_elsewhere_holds_where_nothing_is_open(entry):
+    entry.link.entries.update(dict.fromkeys(PEERS, NOT_SERVED))
+    entry.own = REFUSED
+    assert (await entry.ask())[0] == NOT_SERVED
+
+
+# Guards against a request without time left that keeps others from being passed on.
+async def test_request_without_time_left_does_not_keep_others_here(entry):
+    entry.own = None
+    entry.contact_s = float("inf")
+    answer, _ = await entry.ask()
+    assert answer == UNSETTLED
+    entry.own = REFUSED
+    assert (await entry.ask())[0] == ACCEPTED
