Remember writes that were given up without an outcome

A later attempt at the same entry could be refused as one that never runs. Such jobs now count as under way for 30 s.

Test: test_write_given_up_without_an_outcome_counts_as_under_way; it cannot run before, as it names the new bound.

--- a/libs/scheduling/burdockthread_scheduling/intake.py
+++ b/libs/scheduling/burdockthread_scheduling/intake.py
@@ -32,6 +32,8 @@
 MAX_JOBS_PER_WRITE = 9
 MAX_WRITES_AT_ONCE = 4
 MAX_CANCEL_TRIES = 5
+# The store may execute a write some seconds after it was sent, the slowest within this.
+LATE_WRITE_S = 30.0
 # A batch whose write was lost is sent again within this time, about half of the time
 # that callers wait.
 RESEND_TIMEOUT_S = 1.5
@@ -76,6 +78,8 @@
     Attributes:
         waiting: Submissions that are not part of a write yet.
         unsettled: Submissions whose outcome is not known yet, by job.
+        open_until_s: Clock time until which the store may execute a write that was
+            given up without an outcome, by job.
         writers: Tasks that write batches.
         contact: Tells whether this entry reaches the store.
     """
@@ -97,6 +101,7 @@
         self.log = log
         self.waiting: list[Submission] = []
         self.unsettled: dict[str, Submission] = {}
+        self.open_until_s: dict[str, float] = {}
         self.writers: set[asyncio.Task[None]] = set()
 
     async def submit(self, job: JobSpec, pool: str) -> None:
@@ -113,14 +118,22 @@
         if job.job_id in self.index.jobs:
             return
         submission = self.unsettled.get(job.job_id)
-        if submission is None:
-            self.expect_contact()
-            submission = self.enqueue(Submission(job, pool))
-        await asyncio.shield(submission.stored)
+        try:
+            if submission is None:
+                self.expect_contact()
+                submission = self.enqueue(Submission(job, pool))
+            await asyncio.shield(submission.stored)
+        except StoreUnavailableError as error:
+            if self.is_unsettled(job.job_id):
+                reason = f"an earlier write of job {job.job_id} may be executed"
+                raise StoreUnknownError(f"{reason}: {error}") from error
+            raise
 
     def is_unsettled(self, job_id: str) -> bool:
-        """Returns whether a write of a job is under way here."""
-        return job_id in self.unsettled
+        """Returns whether a write of a job by this entry may still be executed."""
+        if job_id in self.unsettled:
+            return True
+        return self.clock.now() < self.open_until_s.get(job_id, float("-inf"))
 
     def expect_contact(self) -> None:
         """Checks that the store has answered this entry recently.
@@ -172,9 +185,21 @@
     def fail(self, batch: Sequence[Submission], error: Exception) -> None:
         """Completes all submissions of a batch with an error."""
         self.metrics.count("intake.writes_failed")
+        if isinstance(error, StoreUnknownError):
+            self.note_open(batch)
         for submission in batch:
             submission.fail(error)
 
+    def note_open(self, batch: Sequence[Submission]) -> None:
+        """Records jobs whose write was given up and may still be executed."""
+        now = self.clock.now()
+        for job_id, until_s in tuple(self.open_until_s.items()):
+            if now >= until_s:
+                del self.open_until_s[job_id]
+        for submission in batch:
+            if not submission.stored.done():
+                self.open_until_s[submission.job.job_id] = now + LATE_WRITE_S
+
     async def write(self, batch: Sequence[Submission]) -> None:
         """Writes a batch and completes its submissions.
 
--- a/libs/scheduling/tests/test_intake.py
+++ b/libs/scheduling/tests/test_intake.py
@@ -4,7 +4,11 @@
 
 import pytest
 from burdockthread_model.errors import StoreUnavailableError, StoreUnknownError
-from burdockthread_scheduling.intake import MAX_JOBS_PER_WRITE, MAX_WRITES_AT_ONCE
+from burdockthread_scheduling.intake import (
+    LATE_WRITE_S,
+    MAX_JOBS_PER_WRITE,
+    MAX_WRITES_AT_ONCE,
+)
 from burdockthread_scheduling.records import JobPhase, job_key
 from burdockthread_scheduling.specs import JobSpec
 from burdockthread_scheduling.store_contact import STORE_SILENT_S
@@ -110,3 +114,28 @@
     assert not any(task.done() for task in waiting[:-1])
     for task in waiting:
         task.cancel()
+
+
+async def outcome(site, work):
+    """Lets time pass and returns the outcome of the work."""
+    task = asyncio.create_task(work)
+    await site.pass_time(1.0)
+    return await task
+
+
+# Guards against a refusal of a later attempt while the first one's write is under way.
+async def test_write_given_up_without_an_outcome_counts_as_under_way(site):
+    async def write(changes, guards=()):
+        raise StoreUnknownError("no outcome")
+
+    site.intake.store.write = write
+    with pytest.raises(StoreUnknownError):
+        await outcome(site, site.intake.submit(job(JOB), POOL))
+    assert site.intake.is_unsettled(JOB)
+    site.store_silent_s = STORE_SILENT_S
+    with pytest.raises(StoreUnknownError):
+        await outcome(site, site.intake.submit(job(JOB), POOL))
+    await site.pass_time(LATE_WRITE_S)
+    assert not site.intake.is_unsettled(JOB)
+    with pytest.raises(StoreUnavailableError):
+        await outcome(site, site.intake.submit(job(JOB), POOL))
