Take a write with an unexpected answer for one that may be executed

A status of 500 and above other than 503, or a 200 without a revision, counted as not executed, and callers were told so.

Test: test_write_with_an_unexpected_answer_may_have_been_executed failed before.

--- a/libs/platform/burdockthread_platform/kv_store.py
+++ b/libs/platform/burdockthread_platform/kv_store.py
@@ -46,6 +46,8 @@
 # A watch without events returns after this time, which shows that it works.
 WATCH_WAIT_MS = 1_000
 NOT_FOUND = 404
+# From this status on the call may have been executed, unless it is in `NOT_EXECUTED`.
+SERVER_ERROR = 500
 GONE = 410
 CONDITION_FAILED = 412
 # The store did not execute the call: over the rate limit, or unavailable.
@@ -170,10 +172,13 @@
             raise ConflictError("the revision of a key differs from the expected one")
         if answer.status == NOT_FOUND:
             raise LeaseLostError("the lease of a key has expired")
+        if answer.status >= SERVER_ERROR:
+            raise StoreUnknownError(f"{path} answered {answer.status}")
         expect_success(path, answer)
-        return parse_or_unavailable(
-            path, answer.body, lambda body: wire.integer(body, "revision")
-        )
+        try:
+            return parse_revision(answer.body, "revision")
+        except wire.WireError as error:
+            raise StoreUnknownError(f"{path}: {error}") from error
 
     async def grant_lease(self, ttl_s: float) -> Lease:
         """Requests a new lease; its term counts from before the request was sent."""
--- a/libs/platform/tests/test_kv_store.py
+++ b/libs/platform/tests/test_kv_store.py
@@ -201,3 +201,15 @@
         await client.list("l/")
     with pytest.raises(StoreUnavailableError):
         await client.changes("l/", 5)
+
+
+@pytest.mark.parametrize(
+    "answer", [Answer(200, {}), Answer(200, {"revision": "7"}), Answer(502, {})]
+)
+async def test_write_with_an_unexpected_answer_may_have_been_executed(
+    client, monkeypatch, answer
+):
+    """It counted as one that was not, and its caller was told so."""
+    monkeypatch.setattr(client, "call", AsyncMock(return_value=answer))
+    with pytest.raises(StoreUnknownError):
+        await client.write([Change("a", b"1", 0)])
