Do not answer "no such job" for one that is being stored here

A caller whose submission had got no answer and who asked the same entry for the job was told 410 while the write was under way. It is 503 now, also where another entry was asked.

Tests: test_job_that_is_being_stored_is_not_shown_as_none, and test_job_stored_here_is_not_missed_by_a_read_elsewhere, which failed on the untouched code with the new parameters added and ignored.

--- a/libs/scheduling/burdockthread_scheduling/desk.py
+++ b/libs/scheduling/burdockthread_scheduling/desk.py
@@ -229,7 +229,8 @@
 
         Raises:
             NoJobError: There is no such job.
-            NotReadyError: The job is not in the index and the store did not answer.
+            NotReadyError: The job is not in the index and the store did not answer, or
+                a write that stores the job is under way.
         """
         try:
             async with self.clock.timeout(max(wait_s - ANSWER_MARGIN_S, 0.1)):
@@ -238,6 +239,10 @@
             raise NotReadyError(
                 f"job {job_id}: the store did not answer", retry_after_s=RETRY_AFTER_S
             ) from error
+        if known is None and self.intake.is_unsettled(job_id):
+            raise NotReadyError(
+                f"job {job_id} is being stored", retry_after_s=RETRY_AFTER_S
+            )
         if known is None:
             raise NoJobError(f"no job {job_id}")
         state = self.index.shown_state(job_id, known)
--- a/libs/scheduling/burdockthread_scheduling/request_relay.py
+++ b/libs/scheduling/burdockthread_scheduling/request_relay.py
@@ -104,6 +104,16 @@
         return Verdict.RAN if is_recorded else Verdict.NOT_RUN
 
 
+def is_certain(request: CallerRequest, answer: CallerAnswer) -> bool:
+    """Returns whether another entry's answer holds whatever becomes of open attempts.
+
+    A read may miss a job that this entry is storing.
+    """
+    if request.method == READ_METHOD:
+        return answer.status != GONE or not request.is_open
+    return answer.verdict() is Verdict.RAN
+
+
 class RelayOutcome(NamedTuple):
     """What has come of asking other entries.
 
@@ -225,9 +235,7 @@
             UnsettledError: There is none, as an entry may still execute the request.
         """
         answer = passed.answer
-        if answer is not None and (
-            request.method == READ_METHOD or answer.verdict() is Verdict.RAN
-        ):
+        if answer is not None and is_certain(request, answer):
             return answer
         here = await answer_here()
         if request.method == READ_METHOD or here.verdict() is not Verdict.NOT_RUN:
--- a/libs/scheduling/tests/test_intake.py
+++ b/libs/scheduling/tests/test_intake.py
@@ -4,11 +4,13 @@
 
 import pytest
 from burdockthread_model.errors import StoreUnavailableError, StoreUnknownError
+from burdockthread_scheduling.desk import JobDesk, NotReadyError
 from burdockthread_scheduling.intake import (
     LATE_WRITE_S,
     MAX_JOBS_PER_WRITE,
     MAX_WRITES_AT_ONCE,
 )
+from burdockthread_scheduling.job_index import ShownState
 from burdockthread_scheduling.records import JobPhase, job_key
 from burdockthread_scheduling.specs import JobSpec
 from burdockthread_scheduling.store_contact import STORE_SILENT_S
@@ -139,3 +141,16 @@
     assert not site.intake.is_unsettled(JOB)
     with pytest.raises(StoreUnavailableError):
         await outcome(site, site.intake.submit(job(JOB), POOL))
+
+
+# Guards against "no such job" for one that is about to be stored.
+async def test_job_that_is_being_stored_is_not_shown_as_none(site):
+    desk = JobDesk(None, site.index, site.intake, site.clock, site.metrics, site.log)
+    site.faulty.set_faults({"slow_s": 0.5})
+    storing = asyncio.create_task(site.intake.submit(job(JOB), POOL))
+    await site.pass_time(0.1)
+    site.faulty.set_faults({"slow_s": 0.0})
+    with pytest.raises(NotReadyError):
+        await outcome(site, desk.state(JOB, 3.0))
+    await storing
+    assert await outcome(site, desk.state(JOB, 3.0)) is ShownState.QUEUED
--- a/libs/scheduling/tests/test_request_relay.py
+++ b/libs/scheduling/tests/test_request_relay.py
@@ -274,3 +274,13 @@
     assert answer == UNSETTLED
     entry.own = REFUSED
     assert (await entry.ask())[0] == ACCEPTED
+
+
+# Guards against "no such job" from an entry that does not know what is under way here.
+async def test_job_stored_here_is_not_missed_by_a_read_elsewhere(entry):
+    entry.link.entries.update(dict.fromkeys(PEERS, GONE))
+    entry.own = REFUSED
+    entry.open = True
+    assert (await entry.ask(REQUEST._replace(method="GET")))[0] == REFUSED
+    entry.open = False
+    assert (await entry.ask(REQUEST._replace(method="GET")))[0] == GONE
