Record the cancel of a job that is not stored

Cause: the cancel of an unknown job left no trace, while a submission was under way, whose condition is that there is no record of the job. Evidence: job_cancel outcome="no job" 0.3 s after the submission, and job_submitted outcome=accepted of another entry 1.1 s later.

The cancel now writes a record on the same condition. Of a cancel and all submissions under way exactly one takes effect, however late the store executes them and at whichever entry. A submission that finds the record is answered 410; so are reads, as nobody may have submitted the job. It costs a write for each cancel of an unknown job.

--- a/libs/scheduling/burdockthread_scheduling/desk.py
+++ b/libs/scheduling/burdockthread_scheduling/desk.py
@@ -18,6 +18,7 @@
 from burdockthread_scheduling.configuration_view import ConfigurationView
 from burdockthread_scheduling.intake import JobIntake, consume_error
 from burdockthread_scheduling.job_index import JobIndex, ShownState
+from burdockthread_scheduling.records import JobPhase
 from burdockthread_scheduling.specs import JobSpec, QueueSpec
 
 # An answer is sent at least this long before the caller's time-out.
@@ -179,6 +180,7 @@
 
         Raises:
             NotServedError: The job was not accepted, since it would earn nothing.
+            NoJobError: The job was cancelled before it was accepted; it never runs.
             NotStoredError: The job was not accepted.
             UnsettledError: The job may have been accepted.
         """
@@ -191,6 +193,9 @@
                 accepted = job._replace(terms=queue.terms())
                 await self.intake.submit(accepted, queue.pool)
             outcome = "accepted"
+        except NotFoundError as error:
+            outcome = "withdrawn"
+            raise NoJobError(str(error)) from error
         except StoreUnknownError as error:
             outcome = "unsettled"
             raise self.unsettled(job.job_id, str(error)) from error
@@ -243,7 +248,7 @@
             raise NotReadyError(
                 f"job {job_id} is being stored", retry_after_s=RETRY_AFTER_S
             )
-        if known is None:
+        if known is None or known.record.phase is JobPhase.WITHDRAWN:
             raise NoJobError(f"no job {job_id}")
         state = self.index.shown_state(job_id, known)
         self.metrics.count(f"desk.shown.{state.value}")
--- a/libs/scheduling/burdockthread_scheduling/intake.py
+++ b/libs/scheduling/burdockthread_scheduling/intake.py
@@ -72,6 +72,16 @@
         future.exception()
 
 
+def expect_not_withdrawn(job_id: str, known: KnownJob) -> None:
+    """Checks that a job was not cancelled before it was stored.
+
+    Raises:
+        NotFoundError: It was; there is no such job, and none will be.
+    """
+    if known.record.phase is JobPhase.WITHDRAWN:
+        raise NotFoundError(f"job {job_id} was cancelled before it was stored")
+
+
 class JobIntake:
     """Accepts jobs and cancels them.
 
@@ -112,10 +122,13 @@
             pool: Pool whose holder runs the job.
 
         Raises:
+            NotFoundError: The job was cancelled before; it never runs.
             StoreUnavailableError: The job was not stored and will not be.
             StoreUnknownError: The job may be stored.
         """
-        if job.job_id in self.index.jobs:
+        known = self.index.jobs.get(job.job_id)
+        if known is not None:
+            expect_not_withdrawn(job.job_id, known)
             return
         submission = self.unsettled.get(job.job_id)
         try:
@@ -262,6 +275,11 @@
                 raise StoreUnknownError(reason) from error
             if known is None:
                 left.append(submission)
+                continue
+            try:
+                expect_not_withdrawn(job_id, known)
+            except NotFoundError as error:
+                submission.fail(error)
             else:
                 submission.succeed()
         return left
@@ -270,18 +288,20 @@
         """Cancels a job; a job that has ended is left unchanged.
 
         Raises:
-            NotFoundError: There is no such job.
+            NotFoundError: There is no such job, and none will be stored under the id.
             StoreUnavailableError: The job was not cancelled.
             StoreUnknownError: The job may have been cancelled.
         """
         for _ in range(MAX_CANCEL_TRIES):
             known = await self.index.find(job_id)
-            if known is None:
-                raise NotFoundError(f"no job {job_id}")
-            if known.record.phase is not JobPhase.ACCEPTED:
+            if known is not None and known.record.phase is not JobPhase.ACCEPTED:
+                expect_not_withdrawn(job_id, known)
                 return
             self.expect_contact()
             try:
+                if known is None:
+                    await self.write_withdrawal(job_id)
+                    raise NotFoundError(f"no job {job_id}")
                 await self.write_cancel(job_id, known)
             except ConflictError:
                 self.index.forget(job_id)
@@ -289,6 +309,24 @@
             return
         raise StoreUnavailableError(f"job {job_id}: other writers were always first")
 
+    async def write_withdrawal(self, job_id: str) -> None:
+        """Records that a job which is not stored was cancelled.
+
+        A submission may be under way at any entry. Its write has the condition that
+        there is no record.
+
+        Raises:
+            ConflictError: The job has been stored meanwhile.
+            StoreError: The store did not answer.
+        """
+        changed_ms = int(self.clock.wall() * 1000)
+        record = JobRecord("", "", JobPhase.WITHDRAWN, changed_ms)
+        change = Change(job_key(job_id), encode(record), 0)
+        revision = await self.store.write([change])
+        self.index.note(job_id, record, revision)
+        self.metrics.count("intake.jobs_withdrawn")
+        self.log.info("job_withdrawn", job=job_id, revision=revision)
+
     async def write_cancel(self, job_id: str, known: KnownJob) -> None:
         """Writes the record of a job as cancelled, with its work marked `CANCELLED`.
 
--- a/libs/scheduling/burdockthread_scheduling/records.py
+++ b/libs/scheduling/burdockthread_scheduling/records.py
@@ -37,20 +37,25 @@
 
 
 class JobPhase(StrEnum):
-    """Phase of a job as stored."""
+    """Phase of a job as stored.
+
+    WITHDRAWN: It was cancelled before it was stored. There is no such job for callers,
+    and the record keeps submissions that are still under way from storing it.
+    """
 
     ACCEPTED = "accepted"
     COMPLETED = "completed"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    WITHDRAWN = "withdrawn"
 
 
 class JobRecord(NamedTuple):
     """The state of a job.
 
     Attributes:
-        pool: Pool whose holder runs the job.
-        queue: Name of the job's queue.
+        pool: Pool whose holder runs the job; empty if it was never stored.
+        queue: Name of the job's queue; empty if the job was never stored.
         phase: Phase of the job.
         changed_ms: Unix time in milliseconds of the last change.
     """
