Do not pass on the requests of callers that have left

An entry out of touch with the store went on to have a job stored whose caller had left, and may have cancelled it. Cancels are passed on all the same.

Tests: test_request_of_a_caller_who_has_left_is_not_passed_on failed on the untouched code with the new parameters added and ignored; test_relay_learns_whether_the_caller_has_left cannot run there.

--- a/libs/http/burdockthread_http/guarded_server.py
+++ b/libs/http/burdockthread_http/guarded_server.py
@@ -46,6 +46,17 @@
 ]
 
 
+def has_client_left(request: web.BaseRequest) -> bool:
+    """Returns whether a client has closed its connection, or its side of it.
+
+    Which of these is known only once the answer is sent.
+    """
+    connection = request.protocol
+    if connection.transport is None or connection.transport.is_closing():
+        return True
+    return isinstance(connection, GuardedConnection) and connection.is_ended
+
+
 class GuardedServer(web.Server):
     """Server of the HTTP library with guarded connections.
 
--- a/libs/platform/burdockthread_platform/jobs_http.py
+++ b/libs/platform/burdockthread_platform/jobs_http.py
@@ -3,10 +3,12 @@
 import re
 import traceback
 from collections.abc import Callable
+from functools import partial
 
 from aiohttp import web
 from burdockthread_http.connection_guard import ConnectionGuard
 from burdockthread_http.connection_limits import PortLimits
+from burdockthread_http.guarded_server import has_client_left
 from burdockthread_http.http_server import GracefulServer
 from burdockthread_model.clock import Clock
 from burdockthread_model.errors import BadRequestError, RequestError
@@ -135,7 +137,9 @@
             request[VERDICT] = Verdict.UNKNOWN
         if self.relay is None:
             return await self.handle(received)
-        return await self.relay.answer(received, self.handle)
+        return await self.relay.answer(
+            received, self.handle, partial(has_client_left, request)
+        )
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Answers a request from this entry's store."""
--- a/libs/platform/tests/test_jobs_port.py
+++ b/libs/platform/tests/test_jobs_port.py
@@ -15,6 +15,7 @@
 from burdockthread_model.events import EventLog
 from burdockthread_platform.jobs_http import JobsPort
 from burdockthread_scheduling.desk import Caller
+from burdockthread_scheduling.request_relay import CallerAnswer
 from burdockthread_scheduling.specs import QueueSpec
 from ephemeral_port_reserve import reserve
 
@@ -244,3 +245,39 @@
     monkeypatch.setattr(RequestHandler, "data_received", data_received)
     answered = run(stop_under_load())
     assert len(answered) == len([data for data in read if data])
+
+
+class LeavingRelay:
+    """A relay that tells whether callers have left while it handles a request."""
+
+    def __init__(self):
+        self.asked = asyncio.Event()
+        self.go_on = asyncio.Event()
+        self.abandoned = None
+
+    async def answer(self, request, handle, is_abandoned):
+        self.asked.set()
+        await self.go_on.wait()
+        self.abandoned = is_abandoned()
+        return CallerAnswer(200, b"{}")
+
+
+@pytest.mark.parametrize("leaves", [True, False])
+async def test_relay_learns_whether_the_caller_has_left(clock, log, leaves):
+    """It passed on the jobs of callers that had left, and had cancelled them."""
+    desk = BrokenDesk(ValueError("not used"))
+    relay = LeavingRelay()
+    port = reserve(HOST)
+    server = JobsPort(desk, clock, relay).server
+    async with serve([ListeningPort(server, HOST, port)], FINISH_S):
+        _, writer = await asyncio.open_connection(HOST, port)
+        writer.write(REQUEST)
+        await relay.asked.wait()
+        if leaves:
+            writer.close()
+            await writer.wait_closed()
+            await asyncio.sleep(0.05)
+        relay.go_on.set()
+        await asyncio.sleep(0.05)
+        writer.close()
+    assert relay.abandoned is leaves
--- a/libs/scheduling/burdockthread_scheduling/request_relay.py
+++ b/libs/scheduling/burdockthread_scheduling/request_relay.py
@@ -26,6 +26,7 @@
 from burdockthread_scheduling.store_contact import StoreContact
 
 READ_METHOD = "GET"
+CANCEL_METHOD = "DELETE"
 # Status of a request that had no effect and may be sent elsewhere.
 NOT_EXECUTED = 503
 # Status of a request that may have had an effect, or may have one later.
@@ -184,20 +185,25 @@
         self.avoided: dict[str, float] = {}
 
     async def answer(
-        self, request: CallerRequest, handle: RequestHandler
+        self,
+        request: CallerRequest,
+        handle: RequestHandler,
+        is_abandoned: Callable[[], bool] = lambda: False,
     ) -> CallerAnswer:
         """Answers a request.
 
         Args:
             request: The request.
             handle: Answers it from this entry's store.
+            is_abandoned: Returns whether the caller has left. No other entry is asked
+                then to store its job, or to read for it.
 
         Raises:
             UnsettledError: An entry that did not answer may have handled it.
         """
         deadline_s = self.clock.now() + request.timeout_s
         if not self.contact.is_recent() and not self.is_open(request):
-            passed = await self.pass_on(request, deadline_s)
+            passed = await self.pass_on(request, deadline_s, is_abandoned)
             if passed.answer is not None and not passed.is_open:
                 return passed.answer
             return await self.settled(request, lambda: handle(request), passed)
@@ -213,7 +219,7 @@
                 # Completes the submissions that have just been refused.
                 await asyncio.sleep(0)
             request = request._replace(is_open=self.is_open(request))
-            passed = await self.pass_on(request, deadline_s)
+            passed = await self.pass_on(request, deadline_s, is_abandoned)
             return await self.settled(request, lambda: own, passed)
         finally:
             own.cancel()
@@ -259,7 +265,12 @@
                 continue
         return own.done()
 
-    async def pass_on(self, request: CallerRequest, deadline_s: float) -> RelayOutcome:
+    async def pass_on(
+        self,
+        request: CallerRequest,
+        deadline_s: float,
+        is_abandoned: Callable[[], bool],
+    ) -> RelayOutcome:
         """Asks other entries in turn until one of them serves or refuses."""
         is_open = was_asked = False
         if self.clock.now() < self.futile_until_s:
@@ -268,6 +279,9 @@
             left_s = deadline_s - self.clock.now() - ANSWER_MARGIN_S
             if left_s <= ANSWER_MARGIN_S:
                 break
+            if is_abandoned() and request.method != CANCEL_METHOD:
+                self.note_abandoned(request)
+                return RelayOutcome(None, is_open)
             passed = request._replace(
                 timeout_s=min(left_s, RELAY_TIMEOUT_S),
                 least_version=self.least_version(),
@@ -304,6 +318,16 @@
 
         return sorted(self.peers(), key=rank)[:MAX_RELAYS]
 
+    def note_abandoned(self, request: CallerRequest) -> None:
+        """Records a request whose caller left before another entry was asked."""
+        self.metrics.count("relay.abandoned")
+        self.log.info(
+            "request_abandoned",
+            path=request.path,
+            method=request.method,
+            is_open=request.is_open,
+        )
+
     def note_silence(
         self, address: str, request: CallerRequest, error: Exception
     ) -> None:
--- a/libs/scheduling/tests/test_request_relay.py
+++ b/libs/scheduling/tests/test_request_relay.py
@@ -65,6 +65,7 @@
         self.least_version = -1
         self.own = ACCEPTED
         self.open = False
+        self.abandoned = False
         self.relay = RequestRelay(
             self.link,
             lambda: list(entries),
@@ -90,7 +91,8 @@
     async def ask(self, request=REQUEST):
         """Sends a request; returns its answer and the seconds that it took."""
         started_s = self.clock.now()
-        task = asyncio.create_task(self.relay.answer(request, self.handle))
+        answering = self.relay.answer(request, self.handle, lambda: self.abandoned)
+        task = asyncio.create_task(answering)
         ended_s = None
         while self.clock.now() < started_s + TIMEOUT_S:
             await self.clock.advance(0.01)
@@ -217,6 +219,7 @@
 NOT_SERVED = CallerAnswer(429, b"{}", 5.0)
 UNSETTLED = CallerAnswer(504, b"{}", 1.0)
 GONE = CallerAnswer(410, b"{}")
+CANCEL = REQUEST._replace(method="DELETE")
 
 
 # Guards against a refusal by another entry of a job that a write under way here stores.
@@ -266,6 +269,20 @@
     assert (await entry.ask())[0] == NOT_SERVED
 
 
+# Guards against a job that is stored for a caller who has left and cancelled it.
+async def test_request_of_a_caller_who_has_left_is_not_passed_on(entry):
+    entry.own = REFUSED
+    entry.abandoned = True
+    assert (await entry.ask())[0] == REFUSED
+    assert entry.link.asked == []
+
+
+async def test_cancel_of_a_caller_who_has_left_is_passed_on(entry):
+    entry.own = REFUSED
+    entry.abandoned = True
+    assert (await entry.ask(CANCEL))[0] == ACCEPTED
+
+
 # Guards against a request without time left that keeps others from being passed on.
 async def test_request_without_time_left_does_not_keep_others_here(entry):
     entry.own = None
