Trust what a worker lists only after the last order of earlier holders

Cause: the new holder took a task for not begun by the earlier one if a task of the step before was listed as running, while a worker was still out of its reach. The earlier holder was at work: it learnt of the end from a poll that a worker had taken before the new token, and from a member of the gang on the unreached worker, and started the step there. A listed task that fails had the same fault. Evidence: run_ended at both holders within 2 ms, then run_started of one task at both.

A list now counts only if it was requested after each earlier holder had confirmed the release, its process had ended, or the time was over for which a holder goes on without its lease. That time is 2 s longer where the takeover replaced a record, as after an offer, whose lease need not have ended.

Tests: test_cut_off_holders.py, of which the case of a gang that ends with the takeover and that of a task that fails, and the two new cases of test_adopted_tasks.py failed before.

--- a/libs/scheduling/burdockthread_scheduling/assigned_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/assigned_workers.py
@@ -17,6 +17,7 @@
 from burdockthread_store.store import ANY_REVISION, Change
 
 from burdockthread_scheduling.duties import LEASE_GRACE_S
+from burdockthread_scheduling.entry_lease import LEASE_TTL_S
 from burdockthread_scheduling.pool_core import PoolCore
 from burdockthread_scheduling.records import decode, encode
 from burdockthread_scheduling.worker_state import lease_bound_s
@@ -66,6 +67,7 @@
             runs of earlier holders may exist there until the given clock time.
         read_s: Clock time at which these workers were read.
         earlier: Earlier holders that may still send orders to unreached workers.
+        silent_s: Clock time from which no earlier holder sends an order.
         assigned: Workers that the stored record names as possibly having runs.
         assigned_dirty: Whether the record names more workers than it has to.
     """
@@ -78,6 +80,7 @@
         self.unreached: dict[WorkerKey, float] = {}
         self.read_s = core.clock.now()
         self.earlier: set[EarlierHolder] = set()
+        self.silent_s = float("inf")
         self.assigned: set[WorkerKey] = set()
         self.assigned_dirty = True
         self.assigned_s = float("-inf")
@@ -106,14 +109,22 @@
         # This process sends orders only under its present term.
         own = self.core.parts.process
         self.earlier = {holder for holder in self.earlier if holder.process != own}
-        silent_s = LEASE_GRACE_S if self.earlier else 0.0
-        lapsed_s = self.clock.now() + silent_s + self.lease_bound_s
         self.read_s = self.clock.now()
+        self.silent_s = self.read_s + (self.grace_s() if self.earlier else 0.0)
+        lapsed_s = self.silent_s + self.lease_bound_s
         for key in left.workers:
             self.unreached[WorkerKey(*key)] = lapsed_s
         for holder in self.earlier:
             self.core.spawn(self.request_release(holder))
 
+    def grace_s(self) -> float:
+        """Returns how long the last holder may have sent orders after this takeover.
+
+        A holder that cannot renew its lease stops some time after the lease has ended.
+        """
+        lease_s = LEASE_TTL_S if self.core.tenure.replaces_record else 0.0
+        return lease_s + LEASE_GRACE_S
+
     async def request_release(self, holder: EarlierHolder) -> None:
         """Asks an earlier holder to send no more orders, until it confirms.
 
@@ -136,11 +147,16 @@
                 address=holder.address,
                 restarted=process != holder.process,
             )
-            break
-        self.earlier.discard(holder)
-        if self.earlier:
+            self.earlier.discard(holder)
+            if not self.earlier:
+                self.on_silent()
             return
-        lapsed_s = self.clock.now() + self.lease_bound_s
+        self.earlier.discard(holder)
+
+    def on_silent(self) -> None:
+        """Shortens the wait for workers once no earlier holder sends orders."""
+        self.silent_s = min(self.silent_s, self.clock.now())
+        lapsed_s = self.silent_s + self.lease_bound_s
         for key, until_s in self.unreached.items():
             self.unreached[key] = min(until_s, lapsed_s)
 
--- a/libs/scheduling/burdockthread_scheduling/board.py
+++ b/libs/scheduling/burdockthread_scheduling/board.py
@@ -29,8 +29,8 @@
         foreseen_s: Durations that the runs stopped as too slow would have had.
         unaccounted: Whether a run was lost while another entry may have held the
             pool. That entry may keep the run alive, or have recorded its success.
-        located: Whether a worker has listed a run of an earlier holder to this one,
-            so that no other run of the task can exist.
+        located: Whether a worker has listed a run after the last order of earlier
+            holders, so that no other run of the task can exist.
     """
 
     __slots__ = (
@@ -194,7 +194,7 @@
         return all(not steps[number].open_tasks for number in step.spec.after)
 
     def locate(self, task: TaskRun) -> None:
-        """Records that a worker has listed a run of an earlier holder."""
+        """Records that a run was listed after the last order of earlier holders."""
         task.located = True
         step = self.step_run(task.task.occurrence, task.task.step)
         if step is not None:
@@ -204,7 +204,8 @@
         """Returns whether all runs of a task are known.
 
         An earlier holder runs a task once at a time, and starts no step before its
-        predecessors have succeeded, which one that was running then had not.
+        predecessors have succeeded, which one that was running after its last order
+        had not.
         """
         if not self.adopted or task.located:
             return True
--- a/libs/scheduling/burdockthread_scheduling/duties.py
+++ b/libs/scheduling/burdockthread_scheduling/duties.py
@@ -182,7 +182,7 @@
         if owner.term == self.lease.term and revision > self.highest_fences.get(
             name, -1
         ):
-            self.start_duty(name, factory, revision, owner.term)
+            self.start_duty(name, factory, revision, owner.term, replaces_record=True)
         else:
             await self.campaign(name, factory, revision)
 
@@ -351,7 +351,9 @@
             # when the lease ends.
             self.log.info("duty_not_taken", duty=name, reason="the entry is stopping")
             return
-        self.start_duty(name, factory, fence, record.term, inherited)
+        self.start_duty(
+            name, factory, fence, record.term, inherited, replaces_record=revision > 0
+        )
 
     def start_duty(
         self,
@@ -360,11 +362,15 @@
         fence: int,
         term: str,
         inherited: bytes = b"",
+        *,
+        replaces_record: bool,
     ) -> None:
         """Starts the work of a duty that the store records for this entry."""
         guard = Guard(duty_key(name), fence)
         lease_left_s = partial(self.lease.remaining_in_term_s, term)
-        tenure = Tenure(name, fence, guard, term, inherited, lease_left_s)
+        tenure = Tenure(
+            name, fence, guard, term, inherited, lease_left_s, replaces_record
+        )
         self.highest_fences[name] = fence
         self.held[name] = HeldDuty(tenure, factory(tenure))
         self.update_events()
--- a/libs/scheduling/burdockthread_scheduling/duty.py
+++ b/libs/scheduling/burdockthread_scheduling/duty.py
@@ -24,6 +24,8 @@
         inherited: State that the last holder passed on with its offer, or empty.
         lease_left_s: Returns the seconds for which that lease is certain to last;
             zero or less once the lease may have expired.
+        replaces_record: Whether the record of the last holder was replaced, whose lease
+            need not have ended then.
     """
 
     duty: str
@@ -32,6 +34,7 @@
     term: str = ""
     inherited: bytes = b""
     lease_left_s: Callable[[], float] = unbounded
+    replaces_record: bool = False
 
 
 class Duty(ABC):
--- a/libs/scheduling/burdockthread_scheduling/run_reports.py
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -66,7 +66,7 @@
         listed = set()
         for run in report.running:
             listed.add((run.task, run.run))
-            self.on_running(worker, run, report.clock_ms)
+            self.on_running(worker, run, report.clock_ms, sent_s)
         for end in report.ended.ends:
             listed.add((end.task, end.run))
             if end.number > worker.seen_end:
@@ -79,8 +79,17 @@
             self.writer.pending.set()
         self.core.wake.set()
 
-    def on_running(self, worker: WorkerState, run: RunReport, clock_ms: int) -> None:
-        """Processes a running run, listed at a time on the worker's clock."""
+    def on_running(
+        self, worker: WorkerState, run: RunReport, clock_ms: int, sent_s: float
+    ) -> None:
+        """Processes a running run.
+
+        Args:
+            worker: The worker.
+            run: The run.
+            clock_ms: Time on the worker's clock at which the run was listed.
+            sent_s: Clock time at which the report was requested.
+        """
         now = self.clock.now()
         placement = self.workers.placement(worker, run.task, run.run)
         if placement is None:
@@ -91,6 +100,8 @@
         placement.measure = run.measure
         placement.measured_s = now
         task = placement.task
+        if task is not None and not task.located and self.is_after_last_order(sent_s):
+            task.job.locate(task)
         if task is not None and task.step.lasting:
             placement.percent = run.percent
             if run.percent >= AVAILABLE_PERCENT:
@@ -100,6 +111,10 @@
         if task is not None and run.checkpoint:
             task.checkpoint = run.checkpoint
 
+    def is_after_last_order(self, since_s: float) -> bool:
+        """Returns whether earlier holders had sent all orders by a clock time."""
+        return since_s >= self.workers.assignment.silent_s
+
     def adopt(self, worker: WorkerState, run: RunReport, clock_ms: int) -> Placement:
         """Adds a run that an earlier holder has started; stops it if unwanted.
 
@@ -125,8 +140,6 @@
         placement.pending_stop_until_ms = int(clock_ms + stop_ms)
         worker.add(placement)
         worker.adopt_lease()
-        if task is not None:
-            task.job.locate(task)
         if task is not None and wanted:
             task.placements.append(placement)
             task.last_run = max(task.last_run, run.run)
@@ -158,7 +171,6 @@
             if task is None or worker.placements.get(key) is not placement:
                 continue
             worker.claim(placement, task)
-            job.locate(task)
             task.last_run = max(task.last_run, placement.run)
             self.log.info(
                 "run_claimed",
--- a/libs/scheduling/tests/pool_site.py
+++ b/libs/scheduling/tests/pool_site.py
@@ -120,6 +120,7 @@
         clock=None,
         roster=None,
         lease_left=None,
+        store=None,
     ):
         """Makes an entry the holder and starts its work."""
         key = duty_key(f"pool:{POOL}")
@@ -132,7 +133,7 @@
             entry=entry,
             address=entry,
             process=process,
-            store=self.store_of(entry),
+            store=store or self.store_of(entry),
             jobs=self.index,
             roster=roster or self.park,
             gateway=gateway or self.park,
--- a/libs/scheduling/tests/test_adopted_tasks.py
+++ b/libs/scheduling/tests/test_adopted_tasks.py
@@ -15,13 +15,16 @@
 async def lone_holder(site):
     """Returns a function that has another entry take over without one worker.
 
-    It takes the id of the worker that stays out of reach.
+    It takes the id of the worker that stays out of reach, and whether the other entry
+    learns that the process of the earlier holder has ended.
     """
     first = await start(site)
 
-    async def take_over(worker_id):
+    async def take_over(worker_id, *, is_ended=True):
         site.park.worker_by_id(worker_id).silent = True
         await site.kill(first)
+        if is_ended:
+            site.processes["entry-1"] = None
         second = await site.holder("entry-2", "process-2")
         await site.pass_time(0.3)
         assert [key.worker_id for key in second.workers.assignment.unreached] == [
@@ -81,3 +84,41 @@
     site.park.add("w3", POOL)
     await site.pass_time(5.0)
     assert len(site.runs(job)) == 2
+
+
+# A holder that nobody reaches may be at work, and may know more than the next one: a
+# cut-off one learnt of an end and restarted the task on the worker out of reach.
+async def test_lasting_task_waits_while_the_earlier_holder_may_be_at_work(
+    site, lone_holder
+):
+    job = await site.submit(step(2, cpu_milli=HALF, lasting=True), nature=FOREVER)
+    await site.until(lambda: len(site.runs(job)) == 2)
+    await site.pass_time(0.5)
+    await lone_holder("w1", is_ended=False)
+    site.park.add("w3", POOL)
+    await site.pass_time(0.5)
+    drain(site, "w2")
+    await site.pass_time(3.0)
+    assert len(site.runs(job)) == 2
+    # By then the lease of the other task has run out too.
+    site.park.worker_by_id("w1").silent = False
+    await site.until(lambda: len(site.runs(job)) == 4, seconds=PROMPT_S)
+
+
+# A listing that was requested before the earlier holder had sent its last order tells
+# nothing of what that holder started after it.
+async def test_tasks_listed_before_the_last_order_wait_for_a_later_list(
+    site, lone_holder
+):
+    job = await site.submit(step(2, cpu_milli=HALF, lasting=True), nature=FOREVER)
+    await site.until(lambda: len(site.runs(job)) == 2)
+    await site.pass_time(0.5)
+    second = await lone_holder("w1", is_ended=False)
+    listed = next(
+        task
+        for task in second.core.board.jobs[job].open_tasks()
+        if any(placement.worker.worker_id == "w2" for placement in task.placements)
+    )
+    assert not listed.located
+    site.processes["entry-1"] = None
+    await site.until(lambda: listed.located, seconds=PROMPT_S)
