--- a/libs/scheduling/burdockthread_scheduling/intake.py
+++ b/libs/scheduling/burdockthread_scheduling/intake.py
@@ -32,7 +32,7 @@
 MAX_JOBS_PER_WRITE = 9
 MAX_WRITES_AT_ONCE = 4
 MAX_CANCEL_TRIES = 5
-# The store may execute a write some seconds after it was sent, the slowest within this.
+# Longest time assumed after which the store executes a write that it has not answered.
 LATE_WRITE_S = 30.0
 # A batch whose write was lost is sent again within this time, about half of the time
 # that callers wait.
--- a/libs/scheduling/burdockthread_scheduling/pool_workers.py
+++ b/libs/scheduling/burdockthread_scheduling/pool_workers.py
@@ -182,7 +182,7 @@
                 self.drop(worker, "the planner withdrew its report of the end")
         self.doubted_ends = set(worker_ids) - self.ended_by_planner
 
-    def runs_known(self, worker: WorkerState) -> None:
+    def note_runs_known(self, worker: WorkerState) -> None:
         """Records that a worker has told this holder of all its runs and ends.
 
         Its earlier lives have ended, and it refuses the orders of earlier holders.
--- a/libs/scheduling/burdockthread_scheduling/request_relay.py
+++ b/libs/scheduling/burdockthread_scheduling/request_relay.py
@@ -195,8 +195,8 @@
         Args:
             request: The request.
             handle: Answers it from this entry's store.
-            is_abandoned: Returns whether the caller has left. No other entry is asked
-                then to store its job, or to read for it.
+            is_abandoned: Returns whether the caller has left. Nothing but a cancel is
+                passed on for it then.
 
         Raises:
             UnsettledError: An entry that did not answer may have handled it.
--- a/libs/scheduling/burdockthread_scheduling/run_reports.py
+++ b/libs/scheduling/burdockthread_scheduling/run_reports.py
@@ -73,7 +73,7 @@
                 worker.seen_end = end.number
                 self.on_end(worker, end)
         if report.is_whole():
-            self.workers.runs_known(worker)
+            self.workers.note_runs_known(worker)
             self.drop_missing(worker, listed, sent_s)
         if worker.seen_end > worker.settled_end:
             self.writer.pending.set()
